--- /dev/null
+++ b/include/foxtailbarrow/Worker.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+#include "foxtailbarrow/Job.h"
+#include "foxtailbarrow/Resources.h"
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow {
+
+/// Names one run of a job: the job and the epoch of its assignment.
+struct TaskKey
+{
+  JobId mJob;
+  Epoch mEpoch = 0;
+
+  auto operator<=>(const TaskKey&) const = default;
+
+  template<typename H>
+  friend H AbslHashValue(H aState, const TaskKey& aKey)
+  {
+    return H::combine(std::move(aState), aKey.mJob, aKey.mEpoch);
+  }
+};
+
+/// What a worker needs to start a task.
+struct TaskStart
+{
+  TaskKey mKey;
+  CustomerId mCustomer;
+  JobKind mKind = JobKind::Batch;
+  Resources mResources; ///< Reserved on the worker while the task is there.
+  std::string mProgram;
+  std::string mArguments;
+  std::string mCheckpoint; ///< Resume from here; empty = from the start.
+  Duration mLease{};       ///< The worker stops the task when it lapses.
+};
+
+enum class TaskState : std::uint8_t
+{
+  Running,
+  Finished,     ///< Ended by itself with success.
+  Failed,       ///< Ended by itself without success, or could not start.
+  Checkpointed, ///< Stopped after writing a checkpoint.
+  Stopped,      ///< Stopped on request, or because its lease lapsed.
+};
+
+/// A task as its worker knows it.
+struct TaskStatus
+{
+  TaskKey mKey;
+  TaskState mState = TaskState::Running;
+  Resources mReserved;
+  std::string mCheckpoint; ///< Set when Checkpointed.
+  std::string mReason;     ///< Set when Failed or Stopped.
+};
+
+/// Usage measured over a past window. Arrives late.
+struct UsageSample
+{
+  TaskKey mKey;
+  Resources mUsed; ///< Mean over the window.
+  Duration mAge{}; ///< From the middle of the window until the report.
+};
+
+/// Size of a worker and what runs on it.
+struct WorkerView
+{
+  Resources mCapacity;
+  std::vector<TaskStatus> mTasks; ///< Ended tasks stay until acknowledged.
+  std::vector<UsageSample> mUsage;
+};
+
+/// The platform's worker. Every method suspends the calling fiber; errors carry
+/// a Verdict. The worker refuses an epoch lower than the highest it has seen
+/// for a job (FailedPrecondition), and a second start of the same key succeeds
+/// without a second run.
+class Worker
+{
+public:
+  virtual ~Worker() = default;
+
+  virtual absl::StatusOr<WorkerView> View() = 0;
+  virtual absl::Status Start(const TaskStart& aStart) = 0;
+
+  /// Extends the leases of these tasks to `aLease` from now.
+  virtual absl::Status Renew(std::span<const TaskKey> aKeys,
+                             Duration aLease) = 0;
+
+  /// Writes a checkpoint, stops the task, returns the checkpoint's reference.
+  virtual absl::StatusOr<std::string> Checkpoint(const TaskKey& aKey) = 0;
+
+  /// Limits the task to this fraction of its processors, 0 < fraction <= 1.
+  virtual absl::Status Throttle(const TaskKey& aKey, double aFraction) = 0;
+
+  virtual absl::Status Stop(const TaskKey& aKey) = 0;
+
+  /// Lets the worker forget ended tasks.
+  virtual absl::Status Acknowledge(std::span<const TaskKey> aKeys) = 0;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/base/EnumText.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace foxtailbarrow {
+
+/// Two-way table between the variants of an enum class and their texts.
+template<typename Enum, std::size_t Size>
+class EnumText
+{
+public:
+  using Row = std::pair<Enum, std::string_view>;
+
+  constexpr explicit EnumText(const Row (&aRows)[Size])
+    : mRows(std::to_array(aRows))
+  {
+  }
+
+  /// "unknown" for a variant outside the table.
+  constexpr std::string_view Text(Enum aValue) const
+  {
+    for (const auto& [value, text] : mRows) {
+      if (value == aValue) {
+        return text;
+      }
+    }
+    return "unknown";
+  }
+
+  constexpr std::optional<Enum> Parse(std::string_view aText) const
+  {
+    for (const auto& [value, text] : mRows) {
+      if (text == aText) {
+        return value;
+      }
+    }
+    return std::nullopt;
+  }
+
+private:
+  std::array<Row, Size> mRows;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/net/Rpc.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include <json/value.h>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Time.h"
+#include "src/net/HttpClient.h"
+#include "src/net/HttpMessage.h"
+
+namespace foxtailbarrow::net {
+
+/// HTTP target at which every process answers JSON-RPC 2.0 by POST.
+inline constexpr std::string_view kRpcTarget = "/rpc";
+
+/// Answers JSON-RPC 2.0 calls by libjsonrpccpp. Register every method before
+/// the first call to Handle().
+class RpcDispatcher
+{
+public:
+  /// Takes the params object and returns the result. Runs in the connection's
+  /// fiber. An error becomes a JSON-RPC error object whose data carries the
+  /// status code and the verdict.
+  using Method = std::function<absl::StatusOr<Json::Value>(const Json::Value&)>;
+
+  RpcDispatcher();
+  ~RpcDispatcher();
+
+  void Add(std::string aName, Method aMethod);
+
+  /// Handles the HTTP body of one call.
+  HttpResponse Handle(const HttpRequest& aRequest);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+/// Calls JSON-RPC 2.0 methods over an HttpClient.
+class RpcClient
+{
+public:
+  explicit RpcClient(HttpClient& aClient);
+
+  /// Errors carry a Verdict: that of the HTTP call, or the remote's own.
+  absl::StatusOr<Json::Value> Call(const Endpoint& aEndpoint,
+                                   std::string_view aMethod,
+                                   const Json::Value& aParams,
+                                   Duration aTimeout);
+
+private:
+  HttpClient& mClient;
+};
+
+} // namespace foxtailbarrow::net
