Add the in-process store, its table and its faults

Cause: every other part needs a Store to test against before the HTTP client exists, and the stand-in needs the same semantics of etcd v3. Change: KeyValueTable (pure: revisions, transactions, leases by passed-in time, history for watches and reads at a past revision), FaultGate (outage, delay, lost replies, rate ceilings), MemoryStore over both, CountingStore, and a conformance table that EtcdStore joins later. Ruled out: std::mutex in MemoryStore, which would block every fiber of a thread while one waits in a watch; Boost.Fiber's mutex serves plain threads as well. Keep-alives count against the write ceiling, the stricter reading.

--- /dev/null
+++ b/src/platform/store/StoreCall.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace foxtailbarrow {
+
+/// Kinds of calls to the store, one for each method of Store.
+enum class StoreCall : std::uint8_t
+{
+  Read,
+  List,
+  Commit,
+  GrantLease,
+  KeepAlive,
+  RevokeLease,
+  Watch,
+};
+
+inline constexpr std::size_t kStoreCallKinds = 7;
+
+/// Label in metrics: `read`, `list`, `commit`, `grant-lease`, `keep-alive`,
+/// `revoke-lease` or `watch`.
+std::string_view ToString(StoreCall aCall);
+
+/// Whether the call changes the store, so that a lost reply leaves open
+/// whether it took effect. Also says which rate ceiling applies.
+constexpr bool IsWrite(StoreCall aCall)
+{
+  return aCall == StoreCall::Commit || aCall == StoreCall::GrantLease ||
+         aCall == StoreCall::KeepAlive || aCall == StoreCall::RevokeLease;
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/tests/store/StoreHarness.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+#include "foxtailbarrow/Store.h"
+#include "src/platform/store/MemoryStore.h"
+
+namespace foxtailbarrow {
+
+/// A store under test together with its switches for faults and its clock.
+class StoreHarness
+{
+public:
+  virtual ~StoreHarness() = default;
+
+  virtual Store& Client() = 0;
+
+  /// Runs the body of a test where the client may be called.
+  virtual void Run(const std::function<void()>& aBody) = 0;
+
+  /// Runs a second body beside the first; joined at the end of the test.
+  virtual void RunBeside(std::function<void()> aBody) = 0;
+
+  void SetFaults(const StoreFaults& aFaults) { mBackend.SetFaults(aFaults); }
+  void Advance(Duration aSpan) { mSkipped += aSpan.count(); }
+  std::uint64_t Calls(StoreCall aCall) const
+  {
+    return mBackend.Counts().Count(aCall);
+  }
+
+protected:
+  std::atomic<Duration::rep> mSkipped = 0;
+  MemoryStore mBackend{ [this] {
+    return MonotonicNow() + Duration(mSkipped);
+  } };
+};
+
+using HarnessFactory = std::unique_ptr<StoreHarness> (*)();
+
+std::unique_ptr<StoreHarness> MakeMemoryHarness();
+
+} // namespace foxtailbarrow
