Add what fences delayed assignments and late revocations

Cause: an assignment that is delayed (agent frozen, network) would be started after the owner gave the job away, because a later heartbeat renews the shard lease; a revocation of a request that the agent's bounded memory has forgotten, or that an earlier incarnation ran, would be answered not-run; and after a restart the ledger could not count tasks against their customer. Ruled out: waiting longer before each reassignment (no bound is long enough). Change: Assign names the heartbeat it counts on, Revoke carries the age of the request with a safe default, TaskStatus carries customer and kind. All fields are additive.

--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -104,6 +104,12 @@
   Generation mGeneration = 0;
   TaskStart mTask;
   bool mUrgent = false;
+  /// Incarnation and sequence of the agent's heartbeat that the owner answered
+  /// last. The agent refuses an assignment that counts on a heartbeat of an
+  /// earlier incarnation, or whose lease has lapsed since: it was delayed, and
+  /// the job may have been given to another agent. Sequence 0 = not stated.
+  Incarnation mIncarnation = 0;
+  std::uint64_t mSequence = 0;
 };
 
 struct AssignReply
@@ -147,6 +153,9 @@
 struct Revoke
 {
   RequestId mRequest;
+  /// Since the entry sent the request to this agent. The agent answers NotRun
+  /// only for a request younger than its memory; unknown = the maximum.
+  Duration mAge = Duration::max();
 };
 
 struct RevokeReply
--- a/include/foxtailbarrow/Worker.h
+++ b/include/foxtailbarrow/Worker.h
@@ -55,9 +55,11 @@
 {
   TaskKey mKey;
   TaskState mState = TaskState::Running;
+  CustomerId mCustomer;
+  JobKind mKind = JobKind::Batch;
   Resources mReserved;
   std::string mCheckpoint; ///< Set when Checkpointed.
-  std::string mReason;     ///< Set when Failed or Stopped.
+  std::string mReason;     ///< Set unless Running or Finished.
 };
 
 /// Usage measured over a past window. Arrives late.
