--- /dev/null
+++ b/src/telemetry/Settings.cpp
@@ -0,0 +1,405 @@
+#include "src/telemetry/Settings.h"
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include <CLI/CLI.hpp>
+
+namespace foxtailbarrow {
+
+namespace {
+
+constexpr char kVersion[] = "foxtailbarrow 0.1.0";
+constexpr std::size_t kFlagDashes = 2;
+constexpr std::string_view kEndpointAllowed =
+  "an IPv4 number and a port in 1..65535, as in 127.0.0.1:8080";
+constexpr std::string_view kListenAllowed =
+  "an IPv4 number and a port in 0..65535, as in 127.0.0.1:0";
+
+std::string VariableName(std::string_view aFlag)
+{
+  std::string name(aFlag.substr(kFlagDashes));
+  std::ranges::replace(name, '-', '_');
+  return "FOXTAILBARROW_" + absl::AsciiStrToUpper(name);
+}
+
+std::optional<Endpoint> ParseListen(std::string_view aText)
+{
+  constexpr std::string_view kAnyPort = ":0";
+  if (!aText.ends_with(kAnyPort)) {
+    return ParseEndpoint(aText);
+  }
+  aText.remove_suffix(kAnyPort.size());
+  std::optional<Endpoint> endpoint = ParseEndpoint(std::string(aText) + ":1");
+  if (endpoint) {
+    endpoint->mPort = 0;
+  }
+  return endpoint;
+}
+
+std::optional<std::vector<Endpoint>> ParseEndpoints(std::string_view aText)
+{
+  std::vector<Endpoint> endpoints;
+  for (const std::string& part : std::vector<std::string>(
+         absl::StrSplit(absl::string_view(aText.data(), aText.size()), ','))) {
+    const std::optional<Endpoint> endpoint = ParseEndpoint(part);
+    if (!endpoint) {
+      return std::nullopt;
+    }
+    endpoints.push_back(*endpoint);
+  }
+  return endpoints;
+}
+
+std::string DefaultText(const Endpoint& aEndpoint)
+{
+  return aEndpoint.mAddress.empty() ? "" : ToString(aEndpoint);
+}
+
+} // namespace
+
+struct Setting::Impl
+{
+  std::string mName;    ///< Flag and variable, as error messages show them.
+  std::string mAllowed; ///< What the error messages tell.
+  CLI::Option* mOption = nullptr;
+  bool mRequired = false;
+
+  std::string Refusal(const std::string& aFault) const
+  {
+    return absl::StrCat(mName, ": ", aFault, "; allowed: ", mAllowed);
+  }
+};
+
+void Setting::Required()
+{
+  mImpl.mRequired = true;
+}
+
+struct Settings::Impl
+{
+  std::unique_ptr<CLI::App> mOwnApp; ///< Set in the root alone.
+  CLI::App* mApp = nullptr;
+  std::vector<std::unique_ptr<Setting::Impl>> mSettings;
+  std::vector<std::unique_ptr<Settings>> mSubcommands;
+
+  /// The first fault that CLI11 does not know of; empty when there is none.
+  std::string MissingSetting() const
+  {
+    for (const auto& setting : mSettings) {
+      if (setting->mRequired && setting->mOption->count() == 0) {
+        return setting->Refusal("missing");
+      }
+    }
+    for (const auto& subcommand : mSubcommands) {
+      if (subcommand->Chosen()) {
+        return subcommand->mImpl->MissingSetting();
+      }
+    }
+    return {};
+  }
+
+  /// Adds what is allowed to CLI11's own message, which names the flag.
+  std::string Explained(const std::string& aMessage) const
+  {
+    for (const auto& setting : mSettings) {
+      if (const std::string name = setting->mOption->get_name();
+          aMessage.starts_with(name + ":") ||
+          absl::StrContains(aMessage, " " + name + " = ")) {
+        return absl::StrCat(aMessage, "; allowed: ", setting->mAllowed);
+      }
+    }
+    for (const auto& subcommand : mSubcommands) {
+      if (subcommand->Chosen()) {
+        return subcommand->mImpl->Explained(aMessage);
+      }
+    }
+    return aMessage;
+  }
+
+  Setting::Impl& Remember(std::string aName, std::string_view aAllowed)
+  {
+    auto setting = std::make_unique<Setting::Impl>();
+    setting->mName = std::move(aName);
+    setting->mAllowed = aAllowed;
+    mSettings.push_back(std::move(setting));
+    return *mSettings.back();
+  }
+};
+
+Settings::Settings(std::string_view aProgram, std::string_view aDescription)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->mOwnApp = std::make_unique<CLI::App>(std::string(aDescription),
+                                              std::string(aProgram));
+  mImpl->mApp = mImpl->mOwnApp.get();
+  mImpl->mApp->set_version_flag("--version", kVersion);
+}
+
+Settings::Settings(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Settings::~Settings() = default;
+
+Setting Settings::Add(std::string_view aFlag,
+                      std::string_view aHelp,
+                      std::string_view aAllowed,
+                      Acceptor aAcceptor,
+                      std::string_view aDefault)
+{
+  const std::string flag(aFlag);
+  const std::string variable = VariableName(aFlag);
+  Setting::Impl& setting =
+    mImpl->Remember(flag + " (" + variable + ")", aAllowed);
+  const auto accept =
+    [&setting, acceptor = std::move(aAcceptor)](const std::string& aText) {
+      if (!acceptor(aText)) {
+        throw CLI::ValidationError(
+          setting.Refusal("value '" + aText + "' is not allowed"));
+      }
+    };
+  setting.mOption = mImpl->mApp->add_option_function<std::string>(
+    flag, accept, std::string(aHelp));
+  setting.mOption->envname(variable);
+  setting.mOption->default_str(std::string(aDefault));
+  return Setting(setting);
+}
+
+Setting Settings::AddText(std::string_view aFlag,
+                          std::string& aTarget,
+                          std::string_view aHelp)
+{
+  return Add(
+    aFlag,
+    aHelp,
+    "any text but the empty one",
+    [&aTarget](std::string_view aText) {
+      aTarget = aText;
+      return !aText.empty();
+    },
+    aTarget);
+}
+
+Setting Settings::AddListen(std::string_view aFlag,
+                            Endpoint& aTarget,
+                            std::string_view aHelp)
+{
+  return Add(
+    aFlag,
+    aHelp,
+    kListenAllowed,
+    [&aTarget](std::string_view aText) {
+      const std::optional<Endpoint> endpoint = ParseListen(aText);
+      aTarget = endpoint.value_or(aTarget);
+      return endpoint.has_value();
+    },
+    DefaultText(aTarget));
+}
+
+Setting Settings::AddEndpoint(std::string_view aFlag,
+                              Endpoint& aTarget,
+                              std::string_view aHelp)
+{
+  return Add(
+    aFlag,
+    aHelp,
+    kEndpointAllowed,
+    [&aTarget](std::string_view aText) {
+      const std::optional<Endpoint> endpoint = ParseEndpoint(aText);
+      aTarget = endpoint.value_or(aTarget);
+      return endpoint.has_value();
+    },
+    DefaultText(aTarget));
+}
+
+Setting Settings::AddEndpoints(std::string_view aFlag,
+                               std::vector<Endpoint>& aTarget,
+                               std::string_view aHelp)
+{
+  return Add(aFlag,
+             aHelp,
+             absl::StrCat("a comma-separated list, each ",
+                          std::string(kEndpointAllowed)),
+             [&aTarget](std::string_view aText) {
+               std::optional<std::vector<Endpoint>> endpoints =
+                 ParseEndpoints(aText);
+               if (!endpoints) {
+                 return false;
+               }
+               aTarget = std::move(*endpoints);
+               return true;
+             });
+}
+
+Setting Settings::AddNumber(std::string_view aFlag,
+                            std::int64_t aDefault,
+                            SettingRange<std::int64_t> aRange,
+                            std::function<void(std::int64_t)> aStore,
+                            std::string_view aHelp)
+{
+  return Add(
+    aFlag,
+    aHelp,
+    absl::StrCat("a whole number in ", aRange.mMin, "..", aRange.mMax),
+    [aRange, store = std::move(aStore)](std::string_view aText) {
+      std::int64_t value = 0;
+      if (!absl::SimpleAtoi(std::string(aText), &value) ||
+          value < aRange.mMin || value > aRange.mMax) {
+        return false;
+      }
+      store(value);
+      return true;
+    },
+    std::to_string(aDefault));
+}
+
+Setting Settings::AddMilliseconds(std::string_view aFlag,
+                                  Duration& aTarget,
+                                  SettingRange<Duration> aRange,
+                                  std::string_view aHelp)
+{
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  return AddNumber(
+    aFlag,
+    duration_cast<milliseconds>(aTarget).count(),
+    { duration_cast<milliseconds>(aRange.mMin).count(),
+      duration_cast<milliseconds>(aRange.mMax).count() },
+    [&aTarget](std::int64_t aValue) { aTarget = milliseconds(aValue); },
+    aHelp);
+}
+
+Setting Settings::AddFraction(std::string_view aFlag,
+                              double& aTarget,
+                              SettingRange<double> aRange,
+                              std::string_view aHelp)
+{
+  return Add(
+    aFlag,
+    aHelp,
+    absl::StrCat("a number in ", aRange.mMin, "..", aRange.mMax),
+    [&aTarget, aRange](std::string_view aText) {
+      double value = 0.0;
+      // Written so that "nan" is refused, too.
+      if (!absl::SimpleAtod(std::string(aText), &value) ||
+          !(value >= aRange.mMin && value <= aRange.mMax)) {
+        return false;
+      }
+      aTarget = value;
+      return true;
+    },
+    absl::StrCat(aTarget));
+}
+
+Setting Settings::AddChoice(std::string_view aFlag,
+                            std::string& aTarget,
+                            std::initializer_list<std::string_view> aAllowed,
+                            std::string_view aHelp)
+{
+  const std::vector<std::string> allowed(aAllowed.begin(), aAllowed.end());
+  return Add(
+    aFlag,
+    aHelp,
+    absl::StrJoin(allowed, ", "),
+    [&aTarget, allowed](std::string_view aText) {
+      if (std::find(allowed.begin(), allowed.end(), aText) == allowed.end()) {
+        return false;
+      }
+      aTarget = aText;
+      return true;
+    },
+    aTarget);
+}
+
+Setting Settings::AddLogLevel(LogLevel& aTarget)
+{
+  return Add(
+    "--log-level",
+    "lines of this level and above go to standard error",
+    "error, warn, info, debug",
+    [&aTarget](std::string_view aText) {
+      const std::optional<LogLevel> level = ParseLogLevel(aText);
+      aTarget = level.value_or(aTarget);
+      return level.has_value();
+    },
+    ToString(aTarget));
+}
+
+void Settings::AddSwitch(std::string_view aFlag,
+                         bool& aTarget,
+                         std::string_view aHelp)
+{
+  const std::string variable = VariableName(aFlag);
+  Setting::Impl& setting = mImpl->Remember(
+    absl::StrCat(std::string(aFlag), " (", variable, ")"), "true, false");
+  setting.mOption =
+    mImpl->mApp->add_flag(std::string(aFlag), aTarget, std::string(aHelp));
+  setting.mOption->envname(variable);
+}
+
+Setting Settings::AddPositional(std::string_view aName,
+                                std::string& aTarget,
+                                std::string_view aHelp)
+{
+  Setting::Impl& setting = mImpl->Remember(std::string(aName), aHelp);
+  setting.mOption =
+    mImpl->mApp->add_option(std::string(aName), aTarget, std::string(aHelp));
+  return Setting(setting);
+}
+
+Settings& Settings::AddSubcommand(std::string_view aName,
+                                  std::string_view aDescription)
+{
+  auto impl = std::make_unique<Impl>();
+  impl->mApp =
+    mImpl->mApp->add_subcommand(std::string(aName), std::string(aDescription));
+  mImpl->mApp->require_subcommand(1);
+  mImpl->mSubcommands.emplace_back(new Settings(std::move(impl)));
+  return *mImpl->mSubcommands.back();
+}
+
+bool Settings::Chosen() const
+{
+  return mImpl->mApp->parsed();
+}
+
+std::optional<int> Settings::Parse(std::vector<std::string> aArguments,
+                                   std::ostream& aOut,
+                                   std::ostream& aErr)
+{
+  std::string fault;
+  try {
+    // CLI11 takes the arguments in reverse order.
+    std::reverse(aArguments.begin(), aArguments.end());
+    mImpl->mApp->parse(std::move(aArguments));
+    fault = mImpl->MissingSetting();
+  } catch (const CLI::ParseError& error) {
+    if (error.get_exit_code() == 0) {
+      mImpl->mApp->exit(error, aOut, aErr);
+      return 0;
+    }
+    fault = mImpl->Explained(error.what());
+  }
+  if (fault.empty()) {
+    return std::nullopt;
+  }
+  aErr << mImpl->mApp->get_name() << ": " << fault << "\n"
+       << "See " << mImpl->mApp->get_name() << " --help.\n";
+  return kExitUsage;
+}
+
+std::optional<int> Settings::Parse(int argc, const char* const* argv)
+{
+  return Parse({ argv + 1, argv + argc }, std::cout, std::cerr);
+}
+
+} // namespace foxtailbarrow
