Add membership, routing tables and the choice of a backend server

An entry has to know which agents there are and to pick one for a request without a lock. AgentDirectory applies heartbeats in any order and makes a new immutable RoutingTable only when membership changed; load reports go into gauges that all tables share. Router picks by one of three policies: least loaded of two, random, round robin.

Ruled out: one map under a lock (every request would wait for membership changes), std::atomic<std::shared_ptr> (a contended count, and a lock inside in libstdc++ 12), a new table for each load report (one a heartbeat).

--- /dev/null
+++ b/src/core/membership/AgentRecord.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Messages.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/membership/AgentPhase.h"
+#include "src/core/routing/AgentGauges.h"
+#include "src/core/routing/RoutableAgent.h"
+
+namespace foxtailbarrow {
+
+/// What the directory keeps of one agent: its newest heartbeat (without the
+/// tasks) and what follows from it.
+struct AgentRecord
+{
+  AgentId mAgent;
+  Incarnation mIncarnation = 0;
+  std::uint64_t mSequence = 0;
+  Endpoint mEndpoint;
+  ServiceId mService;
+  RackId mRack;
+  FailureDomainId mFailureDomain;
+  ServingState mState = ServingState::Starting;
+  LoadReport mLoad;
+  Revision mConfiguration = 0;
+
+  AgentPhase mPhase = AgentPhase::Starting;
+  Instant mHeardAt{};
+  Duration mInterval{}; ///< Learned time between its heartbeats.
+  std::shared_ptr<AgentGauges> mGauges;
+
+  /// As listed in routing tables; null while it gets no requests.
+  RoutableAgentPointer mRoutable;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/routing/LoadFigures.cpp
@@ -0,0 +1,42 @@
+#include "src/core/routing/LoadFigures.h"
+
+#include <array>
+#include <charconv>
+#include <cstddef>
+
+namespace foxtailbarrow {
+
+LoadFigures FiguresOf(const LoadReport& aReport)
+{
+  return { aReport.mSlotsInUse, aReport.mSlots, aReport.mWaiting };
+}
+
+std::string ToString(const LoadFigures& aFigures)
+{
+  return std::to_string(aFigures.mSlotsInUse) + '/' +
+         std::to_string(aFigures.mSlots) + '/' +
+         std::to_string(aFigures.mWaiting);
+}
+
+std::optional<LoadFigures> ParseLoadFigures(std::string_view aText)
+{
+  std::array<std::int32_t, 3> numbers{};
+  const char* next = aText.data();
+  const char* const end = next + aText.size();
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    if (i > 0 && (next == end || *next++ != '/')) {
+      return std::nullopt;
+    }
+    const auto [rest, error] = std::from_chars(next, end, numbers[i]);
+    if (error != std::errc{} || numbers[i] < 0) {
+      return std::nullopt;
+    }
+    next = rest;
+  }
+  if (next != end) {
+    return std::nullopt;
+  }
+  return LoadFigures{ numbers[0], numbers[1], numbers[2] };
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/routing/LoadFigures.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "foxtailbarrow/Messages.h"
+
+namespace foxtailbarrow {
+
+/// How busy a backend server is, as its agent saw it when it sent this. Source:
+/// heartbeats and the header `Foxtailbarrow-Load` of answers.
+struct LoadFigures
+{
+  std::int32_t mSlotsInUse = 0;
+  std::int32_t mSlots = 0;
+  std::int32_t mWaiting = 0; ///< Admitted, not yet in a slot.
+
+  bool operator==(const LoadFigures&) const = default;
+};
+
+LoadFigures FiguresOf(const LoadReport& aReport);
+
+/// Text of the header `Foxtailbarrow-Load`: "slotsInUse/slots/waiting".
+std::string ToString(const LoadFigures& aFigures);
+
+/// Reverse of ToString(); nullopt for any other text or a negative number.
+std::optional<LoadFigures> ParseLoadFigures(std::string_view aText);
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/routing/PickRequest.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+#include "foxtailbarrow/Id.h"
+
+namespace foxtailbarrow {
+
+/// What the choice of a backend server depends on. Views must outlive the call.
+struct PickRequest
+{
+  ServiceId mService;
+  CustomerId mCustomer;
+  std::string_view mIdempotencyKey; ///< Empty = none.
+  bool mIdempotent = false;
+  std::span<const AgentId> mExcluded; ///< Tried before; never picked again.
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/routing/RoutableAgent.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Messages.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/routing/AgentGauges.h"
+
+namespace foxtailbarrow {
+
+/// An agent as requests are routed to it. Immutable but for its gauges.
+struct RoutableAgent
+{
+  AgentId mAgent;
+  Incarnation mIncarnation = 0;
+  Endpoint mEndpoint;
+  ServiceId mService;
+  RackId mRack;
+  FailureDomainId mFailureDomain;
+  Instant mServingSince{}; ///< Start of its slow start.
+  std::uint64_t mHash = 0; ///< Of mAgent; the same in every process.
+  std::shared_ptr<AgentGauges> mGauges;
+};
+
+using RoutableAgentPointer = std::shared_ptr<const RoutableAgent>;
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/routing/Router.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <variant>
+
+#include "absl/random/bit_gen_ref.h"
+
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/routing/Choice.h"
+#include "src/core/routing/LeastLoadedPick.h"
+#include "src/core/routing/PickRequest.h"
+#include "src/core/routing/RandomPick.h"
+#include "src/core/routing/RoundRobinPick.h"
+#include "src/core/routing/RoutingTable.h"
+
+namespace foxtailbarrow {
+
+using RoutingPolicy = std::variant<LeastLoadedPick, RandomPick, RoundRobinPick>;
+
+/// Decides which backend server gets a request. Inputs: a routing table, the
+/// request, the time and random bits. Output: an agent, or the final answer
+/// that there is none. Callable from any thread.
+///
+/// Promises: never picks an agent that is draining, gone or excluded; under the
+/// least-loaded policy never one that is full, nor an ejected one but as a
+/// probe; the cost of a choice does not grow with the number of agents, but
+/// for keyed requests that are not idempotent (see KeyedHome.h).
+class Router
+{
+public:
+  explicit Router(FailureDomainId aOwnDomain,
+                  RoutingPolicy aPolicy = LeastLoadedPick());
+
+  Choice Pick(const std::shared_ptr<const RoutingTable>& aTable,
+              const PickRequest& aRequest,
+              Instant aNow,
+              absl::BitGenRef aRandom) const;
+
+private:
+  Choice PickAny(const std::shared_ptr<const RoutingTable>& aTable,
+                 const PickContext& aContext,
+                 absl::BitGenRef aRandom) const;
+
+  FailureDomainId mOwnDomain;
+  RoutingPolicy mPolicy;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/routing/RoutingTable.cpp
@@ -0,0 +1,77 @@
+#include "src/core/routing/RoutingTable.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace foxtailbarrow {
+
+namespace {
+
+void SortByDomain(std::vector<RoutableAgentPointer>& aAgents)
+{
+  std::sort(
+    aAgents.begin(),
+    aAgents.end(),
+    [](const RoutableAgentPointer& aLeft, const RoutableAgentPointer& aRight) {
+      return std::tie(aLeft->mFailureDomain, aLeft->mAgent) <
+             std::tie(aRight->mFailureDomain, aRight->mAgent);
+    });
+}
+
+std::vector<DomainRange> IndexDomains(
+  std::span<const RoutableAgentPointer> aAgents)
+{
+  std::vector<DomainRange> domains;
+  for (std::size_t i = 0; i < aAgents.size(); ++i) {
+    const FailureDomainId& domain = aAgents[i]->mFailureDomain;
+    if (domains.empty() || domains.back().mFailureDomain != domain) {
+      domains.push_back({ domain, i, i });
+    }
+    domains.back().mEnd = i + 1;
+  }
+  return domains;
+}
+
+} // namespace
+
+std::span<const RoutableAgentPointer> ServiceTable::InDomain(
+  const FailureDomainId& aDomain) const
+{
+  for (const DomainRange& range : mDomains) {
+    if (range.mFailureDomain == aDomain) {
+      return Routable().subspan(range.mBegin, range.mEnd - range.mBegin);
+    }
+  }
+  return {};
+}
+
+const ServiceTable* RoutingTable::Find(const ServiceId& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? nullptr : found->second.get();
+}
+
+std::shared_ptr<const ServiceTable> BuildServiceTable(
+  ServiceId aService,
+  std::vector<RoutableAgentPointer> aServing,
+  std::vector<RoutableAgentPointer> aSuspect,
+  std::vector<FormerAgent> aFormer,
+  std::shared_ptr<ServiceHealth> aHealth)
+{
+  auto table = std::make_shared<ServiceTable>();
+  table->mService = std::move(aService);
+  table->mServing = std::move(aServing);
+  table->mSuspect = std::move(aSuspect);
+  table->mFormer = std::move(aFormer);
+  table->mHealth = std::move(aHealth);
+  SortByDomain(table->mServing);
+  SortByDomain(table->mSuspect);
+  table->mDomains = IndexDomains(table->Routable());
+  table->mHealth->mAgents.store(
+    static_cast<std::uint32_t>(table->Routable().size()),
+    std::memory_order_relaxed);
+  return table;
+}
+
+} // namespace foxtailbarrow
