--- /dev/null
+++ b/apps/entry/AgentDesk.cpp
@@ -0,0 +1,81 @@
+#include "apps/entry/AgentDesk.h"
+
+#include <utility>
+
+#include <boost/fiber/operations.hpp>
+
+#include "foxtailbarrow/Time.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::entry {
+
+namespace {
+
+/// Also how long changes of membership other than a drain may gather before a
+/// new routing table is made.
+constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+AgentDesk::AgentDesk(ControlContext& aContext, Snapshot<RoutingTable>& aTable)
+  : mContext(aContext)
+  , mTable(aTable)
+  , mHeartbeats(aContext.mMetrics.Counter("heartbeats_total",
+                                          "Heartbeats received from agents"))
+{
+}
+
+void AgentDesk::AddContributor(Contributor aContributor)
+{
+  mContributors.push_back(std::move(aContributor));
+}
+
+void AgentDesk::AddMethods(net::RpcDispatcher& aDispatcher)
+{
+  net::AddTyped<Heartbeat>(
+    aDispatcher, "agent.heartbeat", [this](const Heartbeat& aHeartbeat) {
+      return OnHeartbeat(aHeartbeat);
+    });
+}
+
+void AgentDesk::Start()
+{
+  mContext.mRuntime.Spawn([this] {
+    while (true) {
+      mDirectory.Advance(MonotonicNow());
+      Publish();
+      boost::this_fiber::sleep_for(kAdvanceInterval);
+    }
+  });
+}
+
+HeartbeatReply AgentDesk::OnHeartbeat(const Heartbeat& aHeartbeat)
+{
+  mHeartbeats.Increment();
+  mDirectory.Apply(aHeartbeat, MonotonicNow());
+  if (aHeartbeat.mState == ServingState::Draining) {
+    Publish();
+  }
+  HeartbeatReply reply;
+  reply.mEntry = mContext.mSelf;
+  for (const Contributor& contribute : mContributors) {
+    contribute(aHeartbeat, reply);
+  }
+  return reply;
+}
+
+void AgentDesk::Publish()
+{
+  for (const MembershipEvent& event : mDirectory.TakeEvents()) {
+    LogChange("agent-phase",
+              { { "agent", event.mAgent },
+                { "from", ToString(event.mFrom) },
+                { "to", ToString(event.mTo) } });
+  }
+  if (mDirectory.Changed()) {
+    mTable.Publish(mDirectory.Table());
+  }
+}
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/AgentDesk.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "apps/entry/ControlContext.h"
+#include "apps/entry/JobDriver.h"
+#include "src/core/base/Snapshot.h"
+#include "src/core/membership/AgentDirectory.h"
+#include "src/core/routing/RoutingTable.h"
+#include "src/net/Rpc.h"
+
+namespace foxtailbarrow::entry {
+
+/// Answers the agents' heartbeats: keeps the directory, publishes routing
+/// tables to the request threads, and lets the parts that have something for
+/// the agent fill in the reply.
+class AgentDesk
+{
+public:
+  /// Fills in its own fields of the reply.
+  using Contributor = std::function<void(const Heartbeat&, HeartbeatReply&)>;
+
+  AgentDesk(ControlContext& aContext, Snapshot<RoutingTable>& aTable);
+
+  void AddContributor(Contributor aContributor);
+
+  /// Registers `agent.heartbeat`.
+  void AddMethods(net::RpcDispatcher& aDispatcher);
+
+  /// Starts the fiber that notices silent agents.
+  void Start();
+
+  const AgentDirectory& Directory() const { return mDirectory; }
+
+private:
+  HeartbeatReply OnHeartbeat(const Heartbeat& aHeartbeat);
+  void Publish();
+
+  ControlContext& mContext;
+  Snapshot<RoutingTable>& mTable;
+  AgentDirectory mDirectory;
+  std::vector<Contributor> mContributors;
+  prometheus::Counter& mHeartbeats;
+};
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/CallerRequest.cpp
@@ -0,0 +1,92 @@
+#include "apps/entry/CallerRequest.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "absl/strings/numbers.h"
+
+#include "foxtailbarrow/RequestHeaders.h"
+#include "src/telemetry/IdText.h"
+
+namespace foxtailbarrow::entry {
+
+namespace {
+
+constexpr std::size_t kMaxIdBytes = 128;
+
+/// Idempotent by the definition of HTTP's methods.
+constexpr std::array<std::string_view, 6> kIdempotentMethods = {
+  "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"
+};
+
+Refusal BadHeader(std::string_view aMessage)
+{
+  return { .mStatus = 400, .mVerdict = Verdict::NotRun, .mMessage = aMessage };
+}
+
+/// Visible ASCII, so that an id is safe in headers, logs and dumps.
+bool IsToken(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxIdBytes &&
+         std::ranges::all_of(
+           aText, [](char aChar) { return aChar > ' ' && aChar <= '~'; });
+}
+
+} // namespace
+
+std::variant<CallerRequest, Refusal> ReadCallerRequest(
+  const net::HttpRequest& aRequest,
+  const DeadlineLimits& aLimits,
+  RequestId aFreshId,
+  Instant aNow)
+{
+  CallerRequest request;
+  const net::HttpHeaders& headers = aRequest.mHeaders;
+  const auto customer = headers.Find(kCustomerHeader);
+  if (!customer || !IsIdText(*customer)) {
+    return BadHeader("Foxtailbarrow-Customer: allowed 1 to 63 of a-z, 0-9, -");
+  }
+  request.mCustomer = CustomerId(std::string(*customer));
+
+  request.mId = std::move(aFreshId);
+  if (const auto id = headers.Find(kRequestIdHeader)) {
+    if (!IsToken(*id)) {
+      return BadHeader(
+        "Foxtailbarrow-Request-Id: allowed 1 to 128 visible characters");
+    }
+    request.mId = RequestId(std::string(*id));
+  }
+  if (const auto key = headers.Find(kIdempotencyKeyHeader)) {
+    if (!IsToken(*key)) {
+      return BadHeader("Idempotency-Key: allowed 1 to 128 visible characters");
+    }
+    request.mIdempotencyKey = *key;
+  }
+  request.mIdempotent =
+    std::ranges::find(kIdempotentMethods, aRequest.mMethod) !=
+    kIdempotentMethods.end();
+  if (const auto mark = headers.Find(kIdempotentHeader)) {
+    if (*mark != "true" && *mark != "false") {
+      return BadHeader("Foxtailbarrow-Idempotent: allowed true, false");
+    }
+    request.mIdempotent = *mark == "true";
+  }
+  Duration remaining = aLimits.mDefault;
+  if (const auto text = headers.Find(kDeadlineHeader)) {
+    std::int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(absl::string_view(text->data(), text->size()),
+                          &milliseconds) ||
+        milliseconds < 1 ||
+        milliseconds > aLimits.mMax / std::chrono::milliseconds(1)) {
+      return BadHeader("Foxtailbarrow-Deadline-Ms: allowed a whole number from "
+                       "1 to the entry's longest deadline");
+    }
+    remaining = std::chrono::milliseconds(milliseconds);
+  }
+  request.mDeadline = aNow + remaining;
+  return request;
+}
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/EntryProcess.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/status.h"
+
+#include "apps/entry/AgentDesk.h"
+#include "apps/entry/ContractFeed.h"
+#include "apps/entry/ControlContext.h"
+#include "apps/entry/EntrySettings.h"
+#include "apps/entry/JobDriver.h"
+#include "apps/entry/JobPages.h"
+#include "apps/entry/OwnershipDriver.h"
+#include "apps/entry/RequestProxy.h"
+#include "src/net/HttpServer.h"
+#include "src/telemetry/AdminPages.h"
+#include "src/telemetry/Metrics.h"
+#include "src/telemetry/StateDump.h"
+
+namespace foxtailbarrow::entry {
+
+/// All parts of an entry, put together. Two sets of threads: request threads
+/// share only snapshots and atomics with the one control thread.
+class EntryProcess
+{
+public:
+  explicit EntryProcess(const EntrySettings& aSettings);
+  ~EntryProcess();
+
+  /// Listens and starts to serve.
+  absl::Status Start();
+
+  Endpoint CallersEndpoint() const { return mCallers->ListeningEndpoint(); }
+  Endpoint ControlEndpoint() const { return mControl->ListeningEndpoint(); }
+
+  /// Stops accepting, finishes requests in progress, releases the shards.
+  /// Returns when done, or after the drain timeout.
+  void Drain();
+
+private:
+  void MakeParts();
+  void AddMethods();
+  void AddStatePages();
+  net::HttpResponse ServeCaller(net::HttpRequest& aRequest);
+  net::HttpResponse ServeControl(net::HttpRequest& aRequest);
+  absl::Status Health() const;
+
+  EntrySettings mSettings;
+  Metrics mMetrics;
+  StateDump mState;
+  Snapshot<RoutingTable> mRouting;
+  Snapshot<ContractTable> mContracts;
+  net::FiberRuntime mRequestRuntime;
+  net::FiberRuntime mControlRuntime;
+  net::HttpClient mRequestClient;
+  net::HttpClient mControlClient;
+  net::RpcClient mRpc;
+  net::RpcDispatcher mDispatcher;
+  std::unique_ptr<Store> mPlainStore;
+  std::unique_ptr<Store> mStore;
+  std::unique_ptr<ControlContext> mContext;
+  std::unique_ptr<JobDriver> mJobs;
+  std::unique_ptr<OwnershipDriver> mOwnership;
+  std::unique_ptr<AgentDesk> mAgents;
+  std::unique_ptr<ContractFeed> mFeed;
+  std::unique_ptr<JobPages> mJobPages;
+  std::unique_ptr<RequestProxy> mProxy;
+  std::unique_ptr<AdminPages> mAdmin;
+  std::unique_ptr<net::HttpServer> mCallers;
+  std::unique_ptr<net::HttpServer> mControl;
+  std::atomic<bool> mLeft{ false };
+};
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/EntrySettings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Messages.h"
+#include "foxtailbarrow/Time.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::entry {
+
+/// Settings of foxtailbarrow-entry. Source: flags and environment variables.
+struct EntrySettings
+{
+  EntryId mId;
+  Endpoint mListen{ "127.0.0.1", 0 };  ///< Callers.
+  Endpoint mControl{ "127.0.0.1", 0 }; ///< JSON-RPC, metrics, state.
+  std::vector<Endpoint> mStore;
+  FailureDomainId mFailureDomain;
+  unsigned mThreads = 2; ///< That serve requests; one more serves control.
+  std::uint32_t mShards = 16;
+  std::uint32_t mShareSlots = 3;
+  Duration mDefaultDeadline = std::chrono::seconds(10);
+  Duration mMaxDeadline = std::chrono::minutes(5);
+  Duration mDrainTimeout = std::chrono::seconds(30);
+  LogLevel mLogLevel = LogLevel::Info;
+};
+
+/// Fills `aSettings`. Returns the exit code when the program is to end now.
+std::optional<int> ParseSettings(int aCount,
+                                 const char* const* aArguments,
+                                 EntrySettings& aSettings);
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/JobDriver.cpp
@@ -0,0 +1,236 @@
+#include "apps/entry/JobDriver.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/fiber/operations.hpp>
+
+#include "apps/entry/JobKeys.h"
+#include "src/core/message/Codec.h"
+#include "src/core/ownership/StoreKeys.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::entry {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+constexpr Duration kAgentTimeout = std::chrono::seconds(2);
+constexpr Duration kListRetry = std::chrono::milliseconds(500);
+
+/// The job's record changes only while its shard has the same holder.
+StoreTransaction TransactionOf(const CommitRecord& aCommit)
+{
+  const std::string key = JobKey(aCommit.mShard, aCommit.mRecord.mSpec.mId);
+  StoreTransaction transaction;
+  transaction.mCompares = {
+    { key, aCommit.mExpected },
+    { ShardKey(aCommit.mShard), aCommit.mGeneration },
+  };
+  transaction.mWrites = { { key, ToJsonText(aCommit.mRecord), 0 } };
+  return transaction;
+}
+
+CommitDone DoneOf(CommitToken aToken,
+                  const absl::StatusOr<StoreTransactionResult>& aResult)
+{
+  if (!aResult.ok()) {
+    const bool notRun = VerdictOf(aResult.status()) == Verdict::NotRun;
+    return { aToken,
+             notRun ? CommitOutcome::NotRun : CommitOutcome::Unknown,
+             0 };
+  }
+  if (!aResult->mApplied) {
+    return { aToken, CommitOutcome::Conflict, 0 };
+  }
+  return { aToken, CommitOutcome::Applied, aResult->mRevision };
+}
+
+std::optional<StoredJob> StoredJobOf(const StoreEntry& aEntry)
+{
+  absl::StatusOr<JobRecord> record = FromJsonText<JobRecord>(aEntry.mValue);
+  if (!record.ok()) {
+    LogError("job-record-unreadable",
+             { { "key", aEntry.mKey },
+               { "problem", std::string(record.status().message()) } });
+    return std::nullopt;
+  }
+  return StoredJob{ *std::move(record), aEntry.mModRevision };
+}
+
+} // namespace
+
+JobDriver::JobDriver(ControlContext& aContext, MayExtend aMayExtend)
+  : mContext(aContext)
+  , mMayExtend(std::move(aMayExtend))
+  , mLostHints(aContext.mMetrics.Counter(
+      "job_hints_lost_total",
+      "Hints about changed jobs that did not reach their owner"))
+{
+}
+
+void JobDriver::Start()
+{
+  mContext.mRuntime.Spawn([this] {
+    while (true) {
+      Handle(Tick{});
+      boost::this_fiber::sleep_for(kTickInterval);
+    }
+  });
+}
+
+void JobDriver::Handle(const JobEvent& aEvent)
+{
+  const JobScheduler::Actions actions =
+    mLogic.Handle(aEvent, MonotonicNow(), mRandom);
+  for (const JobAction& action : actions) {
+    std::visit([this](const auto& aAction) { Run(aAction); }, action);
+  }
+}
+
+void JobDriver::TakeShard(ShardId aShard, Generation aGeneration)
+{
+  mHeld[aShard] = aGeneration;
+  mContext.mRuntime.Spawn(
+    [this, aShard, aGeneration] { ListShard(aShard, aGeneration); });
+}
+
+void JobDriver::ListShard(ShardId aShard, Generation aGeneration)
+{
+  while (true) {
+    const auto listing = mContext.mStore.List(JobShardPrefix(aShard));
+    if (const auto held = mHeld.find(aShard);
+        held == mHeld.end() || held->second != aGeneration) {
+      return; // Lost meanwhile.
+    }
+    if (!listing.ok()) {
+      boost::this_fiber::sleep_for(kListRetry);
+      continue;
+    }
+    ShardAcquired event{ aShard, aGeneration, {} };
+    for (const StoreEntry& entry : listing->mEntries) {
+      if (auto job = StoredJobOf(entry)) {
+        event.mJobs.push_back(*std::move(job));
+      }
+    }
+    Handle(event);
+    return;
+  }
+}
+
+void JobDriver::DropShard(ShardId aShard)
+{
+  mHeld.erase(aShard);
+  Handle(ShardLost{ aShard });
+}
+
+void JobDriver::ReadHinted(const JobChanged& aHint)
+{
+  if (mLogic.Owns(aHint.mShard)) {
+    Run(ReadJob{ aHint.mShard, aHint.mJob });
+  }
+}
+
+TaskReplies JobDriver::OnHeartbeat(const Heartbeat& aHeartbeat)
+{
+  mExtension.reset();
+  Handle(HeartbeatSeen{ aHeartbeat });
+  TaskReplies replies;
+  if (const auto pending = mPending.find(aHeartbeat.mAgent);
+      pending != mPending.end()) {
+    replies = std::move(pending->second);
+    mPending.erase(pending);
+  }
+  const auto extension = std::exchange(mExtension, std::nullopt);
+  if (!extension) {
+    return replies;
+  }
+  Duration longest{};
+  for (const ShardLease& lease : extension->mLeases) {
+    if (mMayExtend(lease.mShard)) {
+      replies.mLeases.push_back(lease);
+      longest = std::max(longest, lease.mTtl);
+    }
+  }
+  Handle(HeartbeatReplySent{ extension->mAgent,
+                             extension->mIncarnation,
+                             extension->mSequence,
+                             MonotonicNow() + longest });
+  return replies;
+}
+
+TaskReplies& JobDriver::PendingFor(const AgentId& aAgent)
+{
+  return mPending[aAgent];
+}
+
+void JobDriver::Run(const CommitRecord& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    const auto result = mContext.mStore.Commit(TransactionOf(aAction));
+    Handle(DoneOf(aAction.mToken, result));
+  });
+}
+
+void JobDriver::Run(const SendAssign& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    AssignDone done{ aAction.mAssign.mTask.mKey, AssignReply{} };
+    done.mReply = net::CallTyped<AssignReply>(mContext.mRpc,
+                                              aAction.mEndpoint,
+                                              "agent.assign",
+                                              aAction.mAssign,
+                                              kAgentTimeout);
+    Handle(done);
+  });
+}
+
+void JobDriver::Run(const SendControl& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    ControlDone done{ aAction.mControl.mKey, ControlReply{} };
+    done.mReply = net::CallTyped<ControlReply>(mContext.mRpc,
+                                               aAction.mEndpoint,
+                                               "agent.control",
+                                               aAction.mControl,
+                                               kAgentTimeout);
+    Handle(done);
+  });
+}
+
+void JobDriver::Run(const AcknowledgeTasks& aAction)
+{
+  auto& keys = PendingFor(aAction.mAgent).mAcknowledged;
+  keys.insert(keys.end(), aAction.mKeys.begin(), aAction.mKeys.end());
+}
+
+void JobDriver::Run(const DisownTasks& aAction)
+{
+  auto& keys = PendingFor(aAction.mAgent).mUnknown;
+  keys.insert(keys.end(), aAction.mKeys.begin(), aAction.mKeys.end());
+}
+
+void JobDriver::Run(const ExtendLeases& aAction)
+{
+  mExtension = aAction;
+}
+
+void JobDriver::Run(const ReadJob& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    const auto entry =
+      mContext.mStore.Read(JobKey(aAction.mShard, aAction.mJob));
+    if (absl::IsNotFound(entry.status())) {
+      Handle(JobMissing{ aAction.mJob });
+      return;
+    }
+    if (auto job = entry.ok() ? StoredJobOf(*entry) : std::nullopt) {
+      Handle(JobRead{ *std::move(job) });
+      return;
+    }
+    Handle(JobReadFailed{ aAction.mJob });
+  });
+}
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/JobDriver.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/random.h"
+
+#include "apps/entry/ControlContext.h"
+#include "src/core/job/JobScheduler.h"
+
+namespace foxtailbarrow::entry {
+
+/// What the reply to an agent's heartbeat carries for its tasks.
+struct TaskReplies
+{
+  std::vector<TaskKey> mAcknowledged;
+  std::vector<TaskKey> mUnknown;
+  std::vector<ShardLease> mLeases;
+};
+
+/// Runs JobScheduler: carries out its commits, assignments and controls, and
+/// tells it what became of them.
+class JobDriver
+{
+public:
+  /// True while task leases of the shard may be extended.
+  using MayExtend = std::function<bool(ShardId)>;
+
+  JobDriver(ControlContext& aContext, MayExtend aMayExtend);
+
+  /// Starts the ticking fiber.
+  void Start();
+
+  void Handle(const JobEvent& aEvent);
+
+  /// Lists the jobs of a shard that was won and hands them to the scheduler.
+  void TakeShard(ShardId aShard, Generation aGeneration);
+  void DropShard(ShardId aShard);
+
+  /// Reads a job of which another process says that it changed. Hints for
+  /// shards that this entry does not hold are ignored.
+  void ReadHinted(const JobChanged& aHint);
+
+  /// A hint to another owner was lost: its next full listing finds the job.
+  void CountLostHint() { mLostHints.Increment(); }
+
+  /// Gives the heartbeat to the scheduler and returns what its reply carries.
+  TaskReplies OnHeartbeat(const Heartbeat& aHeartbeat);
+
+  const JobScheduler& Logic() const { return mLogic; }
+
+private:
+  void ListShard(ShardId aShard, Generation aGeneration);
+  TaskReplies& PendingFor(const AgentId& aAgent);
+
+  void Run(const CommitRecord& aAction);
+  void Run(const SendAssign& aAction);
+  void Run(const SendControl& aAction);
+  void Run(const AcknowledgeTasks& aAction);
+  void Run(const DisownTasks& aAction);
+  void Run(const ExtendLeases& aAction);
+  void Run(const ReadJob& aAction);
+
+  ControlContext& mContext;
+  MayExtend mMayExtend;
+  JobScheduler mLogic;
+  absl::BitGen mRandom;
+  /// Shards held, with the generation under which each is being listed.
+  absl::flat_hash_map<ShardId, Generation> mHeld;
+  absl::flat_hash_map<AgentId, TaskReplies> mPending;
+  prometheus::Counter& mLostHints;
+  /// Set by the scheduler while it handles a heartbeat.
+  std::optional<ExtendLeases> mExtension;
+};
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/apps/entry/OwnershipDriver.cpp
@@ -0,0 +1,130 @@
+#include "apps/entry/OwnershipDriver.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/fiber/operations.hpp>
+
+#include "apps/entry/StoreCalls.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/message/Codec.h"
+#include "src/core/message/OwnershipCodec.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::entry {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kPeerTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+OwnershipDriver::OwnershipDriver(ControlContext& aContext,
+                                 const OwnershipSettings& aSettings,
+                                 const EntryRecord& aSelf,
+                                 Callbacks aCallbacks)
+  : mContext(aContext)
+  , mLogic(aSettings, aSelf, MonotonicNow())
+  , mCallbacks(std::move(aCallbacks))
+{
+}
+
+void OwnershipDriver::AddMethods(net::RpcDispatcher& aDispatcher)
+{
+  net::AddTyped<AttestRequest>(
+    aDispatcher, "entry.attest", [this](const AttestRequest& aRequest) {
+      return mLogic.OnAttest(aRequest, MonotonicNow());
+    });
+  net::AddTyped<PromiseRequest>(
+    aDispatcher, "entry.promise", [this](const PromiseRequest& aRequest) {
+      return mLogic.OnPromise(aRequest);
+    });
+}
+
+void OwnershipDriver::Start()
+{
+  mContext.mRuntime.Spawn([this] {
+    while (true) {
+      Handle(OwnershipTick{});
+      boost::this_fiber::sleep_for(kTickInterval);
+    }
+  });
+}
+
+void OwnershipDriver::Drain()
+{
+  Handle(OwnershipDrain{});
+}
+
+void OwnershipDriver::Handle(const OwnershipEvent& aEvent)
+{
+  for (const OwnershipAction& action : mLogic.On(aEvent, MonotonicNow())) {
+    std::visit([this](const auto& aAction) { Run(aAction); }, action);
+  }
+}
+
+void OwnershipDriver::Run(const StoreRequest& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    Handle(
+      StoreReply{ aAction.mId, RunStoreCall(mContext.mStore, aAction.mCall) });
+  });
+}
+
+void OwnershipDriver::Run(const ShardGained& aAction)
+{
+  LogChange(
+    "shard-gained",
+    { { "shard", aAction.mShard }, { "generation", aAction.mGeneration } });
+  mCallbacks.mGained(aAction.mShard, aAction.mGeneration);
+}
+
+void OwnershipDriver::Run(const ShardGivenUp& aAction)
+{
+  LogChange("shard-given-up", { { "shard", aAction.mShard } });
+  mCallbacks.mGivenUp(aAction.mShard);
+}
+
+void OwnershipDriver::Run(const SendAttest& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    const auto reply = net::CallTyped<AttestReply>(mContext.mRpc,
+                                                   aAction.mEndpoint,
+                                                   "entry.attest",
+                                                   aAction.mRequest,
+                                                   kPeerTimeout);
+    if (reply.ok()) {
+      Handle(*reply);
+    }
+  });
+}
+
+void OwnershipDriver::Run(const SendPromise& aAction)
+{
+  mContext.mRuntime.Spawn([this, aAction] {
+    const auto reply = net::CallTyped<PromiseReply>(mContext.mRpc,
+                                                    aAction.mEndpoint,
+                                                    "entry.promise",
+                                                    aAction.mRequest,
+                                                    kPeerTimeout);
+    if (reply.ok()) {
+      Handle(*reply);
+    }
+  });
+}
+
+void OwnershipDriver::Run(const Superseded&)
+{
+  LogWarning("entry-superseded", { { "entry", mContext.mSelf } });
+  mCallbacks.mSuperseded();
+}
+
+void OwnershipDriver::Run(const Drained&)
+{
+  LogChange("entry-left", { { "entry", mContext.mSelf } });
+  mCallbacks.mDrained();
+}
+
+} // namespace foxtailbarrow::entry
--- /dev/null
+++ b/src/net/TypedRpc.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "absl/status/statusor.h"
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/message/Codec.h"
+#include "src/net/Rpc.h"
+
+/// JSON-RPC with the typed messages of Messages.h in place of JSON values.
+namespace foxtailbarrow::net {
+
+/// Registers a method whose handler takes a `Request` and returns a reply type
+/// or an absl::StatusOr of one. Bad params never reach the handler: the caller
+/// is told that nothing ran.
+template<typename Request, typename Handler>
+void AddTyped(RpcDispatcher& aDispatcher, std::string aName, Handler aHandler)
+{
+  aDispatcher.Add(
+    std::move(aName),
+    [handler = std::move(aHandler)](
+      const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
+      absl::StatusOr<Request> request = FromJson<Request>(aParams);
+      if (!request.ok()) {
+        return WithVerdict(request.status(), Verdict::NotRun);
+      }
+      auto reply = handler(*request);
+      if constexpr (requires { reply.status(); }) {
+        if (!reply.ok()) {
+          return reply.status();
+        }
+        return ToJson(*reply);
+      } else {
+        return ToJson(reply);
+      }
+    });
+}
+
+/// Calls a method. A reply that cannot be read is an error with MayHaveRun.
+template<typename Reply, typename Request>
+absl::StatusOr<Reply> CallTyped(RpcClient& aClient,
+                                const Endpoint& aEndpoint,
+                                std::string_view aMethod,
+                                const Request& aRequest,
+                                Duration aTimeout)
+{
+  const absl::StatusOr<Json::Value> reply =
+    aClient.Call(aEndpoint, aMethod, ToJson(aRequest), aTimeout);
+  if (!reply.ok()) {
+    return reply.status();
+  }
+  absl::StatusOr<Reply> typed = FromJson<Reply>(*reply);
+  if (!typed.ok()) {
+    return WithVerdict(typed.status(), Verdict::MayHaveRun);
+  }
+  return typed;
+}
+
+} // namespace foxtailbarrow::net
