--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -28,6 +28,11 @@
   mHeaders.push_back({ std::string(aName), std::string(aValue) });
 }
 
+void HttpHeaders::Append(std::string_view aName, std::string_view aValue)
+{
+  mHeaders.push_back({ std::string(aName), std::string(aValue) });
+}
+
 void HttpHeaders::Erase(std::string_view aName)
 {
   std::erase_if(mHeaders, [aName](const HttpHeader& aHeader) {
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -8,6 +8,9 @@
 
 namespace foxtailbarrow::net {
 
+/// Header of every error answer: says whether the request may have run.
+inline constexpr std::string_view kVerdictHeader = "Foxtailbarrow-Verdict";
+
 /// One header of an HTTP message.
 struct HttpHeader
 {
@@ -20,6 +23,9 @@
 {
 public:
   void Set(std::string_view aName, std::string_view aValue);
+  /// Adds a header without looking for one of the same name, so that repeated
+  /// headers such as Set-Cookie pass unchanged.
+  void Append(std::string_view aName, std::string_view aValue);
   void Erase(std::string_view aName);
   std::optional<std::string_view> Find(std::string_view aName) const;
   const std::vector<HttpHeader>& All() const { return mHeaders; }
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,204 @@
+#include "src/net/HttpServer.h"
+
+#include <utility>
+
+#include <unistd.h>
+
+#include <boost/fiber/operations.hpp>
+
+#include "src/net/detail/Acceptor.h"
+#include "src/net/detail/RuntimeImpl.h"
+#include "src/net/detail/ServerConnection.h"
+
+namespace foxtailbarrow::net {
+
+using detail::ServerConnection;
+using detail::ServerState;
+using detail::ServerThread;
+
+namespace {
+
+constexpr unsigned kAcceptorThread = 0;
+/// A server above its limit answers this part more connections 503; beyond, it
+/// closes them at once.
+constexpr std::size_t kRefusedPart = 10;
+constexpr std::chrono::seconds kCloseTime(10);
+constexpr std::chrono::milliseconds kCloseCheck(1);
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+  explicit Impl(FiberRuntime& aRuntime)
+    : mRuntime(aRuntime)
+    , mState(std::make_shared<ServerState>())
+    , mAcceptor(Io(kAcceptorThread))
+  {
+    for (unsigned thread = 0; thread < aRuntime.Threads(); ++thread) {
+      mState->mThreads.push_back(std::make_unique<ServerThread>());
+    }
+  }
+
+  boost::asio::io_context& Io(unsigned aThread)
+  {
+    return mRuntime.Internals().mThreads[aThread]->Io();
+  }
+
+  void StartAccepting()
+  {
+    mRuntime.SpawnOn(kAcceptorThread, [self = shared_from_this()] {
+      self->mAcceptor.Run([&self](int aSocket) { self->OnSocket(aSocket); });
+      self->mAccepting.store(false);
+    });
+  }
+
+  void StopAccepting()
+  {
+    mRuntime.SpawnOn(kAcceptorThread,
+                     [self = shared_from_this()] { self->mAcceptor.Stop(); });
+  }
+
+  void OnSocket(int aSocket)
+  {
+    const std::size_t limit = mState->mLimits.mMaxConnections;
+    const std::size_t open = mState->mConnections.fetch_add(1) + 1;
+    const bool refuse = open > limit;
+    (refuse ? mState->mRefused : mState->mAccepted).fetch_add(1);
+    if (open > limit + limit / kRefusedPart + 1) {
+      ::close(aSocket);
+      mState->mConnections.fetch_sub(1);
+      return;
+    }
+    const unsigned thread = mNextThread++ % mRuntime.Threads();
+    mRuntime.SpawnOn(thread,
+                     [self = shared_from_this(), aSocket, thread, refuse] {
+                       self->Serve(aSocket, thread, refuse);
+                     });
+  }
+
+  void Serve(int aSocket, unsigned aThread, bool aRefuse)
+  {
+    detail::ErrorCode error;
+    detail::TcpSocket socket(Io(aThread));
+    socket.assign(boost::asio::ip::tcp::v4(), aSocket, error);
+    if (error) {
+      ::close(aSocket);
+    } else {
+      ServerConnection connection(
+        mState, *mState->mThreads[aThread], std::move(socket), aRefuse);
+      connection.Run();
+    }
+    mState->mConnections.fetch_sub(1);
+  }
+
+  /// Calls `aNotify` on each open connection, on its own thread.
+  void NotifyConnections(void (ServerConnection::*aNotify)())
+  {
+    for (unsigned thread = 0; thread < mRuntime.Threads(); ++thread) {
+      mRuntime.SpawnOn(thread, [state = mState, thread, aNotify] {
+        for (ServerConnection* connection : state->mThreads[thread]->mOpen) {
+          (connection->*aNotify)();
+        }
+      });
+    }
+  }
+
+  void Close()
+  {
+    mState->mClosing.store(true);
+    if (mRuntime.Internals().mStopped.load()) {
+      return;
+    }
+    StopAccepting();
+    const auto end = std::chrono::steady_clock::now() + kCloseTime;
+    do {
+      // Again and again, since connections may have been on their way.
+      NotifyConnections(&ServerConnection::OnClose);
+      boost::this_fiber::sleep_for(kCloseCheck);
+    } while ((mAccepting.load() || mState->mConnections.load() > 0) &&
+             std::chrono::steady_clock::now() < end);
+  }
+
+  FiberRuntime& mRuntime;
+  std::shared_ptr<ServerState> mState;
+  detail::Acceptor mAcceptor;
+  std::atomic<bool> mAccepting{ true };
+  Endpoint mEndpoint;
+  unsigned mNextThread = 0;
+};
+
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Start(
+  FiberRuntime& aRuntime,
+  const Endpoint& aEndpoint,
+  Handler aHandler,
+  HttpServerLimits aLimits,
+  StreamHandler aStream,
+  std::string aStreamTarget)
+{
+  auto impl = std::make_shared<Impl>(aRuntime);
+  impl->mState->mHandler = std::move(aHandler);
+  impl->mState->mLimits = aLimits;
+  impl->mState->mStream = std::move(aStream);
+  impl->mState->mStreamTarget = std::move(aStreamTarget);
+  absl::StatusOr<Endpoint> endpoint = impl->mAcceptor.Listen(aEndpoint);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  impl->mEndpoint = *std::move(endpoint);
+  impl->StartAccepting();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  mImpl->Close();
+}
+
+Endpoint HttpServer::ListeningEndpoint() const
+{
+  return mImpl->mEndpoint;
+}
+
+void HttpServer::Drain()
+{
+  ServerState& state = *mImpl->mState;
+  const auto end = std::chrono::steady_clock::now() + state.mLimits.mDrainGrace;
+  state.mDrainEnd.store(end.time_since_epoch().count());
+  state.mDraining.store(true);
+  mImpl->StopAccepting();
+  mImpl->NotifyConnections(&ServerConnection::OnDrain);
+}
+
+std::size_t HttpServer::RequestsInProgress() const
+{
+  std::size_t sum = 0;
+  for (const auto& thread : mImpl->mState->mThreads) {
+    sum += thread->mInProgress.load();
+  }
+  return sum;
+}
+
+std::size_t HttpServer::Connections() const
+{
+  return mImpl->mState->mConnections.load();
+}
+
+HttpServerCounters HttpServer::Counters() const
+{
+  HttpServerCounters sum;
+  sum.mAccepted = mImpl->mState->mAccepted.load();
+  sum.mRefused = mImpl->mState->mRefused.load();
+  for (const auto& thread : mImpl->mState->mThreads) {
+    sum.mRequests += thread->mRequests.load();
+    sum.mRejected += thread->mRejected.load();
+    sum.mHandlerFailures += thread->mHandlerFailures.load();
+  }
+  return sum;
+}
+
+} // namespace foxtailbarrow::net
--- /dev/null
+++ b/src/net/RpcDispatcher.cpp
@@ -0,0 +1,104 @@
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/net/Rpc.h"
+#include "src/net/rpcshim/RpcShim.h"
+
+namespace foxtailbarrow::net {
+
+using rpcshim::RpcError;
+
+namespace {
+
+constexpr unsigned kMethodNotAllowed = 405;
+
+RpcError ToError(const absl::Status& aStatus)
+{
+  Json::Value data(Json::objectValue);
+  data["code"] = static_cast<int>(aStatus.code());
+  data["verdict"] = std::string(ToString(VerdictOf(aStatus)));
+  return RpcError(
+    rpcshim::kMethodErrorCode, std::string(aStatus.message()), data);
+}
+
+/// For failures that libjsonrpccpp leaves as exceptions.
+constexpr char kInternalError[] =
+  R"({"jsonrpc":"2.0","id":null,"error":{"code":-32603,)"
+  R"("message":"internal error",)"
+  R"("data":{"code":13,"verdict":"may-have-run"}}})";
+
+constexpr char kTooDeepError[] =
+  R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,)"
+  R"("message":"nested too deeply",)"
+  R"("data":{"code":3,"verdict":"not-run"}}})";
+
+} // namespace
+
+struct RpcDispatcher::Impl
+{
+  Impl()
+    : mServer([this](const std::string& aName, const Json::Value& aParams) {
+      return Invoke(aName, aParams);
+    })
+  {
+  }
+
+  Json::Value Invoke(const std::string& aName, const Json::Value& aParams) const
+  {
+    if (!aParams.isObject() && !aParams.isNull()) {
+      throw RpcError(rpcshim::kInvalidParamsCode,
+                     "params must be an object",
+                     Json::Value::nullSingleton());
+    }
+    const Json::Value empty(Json::objectValue);
+    const auto& method = mMethods.find(aName)->second;
+    absl::StatusOr<Json::Value> result =
+      method(aParams.isNull() ? empty : aParams);
+    if (!result.ok()) {
+      throw ToError(result.status());
+    }
+    return *std::move(result);
+  }
+
+  absl::flat_hash_map<std::string, Method> mMethods;
+  rpcshim::Server mServer;
+};
+
+RpcDispatcher::RpcDispatcher()
+  : mImpl(std::make_unique<Impl>())
+{
+}
+
+RpcDispatcher::~RpcDispatcher() = default;
+
+void RpcDispatcher::Add(std::string aName, Method aMethod)
+{
+  mImpl->mServer.AddMethod(aName);
+  mImpl->mMethods.insert_or_assign(std::move(aName), std::move(aMethod));
+}
+
+HttpResponse RpcDispatcher::Handle(const HttpRequest& aRequest)
+{
+  HttpResponse response;
+  if (aRequest.mMethod != "POST") {
+    response.mStatus = kMethodNotAllowed;
+    response.mHeaders.Append("Allow", "POST");
+    response.mHeaders.Append(kVerdictHeader, ToString(Verdict::NotRun));
+    return response;
+  }
+  response.mHeaders.Append("Content-Type", "application/json");
+  if (rpcshim::NestsTooDeep(aRequest.mBody)) {
+    response.mBody = kTooDeepError;
+    return response;
+  }
+  try {
+    response.mBody = mImpl->mServer.Handle(aRequest.mBody);
+  } catch (const std::exception&) {
+    response.mBody = kInternalError;
+  }
+  return response;
+}
+
+} // namespace foxtailbarrow::net
--- /dev/null
+++ b/src/net/detail/ClientExchange.cpp
@@ -0,0 +1,216 @@
+#include "src/net/detail/ClientExchange.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/net/detail/MessageParser.h"
+#include "src/net/detail/MessageWriter.h"
+
+namespace foxtailbarrow::net::detail {
+
+namespace {
+
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kOk = 200;
+
+absl::Status NotRun(absl::Status aStatus)
+{
+  return WithVerdict(std::move(aStatus), Verdict::NotRun);
+}
+
+absl::Status MayHaveRun(absl::Status aStatus)
+{
+  return WithVerdict(std::move(aStatus), Verdict::MayHaveRun);
+}
+
+absl::Status ToStatus(const ErrorCode& aError, std::string_view aDoing)
+{
+  const absl::string_view doing(aDoing.data(), aDoing.size());
+  if (aError == boost::asio::error::timed_out) {
+    return absl::DeadlineExceededError(absl::StrCat(doing, ": timed out"));
+  }
+  if (aError == http::error::body_limit ||
+      aError == http::error::header_limit) {
+    return absl::ResourceExhaustedError(
+      absl::StrCat(doing, ": ", aError.message()));
+  }
+  return absl::UnavailableError(absl::StrCat(doing, ": ", aError.message()));
+}
+
+/// Feeds the parser what is buffered, reading more while nothing is. OK once
+/// the parser has taken some input.
+ErrorCode Advance(Connection& aConnection,
+                  http::basic_parser<false>& aParser,
+                  TimePoint aDeadline)
+{
+  ErrorCode error = http::error::need_more;
+  if (!aConnection.Buffered().empty()) {
+    const std::string_view input = aConnection.Buffered();
+    error = {};
+    aConnection.Consume(
+      aParser.put(boost::asio::buffer(input.data(), input.size()), error));
+  }
+  if (aParser.is_done() || (error && error != http::error::need_more)) {
+    return error == http::error::need_more ? ErrorCode() : error;
+  }
+  if (error || aConnection.Buffered().empty()) {
+    return aConnection.Read(aDeadline);
+  }
+  return {};
+}
+
+/// Reads until the parser has the whole message, or its header if
+/// `aHeaderOnly`.
+ErrorCode ReadMessage(Connection& aConnection,
+                      http::basic_parser<false>& aParser,
+                      bool aHeaderOnly,
+                      TimePoint aDeadline)
+{
+  while (!aParser.is_done() && !(aHeaderOnly && aParser.is_header_done())) {
+    ErrorCode error = Advance(aConnection, aParser, aDeadline);
+    if (error) {
+      return error;
+    }
+    // Without a length nothing tells a whole body from one cut short.
+    if (aParser.is_header_done() && aParser.need_eof()) {
+      return http::error::bad_content_length;
+    }
+  }
+  return {};
+}
+
+/// Hands over whole lines and keeps the rest. False once `aOnLine` has.
+bool TakeLines(std::string& aText,
+               const std::function<bool(std::string_view)>& aOnLine)
+{
+  std::size_t begin = 0;
+  bool more = true;
+  for (;;) {
+    const std::size_t end = aText.find('\n', begin);
+    if (end == std::string::npos || !more) {
+      break;
+    }
+    more = aOnLine(std::string_view(aText).substr(begin, end - begin));
+    begin = end + 1;
+  }
+  aText.erase(0, begin);
+  return more;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Connection>> OpenConnection(
+  boost::asio::io_context& aIo,
+  const Endpoint& aEndpoint,
+  TimePoint aDeadline,
+  Duration aConnectTimeout)
+{
+  ErrorCode error;
+  const auto address =
+    boost::asio::ip::make_address_v4(aEndpoint.mAddress, error);
+  if (error) {
+    return NotRun(absl::InvalidArgumentError(
+      absl::StrCat("not an IPv4 address: ", aEndpoint.mAddress)));
+  }
+  const TimePoint end = std::min<TimePoint>(
+    aDeadline, std::chrono::steady_clock::now() + aConnectTimeout);
+  auto connection = std::make_unique<Connection>(aIo);
+  error = connection->Connect({ address, aEndpoint.mPort }, end);
+  if (error) {
+    const std::string doing =
+      absl::StrCat("connecting to ", ToString(aEndpoint));
+    const bool ownTimeout = error == boost::asio::error::timed_out &&
+                            std::chrono::steady_clock::now() < aDeadline;
+    return NotRun(ownTimeout
+                    ? absl::UnavailableError(absl::StrCat(doing, ": timed out"))
+                    : ToStatus(error, doing));
+  }
+  return connection;
+}
+
+absl::Status WriteRequest(Connection& aConnection,
+                          const Endpoint& aEndpoint,
+                          const HttpRequest& aRequest,
+                          TimePoint aDeadline)
+{
+  if (!IsSafeText(aRequest.mTarget) || !IsSafeText(aRequest.mMethod)) {
+    return NotRun(absl::InvalidArgumentError("line break in method or target"));
+  }
+  std::string head;
+  AppendHead(head, aRequest, ToString(aEndpoint));
+  std::string_view body = aRequest.mBody;
+  if (body.size() <= kMaxCopiedBody) {
+    head.append(std::exchange(body, {}));
+  }
+  std::size_t written = 0;
+  if (const ErrorCode error =
+        aConnection.Write(head, body, aDeadline, written)) {
+    absl::Status status = ToStatus(error, "writing the request");
+    return written == 0 ? NotRun(std::move(status))
+                        : MayHaveRun(std::move(status));
+  }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<ReceivedResponse> ReadResponse(Connection& aConnection,
+                                              bool aToHead,
+                                              std::size_t aMaxBodyBytes,
+                                              TimePoint aDeadline)
+{
+  for (;;) {
+    ReceivedResponse received;
+    ResponseParser parser(received.mResponse, kMaxHeaderBytes, aMaxBodyBytes);
+    parser.skip(aToHead);
+    if (const ErrorCode error =
+          ReadMessage(aConnection, parser, false, aDeadline)) {
+      return MayHaveRun(ToStatus(error, "reading the response"));
+    }
+    if (received.mResponse.mStatus >= kFirstFinalStatus) {
+      received.mReusable =
+        parser.keep_alive() && aConnection.Buffered().empty();
+      return received;
+    }
+  }
+}
+
+absl::Status ReadLines(Connection& aConnection,
+                       std::size_t aMaxLineBytes,
+                       Duration aIdleTimeout,
+                       const std::function<bool(std::string_view)>& aOnLine)
+{
+  const auto deadline = [aIdleTimeout] {
+    return std::chrono::steady_clock::now() + aIdleTimeout;
+  };
+  HttpResponse response;
+  ResponseParser parser(response, kMaxHeaderBytes, aMaxLineBytes);
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  for (;;) {
+    if (const ErrorCode error = Advance(aConnection, parser, deadline())) {
+      return MayHaveRun(ToStatus(error, "reading the stream"));
+    }
+    if (parser.is_header_done() && response.mStatus != kOk) {
+      return MayHaveRun(absl::UnavailableError(
+        absl::StrCat("stream answered with status ", response.mStatus)));
+    }
+    if (!TakeLines(response.mBody, aOnLine)) {
+      return absl::OkStatus();
+    }
+    if (response.mBody.size() > aMaxLineBytes) {
+      return MayHaveRun(absl::ResourceExhaustedError("line too long"));
+    }
+    if (parser.is_done()) {
+      return MayHaveRun(absl::UnavailableError("stream ended by the server"));
+    }
+  }
+}
+
+} // namespace foxtailbarrow::net::detail
--- /dev/null
+++ b/src/net/detail/ServerConnection.cpp
@@ -0,0 +1,317 @@
+#include "src/net/detail/ServerConnection.h"
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include <boost/beast/http/error.hpp>
+#include <boost/context/fiber.hpp>
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/net/detail/MessageWriter.h"
+
+namespace foxtailbarrow::net::detail {
+
+namespace {
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kContentTooLarge = 413;
+constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kInternalError = 500;
+constexpr unsigned kUnavailable = 503;
+
+/// Bounds of what a connection still reads after its last answer, so that the
+/// peer reads the answer before a reset.
+constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
+constexpr std::chrono::seconds kDiscardTime(2);
+
+unsigned StatusOf(const ErrorCode& aError)
+{
+  if (aError == http::error::header_limit) {
+    return kHeaderTooLarge;
+  }
+  if (aError == http::error::body_limit) {
+    return kContentTooLarge;
+  }
+  return kBadRequest;
+}
+
+HttpResponse ErrorResponse(unsigned aStatus, Verdict aVerdict)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mHeaders.Append(kVerdictHeader, ToString(aVerdict));
+  return response;
+}
+
+/// Counts one request in progress.
+class InProgress
+{
+public:
+  explicit InProgress(ServerThread& aThread)
+    : mThread(aThread)
+  {
+    mThread.mInProgress.fetch_add(1, std::memory_order_relaxed);
+  }
+  ~InProgress() { End(); }
+
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+  void End()
+  {
+    if (!std::exchange(mEnded, true)) {
+      mThread.mInProgress.fetch_sub(1, std::memory_order_release);
+    }
+  }
+
+private:
+  ServerThread& mThread;
+  bool mEnded = false;
+};
+
+void Count(std::atomic<std::uint64_t>& aCounter)
+{
+  aCounter.fetch_add(1, std::memory_order_relaxed);
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerState> aState,
+                                   ServerThread& aThread,
+                                   TcpSocket aSocket,
+                                   bool aRefuse)
+  : mState(std::move(aState))
+  , mThread(aThread)
+  , mConnection(std::move(aSocket))
+  , mRefuse(aRefuse)
+{
+  mThread.mOpen.insert(this);
+}
+
+ServerConnection::~ServerConnection()
+{
+  mThread.mOpen.erase(this);
+}
+
+void ServerConnection::Run()
+{
+  if (mConnection.Prepare()) {
+    return;
+  }
+  while (!mState->mClosing.load(std::memory_order_relaxed) && ServeOne()) {
+  }
+}
+
+void ServerConnection::OnDrain()
+{
+  if (mIdle) {
+    mConnection.Cancel();
+  }
+}
+
+void ServerConnection::OnClose()
+{
+  ErrorCode ignored;
+  mConnection.Socket().shutdown(TcpSocket::shutdown_both, ignored);
+  mConnection.Cancel();
+}
+
+bool ServerConnection::Ending() const
+{
+  return mState->mDraining.load(std::memory_order_relaxed) ||
+         mState->mClosing.load(std::memory_order_relaxed);
+}
+
+ServerConnection::TimePoint ServerConnection::Deadline() const
+{
+  return std::chrono::steady_clock::now() + mState->mLimits.mIdleTimeout;
+}
+
+bool ServerConnection::ServeOne()
+{
+  if (!AwaitFirstByte()) {
+    return false;
+  }
+  InProgress inProgress(mThread);
+  HttpRequest request;
+  RequestParser parser(
+    request, mState->mLimits.mMaxHeaderBytes, mState->mLimits.mMaxBodyBytes);
+  if (!Receive(parser)) {
+    return false;
+  }
+  Count(mThread.mRequests);
+  if (mRefuse) {
+    Reject(kUnavailable);
+    return false;
+  }
+  if (mState->mStream && request.mTarget == mState->mStreamTarget) {
+    inProgress.End();
+    RunStream(request);
+    return false;
+  }
+  HttpResponse response = CallHandler(request);
+  const bool keepAlive = parser.keep_alive() && parser.IsHttp11() && !Ending();
+  if (!Answer(request, std::move(response), keepAlive)) {
+    return false;
+  }
+  if (!keepAlive) {
+    inProgress.End();
+    CloseGently();
+  }
+  return keepAlive;
+}
+
+bool ServerConnection::AwaitFirstByte()
+{
+  const TimePoint idleEnd = Deadline();
+  while (mConnection.Buffered().empty()) {
+    const bool draining = mState->mDraining.load();
+    const TimePoint end =
+      draining ? std::min(idleEnd, mState->DrainEnd()) : idleEnd;
+    mIdle = true;
+    const ErrorCode error = mConnection.Read(end);
+    mIdle = false;
+    const bool drainBegan = error == boost::asio::error::operation_aborted &&
+                            !draining && !mState->mClosing.load();
+    if (error && !drainBegan) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool ServerConnection::Receive(RequestParser& aParser)
+{
+  const TimePoint deadline = Deadline();
+  bool continued = false;
+  for (;;) {
+    const std::string_view input = mConnection.Buffered();
+    ErrorCode error;
+    const std::size_t used =
+      aParser.put(boost::asio::buffer(input.data(), input.size()), error);
+    mConnection.Consume(used);
+    if (error && error != http::error::need_more) {
+      Reject(StatusOf(error));
+      return false;
+    }
+    if (aParser.is_done()) {
+      break;
+    }
+    if (!error && used > 0 && !mConnection.Buffered().empty()) {
+      continue;
+    }
+    if (!AnswerContinue(aParser, continued)) {
+      return false;
+    }
+    if (error = mConnection.Read(deadline); error) {
+      if (error == boost::asio::error::timed_out) {
+        Reject(kRequestTimeout);
+      }
+      return false;
+    }
+  }
+  if (aParser.IsHttp11() && !aParser.HasHost()) {
+    Reject(kBadRequest);
+    return false;
+  }
+  return true;
+}
+
+bool ServerConnection::AnswerContinue(const RequestParser& aParser,
+                                      bool& aAnswered)
+{
+  if (aAnswered || !aParser.is_header_done() || !aParser.ExpectsContinue()) {
+    return true;
+  }
+  aAnswered = true;
+  std::size_t written = 0;
+  return !mConnection.Write(
+    "HTTP/1.1 100 Continue\r\n\r\n", {}, Deadline(), written);
+}
+
+HttpResponse ServerConnection::CallHandler(HttpRequest& aRequest)
+{
+  try {
+    return mState->mHandler(aRequest);
+  } catch (const boost::context::detail::forced_unwind&) {
+    throw;
+  } catch (...) {
+    Count(mThread.mHandlerFailures);
+    return ErrorResponse(kInternalError, Verdict::MayHaveRun);
+  }
+}
+
+bool ServerConnection::Answer(const HttpRequest& aRequest,
+                              HttpResponse aResponse,
+                              bool aKeepAlive)
+{
+  const bool toHead = aRequest.mMethod == "HEAD";
+  BodyFraming framing = FramingOf(aResponse.mStatus);
+  if (toHead && aResponse.mBody.empty()) {
+    framing = BodyFraming::None;
+  }
+  const bool sendsBody = !toHead && framing != BodyFraming::None;
+  std::string_view body = sendsBody ? aResponse.mBody : std::string_view();
+  mHead.clear();
+  AppendHead(mHead, aResponse, framing, aKeepAlive);
+  if (body.size() <= kMaxCopiedBody) {
+    mHead.append(std::exchange(body, {}));
+  }
+  std::size_t written = 0;
+  return !mConnection.Write(mHead, body, Deadline(), written);
+}
+
+void ServerConnection::RunStream(HttpRequest& aRequest)
+{
+  HttpResponse response;
+  response.mHeaders.Append("Content-Type", "application/json");
+  mHead.clear();
+  AppendHead(mHead, response, BodyFraming::Chunked, false);
+  std::size_t written = 0;
+  if (mConnection.Write(mHead, {}, Deadline(), written)) {
+    return;
+  }
+  HttpStreamWriter writer(
+    mConnection, mState->mLimits.mIdleTimeout, [this] { return Ending(); });
+  try {
+    mState->mStream(aRequest, writer);
+  } catch (const boost::context::detail::forced_unwind&) {
+    throw;
+  } catch (...) {
+    // No last chunk: the peer sees that the stream broke.
+    Count(mThread.mHandlerFailures);
+    return;
+  }
+  mConnection.Write("0\r\n\r\n", {}, Deadline(), written);
+  CloseGently();
+}
+
+void ServerConnection::Reject(unsigned aStatus)
+{
+  HttpResponse response = ErrorResponse(aStatus, Verdict::NotRun);
+  if (aStatus == kUnavailable) {
+    response.mHeaders.Append("Retry-After", "1");
+  } else {
+    Count(mThread.mRejected);
+  }
+  if (Answer(HttpRequest(), std::move(response), false)) {
+    CloseGently();
+  }
+}
+
+void ServerConnection::CloseGently()
+{
+  ErrorCode error;
+  mConnection.Socket().shutdown(TcpSocket::shutdown_send, error);
+  const TimePoint end = std::chrono::steady_clock::now() + kDiscardTime;
+  std::size_t discarded = 0;
+  while (!error && discarded < kMaxDiscardedBytes && !mState->mClosing.load()) {
+    discarded += mConnection.Buffered().size();
+    mConnection.Consume(mConnection.Buffered().size());
+    error = mConnection.Read(end);
+  }
+}
+
+} // namespace foxtailbarrow::net::detail
--- /dev/null
+++ b/src/net/detail/ServerState.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+
+#include "src/net/HttpServer.h"
+#include "src/net/detail/Await.h"
+
+namespace foxtailbarrow::net::detail {
+
+class ServerConnection;
+
+inline constexpr std::size_t kCacheLineBytes = 64;
+
+/// What one thread of a server keeps. The counters are written by that thread
+/// alone, except mConnections, and read by any.
+struct alignas(kCacheLineBytes) ServerThread
+{
+  std::atomic<std::size_t> mInProgress{ 0 };
+  std::atomic<std::uint64_t> mRequests{ 0 };
+  std::atomic<std::uint64_t> mRejected{ 0 };
+  std::atomic<std::uint64_t> mHandlerFailures{ 0 };
+  absl::flat_hash_set<ServerConnection*> mOpen; ///< Of this thread alone.
+};
+
+/// What the connections of one server share. Immutable after the start but for
+/// the atomics.
+struct ServerState
+{
+  using TimePoint = AwaitState::TimePoint;
+
+  HttpServer::Handler mHandler;
+  HttpServer::StreamHandler mStream;
+  std::string mStreamTarget;
+  HttpServerLimits mLimits;
+
+  std::vector<std::unique_ptr<ServerThread>> mThreads;
+  std::atomic<std::size_t> mConnections{ 0 };
+  std::atomic<std::uint64_t> mAccepted{ 0 };
+  std::atomic<std::uint64_t> mRefused{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::atomic<bool> mClosing{ false };
+  std::atomic<TimePoint::rep> mDrainEnd{ 0 };
+
+  TimePoint DrainEnd() const
+  {
+    return TimePoint(TimePoint::duration(mDrainEnd.load()));
+  }
+};
+
+} // namespace foxtailbarrow::net::detail
--- /dev/null
+++ b/tests/net/HttpClientTest.cpp
@@ -0,0 +1,324 @@
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include <boost/fiber/operations.hpp>
+
+#include "tests/net/NetFixture.h"
+
+namespace foxtailbarrow::net {
+namespace {
+
+class HttpClientTest : public NetTest
+{};
+
+TEST_F(HttpClientTest, CarriesMethodTargetHeadersAndBody)
+{
+  const Endpoint endpoint = StartServer([](HttpRequest& aRequest) {
+    HttpResponse response = Echo(aRequest);
+    response.mStatus = 418;
+    for (const HttpHeader& header : aRequest.mHeaders.All()) {
+      response.mHeaders.Append(header.mName, header.mValue);
+    }
+    return response;
+  });
+  for (const std::size_t size : { 0U, 1U, 4096U, 4097U, 1'000'000U }) {
+    HttpRequest request{ "PUT", "/a?b=c", {}, std::string(size, 'x') };
+    request.mHeaders.Append("Twice", "1");
+    request.mHeaders.Append("Twice", "2");
+    const auto response = Call(endpoint, request);
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(418U, response->mStatus);
+    EXPECT_EQ("PUT /a?b=c " + request.mBody, response->mBody);
+    EXPECT_EQ(2U, response->mHeaders.All().size());
+  }
+}
+
+TEST_F(HttpClientTest, ReusesConnections)
+{
+  const Endpoint endpoint = StartServer(Echo);
+  mRuntime.RunAndWait([&] {
+    for (int turn = 0; turn < 20; ++turn) {
+      EXPECT_TRUE(mClient.Call(endpoint, HttpRequest(), kGenerous).ok());
+    }
+  });
+  EXPECT_EQ(1U, mServer->Counters().mAccepted);
+}
+
+TEST_F(HttpClientTest, RecognisesAConnectionThatTheServerClosed)
+{
+  HttpServerLimits limits;
+  limits.mIdleTimeout = std::chrono::milliseconds(20);
+  const Endpoint endpoint = StartServer(Echo, limits);
+  mRuntime.RunAndWait([&] {
+    for (int turn = 0; turn < 3; ++turn) {
+      const auto response = mClient.Call(endpoint, HttpRequest(), kGenerous);
+      EXPECT_TRUE(response.ok()) << response.status();
+      while (mServer->Connections() > 0) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+      }
+    }
+  });
+  EXPECT_EQ(3U, mServer->Counters().mAccepted);
+}
+
+/// What a misbehaving peer does once it has the request.
+struct PeerCase
+{
+  const char* mName;
+  std::string mAnswer; ///< Sent, then the connection is closed.
+};
+
+void PrintTo(const PeerCase& aCase, std::ostream* aOut)
+{
+  *aOut << aCase.mName;
+}
+
+class BrokenPeerTest
+  : public NetTest
+  , public testing::WithParamInterface<PeerCase>
+{};
+
+TEST_P(BrokenPeerTest, IsAnErrorThatMayHaveRun)
+{
+  const RawListener listener;
+  std::thread peer([&listener] {
+    const RawSocket socket(listener.Accept());
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(GetParam().mAnswer);
+  });
+  const auto response = Call(listener.Where(), HttpRequest());
+  peer.join();
+  ASSERT_FALSE(response.ok());
+  EXPECT_EQ(absl::StatusCode::kUnavailable, response.status().code());
+  EXPECT_EQ(Verdict::MayHaveRun, VerdictOf(response.status()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  BrokenPeerTest,
+  testing::Values(
+    PeerCase{ "no answer", "" },
+    PeerCase{ "half a status line", "HTTP/1.1 20" },
+    PeerCase{ "half a header", "HTTP/1.1 200 OK\r\nContent-Le" },
+    PeerCase{ "short body",
+              "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort" },
+    PeerCase{ "missing last chunk",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "5\r\nshort\r\n" },
+    PeerCase{ "half a chunk",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "50\r\nshort" },
+    PeerCase{ "no length", "HTTP/1.1 200 OK\r\n\r\nwhole or short" },
+    PeerCase{ "continue and no answer", "HTTP/1.1 100 Continue\r\n\r\n" },
+    PeerCase{ "no HTTP", "hello\r\n\r\n" }));
+
+TEST_F(HttpClientTest, SkipsInterimAnswers)
+{
+  const RawListener listener;
+  std::thread peer([&listener] {
+    const RawSocket socket(listener.Accept());
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send("HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  const auto response = Call(listener.Where(), HttpRequest());
+  peer.join();
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ("ok", response->mBody);
+}
+
+TEST_F(HttpClientTest, RefusedConnectIsNotRun)
+{
+  Endpoint endpoint;
+  {
+    const RawListener listener;
+    endpoint = listener.Where();
+  }
+  const auto response = Call(endpoint, HttpRequest());
+  EXPECT_EQ(absl::StatusCode::kUnavailable, response.status().code());
+  EXPECT_EQ(Verdict::NotRun, VerdictOf(response.status()));
+}
+
+TEST_F(HttpClientTest, DeadlineAfterTheRequestMayHaveRun)
+{
+  const RawListener listener;
+  const auto response =
+    Call(listener.Where(), HttpRequest(), std::chrono::milliseconds(30));
+  EXPECT_EQ(absl::StatusCode::kDeadlineExceeded, response.status().code());
+  EXPECT_EQ(Verdict::MayHaveRun, VerdictOf(response.status()));
+}
+
+struct NotRunCase
+{
+  const char* mName;
+  Endpoint mEndpoint;
+  std::string mTarget;
+  Duration mTimeout;
+  absl::StatusCode mCode;
+};
+
+void PrintTo(const NotRunCase& aCase, std::ostream* aOut)
+{
+  *aOut << aCase.mName;
+}
+
+class NotRunTest
+  : public NetTest
+  , public testing::WithParamInterface<NotRunCase>
+{};
+
+TEST_P(NotRunTest, IsRefusedBeforeAByteIsSent)
+{
+  const RawListener listener;
+  Endpoint endpoint = GetParam().mEndpoint;
+  endpoint.mPort = listener.Where().mPort;
+  HttpRequest request;
+  request.mTarget = GetParam().mTarget;
+  const auto response = Call(endpoint, request, GetParam().mTimeout);
+  EXPECT_EQ(GetParam().mCode, response.status().code()) << response.status();
+  EXPECT_EQ(Verdict::NotRun, VerdictOf(response.status()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  NotRunTest,
+  testing::Values(NotRunCase{ "no time left",
+                              { "127.0.0.1", 0 },
+                              "/",
+                              Duration::zero(),
+                              absl::StatusCode::kDeadlineExceeded },
+                  NotRunCase{ "bad address",
+                              { "localhost", 0 },
+                              "/",
+                              kGenerous,
+                              absl::StatusCode::kInvalidArgument },
+                  NotRunCase{ "line break in target",
+                              { "127.0.0.1", 0 },
+                              "/ HTTP/1.1\r\nA: b",
+                              kGenerous,
+                              absl::StatusCode::kInvalidArgument }));
+
+TEST_F(HttpClientTest, CallOutsideTheRuntimeIsAnError)
+{
+  const auto response = mClient.Call({}, HttpRequest(), kGenerous);
+  EXPECT_EQ(absl::StatusCode::kFailedPrecondition, response.status().code());
+}
+
+TEST_F(HttpClientTest, ManyCallsAtOnceGetTheirOwnAnswers)
+{
+  const Endpoint endpoint = StartServer([](HttpRequest& aRequest) {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+    return Echo(aRequest);
+  });
+  std::atomic<int> right{ 0 };
+  std::atomic<int> done{ 0 };
+  constexpr int kCalls = 500;
+  for (int call = 0; call < kCalls; ++call) {
+    mRuntime.Spawn([&, call] {
+      HttpRequest request;
+      request.mTarget = "/" + std::to_string(call);
+      const auto response = mClient.Call(endpoint, request, kGenerous);
+      right +=
+        response.ok() && response->mBody == "GET " + request.mTarget + " " ? 1
+                                                                           : 0;
+      ++done;
+    });
+  }
+  EXPECT_TRUE(Eventually([&] { return done == kCalls; }));
+  EXPECT_EQ(kCalls, right);
+}
+
+TEST_F(HttpClientTest, StreamHandsOverLinesUntilToldToStop)
+{
+  std::atomic<bool> gone{ false };
+  const Endpoint endpoint =
+    StartServer(Echo, {}, [&gone](HttpRequest&, HttpStreamWriter& aWriter) {
+      int number = 0;
+      while (aWriter.WriteLine("line " + std::to_string(number++))) {
+        boost::this_fiber::yield();
+      }
+      gone = true;
+    });
+  std::vector<std::string> lines;
+  absl::Status status;
+  mRuntime.RunAndWait([&] {
+    status = mClient.Stream(
+      endpoint, { "POST", "/watch", {}, "" }, kGenerous, [&](auto aLine) {
+        lines.emplace_back(aLine);
+        return lines.size() < 3;
+      });
+  });
+  EXPECT_TRUE(status.ok()) << status;
+  EXPECT_EQ((std::vector<std::string>{ "line 0", "line 1", "line 2" }), lines);
+  EXPECT_TRUE(Eventually([&] { return gone.load(); }));
+}
+
+struct StreamEndCase
+{
+  const char* mName;
+  HttpServer::StreamHandler mStream;
+  std::string mTarget;
+  absl::StatusCode mCode;
+};
+
+void PrintTo(const StreamEndCase& aCase, std::ostream* aOut)
+{
+  *aOut << aCase.mName;
+}
+
+class StreamEndTest
+  : public NetTest
+  , public testing::WithParamInterface<StreamEndCase>
+{};
+
+TEST_P(StreamEndTest, IsAnError)
+{
+  const Endpoint endpoint = StartServer(
+    [](HttpRequest&) {
+      return HttpResponse{ 404, {}, "none" };
+    },
+    {},
+    GetParam().mStream);
+  absl::Status status;
+  mRuntime.RunAndWait([&] {
+    status = mClient.Stream(endpoint,
+                            { "POST", GetParam().mTarget, {}, "" },
+                            std::chrono::milliseconds(100),
+                            [](std::string_view) { return true; });
+  });
+  EXPECT_EQ(GetParam().mCode, status.code()) << status;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  StreamEndTest,
+  testing::Values(StreamEndCase{ "server ends it",
+                                 [](HttpRequest&, HttpStreamWriter& aWriter) {
+                                   aWriter.WriteLine("one");
+                                 },
+                                 "/watch",
+                                 absl::StatusCode::kUnavailable },
+                  StreamEndCase{ "handler throws",
+                                 [](HttpRequest&, HttpStreamWriter& aWriter) {
+                                   aWriter.WriteLine("one");
+                                   throw 5;
+                                 },
+                                 "/watch",
+                                 absl::StatusCode::kUnavailable },
+                  StreamEndCase{ "silence",
+                                 [](HttpRequest&, HttpStreamWriter& aWriter) {
+                                   while (!aWriter.Gone()) {
+                                     boost::this_fiber::sleep_for(
+                                       std::chrono::milliseconds(1));
+                                   }
+                                 },
+                                 "/watch",
+                                 absl::StatusCode::kDeadlineExceeded },
+                  StreamEndCase{ "other status",
+                                 [](HttpRequest&, HttpStreamWriter&) {},
+                                 "/other",
+                                 absl::StatusCode::kUnavailable }));
+
+} // namespace
+} // namespace foxtailbarrow::net
--- /dev/null
+++ b/tests/net/HttpServerTest.cpp
@@ -0,0 +1,300 @@
+#include <atomic>
+#include <set>
+#include <stdexcept>
+
+#include <boost/fiber/operations.hpp>
+
+#include "tests/net/NetFixture.h"
+
+namespace foxtailbarrow::net {
+namespace {
+
+constexpr std::size_t kMaxBody = 1000;
+constexpr std::size_t kMaxHeader = 2000;
+
+HttpServerLimits SmallLimits()
+{
+  HttpServerLimits limits;
+  limits.mMaxBodyBytes = kMaxBody;
+  limits.mMaxHeaderBytes = kMaxHeader;
+  return limits;
+}
+
+struct RawCase
+{
+  const char* mName;
+  std::string mBytes;
+  std::string mStatus;
+};
+
+void PrintTo(const RawCase& aCase, std::ostream* aOut)
+{
+  *aOut << aCase.mName;
+}
+
+class RawRequestTest
+  : public NetTest
+  , public testing::WithParamInterface<RawCase>
+{};
+
+TEST_P(RawRequestTest, IsAnsweredAndTheConnectionClosed)
+{
+  const Endpoint endpoint = StartServer(Echo, SmallLimits());
+  const RawSocket socket(endpoint);
+  socket.Send(GetParam().mBytes);
+  const std::string answer = socket.ReadAll();
+  EXPECT_EQ(GetParam().mStatus, answer.substr(0, 12)) << answer;
+  EXPECT_NE(std::string::npos, answer.find("Connection: close")) << answer;
+  const bool ran = GetParam().mStatus == "HTTP/1.1 200";
+  EXPECT_EQ(ran, answer.find("not-run") == std::string::npos) << answer;
+  EXPECT_TRUE(Call(endpoint, HttpRequest()).ok());
+}
+
+const std::string kPost = "POST / HTTP/1.1\r\nHost: a\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  RawRequestTest,
+  testing::Values(
+    RawCase{ "no HTTP", "hello\r\n\r\n", "HTTP/1.1 400" },
+    RawCase{ "binary", std::string("\0\1\2\3\r\n\r\n", 8), "HTTP/1.1 400" },
+    RawCase{ "TLS hello", "\x16\x03\x01\x02\r\n\r\n", "HTTP/1.1 400" },
+    RawCase{ "no version", "GET /\r\n\r\n", "HTTP/1.1 400" },
+    RawCase{ "bad version", "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400" },
+    RawCase{ "no host", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400" },
+    RawCase{ "two hosts",
+             "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "space in name",
+             "GET / HTTP/1.1\r\nHost: a\r\nA b: c\r\n\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "negative length",
+             kPost + "Content-Length: -1\r\n\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "length no number",
+             kPost + "Content-Length: ten\r\n\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "two lengths",
+             kPost + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+             "HTTP/1.1 400" },
+    RawCase{ "length and chunked",
+             kPost + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "chunked and length",
+             kPost + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "bad chunk",
+             kPost + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+             "HTTP/1.1 400" },
+    RawCase{ "length above the limit",
+             kPost + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x'),
+             "HTTP/1.1 413" },
+    RawCase{ "huge length",
+             kPost + "Content-Length: 18446744073709551615\r\n\r\n",
+             "HTTP/1.1 413" },
+    RawCase{ "chunks above the limit",
+             kPost + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+               std::string(1001, 'x') + "\r\n0\r\n\r\n",
+             "HTTP/1.1 413" },
+    RawCase{ "long header",
+             "GET / HTTP/1.1\r\nHost: a\r\nA: " + std::string(3000, 'x') +
+               "\r\n\r\n",
+             "HTTP/1.1 431" },
+    RawCase{ "long target",
+             "GET /" + std::string(3000, 'x') + " HTTP/1.1\r\nHost: a\r\n\r\n",
+             "HTTP/1.1 431" },
+    RawCase{ "asks to close",
+             "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+             "HTTP/1.1 200" },
+    RawCase{ "HTTP 1.0", "GET / HTTP/1.0\r\n\r\n", "HTTP/1.1 200" }));
+
+class HttpServerTest : public NetTest
+{};
+
+TEST_F(HttpServerTest, AnswersPipelinedRequestsInOrder)
+{
+  const RawSocket socket(StartServer(Echo));
+  std::string requests;
+  for (int number = 0; number < 50; ++number) {
+    requests += "POST /" + std::to_string(number) +
+                " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+  }
+  socket.Send(requests);
+  const std::string answers = socket.ReadUntil(" abc", 50);
+  std::size_t at = 0;
+  for (int number = 0; number < 50; ++number) {
+    at = answers.find("POST /" + std::to_string(number) + " abc", at);
+    ASSERT_NE(std::string::npos, at) << number;
+  }
+}
+
+TEST_F(HttpServerTest, TakesARequestByteByByte)
+{
+  const RawSocket socket(StartServer(Echo));
+  const std::string request =
+    kPost +
+    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (const char byte : request) {
+    socket.Send({ &byte, 1 });
+  }
+  EXPECT_NE(std::string::npos, socket.ReadUntil("abcde").find("abcde"));
+}
+
+TEST_F(HttpServerTest, SaysContinueWhenAsked)
+{
+  const RawSocket socket(StartServer(Echo));
+  socket.Send(kPost + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+  EXPECT_EQ("HTTP/1.1 100 Continue\r\n\r\n", socket.ReadUntil("\r\n\r\n"));
+  socket.Send("abc");
+  EXPECT_NE(std::string::npos, socket.ReadUntil("abc").find("200 OK"));
+}
+
+TEST_F(HttpServerTest, AnswersHeadWithoutBody)
+{
+  const RawSocket socket(StartServer(Echo));
+  socket.Send("HEAD /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  const std::string answer = socket.ReadAll();
+  EXPECT_NE(std::string::npos, answer.find("Content-Length: 8")) << answer;
+  EXPECT_TRUE(answer.ends_with("\r\n\r\n")) << answer;
+}
+
+TEST_F(HttpServerTest, AnswersSlowRequest408)
+{
+  HttpServerLimits limits;
+  limits.mIdleTimeout = std::chrono::milliseconds(50);
+  const RawSocket socket(StartServer(Echo, limits));
+  socket.Send("GET / HTT");
+  EXPECT_EQ("HTTP/1.1 408", socket.ReadAll().substr(0, 12));
+}
+
+TEST_F(HttpServerTest, ClosesIdleConnections)
+{
+  HttpServerLimits limits;
+  limits.mIdleTimeout = std::chrono::milliseconds(50);
+  const RawSocket socket(StartServer(Echo, limits));
+  EXPECT_EQ("", socket.ReadAll());
+  EXPECT_TRUE(Eventually([this] { return mServer->Connections() == 0; }));
+}
+
+TEST_F(HttpServerTest, AnswersExceptions500AndLives)
+{
+  const Endpoint endpoint = StartServer([](HttpRequest& aRequest) {
+    if (aRequest.mTarget == "/int") {
+      throw 5;
+    }
+    if (aRequest.mTarget == "/std") {
+      throw std::runtime_error("handler failed");
+    }
+    return HttpResponse();
+  });
+  for (const char* target : { "/int", "/std" }) {
+    HttpRequest request;
+    request.mTarget = target;
+    const auto response = Call(endpoint, request);
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(500U, response->mStatus);
+    EXPECT_EQ("may-have-run", response->mHeaders.Find(kVerdictHeader));
+  }
+  EXPECT_EQ(200U, Call(endpoint, HttpRequest())->mStatus);
+  EXPECT_EQ(2U, mServer->Counters().mHandlerFailures);
+}
+
+TEST_F(HttpServerTest, RefusesConnectionsAboveTheLimit)
+{
+  HttpServerLimits limits;
+  limits.mMaxConnections = 2;
+  const Endpoint endpoint = StartServer(Echo, limits);
+  const RawSocket first(endpoint);
+  const RawSocket second(endpoint);
+  ASSERT_TRUE(Eventually([this] { return mServer->Connections() == 2; }));
+  const RawSocket third(endpoint);
+  third.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string answer = third.ReadAll();
+  EXPECT_EQ("HTTP/1.1 503", answer.substr(0, 12)) << answer;
+  EXPECT_NE(std::string::npos, answer.find("Retry-After: 1")) << answer;
+  EXPECT_NE(std::string::npos, answer.find("not-run")) << answer;
+}
+
+TEST_F(HttpServerTest, DropsHeadersThatWouldBreakOut)
+{
+  const RawSocket socket(StartServer([](HttpRequest&) {
+    HttpResponse response;
+    response.mHeaders.Set("A", "b\r\nInjected: c");
+    response.mHeaders.Set("Content-Length", "7");
+    return response;
+  }));
+  socket.Send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  const std::string answer = socket.ReadAll();
+  EXPECT_EQ(std::string::npos, answer.find("Injected")) << answer;
+  EXPECT_EQ(1, RawSocket::Count(answer, "Content-Length")) << answer;
+}
+
+TEST_F(HttpServerTest, DrainFinishesWhatIsInProgress)
+{
+  std::atomic<bool> entered{ false };
+  std::atomic<bool> release{ false };
+  HttpServerLimits limits;
+  limits.mDrainGrace = std::chrono::milliseconds(50);
+  const Endpoint endpoint = StartServer(
+    [&](HttpRequest& aRequest) {
+      entered = true;
+      while (!release) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+      }
+      return Echo(aRequest);
+    },
+    limits);
+  const RawSocket busy(endpoint);
+  const RawSocket idle(endpoint);
+  busy.Send("GET /busy HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(Eventually([&] { return entered.load(); }));
+  mServer->Drain();
+  EXPECT_EQ("", idle.ReadAll());
+  EXPECT_EQ(1U, mServer->RequestsInProgress());
+  release = true;
+  const std::string answer = busy.ReadAll();
+  EXPECT_NE(std::string::npos, answer.find("GET /busy")) << answer;
+  EXPECT_NE(std::string::npos, answer.find("Connection: close")) << answer;
+  EXPECT_TRUE(Eventually([this] { return mServer->Connections() == 0; }));
+  const auto late = Call(endpoint, HttpRequest());
+  EXPECT_EQ(Verdict::NotRun, VerdictOf(late.status())) << late.status();
+}
+
+TEST_F(HttpServerTest, DrainAnswersARequestOnItsWay)
+{
+  HttpServerLimits limits;
+  limits.mDrainGrace = kGenerous;
+  const Endpoint endpoint = StartServer(Echo, limits);
+  const RawSocket socket(endpoint);
+  ASSERT_TRUE(Eventually([this] { return mServer->Connections() == 1; }));
+  mServer->Drain();
+  socket.Send("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_NE(std::string::npos, socket.ReadAll().find("GET /late"));
+}
+
+TEST_F(HttpServerTest, SpreadsConnectionsOverThreads)
+{
+  const Endpoint endpoint = StartServer([](HttpRequest&) {
+    HttpResponse response;
+    response.mBody = std::to_string(::gettid());
+    return response;
+  });
+  std::set<std::string> threads;
+  for (int turn = 0; turn < 4; ++turn) {
+    const RawSocket socket(endpoint);
+    socket.Send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::string answer = socket.ReadAll();
+    threads.insert(answer.substr(answer.rfind('\n') + 1));
+  }
+  EXPECT_EQ(2U, threads.size());
+}
+
+TEST_F(HttpServerTest, ReportsAnAddressInUse)
+{
+  const Endpoint endpoint = StartServer(Echo);
+  const auto second = HttpServer::Start(mRuntime, endpoint, Echo);
+  EXPECT_EQ(absl::StatusCode::kUnavailable, second.status().code());
+}
+
+} // namespace
+} // namespace foxtailbarrow::net
