Add shard ownership under store leases

Entries hold shards of the job space by records in the store that outlive their leases; the owner is live while its leased entry record names the same tenure. Ruled out: a leased key a shard, since its lapse would erase who must be waited out.

--- /dev/null
+++ b/src/core/ownership/StoreCall.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "foxtailbarrow/Store.h"
+#include "foxtailbarrow/Verdict.h"
+
+namespace foxtailbarrow {
+
+/// Matches a reply of the store to its request.
+using CallId = std::uint64_t;
+
+struct GrantLeaseCall
+{
+  Duration mTtl{};
+};
+
+struct KeepAliveCall
+{
+  StoreLease mLease = 0;
+};
+
+struct RevokeLeaseCall
+{
+  StoreLease mLease = 0;
+};
+
+struct ListCall
+{
+  std::string mPrefix;
+};
+
+struct CommitCall
+{
+  StoreTransaction mTransaction;
+};
+
+using StoreCall = std::
+  variant<GrantLeaseCall, KeepAliveCall, RevokeLeaseCall, ListCall, CommitCall>;
+
+struct LeaseGranted
+{
+  StoreLease mLease = 0;
+};
+
+struct LeaseKept
+{};
+
+/// The lease is unknown to the store: it lapsed or was revoked.
+struct LeaseGone
+{};
+
+struct LeaseRevoked
+{};
+
+struct CallFailed
+{
+  Verdict mVerdict = Verdict::MayHaveRun;
+};
+
+using StoreResult = std::variant<CallFailed,
+                                 LeaseGranted,
+                                 LeaseKept,
+                                 LeaseGone,
+                                 LeaseRevoked,
+                                 StoreListing,
+                                 StoreTransactionResult>;
+
+/// Asks the shell to run one call of the Store interface.
+struct StoreRequest
+{
+  CallId mId = 0;
+  StoreCall mCall;
+};
+
+/// What became of it. Every request gets one reply; the shell bounds each call
+/// by a timeout, after which it replies CallFailed with MayHaveRun.
+struct StoreReply
+{
+  CallId mId = 0;
+  StoreResult mResult;
+};
+
+/// Gives each request a number that no other of this process has.
+class CallNumbers
+{
+public:
+  CallId Next() { return ++mLast; }
+
+private:
+  CallId mLast = 0;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/ownership/StoreKeys.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "foxtailbarrow/Messages.h"
+#include "foxtailbarrow/Store.h"
+
+namespace foxtailbarrow {
+
+inline constexpr std::string_view kEntriesPrefix = "/foxtailbarrow/entries/";
+inline constexpr std::string_view kShardsPrefix = "/foxtailbarrow/shards/";
+inline constexpr std::string_view kTenuresPrefix = "/foxtailbarrow/tenures/";
+
+std::string EntryKey(const EntryId& aEntry);
+std::string ShardKey(ShardId aShard);
+std::string TenureKey(StoreLease aTenure);
+
+/// Reverse of ShardKey().
+std::optional<ShardId> ParseShardKey(std::string_view aKey);
+
+/// Reverse of TenureKey().
+std::optional<StoreLease> ParseTenureKey(std::string_view aKey);
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/ownership/TenureChores.cpp
@@ -0,0 +1,240 @@
+#include "src/core/ownership/TenureChores.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/core/ownership/StoreKeys.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+constexpr std::size_t kDeletesPerCommit = 100;
+
+} // namespace
+
+TenureChores::TenureChores(const OwnershipSettings& aSettings,
+                           const StoreSession& aSession,
+                           TenureStretch& aStretch,
+                           TenureCloser& aCloser,
+                           CallNumbers& aNumbers)
+  : mSettings(aSettings)
+  , mSession(aSession)
+  , mStretch(aStretch)
+  , mCloser(aCloser)
+  , mNumbers(aNumbers)
+{
+}
+
+void TenureChores::OnRegistered(Instant aNow)
+{
+  mVoters = mSession.FirstVoters();
+  mRevision = mSession.RecordRevision();
+  mNextSweep = aNow + mSettings.mSweepInterval;
+}
+
+void TenureChores::OnRound(Instant aNow)
+{
+  if (std::vector<EntryId> roster = RosterIds(); roster != mLastRoster) {
+    mLastRoster = std::move(roster);
+    mRosterSince = aNow;
+  }
+}
+
+void TenureChores::Advance(Instant aNow, OwnershipActions& aOut)
+{
+  if (mWork || !mSession.Tenure() || !mSession.Roster().Confirmed(aNow)) {
+    return;
+  }
+  AskEnded(aNow, aOut) || AskVoters(aNow, aOut) || AskDelete(aNow, aOut);
+}
+
+void TenureChores::OnReply(const StoreReply& aReply, Instant aNow)
+{
+  if (!mWork || aReply.mId != mCall) {
+    return;
+  }
+  const Work work = std::move(*mWork);
+  mWork.reset();
+  std::visit([&](const auto& aWork) { OnDone(aWork, aReply.mResult, aNow); },
+             work);
+}
+
+void TenureChores::Ask(Work aWork, StoreCall aCall, OwnershipActions& aOut)
+{
+  mWork = std::move(aWork);
+  mCall = mNumbers.Next();
+  aOut.push_back(StoreRequest{ mCall, std::move(aCall) });
+}
+
+bool TenureChores::AskEnded(Instant aNow, OwnershipActions& aOut)
+{
+  const std::vector<StoreLease> ended = mCloser.WithoutRecords();
+  const bool isSweeper = mSession.Roster().Rank() == std::size_t{ 0 };
+  const bool sweepDue = isSweeper && aNow >= mNextSweep;
+  if (aNow < mNextRead || (ended.empty() && !sweepDue)) {
+    return false;
+  }
+  mNextRead = aNow + mSettings.mRoundInterval;
+  Ask(ReadingEnded{ ended }, ListCall{ std::string(kTenuresPrefix) }, aOut);
+  return true;
+}
+
+bool TenureChores::AskVoters(Instant aNow, OwnershipActions& aOut)
+{
+  const StoreLease tenure = *mSession.Tenure();
+  if (!mRevision) {
+    if (aNow < mNextRead) {
+      return false;
+    }
+    mNextRead = aNow + mSettings.mRoundInterval;
+    Ask(ReadingOwn{ tenure }, ListCall{ TenureKey(tenure) }, aOut);
+    return true;
+  }
+  const bool stable = aNow >= mRosterSince + mSettings.mVotersDelay;
+  if (!stable || mLastRoster == mVoters) {
+    return false;
+  }
+  const EntryRecord& self = mSession.Self();
+  const TenureRecord record{ self.mEntry, self.mIncarnation, mLastRoster };
+  StoreTransaction transaction;
+  transaction.mCompares = { { EntryKey(self.mEntry),
+                              mSession.RecordRevision() },
+                            { TenureKey(tenure), *mRevision } };
+  transaction.mWrites = { { TenureKey(tenure), Encode(record), 0 } };
+  mStretch.VotersPossible(mLastRoster);
+  Ask(WritingVoters{ tenure, mLastRoster },
+      CommitCall{ std::move(transaction) },
+      aOut);
+  return true;
+}
+
+bool TenureChores::AskDelete(Instant aNow, OwnershipActions& aOut)
+{
+  std::vector<StoreLease> tenures = mCloser.Deletable(aNow);
+  if (tenures.empty()) {
+    return false;
+  }
+  tenures.resize(std::min(tenures.size(), kDeletesPerCommit));
+  StoreTransaction transaction;
+  for (const StoreLease tenure : tenures) {
+    transaction.mWrites.push_back({ TenureKey(tenure), std::nullopt, 0 });
+  }
+  Ask(
+    Deleting{ std::move(tenures) }, CommitCall{ std::move(transaction) }, aOut);
+  return true;
+}
+
+void TenureChores::OnDone(const ReadingEnded& aWork,
+                          const StoreResult& aResult,
+                          Instant aNow)
+{
+  const auto* const listing = std::get_if<StoreListing>(&aResult);
+  if (listing == nullptr) {
+    return;
+  }
+  absl::flat_hash_map<StoreLease, TenureRecord> records;
+  for (const StoreEntry& entry : listing->mEntries) {
+    const auto tenure = ParseTenureKey(entry.mKey);
+    auto record = DecodeTenureRecord(entry.mValue);
+    if (tenure && record) {
+      records[*tenure] = std::move(*record);
+    }
+  }
+  Sweep(records, aNow);
+  for (const StoreLease tenure : aWork.mTenures) {
+    if (const auto found = records.find(tenure); found != records.end()) {
+      mCloser.OnRecord(tenure, found->second, aNow);
+    } else {
+      mCloser.OnRecordGone(tenure);
+    }
+  }
+}
+
+void TenureChores::Sweep(
+  const absl::flat_hash_map<StoreLease, TenureRecord>& aRecords,
+  Instant aNow)
+{
+  if (aNow < mNextSweep || !mSession.Roster().Confirmed(aNow)) {
+    return;
+  }
+  mNextSweep = aNow + mSettings.mSweepInterval;
+  absl::flat_hash_set<StoreLease> suspects;
+  for (const auto& [tenure, record] : aRecords) {
+    if (IsLive(tenure)) {
+      continue;
+    }
+    suspects.insert(tenure);
+    // One that was there a sweep ago and is not in today's newer roster ended
+    // before this listing; a new one may only be younger than the roster.
+    if (mSuspects.contains(tenure)) {
+      mCloser.Open(tenure, aNow);
+      mCloser.OnRecord(tenure, record, aNow);
+    }
+  }
+  mSuspects = std::move(suspects);
+}
+
+void TenureChores::OnDone(const ReadingOwn& aWork,
+                          const StoreResult& aResult,
+                          Instant)
+{
+  const auto* const listing = std::get_if<StoreListing>(&aResult);
+  if (listing == nullptr || mSession.Tenure() != aWork.mTenure) {
+    return;
+  }
+  for (const StoreEntry& entry : listing->mEntries) {
+    const auto record = DecodeTenureRecord(entry.mValue);
+    if (entry.mKey == TenureKey(aWork.mTenure) && record) {
+      mRevision = entry.mModRevision;
+      // Not the roster's, so that a write follows: only that one's success
+      // proves that no older write is still under way.
+      mVoters.clear();
+    }
+  }
+}
+
+void TenureChores::OnDone(const WritingVoters& aWork,
+                          const StoreResult& aResult,
+                          Instant)
+{
+  if (mSession.Tenure() != aWork.mTenure) {
+    return;
+  }
+  const auto* const result = std::get_if<StoreTransactionResult>(&aResult);
+  if (result == nullptr || !result->mApplied) {
+    mRevision.reset();
+    return;
+  }
+  mRevision = result->mRevision;
+  mVoters = aWork.mVoters;
+  mStretch.VotersKnown(aWork.mVoters);
+}
+
+void TenureChores::OnDone(const Deleting& aWork,
+                          const StoreResult& aResult,
+                          Instant)
+{
+  if (std::holds_alternative<StoreTransactionResult>(aResult)) {
+    mCloser.OnDeleted(aWork.mTenures);
+  }
+}
+
+std::vector<EntryId> TenureChores::RosterIds() const
+{
+  std::vector<EntryId> ids;
+  for (const LiveEntry& entry : mSession.Roster().Live()) {
+    ids.push_back(entry.mRecord.mEntry);
+  }
+  return ids;
+}
+
+bool TenureChores::IsLive(StoreLease aTenure) const
+{
+  return std::ranges::any_of(mSession.Roster().Live(),
+                             [aTenure](const LiveEntry& aEntry) {
+                               return aEntry.mRecord.mTenure == aTenure;
+                             });
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/ownership/TenureChores.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+#include "src/core/ownership/OwnershipEvents.h"
+#include "src/core/ownership/OwnershipSettings.h"
+#include "src/core/ownership/StoreSession.h"
+#include "src/core/ownership/TenureCloser.h"
+#include "src/core/ownership/TenureStretch.h"
+
+namespace foxtailbarrow {
+
+/// The store work around tenure records: keeps the voters of this entry's
+/// tenure like the roster, reads the records of ended tenures, deletes those of
+/// closed ones, and looks for ended tenures that nobody names.
+///
+/// One call is under way at a time. Survives lost replies: while it is unsure
+/// which voters the record names, majorities of all candidates are needed.
+class TenureChores
+{
+public:
+  /// All references must outlive this.
+  TenureChores(const OwnershipSettings& aSettings,
+               const StoreSession& aSession,
+               TenureStretch& aStretch,
+               TenureCloser& aCloser,
+               CallNumbers& aNumbers);
+
+  void OnRegistered(Instant aNow);
+  void OnRound(Instant aNow);
+  void Advance(Instant aNow, OwnershipActions& aOut);
+
+  /// Ignores replies to calls of others.
+  void OnReply(const StoreReply& aReply, Instant aNow);
+
+private:
+  struct ReadingEnded
+  {
+    std::vector<StoreLease> mTenures; ///< Ended before the call was sent.
+  };
+  struct ReadingOwn
+  {
+    StoreLease mTenure = 0;
+  };
+  struct WritingVoters
+  {
+    StoreLease mTenure = 0;
+    std::vector<EntryId> mVoters;
+  };
+  struct Deleting
+  {
+    std::vector<StoreLease> mTenures;
+  };
+  using Work = std::variant<ReadingEnded, ReadingOwn, WritingVoters, Deleting>;
+
+  void Ask(Work aWork, StoreCall aCall, OwnershipActions& aOut);
+  bool AskEnded(Instant aNow, OwnershipActions& aOut);
+  bool AskVoters(Instant aNow, OwnershipActions& aOut);
+  bool AskDelete(Instant aNow, OwnershipActions& aOut);
+  void Sweep(const absl::flat_hash_map<StoreLease, TenureRecord>& aRecords,
+             Instant aNow);
+  std::vector<EntryId> RosterIds() const;
+  bool IsLive(StoreLease aTenure) const;
+
+  void OnDone(const ReadingEnded& aWork,
+              const StoreResult& aResult,
+              Instant aNow);
+  void OnDone(const ReadingOwn& aWork,
+              const StoreResult& aResult,
+              Instant aNow);
+  void OnDone(const WritingVoters& aWork,
+              const StoreResult& aResult,
+              Instant aNow);
+  void OnDone(const Deleting& aWork, const StoreResult& aResult, Instant aNow);
+
+  OwnershipSettings mSettings;
+  const StoreSession& mSession;
+  TenureStretch& mStretch;
+  TenureCloser& mCloser;
+  CallNumbers& mNumbers;
+  std::optional<Work> mWork;
+  CallId mCall = 0;
+  Instant mNextRead{};
+  Instant mNextSweep{};
+  std::vector<EntryId> mVoters; ///< As the record says, if mRevision is known.
+  std::optional<Revision> mRevision;
+  std::vector<EntryId> mLastRoster;
+  Instant mRosterSince{};
+  absl::flat_hash_set<StoreLease> mSuspects; ///< Not live at the last sweep.
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/ownership/TenureCloser.cpp
@@ -0,0 +1,172 @@
+#include "src/core/ownership/TenureCloser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailbarrow {
+
+TenureCloser::TenureCloser(const OwnershipSettings& aSettings, EntryId aSelf)
+  : mSettings(aSettings)
+  , mSelf(std::move(aSelf))
+{
+}
+
+void TenureCloser::Open(StoreLease aTenure, Instant aNow)
+{
+  if (mGone.contains(aTenure)) {
+    return;
+  }
+  if (const auto [ended, added] = mOpen.try_emplace(aTenure); added) {
+    ended->second.mHoldEnds = aNow + mSettings.mHold;
+  }
+}
+
+void TenureCloser::OwnWord(StoreLease aTenure, Instant aNow)
+{
+  Open(aTenure, aNow);
+  if (const auto found = mOpen.find(aTenure); found != mOpen.end()) {
+    Settle(found->second, aNow);
+  }
+}
+
+void TenureCloser::OnRecord(StoreLease aTenure,
+                            const TenureRecord& aRecord,
+                            Instant aNow)
+{
+  const auto found = mOpen.find(aTenure);
+  if (found == mOpen.end()) {
+    return;
+  }
+  if (!found->second.mVoters) {
+    found->second.mVoters = aRecord.mVoters;
+  }
+  // A process is started under an id only once its predecessor is dead.
+  if (aRecord.mEntry == mSelf) {
+    Settle(found->second, aNow);
+  }
+}
+
+void TenureCloser::OnRecordGone(StoreLease aTenure)
+{
+  if (mOpen.erase(aTenure) != 0) {
+    mGone.insert(aTenure);
+  }
+}
+
+void TenureCloser::Advance(const EntryRoster& aRoster,
+                           Instant aNow,
+                           OwnershipActions& aOut)
+{
+  const std::vector<StoreLease> tenures = Unpromised();
+  if (tenures.empty() || aNow < mLastSent + mSettings.mPromiseInterval) {
+    return;
+  }
+  mLastSent = aNow;
+  mSent[++mSequence] = aNow;
+  absl::erase_if(mSent, [this, aNow](const auto& aSent) {
+    return aSent.second + mSettings.mPromiseWindow < aNow;
+  });
+  std::vector<EntryId> voters;
+  for (const StoreLease tenure : tenures) {
+    const std::vector<EntryId>& some = *mOpen.at(tenure).mVoters;
+    voters.insert(voters.end(), some.begin(), some.end());
+  }
+  std::ranges::sort(voters);
+  voters.erase(std::unique(voters.begin(), voters.end()), voters.end());
+  for (const EntryId& voter : voters) {
+    if (const LiveEntry* const entry = aRoster.Find(voter); entry != nullptr) {
+      aOut.push_back(SendPromise{
+        voter, entry->mRecord.mEndpoint, { mSelf, tenures, mSequence } });
+    }
+  }
+}
+
+void TenureCloser::OnReply(const PromiseReply& aReply, Instant aNow)
+{
+  const auto sent = mSent.find(aReply.mSequence);
+  if (sent == mSent.end()) {
+    return;
+  }
+  for (const StoreLease tenure : aReply.mTenures) {
+    const auto found = mOpen.find(tenure);
+    if (found == mOpen.end() || found->second.mCloses) {
+      continue;
+    }
+    Ended& ended = found->second;
+    Instant& date = ended.mPromised[aReply.mVoter];
+    date = std::max(date, sent->second);
+    const auto fresh =
+      std::ranges::count_if(*ended.mVoters, [&](const EntryId& aVoter) {
+        const auto promised = ended.mPromised.find(aVoter);
+        return promised != ended.mPromised.end() &&
+               promised->second + mSettings.mPromiseWindow > aNow;
+      });
+    if (static_cast<std::size_t>(fresh) >= ended.mVoters->size() / 2 + 1) {
+      Settle(ended, aNow);
+    }
+  }
+}
+
+bool TenureCloser::Closed(StoreLease aTenure, Instant aNow) const
+{
+  if (mGone.contains(aTenure)) {
+    return true;
+  }
+  const auto found = mOpen.find(aTenure);
+  if (found == mOpen.end()) {
+    return false;
+  }
+  const Ended& ended = found->second;
+  return aNow >= ended.mHoldEnds || (ended.mCloses && aNow >= *ended.mCloses);
+}
+
+std::vector<StoreLease> TenureCloser::WithoutRecords() const
+{
+  std::vector<StoreLease> tenures;
+  for (const auto& [tenure, ended] : mOpen) {
+    if (!ended.mVoters) {
+      tenures.push_back(tenure);
+    }
+  }
+  return tenures;
+}
+
+std::vector<StoreLease> TenureCloser::Deletable(Instant aNow) const
+{
+  std::vector<StoreLease> tenures;
+  for (const auto& [tenure, ended] : mOpen) {
+    if (Closed(tenure, aNow)) {
+      tenures.push_back(tenure);
+    }
+  }
+  std::ranges::sort(tenures);
+  return tenures;
+}
+
+void TenureCloser::OnDeleted(std::span<const StoreLease> aTenures)
+{
+  for (const StoreLease tenure : aTenures) {
+    OnRecordGone(tenure);
+  }
+}
+
+void TenureCloser::Settle(Ended& aEnded, Instant aNow) const
+{
+  if (!aEnded.mCloses) {
+    aEnded.mCloses = aNow + mSettings.TenureWait();
+  }
+}
+
+std::vector<StoreLease> TenureCloser::Unpromised() const
+{
+  std::vector<StoreLease> tenures;
+  for (const auto& [tenure, ended] : mOpen) {
+    if (ended.mVoters && !ended.mCloses) {
+      tenures.push_back(tenure);
+    }
+  }
+  std::ranges::sort(tenures);
+  return tenures;
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/ownership/TenureStretch.cpp
@@ -0,0 +1,154 @@
+#include "src/core/ownership/TenureStretch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailbarrow {
+
+TenureStretch::TenureStretch(const OwnershipSettings& aSettings, EntryId aSelf)
+  : mSettings(aSettings)
+  , mSelf(std::move(aSelf))
+{
+}
+
+void TenureStretch::Begin(StoreLease aTenure, std::vector<EntryId> aVoters)
+{
+  End();
+  mTenure = aTenure;
+  mVoterSets = { std::move(aVoters) };
+}
+
+void TenureStretch::End()
+{
+  mTenure.reset();
+  mVoterSets.clear();
+  mConfirmed.reset();
+  mGap = true;
+  mSent.clear();
+  mAttested.clear();
+}
+
+void TenureStretch::Confirm(Instant aStarted)
+{
+  mConfirmed = aStarted;
+  mGap = false;
+}
+
+void TenureStretch::VotersPossible(std::vector<EntryId> aVoters)
+{
+  mVoterSets.push_back(std::move(aVoters));
+}
+
+void TenureStretch::VotersKnown(std::vector<EntryId> aVoters)
+{
+  mVoterSets = { std::move(aVoters) };
+}
+
+void TenureStretch::Advance(const EntryRoster& aRoster,
+                            Instant aNow,
+                            OwnershipActions& aOut)
+{
+  // A round that is late by half its interval is the first sign of an outage.
+  const Duration late = mSettings.mRoundInterval * 3 / 2;
+  const bool doubted =
+    mTenure && mConfirmed && !mGap && aNow >= *mConfirmed + late;
+  if (doubted && aNow >= mLastSent + mSettings.mAttestationInterval) {
+    Send(aRoster, aNow, aOut);
+  }
+}
+
+void TenureStretch::Send(const EntryRoster& aRoster,
+                         Instant aNow,
+                         OwnershipActions& aOut)
+{
+  mLastSent = aNow;
+  ++mSequence;
+  absl::erase_if(mSent, [this, aNow](const auto& aSent) {
+    return aSent.second + mSettings.mAttestationValidity < aNow;
+  });
+  mSent[mSequence] = aNow;
+  std::vector<EntryId> voters;
+  for (const std::vector<EntryId>& set : mVoterSets) {
+    voters.insert(voters.end(), set.begin(), set.end());
+  }
+  std::ranges::sort(voters);
+  voters.erase(std::unique(voters.begin(), voters.end()), voters.end());
+  for (const EntryId& voter : voters) {
+    const LiveEntry* const entry = aRoster.Find(voter);
+    if (entry != nullptr && voter != mSelf) {
+      aOut.push_back(SendAttest{
+        voter, entry->mRecord.mEndpoint, { mSelf, *mTenure, mSequence } });
+    }
+  }
+}
+
+void TenureStretch::OnReply(const AttestReply& aReply)
+{
+  const auto sent = mSent.find(aReply.mSequence);
+  if (!aReply.mAttested || mTenure != aReply.mTenure || sent == mSent.end()) {
+    return;
+  }
+  Instant& date = mAttested[aReply.mVoter];
+  date = std::max(date, sent->second);
+}
+
+bool TenureStretch::Lapsed(Instant aNow)
+{
+  if (!mGap && !Holds(aNow)) {
+    mGap = true;
+  }
+  return mGap;
+}
+
+bool TenureStretch::Holds(Instant aNow) const
+{
+  if (!mTenure || !mConfirmed || mGap) {
+    return false;
+  }
+  if (aNow < *mConfirmed + mSettings.mValidity) {
+    return true;
+  }
+  const auto until = StretchedUntil(aNow);
+  return until && aNow < *until;
+}
+
+bool TenureStretch::Stretched(Instant aNow) const
+{
+  return Holds(aNow) && aNow >= *mConfirmed + mSettings.mValidity;
+}
+
+std::optional<Instant> TenureStretch::StretchedUntil(Instant aNow) const
+{
+  Instant until = *mConfirmed + mSettings.mStretchLimit;
+  for (const std::vector<EntryId>& voters : mVoterSets) {
+    const auto date = MajorityDate(voters, aNow);
+    if (!date) {
+      return std::nullopt;
+    }
+    until = std::min(until, *date + mSettings.mAttestationValidity);
+  }
+  return until;
+}
+
+std::optional<Instant> TenureStretch::MajorityDate(
+  std::span<const EntryId> aVoters,
+  Instant aNow) const
+{
+  std::vector<Instant> dates;
+  for (const EntryId& voter : aVoters) {
+    if (voter == mSelf) {
+      dates.push_back(aNow);
+    } else if (const auto found = mAttested.find(voter);
+               found != mAttested.end()) {
+      dates.push_back(found->second);
+    }
+  }
+  const std::size_t majority = aVoters.size() / 2 + 1;
+  if (dates.size() < majority) {
+    return std::nullopt;
+  }
+  std::ranges::sort(dates, std::ranges::greater{});
+  return dates[majority - 1];
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/ownership/Witness.cpp
@@ -0,0 +1,55 @@
+#include "src/core/ownership/Witness.h"
+
+#include <utility>
+
+namespace foxtailbarrow {
+
+Witness::Witness(const OwnershipSettings& aSettings,
+                 EntryId aSelf,
+                 Instant aStarted)
+  : mSettings(aSettings)
+  , mSelf(std::move(aSelf))
+  , mStarted(aStarted)
+{
+}
+
+void Witness::OnRound(const EntryRoster& aRoster)
+{
+  mHasRoster = true;
+  mLive.clear();
+  for (const LiveEntry& entry : aRoster.Live()) {
+    mLive.insert(entry.mRecord.mTenure);
+  }
+}
+
+AttestReply Witness::OnAttest(const AttestRequest& aRequest, Instant aNow) const
+{
+  return {
+    mSelf, aRequest.mTenure, aRequest.mSequence, Attests(aRequest.mTenure, aNow)
+  };
+}
+
+PromiseReply Witness::OnPromise(const PromiseRequest& aRequest)
+{
+  mPromised.insert(aRequest.mTenures.begin(), aRequest.mTenures.end());
+  return { mSelf, aRequest.mTenures, aRequest.mSequence };
+}
+
+bool Witness::Promised(StoreLease aTenure) const
+{
+  return mPromised.contains(aTenure);
+}
+
+bool Witness::Attests(StoreLease aTenure, Instant aNow) const
+{
+  if (Promised(aTenure)) {
+    return false;
+  }
+  if (mHasRoster) {
+    // Seen live since this process began, so nothing about it is forgotten.
+    return mLive.contains(aTenure);
+  }
+  return aNow >= mStarted + mSettings.mRestartSilence;
+}
+
+} // namespace foxtailbarrow
