--- /dev/null
+++ b/apps/entry/EntryProcess.cpp
@@ -0,0 +1,226 @@
+#include "apps/entry/EntryProcess.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+#include <utility>
+
+#include "apps/entry/StateViews.h"
+#include "apps/entry/Answers.h"
+#include "apps/entry/RunOn.h"
+#include "src/platform/store/CountingStore.h"
+#include "src/platform/store/EtcdStore.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::entry {
+
+namespace {
+
+constexpr unsigned kControlThreads = 1;
+constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+
+Incarnation IncarnationNow()
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+    std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+OwnershipSettings OwnershipSettingsOf(const EntrySettings& aSettings)
+{
+  OwnershipSettings settings;
+  settings.mShards = aSettings.mShards;
+  return settings;
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const EntrySettings& aSettings)
+  : mSettings(aSettings)
+  , mRouting(std::make_shared<const RoutingTable>())
+  , mContracts(std::make_shared<const ContractTable>())
+  , mRequestRuntime(aSettings.mThreads)
+  , mControlRuntime(kControlThreads)
+  , mRequestClient(mRequestRuntime)
+  , mControlClient(mControlRuntime)
+  , mRpc(mControlClient)
+{
+}
+
+EntryProcess::~EntryProcess()
+{
+  // Fibers refer to the parts, so that they end first.
+  mCallers.reset();
+  mControl.reset();
+  mRequestRuntime.Stop();
+  mControlRuntime.Stop();
+}
+
+absl::Status EntryProcess::Start()
+{
+  auto control = net::HttpServer::Start(
+    mControlRuntime, mSettings.mControl, [this](net::HttpRequest& aRequest) {
+      return ServeControl(aRequest);
+    });
+  if (!control.ok()) {
+    return control.status();
+  }
+  mControl = *std::move(control);
+  mControlRuntime.RunAndWait([this] { MakeParts(); });
+  auto callers = net::HttpServer::Start(
+    mRequestRuntime, mSettings.mListen, [this](net::HttpRequest& aRequest) {
+      return ServeCaller(aRequest);
+    });
+  if (!callers.ok()) {
+    return callers.status();
+  }
+  mCallers = *std::move(callers);
+  return absl::OkStatus();
+}
+
+void EntryProcess::MakeParts()
+{
+  mPlainStore = std::make_unique<EtcdStore>(
+    mControlRuntime, EtcdSettings{ .mEndpoints = mSettings.mStore });
+  mStore = std::make_unique<CountingStore>(*mPlainStore);
+  mContext = std::make_unique<ControlContext>(ControlContext{
+    mSettings.mId, mControlRuntime, *mStore, mRpc, mMetrics });
+  mJobs = std::make_unique<JobDriver>(*mContext, [this](ShardId aShard) {
+    return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
+  });
+  const EntryRecord self{
+    mSettings.mId, IncarnationNow(), ControlEndpoint(), 0
+  };
+  mOwnership = std::make_unique<OwnershipDriver>(
+    *mContext,
+    OwnershipSettingsOf(mSettings),
+    self,
+    OwnershipDriver::Callbacks{
+      .mGained =
+        [this](ShardId aShard, Generation aGeneration) {
+          mJobs->TakeShard(aShard, aGeneration);
+        },
+      .mGivenUp = [this](ShardId aShard) { mJobs->DropShard(aShard); },
+      .mSuperseded = [] { std::quick_exit(1); },
+      .mDrained = [this] { mLeft = true; } });
+  mFeed = std::make_unique<ContractFeed>(
+    *mContext, mContracts, [this](const ContractFeed::Change& aChange) {
+      mJobs->Handle(ContractsChanged{ aChange.mChanged, aChange.mRemoved });
+    });
+  mAgents = std::make_unique<AgentDesk>(*mContext, mRouting);
+  mJobPages = std::make_unique<JobPages>(
+    *mContext,
+    *mOwnership,
+    *mJobs,
+    mSettings.mShards,
+    [this](const CustomerId& aCustomer) { return mFeed->Has(aCustomer); });
+  mProxy = std::make_unique<RequestProxy>(
+    mRouting,
+    mContracts,
+    mSettings.mFailureDomain,
+    DeadlineLimits{ mSettings.mDefaultDeadline, mSettings.mMaxDeadline },
+    mRequestClient,
+    mMetrics);
+  mAdmin = std::make_unique<AdminPages>(
+    mMetrics, mState, [this] { return Health(); });
+  AddContributors();
+  AddMethods();
+  AddStatePages();
+  mFeed->Start();
+  mAgents->Start();
+  mOwnership->Start();
+  mJobs->Start();
+  mReady = true;
+}
+
+void EntryProcess::AddContributors()
+{
+  mAgents->AddContributor(
+    [this](const Heartbeat& aHeartbeat, HeartbeatReply& aReply) {
+      mFeed->Contribute(aHeartbeat, aReply);
+    });
+  mAgents->AddContributor(
+    [this](const Heartbeat& aHeartbeat, HeartbeatReply& aReply) {
+      TaskReplies replies = mJobs->OnHeartbeat(aHeartbeat);
+      aReply.mLeases = std::move(replies.mLeases);
+      aReply.mAcknowledged = std::move(replies.mAcknowledged);
+      aReply.mUnknown = std::move(replies.mUnknown);
+    });
+  mAgents->AddContributor([this](const Heartbeat&, HeartbeatReply& aReply) {
+    for (const LiveEntry& entry : mOwnership->Logic().Roster().Live()) {
+      aReply.mEntries.push_back(entry.mRecord.mEndpoint);
+    }
+  });
+}
+
+void EntryProcess::AddMethods()
+{
+  mAgents->AddMethods(mDispatcher);
+  mOwnership->AddMethods(mDispatcher);
+  mJobPages->AddMethods(mDispatcher);
+}
+
+void EntryProcess::AddStatePages()
+{
+  mState.Add("agents", [this] {
+    return AgentsView(mAgents->Directory(), mJobs->Logic(), MonotonicNow());
+  });
+  mState.Add("jobs", [this] { return JobsView(mJobs->Logic()); });
+  mState.Add("ownership", [this] {
+    return OwnershipView(mOwnership->Logic(), MonotonicNow());
+  });
+  mState.Add("contracts", [this] {
+    return ContractsView(*mContracts.Load(), mFeed->Newest());
+  });
+}
+
+net::HttpResponse EntryProcess::ServeCaller(net::HttpRequest& aRequest)
+{
+  if (JobPages::Serves(aRequest.mTarget)) {
+    return RunOn(mControlRuntime,
+                 [&] { return mJobPages->Answer(aRequest); });
+  }
+  return mProxy->Forward(aRequest);
+}
+
+net::HttpResponse EntryProcess::ServeControl(net::HttpRequest& aRequest)
+{
+  if (!mReady) {
+    return AnswerOf({ .mMessage = "the entry is starting" });
+  }
+  if (aRequest.mTarget == net::kRpcTarget) {
+    return mDispatcher.Handle(aRequest);
+  }
+  if (JobPages::Serves(aRequest.mTarget)) {
+    return mJobPages->Answer(aRequest);
+  }
+  if (auto page = mAdmin->Answer(aRequest)) {
+    return *std::move(page);
+  }
+  return AnswerOf({ .mStatus = 404, .mMessage = "no such page" });
+}
+
+absl::Status EntryProcess::Health() const
+{
+  if (mDraining) {
+    return absl::UnavailableError("draining");
+  }
+  if (mFeed->Newest() == 0) {
+    return absl::UnavailableError("no configuration read yet");
+  }
+  return absl::OkStatus();
+}
+
+void EntryProcess::Drain()
+{
+  mDraining = true;
+  const Instant end = MonotonicNow() + mSettings.mDrainTimeout;
+  mCallers->Drain();
+  mControlRuntime.RunAndWait([this] { mOwnership->Drain(); });
+  while (MonotonicNow() < end &&
+         (mCallers->RequestsInProgress() > 0 || !mLeft)) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+}
+
+} // namespace foxtailbarrow::entry
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 
 #include "absl/status/status.h"
@@ -39,6 +40,7 @@
 
 private:
   void MakeParts();
+  void AddContributors();
   void AddMethods();
   void AddStatePages();
   net::HttpResponse ServeCaller(net::HttpRequest& aRequest);
@@ -68,6 +70,8 @@
   std::unique_ptr<AdminPages> mAdmin;
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mControl;
+  std::atomic<bool> mReady{ false };
+  std::atomic<bool> mDraining{ false };
   std::atomic<bool> mLeft{ false };
 };
 
