Add the batch writer for records

Cause: at the target 1,400 task starts a second meet a store that takes several hundred writes a second, so that records must share transactions. Change: BatchWriter queues writes by lane, BatchQueue forms the transactions (128 operations with their guards, one megabyte, no key twice), BatchCommitter settles each write: bisects on a failed condition, tells a broken guard from a conflict of the key, and after a lost reply reads back and judges by value and revision. Ruled out: reporting a write as not run when it is not seen after a lost reply. A transaction delayed on its way may still apply, so the same one is sent again under the same conditions, and MayHaveRun is said when that does not settle it. Red before green: the property test (owners racing over a store that loses, refuses and delays) falsified each of five scratch mutations of BatchCommitter: conflict taken for an answer after a loss, a repeat without conditions, two ways of saying NotRun while in doubt, a refusal after a loss taken for the outcome.

--- /dev/null
+++ b/src/platform/store/BatchCommitter.cpp
@@ -0,0 +1,272 @@
+#include "src/platform/store/BatchCommitter.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "foxtailbarrow/Verdict.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+/// Commits of one group whose replies were all lost.
+constexpr int kMaxCommits = 3;
+
+using Indices = std::vector<std::size_t>;
+
+/// What one key says about a write whose reply was lost.
+enum class Trace : std::uint8_t
+{
+  Ours,      ///< The write took effect.
+  Unchanged, ///< It has not taken effect so far.
+  Gone,      ///< The key is deleted, as this write wanted.
+  Other,     ///< Another has written since.
+};
+
+/// What a group of writes that takes effect as a whole shows.
+enum class GroupState : std::uint8_t
+{
+  Applied,
+  NotYet,
+  Unclear,
+};
+
+absl::Status KeyConflict(Verdict aVerdict)
+{
+  return WithVerdict(absl::AbortedError("the key has another revision"),
+                     aVerdict);
+}
+
+absl::Status GuardConflict()
+{
+  return WithVerdict(absl::FailedPreconditionError("the guard does not hold"),
+                     Verdict::NotRun);
+}
+
+Trace TraceOf(const RecordWrite& aRecord,
+              const absl::StatusOr<StoreEntry>& aEntry)
+{
+  const Revision current = aEntry.ok() ? aEntry->mModRevision : 0;
+  if (current == aRecord.mExpected) {
+    return Trace::Unchanged;
+  }
+  const auto& value = aRecord.mWrite.mValue;
+  if (!value) {
+    return aEntry.ok() ? Trace::Other : Trace::Gone;
+  }
+  return aEntry.ok() && aEntry->mValue == *value ? Trace::Ours : Trace::Other;
+}
+
+bool Contains(std::span<const StoreCompare> aCompares,
+              const StoreCompare& aCompare)
+{
+  return std::any_of(
+    aCompares.begin(), aCompares.end(), [&](const StoreCompare& aOther) {
+      return aOther.mKey == aCompare.mKey &&
+             aOther.mModRevision == aCompare.mModRevision;
+    });
+}
+
+std::vector<StoreCompare> GuardsOf(std::span<const RecordWrite> aRecords,
+                                   const Indices& aGroup)
+{
+  std::vector<StoreCompare> guards;
+  for (const std::size_t index : aGroup) {
+    const auto& guard = aRecords[index].mGuard;
+    if (guard && !Contains(guards, *guard)) {
+      guards.push_back(*guard);
+    }
+  }
+  return guards;
+}
+
+StoreTransaction MakeTransaction(std::span<const RecordWrite> aRecords,
+                                 const Indices& aGroup)
+{
+  StoreTransaction transaction{ GuardsOf(aRecords, aGroup), {} };
+  for (const std::size_t index : aGroup) {
+    const RecordWrite& record = aRecords[index];
+    transaction.mCompares.push_back({ record.mWrite.mKey, record.mExpected });
+    transaction.mWrites.push_back(record.mWrite);
+  }
+  return transaction;
+}
+
+/// Whether one record can be the cause of the refusal of its whole group.
+bool MayConcernOneRecord(const absl::Status& aWhy)
+{
+  return absl::IsInvalidArgument(aWhy) || absl::IsNotFound(aWhy);
+}
+
+} // namespace
+
+struct BatchCommitter::Finding
+{
+  GroupState mState = GroupState::Unclear;
+  Revision mRevision = 0;
+  absl::Status mError; ///< Not OK: the store could not be read.
+};
+
+BatchCommitter::BatchCommitter(Store& aStore, BatchCounters& aCounters)
+  : mStore(aStore)
+  , mCounters(aCounters)
+{
+}
+
+std::vector<BatchCommitter::Outcome> BatchCommitter::Settle(
+  std::span<const RecordWrite> aRecords)
+{
+  Work work{ aRecords, {}, {} };
+  work.mOutcomes.assign(aRecords.size(), absl::UnknownError("not settled"));
+  Indices all(aRecords.size());
+  std::iota(all.begin(), all.end(), 0);
+  work.mPending.push_back(std::move(all));
+  while (!work.mPending.empty()) {
+    const Indices group = std::move(work.mPending.back());
+    work.mPending.pop_back();
+    if (!group.empty()) {
+      SettleGroup(work, group);
+    }
+  }
+  return std::move(work.mOutcomes);
+}
+
+void BatchCommitter::Work::SetAll(const Indices& aGroup,
+                                  const Outcome& aOutcome)
+{
+  for (const std::size_t index : aGroup) {
+    mOutcomes[index] = aOutcome;
+  }
+}
+
+void BatchCommitter::Work::Split(const Indices& aGroup)
+{
+  const auto middle =
+    aGroup.begin() + static_cast<std::ptrdiff_t>(aGroup.size() / 2);
+  mPending.emplace_back(middle, aGroup.end());
+  mPending.emplace_back(aGroup.begin(), middle);
+}
+
+void BatchCommitter::SettleGroup(Work& aWork, const Indices& aGroup)
+{
+  const StoreTransaction transaction = MakeTransaction(aWork.mRecords, aGroup);
+  absl::Status lost;
+  for (int commit = 0; commit < kMaxCommits; ++commit) {
+    ++mCounters.mCommits;
+    const auto result = mStore.Commit(transaction);
+    if (result.ok() && result->mApplied) {
+      return aWork.SetAll(aGroup, result->mRevision);
+    }
+    if (VerdictOf(result.status()) == Verdict::MayHaveRun) {
+      lost = result.status();
+    }
+    if (lost.ok()) {
+      return result.ok() ? OnConflict(aWork, aGroup)
+                         : OnRefusal(aWork, aGroup, result.status());
+    }
+    const Finding finding = LookFor(aWork.mRecords, aGroup);
+    if (!finding.mError.ok()) {
+      break;
+    }
+    if (finding.mState == GroupState::Applied) {
+      return aWork.SetAll(aGroup, finding.mRevision);
+    }
+    if (finding.mState == GroupState::Unclear) {
+      return aWork.SetAll(aGroup, KeyConflict(Verdict::MayHaveRun));
+    }
+    // A condition that has failed once never holds again, so that the lost
+    // transaction can no longer take effect either.
+    if (result.ok()) {
+      return OnConflict(aWork, aGroup);
+    }
+  }
+  aWork.SetAll(aGroup, WithVerdict(lost, Verdict::MayHaveRun));
+}
+
+void BatchCommitter::OnConflict(Work& aWork, const Indices& aGroup)
+{
+  const bool checkGuards =
+    aGroup.size() == 1 || aGroup.size() == aWork.mRecords.size();
+  if (checkGuards) {
+    Indices others = FailUnderBrokenGuards(aWork, aGroup);
+    if (others.size() < aGroup.size()) {
+      aWork.mPending.push_back(std::move(others));
+      return;
+    }
+  }
+  if (aGroup.size() == 1) {
+    return aWork.SetAll(aGroup, KeyConflict(Verdict::NotRun));
+  }
+  ++mCounters.mSplits;
+  aWork.Split(aGroup);
+}
+
+void BatchCommitter::OnRefusal(Work& aWork,
+                               const Indices& aGroup,
+                               const absl::Status& aWhy)
+{
+  if (aGroup.size() == 1 || !MayConcernOneRecord(aWhy)) {
+    return aWork.SetAll(aGroup, aWhy);
+  }
+  ++mCounters.mSplits;
+  aWork.Split(aGroup);
+}
+
+BatchCommitter::Indices BatchCommitter::FailUnderBrokenGuards(
+  Work& aWork,
+  const Indices& aGroup)
+{
+  std::vector<StoreCompare> broken = GuardsOf(aWork.mRecords, aGroup);
+  std::erase_if(broken,
+                [&](const StoreCompare& aGuard) { return !Broken(aGuard); });
+  Indices others;
+  for (const std::size_t index : aGroup) {
+    const auto& guard = aWork.mRecords[index].mGuard;
+    if (guard && Contains(broken, *guard)) {
+      aWork.mOutcomes[index] = GuardConflict();
+    } else {
+      others.push_back(index);
+    }
+  }
+  return others;
+}
+
+bool BatchCommitter::Broken(const StoreCompare& aGuard)
+{
+  const auto entry = mStore.Read(aGuard.mKey);
+  if (!entry.ok() && !absl::IsNotFound(entry.status())) {
+    return false;
+  }
+  const Revision current = entry.ok() ? entry->mModRevision : 0;
+  return current != aGuard.mModRevision;
+}
+
+BatchCommitter::Finding BatchCommitter::LookFor(
+  std::span<const RecordWrite> aRecords,
+  const Indices& aGroup)
+{
+  ++mCounters.mReadBacks;
+  std::size_t gone = 0;
+  for (const std::size_t index : aGroup) {
+    const auto entry = mStore.Read(aRecords[index].mWrite.mKey);
+    if (!entry.ok() && !absl::IsNotFound(entry.status())) {
+      return { GroupState::Unclear, 0, entry.status() };
+    }
+    switch (TraceOf(aRecords[index], entry)) {
+      case Trace::Ours:
+        return { GroupState::Applied, entry->mModRevision, {} };
+      case Trace::Unchanged:
+        return { GroupState::NotYet, 0, {} };
+      case Trace::Gone:
+        ++gone;
+        break;
+      case Trace::Other:
+        break;
+    }
+  }
+  const bool done = gone == aGroup.size();
+  return { done ? GroupState::Applied : GroupState::Unclear, 0, {} };
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/platform/store/BatchLane.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include "src/platform/store/BatchCommitter.h"
+#include "src/platform/store/BatchQueue.h"
+
+namespace foxtailbarrow {
+
+/// Queue of writes with one fiber that commits them batch by batch. The fiber
+/// lives while writes wait. Safe from any fiber of any thread.
+class BatchLane : public std::enable_shared_from_this<BatchLane>
+{
+public:
+  using Spawn = std::function<void(std::function<void()>)>;
+
+  /// Every reference stays valid until Stop() has returned.
+  BatchLane(Store& aStore,
+            const BatchSettings& aSettings,
+            BatchCounters& aCounters,
+            const Spawn& aSpawn);
+
+  /// Suspends the fiber until the outcome is known.
+  absl::StatusOr<Revision> Write(RecordWrite aRecord);
+
+  /// Refuses what waits and waits for the batch on its way.
+  void Stop();
+
+private:
+  using Lock = std::unique_lock<boost::fibers::mutex>;
+
+  absl::Status Enqueue(std::unique_ptr<PendingWrite> aWrite, bool& aStart);
+  void Flush();
+  void Linger(Lock& aLock);
+  void SettleBatch(BatchQueue::Batch aBatch);
+
+  const BatchSettings& mSettings;
+  BatchCounters& mCounters;
+  const Spawn& mSpawn;
+  BatchCommitter mCommitter;
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mWake;
+  BatchQueue mQueue;
+  bool mFlushing = false;
+  bool mStopping = false;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/platform/store/BatchWriter.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "foxtailbarrow/Store.h"
+#include "src/platform/store/BatchCounters.h"
+#include "src/platform/store/BatchLane.h"
+#include "src/platform/store/BatchSettings.h"
+#include "src/platform/store/RecordWrite.h"
+
+namespace foxtailbarrow {
+
+/// Gathers single record writes into few transactions, since the store allows
+/// far fewer calls than records change. Each write has its own condition and
+/// gets its own outcome; see BatchCommitter::Settle().
+///
+/// Writes of one lane to one key are applied in the order they were offered. A
+/// write over the bound of its lane's queue is refused at once (Unavailable,
+/// NotRun).
+class BatchWriter
+{
+public:
+  /// Starts a fiber, for example by FiberRuntime::Spawn().
+  using Spawn = BatchLane::Spawn;
+
+  /// `aStore` outlives this object, which is destroyed while the fibers that
+  /// `aSpawn` starts still run, and after the last call of Write().
+  BatchWriter(Store& aStore, BatchSettings aSettings, Spawn aSpawn);
+  ~BatchWriter(); ///< Waits for the batches on their way, refuses the rest.
+
+  BatchWriter(const BatchWriter&) = delete;
+  BatchWriter& operator=(const BatchWriter&) = delete;
+
+  /// Suspends the fiber until the outcome is known: the revision of the write,
+  /// or an error with its verdict. `aLane` is taken modulo the number of lanes.
+  absl::StatusOr<Revision> Write(std::size_t aLane, RecordWrite aRecord);
+
+  const BatchCounters& Counters() const { return mCounters; }
+
+private:
+  const BatchSettings mSettings;
+  const Spawn mSpawn;
+  BatchCounters mCounters;
+  std::vector<std::shared_ptr<BatchLane>> mLanes;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/tests/store/UnreliableStore.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <random>
+#include <vector>
+
+#include <boost/fiber/operations.hpp>
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/platform/store/MemoryStore.h"
+
+namespace foxtailbarrow {
+
+/// Passes calls on to a MemoryStore, at random losing replies, refusing calls,
+/// and delaying a transaction on its way past its own timeout: it is answered
+/// MayHaveRun and takes effect during some later call, or never.
+class UnreliableStore final : public Store
+{
+public:
+  UnreliableStore(MemoryStore& aStore, std::uint32_t aSeed)
+    : mStore(aStore)
+    , mRandom(aSeed)
+  {
+  }
+
+  absl::StatusOr<StoreTransactionResult> Commit(
+    const StoreTransaction& aTransaction) override
+  {
+    Disturb();
+    switch (mRandom() % 8) {
+      case 0:
+        return WithVerdict(absl::UnavailableError("down"), Verdict::NotRun);
+      case 1:
+        mDelayed.push_back(aTransaction);
+        return Lost();
+      case 2:
+      case 3:
+        mStore.Commit(aTransaction).IgnoreError();
+        return Lost();
+      default:
+        return mStore.Commit(aTransaction);
+    }
+  }
+
+  absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
+  {
+    Disturb();
+    if (mRandom() % 8 == 0) {
+      return WithVerdict(absl::UnavailableError("down"), Verdict::NotRun);
+    }
+    return mStore.Read(aKey);
+  }
+
+  /// Lets every delayed transaction arrive.
+  void Deliver()
+  {
+    for (const StoreTransaction& transaction : std::exchange(mDelayed, {})) {
+      mStore.Commit(transaction).IgnoreError();
+    }
+  }
+
+  absl::StatusOr<StoreListing> List(std::string_view aPrefix) override
+  {
+    return mStore.List(aPrefix);
+  }
+  absl::StatusOr<StoreLease> GrantLease(Duration aTtl) override
+  {
+    return mStore.GrantLease(aTtl);
+  }
+  absl::StatusOr<Duration> KeepAlive(StoreLease aLease) override
+  {
+    return mStore.KeepAlive(aLease);
+  }
+  absl::Status RevokeLease(StoreLease aLease) override
+  {
+    return mStore.RevokeLease(aLease);
+  }
+  absl::Status Watch(std::string_view aPrefix,
+                     Revision aFrom,
+                     const MemoryStore::EventHandler& aOnEvents) override
+  {
+    return mStore.Watch(aPrefix, aFrom, aOnEvents);
+  }
+
+private:
+  static absl::Status Lost()
+  {
+    return WithVerdict(absl::DeadlineExceededError("lost"),
+                       Verdict::MayHaveRun);
+  }
+
+  /// Gives other fibers their turn, so that calls interleave.
+  void Disturb()
+  {
+    for (auto turns = mRandom() % 3; turns > 0; --turns) {
+      boost::this_fiber::yield();
+    }
+    if (mRandom() % 4 == 0) {
+      Deliver();
+    }
+  }
+
+  MemoryStore& mStore;
+  std::mt19937 mRandom;
+  std::vector<StoreTransaction> mDelayed;
+};
+
+} // namespace foxtailbarrow
