Add the JSON codec of messages and the contract document

Cause: every process reads messages, records and contracts written by others; each reader written by hand would check something else.

Ruled out: a pair of hand-written functions for each type (23 types, the directions drift apart); a reader that stops at the first bad field (an operator would mend a contract one error at a time).

Change: one table of fields a type, visited by a reader and a writer; strict reading with field path, value found and what is allowed; all problems together. ParseJson() bounds size and depth and refuses duplicate keys and bytes that are not UTF-8. Shared headers, additive: operator== on messages and records, ToString and ParseTaskState for TaskState.

Since unknown fields are refused, a new field has to be known to every reader before a writer sends it.

--- a/include/foxtailbarrow/Contract.h
+++ b/include/foxtailbarrow/Contract.h
@@ -17,6 +17,8 @@
   Resources mTotal;                 ///< Over all workers together.
   std::int32_t mMaxRunningJobs = 0; ///< Jobs running at a time.
   double mSharePerWorker = 0.0;     ///< Of each worker's processors, 0..1.
+
+  bool operator==(const BatchLimits&) const = default;
 };
 
 /// How much an outcome weighs in decisions about this customer's work, 0..100.
@@ -24,6 +26,8 @@
 {
   double mTailLatency = 1.0;
   double mEvictions = 1.0;
+
+  bool operator==(const PolicyWeights&) const = default;
 };
 
 /// The one document that an operator writes for a customer. Every limit of the
@@ -41,6 +45,8 @@
   PolicyWeights mWeights;
   bool mUrgentAllowed = false; ///< Its urgent jobs may evict batch work.
   Revision mRevision = 0;      ///< Set from the store, not by the operator.
+
+  bool operator==(const Contract&) const = default;
 };
 
 } // namespace foxtailbarrow
--- a/include/foxtailbarrow/Job.h
+++ b/include/foxtailbarrow/Job.h
@@ -39,6 +39,8 @@
   Duration mDeclaredRunTime{}; ///< Declared run time; may be far off.
   std::string mProgram;        ///< Name of the program, opaque to us.
   std::string mArguments;      ///< Opaque to us, at most 16 KiB.
+
+  bool operator==(const JobSpec&) const = default;
 };
 
 enum class JobState : std::uint8_t
@@ -65,6 +67,8 @@
   std::int32_t mEvictions = 0;
   bool mCancelRequested = false;
   std::string mReason; ///< Machine-readable, see Reason.h.
+
+  bool operator==(const JobRecord&) const = default;
 };
 
 std::string_view ToString(JobKind aKind);
--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -49,6 +49,8 @@
   std::int32_t mWaiting = 0; ///< Admitted, not yet in a slot.
   Resources mCapacity;       ///< Of the worker.
   Resources mReserved;       ///< By the ledger, services and tasks.
+
+  bool operator==(const LoadReport&) const = default;
 };
 
 /// How a task stands, sent to the owner of its shard.
@@ -56,6 +58,8 @@
 {
   ShardId mShard = 0;
   TaskStatus mStatus;
+
+  bool operator==(const TaskReport&) const = default;
 };
 
 /// `agent.heartbeat`, agent to entry. Announces the agent, reports its load and
@@ -73,6 +77,8 @@
   LoadReport mLoad;
   std::vector<TaskReport> mTasks;
   Revision mConfiguration = 0; ///< Newest applied.
+
+  bool operator==(const Heartbeat&) const = default;
 };
 
 /// Extends every assignment of the shard on the receiving agent by `mTtl` from
@@ -82,6 +88,8 @@
   ShardId mShard = 0;
   Generation mGeneration = 0;
   Duration mTtl{};
+
+  bool operator==(const ShardLease&) const = default;
 };
 
 struct HeartbeatReply
@@ -94,6 +102,8 @@
   std::vector<ShardLease> mLeases;    ///< Shards that this entry owns.
   std::vector<TaskKey> mAcknowledged; ///< Ended tasks recorded durably.
   std::vector<TaskKey> mUnknown;      ///< Tasks that the owner disowns: stop.
+
+  bool operator==(const HeartbeatReply&) const = default;
 };
 
 /// `agent.assign`, owner entry to agent. The agent grants or refuses; its
@@ -104,6 +114,8 @@
   Generation mGeneration = 0;
   TaskStart mTask;
   bool mUrgent = false;
+
+  bool operator==(const Assign&) const = default;
 };
 
 struct AssignReply
@@ -112,6 +124,8 @@
   Reason mReason = Reason::None;      ///< Set when refused.
   Verdict mVerdict = Verdict::NotRun; ///< NotRun is binding for this key.
   Resources mFree;                    ///< After this decision.
+
+  bool operator==(const AssignReply&) const = default;
 };
 
 /// What the owner asks of a running task.
@@ -134,11 +148,15 @@
   TaskAction mAction = TaskAction::Stop;
   double mFraction = 1.0;
   Reason mReason = Reason::None;
+
+  bool operator==(const Control&) const = default;
 };
 
 struct ControlReply
 {
   TaskStatus mStatus; ///< As after the action.
+
+  bool operator==(const ControlReply&) const = default;
 };
 
 /// `agent.revoke`, entry to agent, after a connection broke: asks whether the
@@ -147,11 +165,15 @@
 struct Revoke
 {
   RequestId mRequest;
+
+  bool operator==(const Revoke&) const = default;
 };
 
 struct RevokeReply
 {
   Verdict mVerdict = Verdict::MayHaveRun;
+
+  bool operator==(const RevokeReply&) const = default;
 };
 
 /// `entry.jobChanged`, entry to the entry that owns the shard: a hint to read
@@ -160,9 +182,13 @@
 {
   ShardId mShard = 0;
   JobId mJob;
+
+  bool operator==(const JobChanged&) const = default;
 };
 
 struct JobChangedReply
-{};
+{
+  bool operator==(const JobChangedReply&) const = default;
+};
 
 } // namespace foxtailbarrow
--- a/include/foxtailbarrow/Worker.h
+++ b/include/foxtailbarrow/Worker.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -39,6 +41,8 @@
   std::string mArguments;
   std::string mCheckpoint; ///< Resume from here; empty = from the start.
   Duration mLease{};       ///< The worker stops the task when it lapses.
+
+  bool operator==(const TaskStart&) const = default;
 };
 
 enum class TaskState : std::uint8_t
@@ -50,6 +54,9 @@
   Stopped,      ///< Stopped on request, or because its lease lapsed.
 };
 
+std::string_view ToString(TaskState aState);
+std::optional<TaskState> ParseTaskState(std::string_view aText);
+
 /// A task as its worker knows it.
 struct TaskStatus
 {
@@ -58,6 +65,8 @@
   Resources mReserved;
   std::string mCheckpoint; ///< Set when Checkpointed.
   std::string mReason;     ///< Set when Failed or Stopped.
+
+  bool operator==(const TaskStatus&) const = default;
 };
 
 /// Usage measured over a past window. Arrives late.
@@ -66,6 +75,8 @@
   TaskKey mKey;
   Resources mUsed; ///< Mean over the window.
   Duration mAge{}; ///< From the middle of the window until the report.
+
+  bool operator==(const UsageSample&) const = default;
 };
 
 /// Size of a worker and what runs on it.
@@ -74,6 +85,8 @@
   Resources mCapacity;
   std::vector<TaskStatus> mTasks; ///< Ended tasks stay until acknowledged.
   std::vector<UsageSample> mUsage;
+
+  bool operator==(const WorkerView&) const = default;
 };
 
 /// The platform's worker. Every method suspends the calling fiber; errors carry
--- /dev/null
+++ b/src/core/message/Json.cpp
@@ -0,0 +1,93 @@
+#include "src/core/message/Json.h"
+
+#include <exception>
+#include <memory>
+
+#include <boost/locale/utf.hpp>
+#include <json/reader.h>
+#include <json/writer.h>
+
+namespace foxtailbarrow {
+
+namespace {
+
+/// Digits after which every double reads back as itself.
+constexpr int kDoubleDigits = 17;
+
+Json::CharReaderBuilder StrictReader(int aMaxDepth)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["stackLimit"] = aMaxDepth;
+  return builder;
+}
+
+std::string Format(const Json::Value& aValue, const char* aIndentation)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = aIndentation;
+  builder["emitUTF8"] = true;
+  builder["precision"] = kDoubleDigits;
+  return Json::writeString(builder, aValue);
+}
+
+absl::Status Refuse(const std::string& aWhy)
+{
+  return absl::InvalidArgumentError("not acceptable as JSON: " + aWhy);
+}
+
+} // namespace
+
+bool IsUtf8(std::string_view aText)
+{
+  namespace utf = boost::locale::utf;
+  auto position = aText.begin();
+  while (position != aText.end()) {
+    const utf::code_point point =
+      utf::utf_traits<char>::decode(position, aText.end());
+    if (point == utf::illegal || point == utf::incomplete) {
+      return false;
+    }
+  }
+  return true;
+}
+
+absl::StatusOr<Json::Value> ParseJson(std::string_view aText,
+                                      JsonLimits aLimits)
+{
+  if (aText.size() > aLimits.mMaxBytes) {
+    return Refuse("found " + std::to_string(aText.size()) +
+                  " bytes, allowed at most " +
+                  std::to_string(aLimits.mMaxBytes));
+  }
+  if (!IsUtf8(aText)) {
+    return Refuse("found bytes that are not UTF-8");
+  }
+  const std::unique_ptr<Json::CharReader> reader(
+    StrictReader(aLimits.mMaxDepth).newCharReader());
+  Json::Value value;
+  std::string errors;
+  // The library throws where the nesting passes its limit.
+  try {
+    if (!reader->parse(
+          aText.data(), aText.data() + aText.size(), &value, &errors)) {
+      return Refuse(errors);
+    }
+  } catch (const std::exception& error) {
+    return Refuse(std::string(error.what()) +
+                  " Allowed depth: " + std::to_string(aLimits.mMaxDepth) + ".");
+  }
+  return value;
+}
+
+std::string FormatJson(const Json::Value& aValue)
+{
+  return Format(aValue, "");
+}
+
+std::string FormatJsonIndented(const Json::Value& aValue)
+{
+  return Format(aValue, "  ");
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/message/detail/FieldRules.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <concepts>
+#include <cstddef>
+#include <limits>
+#include <string>
+
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::detail {
+
+inline constexpr std::size_t kMaxIdBytes = 128;
+inline constexpr std::size_t kMaxTextBytes = 1024;
+inline constexpr std::size_t kMaxListItems = 65'536;
+inline constexpr double kMaxNumber = 1e12;
+
+/// Bounds of a number, both allowed.
+template<typename T>
+struct NumberRule
+{
+  T mMin{};
+  T mMax{};
+};
+
+/// Bound of a text.
+struct TextRule
+{
+  std::size_t mMaxBytes = kMaxTextBytes;
+};
+
+/// Bounds of an identifier. `mPlain` allows only [a-z0-9-].
+struct IdRule
+{
+  std::size_t mMaxBytes = kMaxIdBytes;
+  bool mPlain = false;
+};
+
+/// An IPv4 number as text.
+struct AddressRule
+{};
+
+/// Nothing beyond what the type itself demands.
+struct NoRule
+{};
+
+/// Rule that applies where a table of fields gives none. No number of ours is
+/// ever negative.
+template<typename T>
+struct DefaultRule
+{
+  static constexpr NoRule kValue{};
+};
+
+template<std::integral T>
+requires(!std::same_as<T, bool>) struct DefaultRule<T>
+{
+  static constexpr NumberRule<T> kValue{ 0, std::numeric_limits<T>::max() };
+};
+
+template<>
+struct DefaultRule<double>
+{
+  static constexpr NumberRule<double> kValue{ 0, kMaxNumber };
+};
+
+template<>
+struct DefaultRule<Duration>
+{
+  static constexpr NumberRule<Duration::rep> kValue{
+    0,
+    std::numeric_limits<Duration::rep>::max()
+  };
+};
+
+template<>
+struct DefaultRule<std::string>
+{
+  static constexpr TextRule kValue{};
+};
+
+template<typename Tag>
+struct DefaultRule<Id<Tag>>
+{
+  static constexpr IdRule kValue{};
+};
+
+} // namespace foxtailbarrow::detail
--- /dev/null
+++ b/src/core/message/detail/ObjectReader.h
@@ -0,0 +1,232 @@
+#pragma once
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+#include <json/value.h>
+
+#include "src/core/message/detail/Scalars.h"
+
+namespace foxtailbarrow::detail {
+
+/// Fills the fields of one message from a JSON object: the reading visitor of
+/// the Fields() tables. Collects problems instead of stopping at the first.
+class ObjectReader
+{
+public:
+  ObjectReader(const Json::Value& aObject,
+               const FieldPath& aPath,
+               FieldProblems& aProblems)
+    : mObject(aObject)
+    , mPath(aPath)
+    , mProblems(aProblems)
+  {
+  }
+
+  /// Reads the field, or notes that it is missing.
+  template<typename T, typename Rule = decltype(DefaultRule<T>::kValue)>
+  void Required(const char* aName,
+                T& aField,
+                const Rule& aRule = DefaultRule<T>::kValue)
+  {
+    if (!Present(aName)) {
+      mProblems.push_back(
+        { FieldPath(mPath, aName).Text(), "nothing", "a value, required" });
+      return;
+    }
+    Read(mObject[aName], FieldPath(mPath, aName), aField, aRule);
+  }
+
+  /// Reads the field where it is there, else leaves the default.
+  template<typename T, typename Rule = decltype(DefaultRule<T>::kValue)>
+  void Optional(const char* aName,
+                T& aField,
+                const Rule& aRule = DefaultRule<T>::kValue)
+  {
+    if (Present(aName)) {
+      Read(mObject[aName], FieldPath(mPath, aName), aField, aRule);
+    }
+  }
+
+  /// Call after the last field: notes every field that no one asked for.
+  void Finish();
+
+  /// Reads a whole value; entry point for the root of a document.
+  template<typename T, typename Rule = decltype(DefaultRule<T>::kValue)>
+  static void ReadRoot(const Json::Value& aValue,
+                       T& aTarget,
+                       FieldProblems& aProblems)
+  {
+    const FieldPath root;
+    ObjectReader reader(aValue, root, aProblems);
+    reader.Read(aValue, root, aTarget, NoRule{});
+  }
+
+private:
+  bool Present(const char* aName);
+
+  template<typename T>
+  requires(std::signed_integral<T>) void Read(const Json::Value& aValue,
+                                              const FieldPath& aPath,
+                                              T& aTarget,
+                                              NumberRule<T> aRule)
+  {
+    if (std::int64_t number = 0; ReadSigned(
+          aValue, aPath, { aRule.mMin, aRule.mMax }, number, mProblems)) {
+      aTarget = static_cast<T>(number);
+    }
+  }
+
+  template<typename T>
+  requires(std::unsigned_integral<T>) void Read(const Json::Value& aValue,
+                                                const FieldPath& aPath,
+                                                T& aTarget,
+                                                NumberRule<T> aRule)
+  {
+    if (std::uint64_t number = 0; ReadUnsigned(
+          aValue, aPath, { aRule.mMin, aRule.mMax }, number, mProblems)) {
+      aTarget = static_cast<T>(number);
+    }
+  }
+
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            double& aTarget,
+            NumberRule<double> aRule)
+  {
+    ReadDouble(aValue, aPath, aRule, aTarget, mProblems);
+  }
+
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            Duration& aTarget,
+            NumberRule<Duration::rep> aRule)
+  {
+    if (std::int64_t count = 0; ReadSigned(
+          aValue, aPath, { aRule.mMin, aRule.mMax }, count, mProblems)) {
+      aTarget = Duration(count);
+    }
+  }
+
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            bool& aTarget,
+            NoRule)
+  {
+    ReadBool(aValue, aPath, aTarget, mProblems);
+  }
+
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            std::string& aTarget,
+            TextRule aRule)
+  {
+    ReadText(aValue, aPath, aRule, aTarget, mProblems);
+  }
+
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            std::string& aTarget,
+            AddressRule)
+  {
+    ReadAddress(aValue, aPath, aTarget, mProblems);
+  }
+
+  template<typename Tag>
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            Id<Tag>& aTarget,
+            IdRule aRule)
+  {
+    if (std::string text; ReadId(aValue, aPath, aRule, text, mProblems)) {
+      aTarget = Id<Tag>(std::move(text));
+    }
+  }
+
+  /// Enums by the texts of their ToString(), which says "unknown" after the
+  /// last variant.
+  template<typename T>
+  requires(std::is_enum_v<T>) void Read(const Json::Value& aValue,
+                                        const FieldPath& aPath,
+                                        T& aTarget,
+                                        NoRule)
+  {
+    std::string allowed = "one of";
+    for (std::underlying_type_t<T> i = 0;; ++i) {
+      const std::string_view text = ToString(static_cast<T>(i));
+      if (text == "unknown") {
+        break;
+      }
+      if (aValue.isString() && aValue.asString() == text) {
+        aTarget = static_cast<T>(i);
+        return;
+      }
+      allowed += " " + std::string(text);
+    }
+    Complain(aValue, aPath, std::move(allowed), mProblems);
+  }
+
+  template<typename T>
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            std::optional<T>& aTarget,
+            NoRule)
+  {
+    T item{};
+    Read(aValue, aPath, item, DefaultRule<T>::kValue);
+    aTarget = std::move(item);
+  }
+
+  template<typename T>
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            std::vector<T>& aTarget,
+            NoRule)
+  {
+    if (!aValue.isArray() || aValue.size() > kMaxListItems) {
+      Complain(aValue,
+               aPath,
+               "a list of at most " + std::to_string(kMaxListItems) + " items",
+               mProblems);
+      return;
+    }
+    aTarget.resize(aValue.size());
+    for (Json::ArrayIndex i = 0; i < aValue.size(); ++i) {
+      Read(aValue[i],
+           FieldPath(aPath, std::size_t{ i }),
+           aTarget[i],
+           DefaultRule<T>::kValue);
+    }
+  }
+
+  /// A message with a Fields() table of its own.
+  template<typename T>
+  requires(std::is_class_v<T>) void Read(const Json::Value& aValue,
+                                         const FieldPath& aPath,
+                                         T& aTarget,
+                                         NoRule)
+  {
+    if (!aValue.isObject()) {
+      Complain(aValue, aPath, "an object", mProblems);
+      return;
+    }
+    ObjectReader reader(aValue, aPath, mProblems);
+    Fields(reader, aTarget);
+    reader.Finish();
+  }
+
+  const Json::Value& mObject;
+  const FieldPath& mPath;
+  FieldProblems& mProblems;
+  std::vector<std::string_view> mKnown;
+  std::size_t mPresent = 0;
+};
+
+} // namespace foxtailbarrow::detail
--- /dev/null
+++ b/src/core/message/detail/Scalars.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <json/value.h>
+
+#include "src/core/message/FieldProblem.h"
+#include "src/core/message/detail/FieldPath.h"
+#include "src/core/message/detail/FieldRules.h"
+
+/// Reading of single JSON values. Each function returns false and appends a
+/// problem where the value breaks its rule; the target is then unchanged.
+namespace foxtailbarrow::detail {
+
+/// Appends a problem about the value at `aPath`.
+void Complain(const Json::Value& aValue,
+              const FieldPath& aPath,
+              std::string aAllowed,
+              FieldProblems& aProblems);
+
+bool ReadSigned(const Json::Value& aValue,
+                const FieldPath& aPath,
+                NumberRule<std::int64_t> aRule,
+                std::int64_t& aTarget,
+                FieldProblems& aProblems);
+
+bool ReadUnsigned(const Json::Value& aValue,
+                  const FieldPath& aPath,
+                  NumberRule<std::uint64_t> aRule,
+                  std::uint64_t& aTarget,
+                  FieldProblems& aProblems);
+
+bool ReadDouble(const Json::Value& aValue,
+                const FieldPath& aPath,
+                NumberRule<double> aRule,
+                double& aTarget,
+                FieldProblems& aProblems);
+
+bool ReadBool(const Json::Value& aValue,
+              const FieldPath& aPath,
+              bool& aTarget,
+              FieldProblems& aProblems);
+
+bool ReadText(const Json::Value& aValue,
+              const FieldPath& aPath,
+              TextRule aRule,
+              std::string& aTarget,
+              FieldProblems& aProblems);
+
+bool ReadId(const Json::Value& aValue,
+            const FieldPath& aPath,
+            IdRule aRule,
+            std::string& aTarget,
+            FieldProblems& aProblems);
+
+bool ReadAddress(const Json::Value& aValue,
+                 const FieldPath& aPath,
+                 std::string& aTarget,
+                 FieldProblems& aProblems);
+
+} // namespace foxtailbarrow::detail
