--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -67,6 +67,8 @@
   aVisitor.Required("generation", aMessage.mGeneration);
   aVisitor.Required("task", aMessage.mTask);
   aVisitor.Optional("urgent", aMessage.mUrgent);
+  aVisitor.Optional("incarnation", aMessage.mIncarnation);
+  aVisitor.Optional("sequence", aMessage.mSequence);
 }
 
 template<typename Visitor, Is<AssignReply> Message>
@@ -99,6 +101,7 @@
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("request", aMessage.mRequest);
+  aVisitor.Optional("ageUs", aMessage.mAge);
 }
 
 template<typename Visitor, Is<RevokeReply> Message>
--- a/src/core/message/detail/WorkerFields.h
+++ b/src/core/message/detail/WorkerFields.h
@@ -32,6 +32,8 @@
 {
   aVisitor.Required("key", aMessage.mKey);
   aVisitor.Required("state", aMessage.mState);
+  aVisitor.Optional("customer", aMessage.mCustomer);
+  aVisitor.Optional("kind", aMessage.mKind);
   aVisitor.Optional("reserved", aMessage.mReserved);
   aVisitor.Optional("checkpoint", aMessage.mCheckpoint);
   aVisitor.Optional("reason", aMessage.mReason);
