--- a/src/core/membership/AgentDirectory.cpp
+++ b/src/core/membership/AgentDirectory.cpp
@@ -180,7 +180,8 @@
                    aRecord.mFailureDomain,
                    aNow,
                    StableHash(aRecord.mAgent.Value()),
-                   aRecord.mGauges });
+                   aRecord.mGauges,
+                   ServiceOf(aRecord.mService).mHealth });
 }
 
 void AgentDirectory::Unroute(AgentRecord& aRecord,
--- /dev/null
+++ b/src/core/retry/Jitter.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include "absl/random/bit_gen_ref.h"
+#include "absl/random/uniform_int_distribution.h"
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow {
+
+/// Uniform between `aFrom` and `aTo`, both included, so that callers told at
+/// the same moment do not come back at the same moment.
+inline Duration Jitter(Duration aFrom, Duration aTo, absl::BitGenRef aRandom)
+{
+  absl::uniform_int_distribution<std::int64_t> draw(aFrom.count(), aTo.count());
+  return Duration(draw(aRandom));
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/retry/RetryDecision.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <optional>
+#include <variant>
+
+#include "foxtailbarrow/Reason.h"
+#include "foxtailbarrow/Time.h"
+#include "foxtailbarrow/Verdict.h"
+
+namespace foxtailbarrow {
+
+/// Try again after `mDelay`.
+struct Retry
+{
+  Duration mDelay{};
+  bool mElsewhere = true; ///< Exclude the agents tried so far.
+};
+
+/// Answer the caller now.
+struct GiveUp
+{
+  Verdict mVerdict = Verdict::NotRun;
+  Reason mReason = Reason::None;
+  /// When the caller may try again; none when it must first find out whether
+  /// the request ran.
+  std::optional<Duration> mRetryAfter;
+};
+
+using RetryDecision = std::variant<Retry, GiveUp>;
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/retry/RetryPolicy.cpp
@@ -0,0 +1,81 @@
+#include "src/core/retry/RetryPolicy.h"
+
+#include <algorithm>
+
+#include "src/core/retry/Jitter.h"
+#include "src/core/retry/WorstVerdict.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+Verdict VerdictOfAll(const FailedAttempt& aAttempt)
+{
+  return WorstVerdict(aAttempt.mVerdict, aAttempt.mEarlier);
+}
+
+bool IsSafeToRepeat(const FailedAttempt& aAttempt)
+{
+  const Verdict verdict = VerdictOfAll(aAttempt);
+  return verdict == Verdict::NotRun ||
+         (verdict == Verdict::MayHaveRun && aAttempt.mIdempotent);
+}
+
+/// Refusals that no other agent would decide differently.
+bool IsSameElsewhere(Reason aReason)
+{
+  switch (aReason) {
+    case Reason::NoContract:
+    case Reason::RateLimit:
+    case Reason::DeadlineTooShort:
+    case Reason::DuplicateRequest:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+RetryDecision RetryPolicy::Decide(const FailedAttempt& aAttempt,
+                                  RetryBudget& aBudget,
+                                  Instant aNow,
+                                  absl::BitGenRef aRandom) const
+{
+  if (!IsSafeToRepeat(aAttempt) || IsSameElsewhere(aAttempt.mReason) ||
+      aAttempt.mAttempts >= mSettings.mMaxAttempts) {
+    return GiveUpFor(aAttempt, aAttempt.mReason, aRandom);
+  }
+  const Duration delay = Delay(aAttempt.mAttempts, aRandom);
+  if (aAttempt.mRemaining < delay + mSettings.mLeastTime) {
+    return GiveUpFor(aAttempt, Reason::DeadlineTooShort, aRandom);
+  }
+  if (!aBudget.TryTake(aNow)) {
+    return GiveUpFor(aAttempt, Reason::RetryBudgetSpent, aRandom);
+  }
+  return Retry{ delay, true };
+}
+
+Duration RetryPolicy::Delay(int aAttempts, absl::BitGenRef aRandom) const
+{
+  Duration longest = mSettings.mFirstDelay;
+  for (int i = 1; i < aAttempts && longest < mSettings.mLongestDelay; ++i) {
+    longest *= 2;
+  }
+  longest = std::min(longest, mSettings.mLongestDelay);
+  return Jitter(Duration::zero(), longest, aRandom);
+}
+
+GiveUp RetryPolicy::GiveUpFor(const FailedAttempt& aAttempt,
+                              Reason aReason,
+                              absl::BitGenRef aRandom) const
+{
+  GiveUp answer{ VerdictOfAll(aAttempt), aReason, std::nullopt };
+  if (IsSafeToRepeat(aAttempt)) {
+    const Duration least = aAttempt.mRetryAfter.value_or(mSettings.mRetryAfter);
+    answer.mRetryAfter = Jitter(least, least * 2, aRandom);
+  }
+  return answer;
+}
+
+} // namespace foxtailbarrow
--- a/src/core/routing/AgentHealth.h
+++ b/src/core/routing/AgentHealth.h
@@ -33,8 +33,9 @@
   std::atomic<bool> mProbeInFlight{ false };
   std::atomic<std::uint32_t> mProbeSuccesses{ 0 };
 
-  /// Windows in a row in which it was slow. Touched by Evaluate() alone.
-  std::uint32_t mSlowWindows = 0;
+  // Touched by OutlierDetector::Evaluate() alone.
+  std::uint32_t mSlowWindows = 0; ///< In a row.
+  Duration mMeanLatency{};        ///< Of the latest window; 0 = none yet.
 };
 
 } // namespace foxtailbarrow
--- a/src/core/routing/Choice.h
+++ b/src/core/routing/Choice.h
@@ -28,7 +28,7 @@
 struct NoChoice
 {
   Reason mReason = Reason::NoBackendServer;
-  Verdict mVerdict = Verdict::NotRun; ///< Of this attempt and earlier ones.
+  Verdict mVerdict = Verdict::NotRun; ///< Earlier attempts not counted.
 
   /// When a new attempt makes sense; none when the caller must find out first
   /// whether its request ran.
--- a/src/core/routing/RoutableAgent.h
+++ b/src/core/routing/RoutableAgent.h
@@ -8,6 +8,7 @@
 #include "foxtailbarrow/Messages.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/routing/AgentGauges.h"
+#include "src/core/routing/ServiceHealth.h"
 
 namespace foxtailbarrow {
 
@@ -23,6 +24,7 @@
   Instant mServingSince{}; ///< Start of its slow start.
   std::uint64_t mHash = 0; ///< Of mAgent; the same in every process.
   std::shared_ptr<AgentGauges> mGauges;
+  std::shared_ptr<ServiceHealth> mServiceHealth;
 };
 
 using RoutableAgentPointer = std::shared_ptr<const RoutableAgent>;
--- a/src/core/routing/Router.cpp
+++ b/src/core/routing/Router.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "src/core/retry/Jitter.h"
+
 namespace foxtailbarrow {
 
 namespace {
@@ -19,9 +21,9 @@
   return aResult;
 }
 
-NoChoice Refuse(Reason aReason, Duration aRetryAfter)
+NoChoice Refuse(Reason aReason, Duration aLeast, absl::BitGenRef aRandom)
 {
-  return { aReason, Verdict::NotRun, aRetryAfter };
+  return { aReason, Verdict::NotRun, Jitter(aLeast, aLeast * 2, aRandom) };
 }
 
 } // namespace
@@ -39,7 +41,7 @@
 {
   const ServiceTable* service = aTable->Find(aRequest.mService);
   if (service == nullptr || service->Routable().empty()) {
-    return Refuse(Reason::NoBackendServer, kEmptyRetryAfter);
+    return Refuse(Reason::NoBackendServer, kEmptyRetryAfter, aRandom);
   }
   const PickContext context{ *service, aRequest, mOwnDomain, aNow };
   return PickAny(aTable, context, aRandom);
@@ -55,7 +57,7 @@
     },
     mPolicy);
   if (result.mAgent == nullptr) {
-    return Refuse(Reason::BackendServersBusy, kBusyRetryAfter);
+    return Refuse(Reason::BackendServersBusy, kBusyRetryAfter, aRandom);
   }
   // Shares the table's reference count, which is the calling thread's own.
   return Picked{ RoutableAgentPointer(aTable, result.mAgent),
--- a/tests/membership/AgentDirectoryTest.cpp
+++ b/tests/membership/AgentDirectoryTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <ostream>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -34,6 +35,11 @@
   bool mIsRoutable; ///< While another agent serves.
 };
 
+void PrintTo(const PhaseCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.mName;
+}
+
 class Phase : public testing::TestWithParam<PhaseCase>
 {};
 
@@ -98,6 +104,11 @@
   HeartbeatEffect mEffect;
 };
 
+void PrintTo(const OrderCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.mName;
+}
+
 class Order : public testing::TestWithParam<OrderCase>
 {};
 
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -1,6 +1,7 @@
 #include "src/core/routing/Router.h"
 
 #include <algorithm>
+#include <ostream>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -105,6 +106,11 @@
   bool mStaysLocal;
 };
 
+void PrintTo(const PreferenceCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.mName;
+}
+
 class DomainPreference : public testing::TestWithParam<PreferenceCase>
 {};
 
@@ -184,6 +190,11 @@
   std::optional<LoadFigures> mFigures;
 };
 
+void PrintTo(const FiguresCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.mText;
+}
+
 class LoadHeader : public testing::TestWithParam<FiguresCase>
 {};
 
