--- a/src/core/ownership/ShardKeeper.h
+++ b/src/core/ownership/ShardKeeper.h
@@ -132,8 +132,6 @@
   CallId mCall = 0;
   bool mDraining = false;
   bool mFresh = false; ///< The table is as listed or written by us.
-  bool mRosterChanged = false;
-  std::size_t mRosterSize = 0;
   Instant mListed{};
   Instant mLastRelease{};
   std::uint64_t mTokens = 0;
