Let agent.revoke ask about an idempotency key

A keyed request that is not idempotent goes to one agent, which recognises the caller's own second attempt. Where that agent cannot take it (draining, full, ejected, displaced by a newcomer), another may only run it once the first has promised never to. Revoke carries this question now, beside the one about a request id; both new fields are optional. Reason::KeyHolderLost names the refusal where the first agent is gone and cannot promise anything.

--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -156,6 +156,13 @@
   /// Since the entry sent the request to this agent. The agent answers NotRun
   /// only for a request younger than its memory; unknown = the maximum.
   Duration mAge = Duration::max();
+
+  /// When the key is set, the question is about this customer's idempotency
+  /// key instead of mRequest: whether an attempt under it runs, ran or may have
+  /// run on this agent. Answered NotRun, no attempt under the key runs on this
+  /// agent from then on, for as long as the agent remembers keys.
+  CustomerId mCustomer;
+  std::string mIdempotencyKey;
 };
 
 struct RevokeReply
--- a/include/foxtailbarrow/Reason.h
+++ b/include/foxtailbarrow/Reason.h
@@ -22,6 +22,7 @@
   Overload,
   RetryBudgetSpent,
   DuplicateRequest,
+  KeyHolderLost, ///< An agent that may know the idempotency key is gone.
   // Jobs.
   WaitingForCapacity,
   WaitingForQuota,
--- a/src/core/base/Reason.cpp
+++ b/src/core/base/Reason.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr EnumText<Reason, 28> kTexts({
+constexpr EnumText<Reason, 29> kTexts({
   { Reason::None, "none" },
   { Reason::NoContract, "no-contract" },
   { Reason::RateLimit, "rate-limit" },
@@ -18,6 +18,7 @@
   { Reason::Overload, "overload" },
   { Reason::RetryBudgetSpent, "retry-budget-spent" },
   { Reason::DuplicateRequest, "duplicate-request" },
+  { Reason::KeyHolderLost, "key-holder-lost" },
   { Reason::WaitingForCapacity, "waiting-for-capacity" },
   { Reason::WaitingForQuota, "waiting-for-quota" },
   { Reason::WaitingForStore, "waiting-for-store" },
