--- a/apps/entry/ContractFeed.cpp
+++ b/apps/entry/ContractFeed.cpp
@@ -64,13 +64,13 @@
   }
   Apply(events);
   mNewest = std::max(mNewest, listing->mRevision);
-  const absl::Status ended = mContext.mStore.Watch(
-    kContractsPrefix,
-    listing->mRevision,
-    [this](const std::vector<StoreEvent>& aEvents) {
-      Apply(aEvents);
-      return true;
-    });
+  const absl::Status ended =
+    mContext.mStore.Watch(kContractsPrefix,
+                          listing->mRevision,
+                          [this](const std::vector<StoreEvent>& aEvents) {
+                            Apply(aEvents);
+                            return true;
+                          });
   LogChange("contract-watch-ended",
             { { "cause", std::string(ended.message()) } });
 }
@@ -115,9 +115,8 @@
                               std::make_shared<const Contract>(contract));
   }
   mTable.Publish(std::move(table));
-  LogChange(
-    "contracts-in-force",
-    { { "revision", mNewest }, { "contracts", mContracts.size() } });
+  LogChange("contracts-in-force",
+            { { "revision", mNewest }, { "contracts", mContracts.size() } });
 }
 
 void ContractFeed::Contribute(const Heartbeat& aHeartbeat,
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -5,9 +5,9 @@
 #include <thread>
 #include <utility>
 
-#include "apps/entry/StateViews.h"
 #include "apps/entry/Answers.h"
 #include "apps/entry/RunOn.h"
+#include "apps/entry/StateViews.h"
 #include "src/platform/store/CountingStore.h"
 #include "src/platform/store/EtcdStore.h"
 #include "src/telemetry/Log.h"
@@ -83,8 +83,8 @@
   mPlainStore = std::make_unique<EtcdStore>(
     mControlRuntime, EtcdSettings{ .mEndpoints = mSettings.mStore });
   mStore = std::make_unique<CountingStore>(*mPlainStore);
-  mContext = std::make_unique<ControlContext>(ControlContext{
-    mSettings.mId, mControlRuntime, *mStore, mRpc, mMetrics });
+  mContext = std::make_unique<ControlContext>(
+    ControlContext{ mSettings.mId, mControlRuntime, *mStore, mRpc, mMetrics });
   mJobs = std::make_unique<JobDriver>(*mContext, [this](ShardId aShard) {
     return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
   });
@@ -121,8 +121,8 @@
     DeadlineLimits{ mSettings.mDefaultDeadline, mSettings.mMaxDeadline },
     mRequestClient,
     mMetrics);
-  mAdmin = std::make_unique<AdminPages>(
-    mMetrics, mState, [this] { return Health(); });
+  mAdmin =
+    std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
   AddContributors();
   AddMethods();
   AddStatePages();
@@ -177,8 +177,7 @@
 net::HttpResponse EntryProcess::ServeCaller(net::HttpRequest& aRequest)
 {
   if (JobPages::Serves(aRequest.mTarget)) {
-    return RunOn(mControlRuntime,
-                 [&] { return mJobPages->Answer(aRequest); });
+    return RunOn(mControlRuntime, [&] { return mJobPages->Answer(aRequest); });
   }
   return mProxy->Forward(aRequest);
 }
--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -28,9 +28,8 @@
   settings.AddEndpoints("--store", aSettings.mStore, "the platform's store")
     .Required();
   settings
-    .AddId("--failure-domain",
-           aSettings.mFailureDomain,
-           "failure domain of this VM")
+    .AddId(
+      "--failure-domain", aSettings.mFailureDomain, "failure domain of this VM")
     .Required();
   settings.AddCount("--threads",
                     aSettings.mThreads,
--- a/apps/entry/JobPages.cpp
+++ b/apps/entry/JobPages.cpp
@@ -35,9 +35,8 @@
 
 net::HttpResponse NoSuchJob()
 {
-  return AnswerOf({ .mStatus = 404,
-                    .mVerdict = Verdict::NotRun,
-                    .mMessage = "no such job" });
+  return AnswerOf(
+    { .mStatus = 404, .mVerdict = Verdict::NotRun, .mMessage = "no such job" });
 }
 
 net::HttpResponse StoreAway(Verdict aVerdict)
@@ -86,21 +85,20 @@
       mJobs.ReadHinted(aHint);
       return JobChangedReply{};
     });
-  aDispatcher.Add(kExplainMethod,
-                  [this](const Json::Value& aParams)
-                    -> absl::StatusOr<Json::Value> {
-                    if (!aParams["job"].isString()) {
-                      return absl::InvalidArgumentError("job: allowed text");
-                    }
-                    return ExplainHere(JobId(aParams["job"].asString()));
-                  });
   aDispatcher.Add(
-    kListMethod,
-    [this](const Json::Value&) -> absl::StatusOr<Json::Value> {
-      Json::Value result(Json::objectValue);
-      result["jobs"] = ListHere();
-      return result;
+    kExplainMethod,
+    [this](const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
+      if (!aParams["job"].isString()) {
+        return absl::InvalidArgumentError("job: allowed text");
+      }
+      return ExplainHere(JobId(aParams["job"].asString()));
     });
+  aDispatcher.Add(kListMethod,
+                  [this](const Json::Value&) -> absl::StatusOr<Json::Value> {
+                    Json::Value result(Json::objectValue);
+                    result["jobs"] = ListHere();
+                    return result;
+                  });
 }
 
 bool JobPages::Serves(std::string_view aTarget)
@@ -145,8 +143,7 @@
   const auto key = aRequest.mHeaders.Find(kIdempotencyKeyHeader);
   const std::string unique =
     UniquePart(key.value_or(std::string_view()), mRandom());
-  const absl::StatusOr<JobSpec> spec =
-    ParseSubmission(aRequest.mBody, unique);
+  const absl::StatusOr<JobSpec> spec = ParseSubmission(aRequest.mBody, unique);
   if (!spec.ok()) {
     return BadRequest(std::string(spec.status().message()));
   }
@@ -286,8 +283,7 @@
 
 Json::Value JobPages::ExplainHere(const JobId& aJob) const
 {
-  const Json::Value view =
-    ExplanationOf(mJobs.Logic(), aJob, MonotonicNow());
+  const Json::Value view = ExplanationOf(mJobs.Logic(), aJob, MonotonicNow());
   return view.isNull() ? Json::Value(Json::objectValue) : view;
 }
 
--- a/apps/entry/JobWriter.cpp
+++ b/apps/entry/JobWriter.cpp
@@ -123,9 +123,8 @@
       return CancelResult::AlreadyFinal;
     }
     record->mCancelRequested = true;
-    const auto result =
-      mStore.Commit({ { { key, entry->mModRevision } },
-                      { { key, ToJsonText(*record), 0 } } });
+    const auto result = mStore.Commit({ { { key, entry->mModRevision } },
+                                        { { key, ToJsonText(*record), 0 } } });
     if (result.ok() && result->mApplied) {
       return CancelResult::Accepted;
     }
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -100,9 +100,10 @@
   const Contract* contract = contracts->Find(caller.mCustomer);
   net::HttpResponse response;
   if (contract == nullptr) {
-    response = Refuse({ .mStatus = 403,
-                        .mReason = Reason::NoContract,
-                        .mMessage = "no contract of this customer is in force" });
+    response =
+      Refuse({ .mStatus = 403,
+               .mReason = Reason::NoContract,
+               .mMessage = "no contract of this customer is in force" });
   } else {
     response = Route(aRequest, caller, contract->mService);
   }
@@ -160,8 +161,7 @@
 {
   const Instant start = MonotonicNow();
   aRequest.mHeaders.Set(kRequestIdHeader, aCaller.mId.Value());
-  aRequest.mHeaders.Set(kDeadlineHeader,
-                        RemainingMs(aCaller.mDeadline, start));
+  aRequest.mHeaders.Set(kDeadlineHeader, RemainingMs(aCaller.mDeadline, start));
   if (aCaller.mIdempotent) {
     aRequest.mHeaders.Set(kIdempotentHeader, "true");
   }
@@ -185,8 +185,8 @@
   }
   HideInternals(*response);
   const auto verdict = response->mHeaders.Find(net::kVerdictHeader);
-  attempt.mVerdict = verdict ? ParseVerdict(*verdict).value_or(Verdict::Ran)
-                             : Verdict::Ran;
+  attempt.mVerdict =
+    verdict ? ParseVerdict(*verdict).value_or(Verdict::Ran) : Verdict::Ran;
   if (const auto reason = response->mHeaders.Find(kReasonHeader)) {
     attempt.mReason = ParseReason(*reason).value_or(Reason::None);
   }
--- a/apps/entry/StateViews.cpp
+++ b/apps/entry/StateViews.cpp
@@ -74,8 +74,7 @@
   aScheduler.Jobs().ForEach([&view](const JobEntry& aEntry) {
     const std::string state = Text(ToString(aEntry.Record().mState));
     view["counts"][state] = view["counts"][state].asInt() + 1;
-    const bool waits =
-      !aEntry.IsAssigned() && !IsFinal(aEntry.Record().mState);
+    const bool waits = !aEntry.IsAssigned() && !IsFinal(aEntry.Record().mState);
     if (waits && view["waiting"].size() < kMaxListedJobs) {
       Json::Value job(Json::objectValue);
       job["id"] = aEntry.Spec().mId.Value();
--- a/src/net/TypedRpc.h
+++ b/src/net/TypedRpc.h
@@ -20,24 +20,24 @@
 template<typename Request, typename Handler>
 void AddTyped(RpcDispatcher& aDispatcher, std::string aName, Handler aHandler)
 {
-  aDispatcher.Add(
-    std::move(aName),
-    [handler = std::move(aHandler)](
-      const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
-      absl::StatusOr<Request> request = FromJson<Request>(aParams);
-      if (!request.ok()) {
-        return WithVerdict(request.status(), Verdict::NotRun);
-      }
-      auto reply = handler(*request);
-      if constexpr (requires { reply.status(); }) {
-        if (!reply.ok()) {
-          return reply.status();
-        }
-        return ToJson(*reply);
-      } else {
-        return ToJson(reply);
-      }
-    });
+  aDispatcher.Add(std::move(aName),
+                  [handler = std::move(aHandler)](
+                    const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
+                    absl::StatusOr<Request> request =
+                      FromJson<Request>(aParams);
+                    if (!request.ok()) {
+                      return WithVerdict(request.status(), Verdict::NotRun);
+                    }
+                    auto reply = handler(*request);
+                    if constexpr (requires { reply.status(); }) {
+                      if (!reply.ok()) {
+                        return reply.status();
+                      }
+                      return ToJson(*reply);
+                    } else {
+                      return ToJson(reply);
+                    }
+                  });
 }
 
 /// Calls a method. A reply that cannot be read is an error with MayHaveRun.
