--- a/src/platform/store/MemoryStore.cpp
+++ b/src/platform/store/MemoryStore.cpp
@@ -76,6 +76,12 @@
   mChanged.notify_all();
 }
 
+Revision MemoryStore::LatestRevision() const
+{
+  const Lock lock(mMutex);
+  return mTable.LatestRevision();
+}
+
 void MemoryStore::Delay() const
 {
   if (const Duration delay = Faults().mDelay; delay > Duration::zero()) {
--- a/src/platform/store/MemoryStore.h
+++ b/src/platform/store/MemoryStore.h
@@ -46,6 +46,8 @@
                      Revision aFrom,
                      const EventHandler& aOnEvents) override;
 
+  Revision LatestRevision() const;
+
   /// As List(), for any range and page by page; see KeyValueTable::Range().
   /// `aCall` says whether it counts as a Read or a List.
   absl::StatusOr<KeyValuePage> Range(StoreCall aCall,
--- /dev/null
+++ b/tests/store/KeyValueTableTest.cpp
@@ -0,0 +1,105 @@
+#include <gtest/gtest.h>
+
+#include "src/platform/store/FaultGate.h"
+#include "src/platform/store/KeyValueTable.h"
+
+namespace foxtailbarrow {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct PrefixCase
+{
+  std::string mPrefix;
+  std::string mKey;
+  bool mContained;
+};
+
+class KeyRangePrefix : public testing::TestWithParam<PrefixCase>
+{};
+
+TEST_P(KeyRangePrefix, ContainsWhatStartsWithIt)
+{
+  const auto& [prefix, key, contained] = GetParam();
+  EXPECT_EQ(KeyRange::Prefix(prefix).Contains(key), contained);
+}
+
+INSTANTIATE_TEST_SUITE_P(Prefixes,
+                         KeyRangePrefix,
+                         testing::Values(PrefixCase{ "/a", "/a", true },
+                                         PrefixCase{ "/a", "/a\xff", true },
+                                         PrefixCase{ "/a", "/b", false },
+                                         PrefixCase{ "/a", "/A", false },
+                                         PrefixCase{ "", "anything", true },
+                                         PrefixCase{ "a\xff", "a\xff", true },
+                                         PrefixCase{ "a\xff", "b", false },
+                                         PrefixCase{ "\xff", "\xff!", true }));
+
+class Table : public testing::Test
+{
+protected:
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    ASSERT_TRUE(mTable.Commit({ {}, { { aKey, aValue, 0 } } }).ok());
+  }
+
+  KeyValueTable mTable{ { .mHistoryChanges = 4 } };
+};
+
+TEST_F(Table, ShowsAnEarlierRevision)
+{
+  Put("/a", "1");
+  const Revision early = mTable.LatestRevision();
+  Put("/a", "2");
+  Put("/b", "1");
+  ASSERT_TRUE(mTable.Commit({ {}, { { "/a", std::nullopt, 0 } } }).ok());
+  const auto page = mTable.Range(KeyRange::Prefix("/"), 0, early);
+  ASSERT_TRUE(page.ok()) << page.status();
+  ASSERT_EQ(page->mEntries.size(), 1U);
+  EXPECT_EQ(page->mEntries[0].mValue, "1");
+  EXPECT_EQ(page->mRevision, mTable.LatestRevision());
+}
+
+TEST_F(Table, SaysThatItHasForgottenOldChanges)
+{
+  const Revision early = mTable.LatestRevision();
+  for (int change = 0; change < 5; ++change) {
+    Put("/a", std::to_string(change));
+  }
+  const KeyRange all = KeyRange::Prefix("");
+  EXPECT_TRUE(absl::IsOutOfRange(mTable.Range(all, 0, early).status()));
+  EXPECT_TRUE(absl::IsOutOfRange(mTable.EventsAfter(all, early).status()));
+  const auto events = mTable.EventsAfter(all, early + 1);
+  ASSERT_TRUE(events.ok()) << events.status();
+  EXPECT_EQ(events->size(), 4U);
+}
+
+TEST_F(Table, KeepsItsRevisionWhenNothingChanges)
+{
+  const Revision before = mTable.LatestRevision();
+  ASSERT_TRUE(mTable.Commit({ {}, { { "/a", std::nullopt, 0 } } }).ok());
+  EXPECT_EQ(mTable.LatestRevision(), before);
+}
+
+TEST(FaultGate, FillsItsCeilingsWithTime)
+{
+  FaultGate gate;
+  Instant now{};
+  gate.Set({ .mWritesPerSecond = 10 }, now);
+  const auto takeAll = [&] {
+    int taken = 0;
+    while (gate.Decide(StoreCall::Commit, now) == CallFate::Proceed) {
+      ++taken;
+    }
+    return taken;
+  };
+  EXPECT_EQ(takeAll(), 10);
+  now += 500ms;
+  EXPECT_EQ(takeAll(), 5);
+  now += 1h;
+  EXPECT_EQ(takeAll(), 10);
+  EXPECT_EQ(gate.Decide(StoreCall::Read, now), CallFate::Proceed);
+}
+
+} // namespace
+} // namespace foxtailbarrow
--- /dev/null
+++ b/tests/store/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(store-tests PRIVATE ftb_standin_store)
--- a/tests/store/StoreConformanceTest.cpp
+++ b/tests/store/StoreConformanceTest.cpp
@@ -317,7 +317,8 @@
 INSTANTIATE_TEST_SUITE_P(Stores,
                          StoreConformance,
                          testing::Values(StoreCase{ "Memory",
-                                                    MakeMemoryHarness }),
+                                                    MakeMemoryHarness },
+                                         StoreCase{ "Etcd", MakeEtcdHarness }),
                          NameOf);
 
 } // namespace
--- a/tests/store/StoreHarness.h
+++ b/tests/store/StoreHarness.h
@@ -40,5 +40,6 @@
 using HarnessFactory = std::unique_ptr<StoreHarness> (*)();
 
 std::unique_ptr<StoreHarness> MakeMemoryHarness();
+std::unique_ptr<StoreHarness> MakeEtcdHarness();
 
 } // namespace foxtailbarrow
