Add the job scheduler: accept, place, run, finish, cancel

Cause: the entry process needs the logic that runs the jobs of its shards. Ruled out: sharing a customer's limits between the owners of many shards (a limit of four jobs over 64 shards leaves most shards none); instead all jobs of a customer hash to one shard, so that one process counts exactly. Counting an agent's silence about a task as its end (an Assign may still be under way): LeaseBounds works out until when it may start or be extended. Change: JobScheduler (events in, actions out), its state machine, lease bounds, timers, ready queue, per-job decisions; WorkerIndex over a segment tree of free resources, Placer, PlacementLoad, QuotaBook, FairOrder. CommitRecord names the shard's generation: the transaction must compare the shard's key too, else a former owner can still write. HeartbeatReplySent names the heartbeat answered, since an Assign counts on its lease. Not yet: learned sizes, judging of failures, eviction for urgent jobs.

--- a/include/foxtailbarrow/Id.h
+++ b/include/foxtailbarrow/Id.h
@@ -22,6 +22,8 @@
   const std::string& Value() const { return mValue; }
   bool Empty() const { return mValue.empty(); }
 
+  // The check takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Id&) const = default;
 
   template<typename H>
--- /dev/null
+++ b/src/core/placement/FairOrder.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <queue>
+#include <tuple>
+#include <vector>
+
+#include "foxtailbarrow/Id.h"
+#include "src/core/placement/QuotaBook.h"
+
+namespace foxtailbarrow {
+
+/// Whose job is looked at next: the customer of the team with the least
+/// dominant share, then the customer with fewest running jobs. Shares only
+/// grow during a round, so a stale share is noticed when it comes up.
+class FairOrder
+{
+public:
+  FairOrder(const QuotaBook& aQuotas, const Resources& aTotal)
+    : mQuotas(aQuotas)
+    , mTotal(aTotal)
+  {
+  }
+
+  void Push(const CustomerId& aCustomer);
+
+  /// nullopt when no customer is left.
+  std::optional<CustomerId> Pop();
+
+private:
+  struct Turn
+  {
+    double mShare = 0.0;
+    std::int32_t mJobs = 0;
+    CustomerId mCustomer;
+
+    bool operator>(const Turn& aOther) const
+    {
+      return std::tie(mShare, mJobs, mCustomer) >
+             std::tie(aOther.mShare, aOther.mJobs, aOther.mCustomer);
+    }
+  };
+
+  Turn TurnOf(const CustomerId& aCustomer) const;
+
+  const QuotaBook& mQuotas;
+  Resources mTotal;
+  std::priority_queue<Turn, std::vector<Turn>, std::greater<>> mTurns;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/placement/FreeTree.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "foxtailbarrow/Resources.h"
+
+namespace foxtailbarrow {
+
+/// Finds a worker with enough free resources. A segment tree over worker
+/// slots whose nodes hold the greatest free amount of each resource below
+/// them: Set() and a usual Find() take O(log n). Where the maxima come from
+/// different workers Find() looks further, at most kMaxVisits nodes.
+class FreeTree
+{
+public:
+  using Slot = std::uint32_t;
+
+  /// Free amounts of a slot that must never be found.
+  static constexpr Resources kNever{ -1, -1, -1 };
+
+  /// Adds a slot at the end.
+  Slot Add(const Resources& aFree);
+
+  void Set(Slot aSlot, const Resources& aFree);
+
+  /// The first slot at or after `aFrom`, wrapping around, where `aNeed` fits.
+  std::optional<Slot> Find(const Resources& aNeed, Slot aFrom) const;
+
+  std::size_t Size() const { return mSize; }
+  std::size_t MemoryBytes() const { return mNodes.capacity() * sizeof(Node); }
+
+private:
+  using Node = Resources;
+  static constexpr int kMaxVisits = 512;
+
+  std::optional<Slot> FindIn(std::size_t aNode,
+                             std::size_t aLow,
+                             std::size_t aHigh,
+                             const Resources& aNeed,
+                             Slot aFrom,
+                             int& aVisits) const;
+  void Grow();
+
+  std::size_t mSize = 0;
+  std::size_t mLeaves = 0;  ///< Power of two, or 0.
+  std::vector<Node> mNodes; ///< Heap order; leaves from mLeaves on.
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/placement/Placer.cpp
@@ -0,0 +1,130 @@
+#include "src/core/placement/Placer.h"
+
+#include <algorithm>
+
+#include "absl/random/uniform_int_distribution.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+double Portion(std::int64_t aPart, std::int64_t aWhole)
+{
+  return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
+                    : 0.0;
+}
+
+/// What stays free of the scarcer resource, 0..1: less is a tighter fit.
+double Leftover(const Resources& aFree,
+                const Resources& aSize,
+                const Resources& aCapacity)
+{
+  const Resources left = aFree - aSize;
+  return Portion(left.mMillicores, aCapacity.mMillicores) +
+         Portion(left.mMemoryMb, aCapacity.mMemoryMb) +
+         Portion(left.mAccelerators, aCapacity.mAccelerators);
+}
+
+bool Wanted(const PlacementRequest& aRequest,
+            const WorkerInfo& aWorker,
+            WorkerSlot aSlot,
+            const PlacementLoad& aLoad)
+{
+  if (std::ranges::find(aRequest.mAvoid, aSlot) != aRequest.mAvoid.end()) {
+    return false;
+  }
+  const double share = aRequest.mSharePerWorker *
+                       static_cast<double>(aWorker.mCapacity.mMillicores);
+  const std::int64_t used = aLoad.Millicores(aRequest.mCustomer, aSlot);
+  return static_cast<double>(used + aRequest.mSize.mMillicores) <= share;
+}
+
+/// Less is better.
+double Cost(const PlacementRequest& aRequest,
+            const WorkerInfo& aWorker,
+            const Resources& aFree,
+            const PlacementLoad& aLoad)
+{
+  const double leftover = Leftover(aFree, aRequest.mSize, aWorker.mCapacity);
+  if (aRequest.mKind == JobKind::Batch) {
+    return leftover;
+  }
+  constexpr double kDomainWeight = 100.0;
+  constexpr double kRackWeight = 10.0;
+  return kDomainWeight *
+           aLoad.InDomain(aRequest.mCustomer, aWorker.mFailureDomain) +
+         kRackWeight * aLoad.InRack(aRequest.mCustomer, aWorker.mRack) -
+         leftover;
+}
+
+/// Keeps the best of the candidates offered.
+class Best
+{
+public:
+  Best(const PlacementRequest& aRequest,
+       const WorkerIndex& aWorkers,
+       const PlacementLoad& aLoad)
+    : mRequest(aRequest)
+    , mWorkers(aWorkers)
+    , mLoad(aLoad)
+  {
+  }
+
+  /// False when the candidate is not wanted.
+  bool Offer(WorkerSlot aSlot)
+  {
+    const WorkerInfo& worker = mWorkers.At(aSlot);
+    if (!Wanted(mRequest, worker, aSlot, mLoad)) {
+      return false;
+    }
+    const double cost = Cost(mRequest, worker, mWorkers.Free(aSlot), mLoad);
+    if (!mSlot || cost < mCost) {
+      mSlot = aSlot;
+      mCost = cost;
+    }
+    return true;
+  }
+
+  std::optional<WorkerSlot> Slot() const { return mSlot; }
+
+private:
+  const PlacementRequest& mRequest;
+  const WorkerIndex& mWorkers;
+  const PlacementLoad& mLoad;
+  std::optional<WorkerSlot> mSlot;
+  double mCost = 0.0;
+};
+
+} // namespace
+
+std::optional<WorkerSlot> Placer::Choose(const PlacementRequest& aRequest,
+                                         const WorkerIndex& aWorkers,
+                                         const PlacementLoad& aLoad,
+                                         absl::BitGenRef aRandom) const
+{
+  if (aWorkers.Size() == 0) {
+    return std::nullopt;
+  }
+  const auto last = static_cast<WorkerSlot>(aWorkers.Size() - 1);
+  absl::uniform_int_distribution<WorkerSlot> anySlot(0, last);
+  Best best(aRequest, aWorkers, aLoad);
+  for (int i = 0; i < mSettings.mSamples; ++i) {
+    const auto slot = aWorkers.Find(aRequest.mSize, anySlot(aRandom));
+    if (!slot) {
+      return std::nullopt;
+    }
+    best.Offer(*slot);
+  }
+  WorkerSlot from = anySlot(aRandom);
+  for (int i = 0; i < mSettings.mWalk && !best.Slot(); ++i) {
+    const auto slot = aWorkers.Find(aRequest.mSize, from);
+    if (!slot) {
+      return std::nullopt;
+    }
+    best.Offer(*slot);
+    from = *slot == last ? 0 : *slot + 1;
+  }
+  return best.Slot();
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/placement/QuotaBook.cpp
@@ -0,0 +1,126 @@
+#include "src/core/placement/QuotaBook.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow {
+
+namespace {
+
+double Part(std::int64_t aHeld, std::int64_t aTotal)
+{
+  return aTotal > 0 ? static_cast<double>(aHeld) / static_cast<double>(aTotal)
+                    : 0.0;
+}
+
+template<typename Map, typename Key>
+void Take(Map& aMap, const Key& aKey, const Resources& aSize, int aJobs)
+{
+  const auto found = aMap.find(aKey);
+  if (found == aMap.end()) {
+    return;
+  }
+  found->second.mHeld -= aSize;
+  found->second.mJobs -= aJobs;
+  if (found->second.mJobs <= 0) {
+    aMap.erase(found);
+  }
+}
+
+} // namespace
+
+void QuotaBook::Apply(const Contract& aContract)
+{
+  const TeamId before = TeamOf(aContract.mCustomer);
+  mContracts[aContract.mCustomer] = aContract;
+  Shift(before, aContract.mTeam, aContract.mCustomer);
+}
+
+void QuotaBook::Remove(const CustomerId& aCustomer)
+{
+  const TeamId before = TeamOf(aCustomer);
+  mContracts.erase(aCustomer);
+  Shift(before, TeamOf(aCustomer), aCustomer);
+}
+
+void QuotaBook::Shift(const TeamId& aFrom,
+                      const TeamId& aTo,
+                      const CustomerId& aWho)
+{
+  const QuotaUsage usage = UsageOf(aWho);
+  if (aFrom == aTo || usage.mJobs == 0) {
+    return;
+  }
+  Take(mTeams, aFrom, usage.mHeld, usage.mJobs);
+  mTeams[aTo].mHeld += usage.mHeld;
+  mTeams[aTo].mJobs += usage.mJobs;
+}
+
+const Contract* QuotaBook::Find(const CustomerId& aCustomer) const
+{
+  const auto found = mContracts.find(aCustomer);
+  return found == mContracts.end() ? nullptr : &found->second;
+}
+
+Reason QuotaBook::Check(const CustomerId& aCustomer,
+                        const Resources& aSize) const
+{
+  const Contract* contract = Find(aCustomer);
+  if (contract == nullptr) {
+    return Reason::NoContract;
+  }
+  const QuotaUsage usage = UsageOf(aCustomer);
+  const bool within = usage.mJobs < contract->mBatch.mMaxRunningJobs &&
+                      (usage.mHeld + aSize).FitsIn(contract->mBatch.mTotal);
+  return within ? Reason::None : Reason::WaitingForQuota;
+}
+
+bool QuotaBook::CanEverRun(const CustomerId& aCustomer,
+                           const Resources& aSize) const
+{
+  const Contract* contract = Find(aCustomer);
+  return contract == nullptr || aSize.FitsIn(contract->mBatch.mTotal);
+}
+
+void QuotaBook::Add(const CustomerId& aCustomer, const Resources& aSize)
+{
+  QuotaUsage& customer = mCustomers[aCustomer];
+  customer.mHeld += aSize;
+  ++customer.mJobs;
+  QuotaUsage& team = mTeams[TeamOf(aCustomer)];
+  team.mHeld += aSize;
+  ++team.mJobs;
+}
+
+void QuotaBook::Subtract(const CustomerId& aCustomer, const Resources& aSize)
+{
+  Take(mCustomers, aCustomer, aSize, 1);
+  Take(mTeams, TeamOf(aCustomer), aSize, 1);
+}
+
+QuotaUsage QuotaBook::UsageOf(const CustomerId& aCustomer) const
+{
+  const auto found = mCustomers.find(aCustomer);
+  return found == mCustomers.end() ? QuotaUsage{} : found->second;
+}
+
+double QuotaBook::DominantShare(const CustomerId& aCustomer,
+                                const Resources& aTotal) const
+{
+  const auto found = mTeams.find(TeamOf(aCustomer));
+  if (found == mTeams.end()) {
+    return 0.0;
+  }
+  const Resources& held = found->second.mHeld;
+  return std::max({ Part(held.mMillicores, aTotal.mMillicores),
+                    Part(held.mMemoryMb, aTotal.mMemoryMb),
+                    Part(held.mAccelerators, aTotal.mAccelerators) });
+}
+
+const TeamId& QuotaBook::TeamOf(const CustomerId& aCustomer) const
+{
+  static const TeamId sNoTeam;
+  const Contract* contract = Find(aCustomer);
+  return contract == nullptr ? sNoTeam : contract->mTeam;
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/tests/job/JobSchedulerTest.cpp
@@ -0,0 +1,220 @@
+#include "src/core/job/JobScheduler.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+#include "src/core/job/ShardOf.h"
+
+namespace foxtailbarrow {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr ShardId kShard = 3;
+constexpr Generation kGeneration = 77;
+const CustomerId kCustomer("trasowka");
+const JobId kJob = JobIdFor(kCustomer, "1");
+const AgentId kAgent("agent-1");
+
+Contract TestContract()
+{
+  Contract contract;
+  contract.mCustomer = kCustomer;
+  contract.mBatch = { { 640000, 2500000, 0 }, 100, 1.0 };
+  return contract;
+}
+
+JobRecord TestRecord()
+{
+  JobRecord record;
+  record.mSpec.mId = kJob;
+  record.mSpec.mCustomer = kCustomer;
+  record.mSpec.mDeclared = { 1000, 1024, 0 };
+  return record;
+}
+
+/// A scheduler with one owned shard, one worker and one waiting job.
+class JobSchedulerTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    Tell(ContractsChanged{ { TestContract() }, {} });
+    Tell(ShardAcquired{ kShard, kGeneration, {} });
+    Tell(JobRead{ kShard, { TestRecord(), 5 } });
+    Beat({});
+  }
+
+  JobScheduler::Actions Tell(const JobEvent& aEvent)
+  {
+    return mScheduler.Handle(aEvent, mNow, mRandom);
+  }
+
+  template<typename Action>
+  std::vector<Action> Only(const JobScheduler::Actions& aActions)
+  {
+    std::vector<Action> found;
+    for (const JobAction& action : aActions) {
+      if (const auto* wanted = std::get_if<Action>(&action)) {
+        found.push_back(*wanted);
+      }
+    }
+    return found;
+  }
+
+  JobScheduler::Actions Beat(std::vector<TaskReport> aTasks)
+  {
+    Heartbeat heartbeat;
+    heartbeat.mAgent = kAgent;
+    heartbeat.mIncarnation = 1;
+    heartbeat.mSequence = ++mSequence;
+    heartbeat.mState = ServingState::Serving;
+    heartbeat.mLoad.mCapacity = { 64000, 250000, 0 };
+    heartbeat.mTasks = std::move(aTasks);
+    auto actions = Tell(HeartbeatSeen{ heartbeat });
+    Tell(HeartbeatReplySent{ kAgent, 1, mSequence, mNow + 20s });
+    return actions;
+  }
+
+  TaskReport Report(Epoch aEpoch, TaskState aState)
+  {
+    TaskReport report;
+    report.mShard = kShard;
+    report.mStatus.mKey = { kJob, aEpoch };
+    report.mStatus.mState = aState;
+    report.mStatus.mReserved = { 1000, 1024, 0 };
+    report.mStatus.mCheckpoint =
+      aState == TaskState::Checkpointed ? "checkpoint" : "";
+    return report;
+  }
+
+  CommitRecord TheCommit(const JobScheduler::Actions& aActions)
+  {
+    const auto commits = Only<CommitRecord>(aActions);
+    EXPECT_EQ(commits.size(), 1U);
+    return commits.empty() ? CommitRecord{} : commits.front();
+  }
+
+  JobScheduler::Actions Apply(const CommitRecord& aCommit)
+  {
+    return Tell(CommitDone{
+      aCommit.mToken, CommitOutcome::Applied, aCommit.mExpected + 1 });
+  }
+
+  /// Places, commits and starts the job; its Assign.
+  SendAssign Start()
+  {
+    const auto sent = Only<SendAssign>(Apply(TheCommit(Tell(Tick{}))));
+    EXPECT_EQ(sent.size(), 1U);
+    return sent.empty() ? SendAssign{} : sent.front();
+  }
+
+  Instant mNow{ 1000s };
+  std::mt19937_64 mRandom{ 1 };
+  std::uint64_t mSequence = 0;
+  JobScheduler mScheduler;
+};
+
+TEST_F(JobSchedulerTest, WritesTheAssignmentBeforeItSendsIt)
+{
+  const auto placed = Tell(Tick{});
+  EXPECT_TRUE(Only<SendAssign>(placed).empty());
+  const CommitRecord commit = TheCommit(placed);
+  EXPECT_EQ(commit.mRecord.mState, JobState::Assigned);
+  EXPECT_EQ(commit.mRecord.mEpoch, 1U);
+  EXPECT_EQ(commit.mExpected, 5);
+  EXPECT_EQ(commit.mGeneration, kGeneration);
+
+  const auto sent = Only<SendAssign>(Apply(commit));
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent.front().mAssign.mTask.mKey, (TaskKey{ kJob, 1 }));
+  EXPECT_EQ(sent.front().mAssign.mSequence, mSequence);
+}
+
+struct EndCase
+{
+  std::string_view mName;
+  TaskState mReported;
+  JobState mRecorded;
+};
+
+class JobSchedulerEnd
+  : public JobSchedulerTest
+  , public testing::WithParamInterface<EndCase>
+{};
+
+TEST_P(JobSchedulerEnd, IsRecordedAndOnlyThenAcknowledged)
+{
+  Start();
+  const auto reported = Beat({ Report(1, GetParam().mReported) });
+  EXPECT_TRUE(Only<AcknowledgeTasks>(reported).empty());
+  const CommitRecord commit = TheCommit(reported);
+  EXPECT_EQ(commit.mRecord.mState, GetParam().mRecorded);
+  EXPECT_EQ(commit.mRecord.mEpoch, 1U);
+
+  const auto acknowledged = Only<AcknowledgeTasks>(Apply(commit));
+  ASSERT_EQ(acknowledged.size(), 1U);
+  EXPECT_EQ(acknowledged.front().mKeys.front(), (TaskKey{ kJob, 1 }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  All,
+  JobSchedulerEnd,
+  testing::Values(
+    EndCase{ "Finished", TaskState::Finished, JobState::Finished },
+    EndCase{ "Failed", TaskState::Failed, JobState::Queued },
+    EndCase{ "Checkpointed", TaskState::Checkpointed, JobState::Suspended },
+    EndCase{ "Stopped", TaskState::Stopped, JobState::Queued }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+TEST_F(JobSchedulerTest, ResumesFromTheCheckpointUnderTheNextEpoch)
+{
+  Start();
+  Apply(TheCommit(Beat({ Report(1, TaskState::Checkpointed) })));
+  const SendAssign resumed = Start();
+  EXPECT_EQ(resumed.mAssign.mTask.mKey.mEpoch, 2U);
+  EXPECT_EQ(resumed.mAssign.mTask.mCheckpoint, "checkpoint");
+}
+
+TEST_F(JobSchedulerTest, CancelsAWaitingJobAtOnce)
+{
+  const CommitRecord commit = TheCommit(Tell(CancelRequested{ kJob }));
+  EXPECT_EQ(commit.mRecord.mState, JobState::Cancelled);
+}
+
+TEST_F(JobSchedulerTest, StopsARunningJobBeforeItCountsAsCancelled)
+{
+  Start();
+  Beat({ Report(1, TaskState::Running) });
+  const CommitRecord mark = TheCommit(Tell(CancelRequested{ kJob }));
+  EXPECT_EQ(mark.mRecord.mState, JobState::Assigned);
+  EXPECT_TRUE(mark.mRecord.mCancelRequested);
+  const auto stops = Only<SendControl>(Apply(mark));
+  ASSERT_EQ(stops.size(), 1U);
+  EXPECT_EQ(stops.front().mControl.mAction, TaskAction::Stop);
+  const auto stopped = Beat({ Report(1, TaskState::Stopped) });
+  EXPECT_EQ(TheCommit(stopped).mRecord.mState, JobState::Cancelled);
+}
+
+TEST_F(JobSchedulerTest, DisownsATaskOfAnEarlierEpoch)
+{
+  Start();
+  Apply(TheCommit(Beat({ Report(1, TaskState::Checkpointed) })));
+  Start();
+  const auto disowned =
+    Only<DisownTasks>(Beat({ Report(1, TaskState::Running) }));
+  ASSERT_EQ(disowned.size(), 1U);
+  EXPECT_EQ(disowned.front().mKeys.front(), (TaskKey{ kJob, 1 }));
+}
+
+TEST(ShardOf, KeepsAllJobsOfACustomerTogether)
+{
+  const CustomerId customer("qoima.kz");
+  EXPECT_EQ(ShardOf(JobIdFor(customer, "a1"), 64),
+            ShardOf(JobIdFor(customer, "b2"), 64));
+  // Written down: a build that hashes otherwise would lose stored jobs.
+  EXPECT_EQ(ShardOf(JobIdFor(CustomerId("trasowka"), "1"), 64), 22U);
+}
+
+} // namespace
+} // namespace foxtailbarrow
