--- /dev/null
+++ b/src/core/agent/IdempotencyRegister.cpp
@@ -0,0 +1,95 @@
+#include "src/core/agent/IdempotencyRegister.h"
+
+#include <utility>
+
+namespace foxtailbarrow {
+
+IdempotencyRegister::IdempotencyRegister(IdempotencyLimits aLimits)
+  : mLimits(aLimits)
+{
+}
+
+Attempt IdempotencyRegister::Begin(const IdempotencyKey& aKey,
+                                   std::uint64_t aFingerprint,
+                                   Instant aNow)
+{
+  const std::lock_guard lock(mMutex);
+  Trim(aNow);
+  if (const auto found = mRecords.find(aKey); found != mRecords.end()) {
+    const Record& record = found->second;
+    if (record.mFingerprint != aFingerprint) {
+      return AttemptMismatch{};
+    }
+    if (record.mAnswer != nullptr) {
+      return AttemptReplay{ record.mAnswer };
+    }
+    return AttemptDuplicate{ record.mVerdict };
+  }
+  mRecords[aKey].mFingerprint = aFingerprint;
+  return AttemptAllowed{};
+}
+
+void IdempotencyRegister::Finish(const IdempotencyKey& aKey,
+                                 Verdict aVerdict,
+                                 std::optional<StoredAnswer> aAnswer,
+                                 Instant aNow)
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mRecords.find(aKey);
+  if (found == mRecords.end() || !found->second.mInProgress) {
+    return;
+  }
+  if (aVerdict == Verdict::NotRun) {
+    mRecords.erase(found);
+    return;
+  }
+  Record& record = found->second;
+  record.mInProgress = false;
+  record.mVerdict = aVerdict;
+  if (aAnswer && aAnswer->Bytes() <= mLimits.mMaxAnswerBytes) {
+    mBytes += aAnswer->Bytes();
+    record.mAnswer = std::make_shared<const StoredAnswer>(*std::move(aAnswer));
+    mWithAnswer.push_back(aKey);
+  }
+  mEnded.push_back({ aKey, aNow });
+  Trim(aNow);
+}
+
+std::size_t IdempotencyRegister::Size() const
+{
+  const std::lock_guard lock(mMutex);
+  return mRecords.size();
+}
+
+void IdempotencyRegister::Trim(Instant aNow)
+{
+  while (!mEnded.empty() && (mEnded.front().mAt + mLimits.mKeptFor <= aNow ||
+                             mEnded.size() > mLimits.mMaxKeys)) {
+    DropOldestKey();
+  }
+  while (mBytes > mLimits.mMaxBytes) {
+    DropOldestAnswer();
+  }
+}
+
+void IdempotencyRegister::DropOldestKey()
+{
+  const IdempotencyKey& key = mEnded.front().mKey;
+  // Answers are queued in the order of their attempts' ends too, so that the
+  // oldest ended key is the oldest with an answer, or has none.
+  if (!mWithAnswer.empty() && mWithAnswer.front() == key) {
+    DropOldestAnswer();
+  }
+  mRecords.erase(key);
+  mEnded.pop_front();
+}
+
+void IdempotencyRegister::DropOldestAnswer()
+{
+  Record& oldest = mRecords[mWithAnswer.front()];
+  mBytes -= oldest.mAnswer->Bytes();
+  oldest.mAnswer.reset();
+  mWithAnswer.pop_front();
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/agent/RequestRegister.cpp
@@ -0,0 +1,134 @@
+#include "src/core/agent/RequestRegister.h"
+
+#include <algorithm>
+
+#include "absl/hash/hash.h"
+
+namespace foxtailbarrow {
+
+RequestRegister::RequestRegister(RequestRegisterLimits aLimits, Instant aStart)
+  : mLimits(aLimits)
+{
+  for (Shard& shard : mShards) {
+    shard.mForgottenBefore = aStart;
+  }
+}
+
+RequestRegister::Shard& RequestRegister::ShardOf(const RequestId& aRequest)
+{
+  // The map hashes the id too; its low bits choose the slot there, so that the
+  // shard is chosen by the high ones.
+  return mShards[absl::HashOf(aRequest) >> 58];
+}
+
+RequestStanding RequestRegister::Begin(const RequestId& aRequest, Instant aNow)
+{
+  Shard& shard = ShardOf(aRequest);
+  const std::lock_guard lock(shard.mMutex);
+  Trim(shard, aNow);
+  const auto [state, isNew] =
+    shard.mStates.try_emplace(aRequest, State::InProgress);
+  if (isNew) {
+    return RequestStanding::Admitted;
+  }
+  switch (state->second) {
+    case State::InProgress:
+      return RequestStanding::InProgress;
+    case State::Refused:
+    case State::Revoked:
+      return RequestStanding::Refused;
+    case State::Ran:
+    case State::MayHaveRun:
+      break;
+  }
+  return RequestStanding::Finished;
+}
+
+void RequestRegister::Finish(const RequestId& aRequest,
+                             Verdict aVerdict,
+                             Instant aNow)
+{
+  Shard& shard = ShardOf(aRequest);
+  const std::lock_guard lock(shard.mMutex);
+  const auto state = shard.mStates.find(aRequest);
+  if (state == shard.mStates.end() || state->second != State::InProgress) {
+    return;
+  }
+  if (aVerdict == Verdict::NotRun) {
+    state->second = State::Refused;
+    shard.mRefused.push_back({ aRequest, aNow });
+  } else {
+    state->second = aVerdict == Verdict::Ran ? State::Ran : State::MayHaveRun;
+    shard.mFinished.push_back({ aRequest, aNow });
+  }
+  Trim(shard, aNow);
+}
+
+Verdict RequestRegister::Revoke(const RequestId& aRequest,
+                                Duration aAge,
+                                Instant aNow)
+{
+  Shard& shard = ShardOf(aRequest);
+  const std::lock_guard lock(shard.mMutex);
+  Trim(shard, aNow);
+  if (const auto state = shard.mStates.find(aRequest);
+      state != shard.mStates.end()) {
+    switch (state->second) {
+      case State::Ran:
+        return Verdict::Ran;
+      case State::InProgress:
+      case State::MayHaveRun:
+        return Verdict::MayHaveRun;
+      case State::Refused:
+      case State::Revoked:
+        return Verdict::NotRun;
+    }
+  }
+  const bool mayBeForgotten =
+    aAge > aNow - shard.mForgottenBefore - kRevokeTransit;
+  if (mayBeForgotten ||
+      shard.mRevoked.size() >= mLimits.mMaxRefused / kShards) {
+    return Verdict::MayHaveRun;
+  }
+  shard.mStates.emplace(aRequest, State::Revoked);
+  shard.mRevoked.push_back({ aRequest, aNow });
+  return Verdict::NotRun;
+}
+
+std::size_t RequestRegister::Size() const
+{
+  std::size_t size = 0;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mMutex);
+    size += shard.mStates.size();
+  }
+  return size;
+}
+
+void RequestRegister::Trim(Shard& aShard, Instant aNow) const
+{
+  while (!aShard.mFinished.empty()) {
+    const Instant endedAt = aShard.mFinished.front().mAt;
+    if (aShard.mFinished.size() <= mLimits.mMaxFinished / kShards &&
+        endedAt + mLimits.mFinishedFor > aNow) {
+      break;
+    }
+    aShard.mForgottenBefore = std::max(aShard.mForgottenBefore, endedAt);
+    DropOldest(aShard, aShard.mFinished);
+  }
+  while (aShard.mRefused.size() > mLimits.mMaxRefused / kShards) {
+    DropOldest(aShard, aShard.mRefused);
+  }
+  while (!aShard.mRevoked.empty() &&
+         aShard.mRevoked.front().mAt + mLimits.mRevokedFor <= aNow) {
+    DropOldest(aShard, aShard.mRevoked);
+  }
+}
+
+void RequestRegister::DropOldest(Shard& aShard, std::deque<Ended>& aQueue)
+{
+  aShard.mStates.erase(aQueue.front().mRequest);
+  aQueue.pop_front();
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/standins/worker/TaskRunner.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include "foxtailbarrow/Time.h"
+#include "foxtailbarrow/Worker.h"
+#include "standins/worker/FakeProgram.h"
+#include "standins/worker/TaskEvent.h"
+
+namespace foxtailbarrow::standin {
+
+struct TaskRunnerSettings
+{
+  Resources mCapacity;
+  Duration mUsageLag = std::chrono::seconds(2);
+};
+
+/// A worker that only pretends to run its tasks: the promises of
+/// foxtailbarrow::Worker, over timers. The time is passed in; a call first
+/// brings everything up to it. Not safe for use by several threads.
+class TaskRunner
+{
+public:
+  explicit TaskRunner(TaskRunnerSettings aSettings);
+
+  /// Every task started from now on fails at once.
+  void FailAll(bool aFailAll) { mFailAll = aFailAll; }
+
+  /// Ends what has run its time, stops what has outlived its lease.
+  void Advance(Instant aNow);
+
+  WorkerView View(Instant aNow);
+  absl::Status Start(const TaskStart& aStart, Instant aNow);
+  absl::Status Renew(std::span<const TaskKey> aKeys,
+                     Duration aLease,
+                     Instant aNow);
+  absl::StatusOr<std::string> Checkpoint(const TaskKey& aKey, Instant aNow);
+  absl::Status Throttle(const TaskKey& aKey, double aFraction, Instant aNow);
+  absl::Status Stop(const TaskKey& aKey, Instant aNow);
+  absl::Status Acknowledge(std::span<const TaskKey> aKeys);
+
+  const std::vector<TaskEvent>& Events() const { return mEvents; }
+
+  /// Times that a job started while another epoch of it ran here.
+  std::size_t Doubled() const { return mDoubled; }
+
+  /// Times that a start brought the running tasks beyond the capacity.
+  std::size_t Overcommitted() const { return mOvercommitted; }
+
+private:
+  struct Usage
+  {
+    Instant mMiddle{};
+    Resources mUsed;
+  };
+
+  struct Run
+  {
+    TaskStatus mStatus;
+    FakeProgram mProgram;
+    Duration mDone{};
+    Instant mAsOf{}; ///< Of mDone.
+    Instant mLeaseUntil{};
+    double mFraction = 1.0;
+    std::deque<Usage> mUsage;
+  };
+
+  absl::Status CheckStart(const TaskStart& aStart) const;
+  std::optional<Instant> EndOf(const Run& aRun) const;
+  void Progress(Run& aRun, Instant aUntil) const;
+  void End(Run& aRun, TaskState aState, TaskEventKind aKind, Instant aAt);
+  void Record(const Run& aRun, TaskEventKind aKind, Instant aAt);
+  bool RunsElsewhere(const TaskKey& aKey) const;
+  bool IsOvercommitted() const;
+  Run* FindRunning(const TaskKey& aKey);
+
+  const TaskRunnerSettings mSettings;
+  bool mFailAll = false;
+  std::map<TaskKey, Run> mRuns;
+  std::map<JobId, Epoch> mHighest; ///< Kept for ever: fences late starts.
+  std::set<TaskKey> mOver;         ///< Keys that must never run again.
+  std::vector<TaskEvent> mEvents;
+  std::size_t mDoubled = 0;
+  std::size_t mOvercommitted = 0;
+};
+
+} // namespace foxtailbarrow::standin
