--- /dev/null
+++ b/include/foxtailbarrow/MethodNames.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// JSON-RPC 2.0 methods between the system's processes; see Messages.h.
+namespace foxtailbarrow {
+
+// At an entry.
+inline constexpr char kHeartbeatMethod[] = "agent.heartbeat";
+inline constexpr char kJobChangedMethod[] = "entry.jobChanged";
+
+// At an agent.
+inline constexpr char kAssignMethod[] = "agent.assign";
+inline constexpr char kControlMethod[] = "agent.control";
+inline constexpr char kRevokeMethod[] = "agent.revoke";
+
+} // namespace foxtailbarrow
