--- /dev/null
+++ b/apps/agent/BackendProbe.cpp
@@ -0,0 +1,62 @@
+#include "apps/agent/BackendProbe.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/fiber/operations.hpp>
+
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+constexpr unsigned kServerErrors = 500;
+constexpr Duration kLeastTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+BackendProbe::BackendProbe(const AgentSettings& aSettings,
+                           net::FiberRuntime& aRuntime,
+                           net::HttpClient& aClient,
+                           OnChange aOnChange)
+  : mSettings(aSettings)
+  , mRuntime(aRuntime)
+  , mClient(aClient)
+  , mOnChange(std::move(aOnChange))
+{
+}
+
+void BackendProbe::Start()
+{
+  mRuntime.SpawnOn(0, [this] { Loop(); });
+}
+
+void BackendProbe::Loop()
+{
+  for (;;) {
+    Probe();
+    boost::this_fiber::sleep_for(mSettings.mBackendProbe);
+  }
+}
+
+void BackendProbe::Probe()
+{
+  net::HttpRequest request;
+  request.mTarget = "/healthz";
+  const auto response =
+    mClient.Call(mSettings.mBackend,
+                 request,
+                 std::max(kLeastTimeout, mSettings.mBackendProbe));
+  const bool answers = response.ok();
+  const bool isWell = answers && response->mStatus < kServerErrors;
+  mFailures = isWell ? 0 : mFailures + 1;
+  const bool isUp = isWell || (mIsUp && !answers && mFailures < kFailures);
+  if (mIsUp.exchange(isUp) != isUp) {
+    LogChange(isUp ? "backend-server-up" : "backend-server-leaving",
+              { { "backend", mSettings.mBackend } });
+    mOnChange(isUp);
+  }
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/apps/agent/SlotWait.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow {
+
+/// Lets one fiber wait until another, maybe on another thread, gives it a slot.
+class SlotWait
+{
+public:
+  void Give()
+  {
+    {
+      const std::lock_guard lock(mMutex);
+      mGiven = true;
+    }
+    mChanged.notify_one();
+  }
+
+  /// False when nothing was given by `aUntil`.
+  bool WaitUntil(Instant aUntil)
+  {
+    std::unique_lock lock(mMutex);
+    return mChanged.wait_until(lock, aUntil, [this] { return mGiven; });
+  }
+
+private:
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mChanged;
+  bool mGiven = false;
+};
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/apps/agent/TaskControl.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+#include <json/value.h>
+
+#include "apps/agent/AgentSettings.h"
+#include "apps/agent/Poke.h"
+#include "foxtailbarrow/Messages.h"
+#include "foxtailbarrow/Worker.h"
+#include "src/core/agent/CapacityLedger.h"
+#include "src/core/agent/TaskTable.h"
+#include "src/net/FiberRuntime.h"
+#include "src/telemetry/Metrics.h"
+
+namespace foxtailbarrow {
+
+/// The shell around CapacityLedger and TaskTable: takes the owners' messages,
+/// makes the calls to the worker that the table asks for, looks at the worker
+/// and renews leases. Its fibers run on the runtime's first thread; its methods
+/// may be called by any fiber or thread.
+class TaskControl
+{
+public:
+  /// Called when something happened that owners should hear of at once.
+  using OnNews = std::function<void()>;
+
+  TaskControl(const AgentSettings& aSettings,
+              Incarnation aIncarnation,
+              net::FiberRuntime& aRuntime,
+              Worker& aWorker,
+              Metrics& aMetrics,
+              OnNews aOnNews);
+
+  /// Starts the fibers. The object must outlive the runtime's threads.
+  void Start();
+
+  AssignReply Assign(const Assign& aAssign);
+
+  /// Answers when the action is done, or after the worker's timeout with the
+  /// status so far.
+  absl::StatusOr<ControlReply> Control(const Control& aControl);
+
+  void HeartbeatSent(std::uint64_t aSequence, Instant aNow);
+  void ApplyReply(std::uint64_t aSequence, const HeartbeatReply& aReply);
+  void ApplyContract(const Contract& aContract);
+  void RemoveContract(const CustomerId& aCustomer);
+
+  /// Checkpoints everything and refuses new assignments.
+  void Drain();
+
+  /// False until the ledger was rebuilt from the worker.
+  bool Ready() const { return mReady; }
+  bool Empty() const;
+
+  /// Fills the parts of a heartbeat that concern tasks and capacity.
+  void Fill(Heartbeat& aHeartbeat) const;
+
+  /// For the state dump.
+  Json::Value LedgerJson() const;
+  Json::Value TasksJson() const;
+
+private:
+  void CallLoop();
+  void ViewLoop();
+  void RenewLoop();
+  void Look();
+  void Renew();
+  void Perform(const WorkerCall& aCall, Instant aDecidedAt);
+  void PerformOne(const CallStart& aCall);
+  void PerformOne(const CallStop& aCall);
+  void PerformOne(const CallCheckpoint& aCall);
+  void PerformOne(const CallThrottle& aCall);
+  void PerformOne(const CallAcknowledge& aCall);
+  void PerformOne(const CallRenew& aCall);
+  void GiveBack(const WorkerCall& aCall);
+  bool WaitForEnd(const TaskKey& aKey, Duration aLongest) const;
+
+  const AgentSettings& mSettings;
+  net::FiberRuntime& mRuntime;
+  Worker& mWorker;
+  const OnNews mOnNews;
+  mutable std::mutex mMutex; ///< Guards mLedger and mTable; never held in I/O.
+  CapacityLedger mLedger;
+  TaskTable mTable;
+  std::atomic<bool> mReady{ false };
+  Poke mCallPoke;
+  Poke mViewPoke;
+  prometheus::Counter& mGranted;
+  prometheus::Counter& mRefused;
+  prometheus::Counter& mWorkerErrors;
+};
+
+} // namespace foxtailbarrow
--- a/src/core/agent/TaskTable.cpp
+++ b/src/core/agent/TaskTable.cpp
@@ -237,6 +237,13 @@
   return reports;
 }
 
+std::size_t TaskTable::EndedTasks() const
+{
+  return std::count_if(mTasks.begin(), mTasks.end(), [](const auto& aEntry) {
+    return aEntry.second.Ended();
+  });
+}
+
 AgentTask* TaskTable::Find(const TaskKey& aKey)
 {
   const auto task = mTasks.find(aKey);
--- a/src/core/agent/TaskTable.h
+++ b/src/core/agent/TaskTable.h
@@ -156,6 +156,9 @@
   const absl::btree_map<TaskKey, AgentTask>& Tasks() const { return mTasks; }
   const ShardLeases& Leases() const { return mLeases; }
 
+  /// Tasks whose end is not yet forgotten.
+  std::size_t EndedTasks() const;
+
   /// True when nothing runs and every end was acknowledged.
   bool Empty() const { return mTasks.empty(); }
 
--- a/standins/backend/BackendService.cpp
+++ b/standins/backend/BackendService.cpp
@@ -65,6 +65,9 @@
   if (aRequest.mTarget == "/standin/executions") {
     return Answer(200, ExecutionsJson());
   }
+  if (aRequest.mTarget == "/standin/executions/ids") {
+    return Answer(200, IdsJson());
+  }
   if (aRequest.mTarget == "/standin/faults") {
     return SetFaults(aRequest);
   }
@@ -158,4 +161,15 @@
   return object;
 }
 
+Json::Value BackendService::IdsJson() const
+{
+  Json::Value runs(Json::objectValue);
+  for (const auto& [id, count] : mBook.Runs()) {
+    runs[id] = Json::UInt{ count };
+  }
+  Json::Value object(Json::objectValue);
+  object["runs"] = std::move(runs);
+  return object;
+}
+
 } // namespace foxtailbarrow::standin
--- a/standins/backend/BackendService.h
+++ b/standins/backend/BackendService.h
@@ -23,8 +23,9 @@
 
 /// A backend server that echoes: runs `mSlots` requests at a time, later ones
 /// wait. The service time is that of the settings or, in microseconds, of the
-/// request's header Standin-Service-Us. For tests: GET /standin/executions and
-/// POST /standin/faults. Handle() may be called by several fibers and threads.
+/// request's header Standin-Service-Us. For tests: GET /standin/executions (the
+/// totals), GET /standin/executions/ids (`{"runs":{"<id>":n}}`) and POST
+/// /standin/faults. Handle() may be called by several fibers and threads.
 class BackendService
 {
 public:
@@ -39,6 +40,7 @@
   net::HttpResponse Serve(const net::HttpRequest& aRequest);
   net::HttpResponse SetFaults(const net::HttpRequest& aRequest);
   Json::Value ExecutionsJson() const;
+  Json::Value IdsJson() const;
   BackendFaults Faults() const;
   void Enter();
   void Leave();
--- a/standins/backend/ExecutionBook.cpp
+++ b/standins/backend/ExecutionBook.cpp
@@ -38,4 +38,14 @@
   return counts;
 }
 
+std::map<std::string, std::uint32_t> ExecutionBook::Runs() const
+{
+  std::map<std::string, std::uint32_t> runs;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mMutex);
+    runs.insert(shard.mRuns.begin(), shard.mRuns.end());
+  }
+  return runs;
+}
+
 } // namespace foxtailbarrow::standin
--- a/standins/backend/ExecutionBook.h
+++ b/standins/backend/ExecutionBook.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -27,6 +28,9 @@
   void Add(std::string_view aRequestId);
   ExecutionCounts Counts() const;
 
+  /// Runs of every id.
+  std::map<std::string, std::uint32_t> Runs() const;
+
 private:
   struct alignas(64) Shard
   {
