--- /dev/null
+++ b/tests/worker/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(worker-tests PRIVATE ftb_standin_worker ftb_standin_backend)
