End the agent's fibers before its parts go

Cause: at exit a fiber still waited on a condition variable that was being destroyed (assertion in Boost.Fiber); an agent without entries waited for the whole drain timeout. Change: FiberGroup ends its rounds and waits for its fibers; an agent that no entry has answered for 5 s leaves once its tasks have ended.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// An agent that no entry has answered for this long leaves without them.
+constexpr Duration kAlone = std::chrono::seconds(5);
+
 /// Wall time, since a later start of the agent must have a greater number.
 Incarnation IncarnationNow()
 {
@@ -268,14 +271,21 @@
 bool Agent::Done() const
 {
   const SlotLoad load = mForwarder.Load();
-  const bool isTold = mHeartbeats.AnsweredSequence() >= mDrainSequence + 1;
-  return isTold && mTasks.Empty() && load.mInUse == 0 && load.mWaiting == 0 &&
-         mServer->RequestsInProgress() == 0;
+  const bool isIdle = load.mInUse == 0 && load.mWaiting == 0 &&
+                      mServer->RequestsInProgress() == 0;
+  const bool isTold =
+    mHeartbeats.AnsweredSequence() >= mDrainSequence + 1 && mTasks.Empty();
+  const bool isAlone =
+    mHeartbeats.LastAnswer() + kAlone <= MonotonicNow() && mTasks.AllEnded();
+  return isIdle && (isTold || isAlone);
 }
 
-void Agent::Close()
+Agent::~Agent()
 {
-  mServer->Drain();
+  mServer.reset();
+  mHeartbeats.Stop();
+  mProbe.Stop();
+  mTasks.Stop();
 }
 
 } // namespace foxtailbarrow
--- a/apps/agent/Agent.h
+++ b/apps/agent/Agent.h
@@ -33,8 +33,7 @@
 class Agent
 {
 public:
-  /// Listens and starts every fiber. The runtime must outlive the agent and
-  /// must be stopped before the agent is destroyed.
+  /// Listens and starts every fiber. The runtime must outlive the agent.
   static absl::StatusOr<std::unique_ptr<Agent>> Start(
     AgentSettings aSettings,
     net::FiberRuntime& aRuntime);
@@ -45,11 +44,16 @@
   void Drain();
 
   /// True when a drained agent has nothing left to do: no request in progress,
-  /// every task's end acknowledged, and entries have heard of it.
+  /// and entries have heard of it and acknowledged every task's end, or none of
+  /// them answers any more.
   bool Done() const;
 
-  /// Stops listening, after Done() or the drain timeout.
-  void Close();
+  /// Stops listening and ends every fiber. Not to be called by a thread of the
+  /// runtime.
+  ~Agent();
+
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
 
   ServingState State() const;
 
--- a/apps/agent/AgentSettings.cpp
+++ b/apps/agent/AgentSettings.cpp
@@ -11,54 +11,58 @@
 
 void AddIdentity(Settings& aSettings, AgentSettings& aValues)
 {
-  aSettings.AddId("id", aValues.mId, "Name of this agent, unique in the fleet")
+  aSettings
+    .AddId("--id", aValues.mId, "Name of this agent, unique in the fleet")
     .Required();
-  aSettings.AddId("service", aValues.mService, "Service of the backend server")
+  aSettings
+    .AddId("--service", aValues.mService, "Service of the backend server")
     .Required();
-  aSettings.AddId("rack", aValues.mRack, "Rack of this VM").Required();
+  aSettings.AddId("--rack", aValues.mRack, "Rack of this VM").Required();
   aSettings
-    .AddId("failure-domain", aValues.mFailureDomain, "Failure domain of it")
+    .AddId("--failure-domain", aValues.mFailureDomain, "Failure domain of it")
     .Required();
 }
 
 void AddAddresses(Settings& aSettings, AgentSettings& aValues)
 {
-  aSettings.AddListen("listen", aValues.mListen, "Address to serve entries on");
-  aSettings.AddEndpoint("backend", aValues.mBackend, "The backend server")
+  aSettings.AddListen(
+    "--listen", aValues.mListen, "Address to serve entries on");
+  aSettings.AddEndpoint("--backend", aValues.mBackend, "The backend server")
     .Required();
-  aSettings.AddEndpoint("worker", aValues.mWorker, "The platform's worker")
+  aSettings.AddEndpoint("--worker", aValues.mWorker, "The platform's worker")
     .Required();
   aSettings
-    .AddEndpoints("entries", aValues.mEntries, "Entries to announce itself to")
+    .AddEndpoints(
+      "--entries", aValues.mEntries, "Entries to announce itself to")
     .Required();
 }
 
 void AddSizes(Settings& aSettings, AgentSettings& aValues)
 {
   const SettingRange<std::int64_t> amount{ 0, 1'000'000'000 };
-  aSettings.AddCount("slots",
+  aSettings.AddCount("--slots",
                      aValues.mSlots.mSlots,
                      { 1, 10'000 },
                      "Requests that the backend server runs at a time");
-  aSettings.AddCount("max-waiting",
+  aSettings.AddCount("--max-waiting",
                      aValues.mSlots.mMaxWaiting,
                      { 0, 100'000 },
                      "Requests that may wait for a slot");
-  aSettings.AddCount("service-millicores",
+  aSettings.AddCount("--service-millicores",
                      aValues.mServiceReserve.mMillicores,
                      amount,
                      "Processors kept for the service, in thousandths");
-  aSettings.AddCount("service-memory-mb",
+  aSettings.AddCount("--service-memory-mb",
                      aValues.mServiceReserve.mMemoryMb,
                      amount,
                      "Memory kept for the service, in MiB");
-  aSettings.AddCount("service-accelerators",
+  aSettings.AddCount("--service-accelerators",
                      aValues.mServiceReserve.mAccelerators,
                      amount,
                      "Accelerators kept for the service");
   aSettings.AddCount(
-    "threads", aValues.mThreads, { 1, 64 }, "Threads of this process");
-  aSettings.AddCount("shards",
+    "--threads", aValues.mThreads, { 1, 64 }, "Threads of this process");
+  aSettings.AddCount("--shards",
                      aValues.mShards,
                      { 1, 65'536 },
                      "Shards of the job space; the same everywhere");
@@ -69,24 +73,24 @@
   const SettingRange<Duration> interval{ milliseconds(20), minutes(1) };
   const SettingRange<Duration> timeout{ milliseconds(1), minutes(60) };
   aSettings.AddMilliseconds(
-    "heartbeat-ms", aValues.mHeartbeat, interval, "Between heartbeats");
-  aSettings.AddMilliseconds("default-deadline-ms",
+    "--heartbeat-ms", aValues.mHeartbeat, interval, "Between heartbeats");
+  aSettings.AddMilliseconds("--default-deadline-ms",
                             aValues.mDefaultDeadline,
                             timeout,
                             "For requests that name none");
-  aSettings.AddMilliseconds("drain-timeout-ms",
+  aSettings.AddMilliseconds("--drain-timeout-ms",
                             aValues.mDrainTimeout,
                             timeout,
                             "Longest time to finish work when stopped");
-  aSettings.AddMilliseconds("worker-timeout-ms",
+  aSettings.AddMilliseconds("--worker-timeout-ms",
                             aValues.mWorkerTimeout,
                             timeout,
                             "Of one call to the worker");
-  aSettings.AddMilliseconds("view-interval-ms",
+  aSettings.AddMilliseconds("--view-interval-ms",
                             aValues.mViewInterval,
                             interval,
                             "Between looks at the worker");
-  aSettings.AddMilliseconds("backend-probe-ms",
+  aSettings.AddMilliseconds("--backend-probe-ms",
                             aValues.mBackendProbe,
                             interval,
                             "Between looks at the backend server's /healthz");
--- a/apps/agent/BackendProbe.cpp
+++ b/apps/agent/BackendProbe.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/fiber/operations.hpp>
-
 #include "src/telemetry/Log.h"
 
 namespace foxtailbarrow {
@@ -21,23 +19,15 @@
                            net::HttpClient& aClient,
                            OnChange aOnChange)
   : mSettings(aSettings)
-  , mRuntime(aRuntime)
   , mClient(aClient)
   , mOnChange(std::move(aOnChange))
+  , mFibers(aRuntime)
 {
 }
 
 void BackendProbe::Start()
 {
-  mRuntime.SpawnOn(0, [this] { Loop(); });
-}
-
-void BackendProbe::Loop()
-{
-  for (;;) {
-    Probe();
-    boost::this_fiber::sleep_for(mSettings.mBackendProbe);
-  }
+  mFibers.Repeat(mPoke, mSettings.mBackendProbe, [this] { Probe(); });
 }
 
 void BackendProbe::Probe()
--- a/apps/agent/BackendProbe.h
+++ b/apps/agent/BackendProbe.h
@@ -4,6 +4,8 @@
 #include <functional>
 
 #include "apps/agent/AgentSettings.h"
+#include "apps/agent/FiberGroup.h"
+#include "apps/agent/Poke.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/HttpClient.h"
 
@@ -22,21 +24,23 @@
                net::HttpClient& aClient,
                OnChange aOnChange);
 
-  /// Starts its fiber. The object must outlive the runtime's threads.
   void Start();
 
+  /// Ends its fiber. Not to be called by a thread of the runtime.
+  void Stop() { mFibers.Stop(); }
+
   bool IsUp() const { return mIsUp; }
 
 private:
   static constexpr int kFailures = 2;
 
-  void Loop();
   void Probe();
 
   const AgentSettings& mSettings;
-  net::FiberRuntime& mRuntime;
   net::HttpClient& mClient;
   const OnChange mOnChange;
+  Poke mPoke;
+  FiberGroup mFibers;
   std::atomic<bool> mIsUp{ false };
   int mFailures = 0;
 };
--- a/apps/agent/HeartbeatSender.cpp
+++ b/apps/agent/HeartbeatSender.cpp
@@ -35,9 +35,9 @@
                                  Metrics& aMetrics,
                                  Hooks aHooks)
   : mSettings(aSettings)
-  , mRuntime(aRuntime)
   , mRpc(aClient)
   , mHooks(std::move(aHooks))
+  , mFibers(aRuntime)
   , mSent(aMetrics.Counter("agent_heartbeats_total", "Heartbeats sent"))
   , mFailed(aMetrics.Counter("agent_heartbeats_failed_total",
                              "Heartbeats without a readable answer"))
@@ -46,15 +46,13 @@
 
 void HeartbeatSender::Start()
 {
-  mRuntime.SpawnOn(0, [this] { Loop(); });
+  mFibers.Repeat(mPoke, mSettings.mHeartbeat, [this] { SendRound(); });
 }
 
-void HeartbeatSender::Loop()
+Instant HeartbeatSender::LastAnswer() const
 {
-  for (;;) {
-    SendRound();
-    mPoke.Wait(mSettings.mHeartbeat);
-  }
+  const std::lock_guard lock(mMutex);
+  return mLastAnswer;
 }
 
 void HeartbeatSender::SendRound()
@@ -67,8 +65,8 @@
   heartbeat.mSequence = sequence;
   const Json::Value body = ToJson(heartbeat);
   for (const Endpoint& entry : Targets(sentAt)) {
-    mRuntime.SpawnOn(
-      0, [this, entry, sequence, body] { SendOne(entry, sequence, body); });
+    mFibers.Spawn(
+      [this, entry, sequence, body] { SendOne(entry, sequence, body); });
   }
 }
 
--- a/apps/agent/HeartbeatSender.h
+++ b/apps/agent/HeartbeatSender.h
@@ -10,6 +10,7 @@
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
+#include "apps/agent/FiberGroup.h"
 #include "apps/agent/Poke.h"
 #include "foxtailbarrow/Messages.h"
 #include "src/net/FiberRuntime.h"
@@ -42,9 +43,11 @@
                   Metrics& aMetrics,
                   Hooks aHooks);
 
-  /// Starts its fibers. The object must outlive the runtime's threads.
   void Start();
 
+  /// Ends its fibers. Not to be called by a thread of the runtime.
+  void Stop() { mFibers.Stop(); }
+
   /// Sends a round at once.
   void SendNow() { mPoke.Now(); }
 
@@ -52,6 +55,9 @@
   std::uint64_t AnsweredSequence() const { return mAnswered; }
   std::uint64_t SentSequence() const { return mSequence; }
 
+  /// When an entry answered last.
+  Instant LastAnswer() const;
+
   /// For the state dump.
   Json::Value StateJson() const;
 
@@ -63,7 +69,6 @@
     Instant mAnsweredAt{};
   };
 
-  void Loop();
   void SendRound();
   std::vector<Endpoint> Targets(Instant aNow);
   void SendOne(const Endpoint& aEntry,
@@ -72,10 +77,10 @@
   void NoteAnswer(const Endpoint& aEntry, const HeartbeatReply* aReply);
 
   const AgentSettings& mSettings;
-  net::FiberRuntime& mRuntime;
   net::RpcClient mRpc;
   const Hooks mHooks;
   Poke mPoke;
+  FiberGroup mFibers;
   std::atomic<std::uint64_t> mSequence{ 0 };
   std::atomic<std::uint64_t> mAnswered{ 0 };
   mutable std::mutex mMutex; ///< Guards what follows.
--- a/apps/agent/Main.cpp
+++ b/apps/agent/Main.cpp
@@ -11,9 +11,6 @@
 
 constexpr Duration kPoll = std::chrono::milliseconds(20);
 
-/// After the door is closed, for answers that are still being written.
-constexpr Duration kLastAnswers = std::chrono::milliseconds(200);
-
 void WaitUntilDone(const Agent& aAgent, Duration aTimeout)
 {
   const Instant end = MonotonicNow() + aTimeout;
@@ -48,8 +45,5 @@
   net::WaitForSignal();
   (*agent)->Drain();
   WaitUntilDone(**agent, drainTimeout);
-  (*agent)->Close();
-  std::this_thread::sleep_for(kLastAnswers);
-  runtime.Stop();
   return 0;
 }
--- a/apps/agent/TaskControl.cpp
+++ b/apps/agent/TaskControl.cpp
@@ -45,7 +45,6 @@
                          Metrics& aMetrics,
                          OnNews aOnNews)
   : mSettings(aSettings)
-  , mRuntime(aRuntime)
   , mWorker(aWorker)
   , mOnNews(std::move(aOnNews))
   , mLedger(aSettings.mServiceReserve)
@@ -55,6 +54,7 @@
            [shards = aSettings.mShards](const JobId& aJob) {
              return ShardOf(aJob, shards);
            })
+  , mFibers(aRuntime)
   , mGranted(aMetrics.Counter("agent_assignments_granted_total",
                               "Assignments granted"))
   , mRefused(aMetrics.Counter("agent_assignments_refused_total",
@@ -66,9 +66,9 @@
 
 void TaskControl::Start()
 {
-  mRuntime.SpawnOn(0, [this] { CallLoop(); });
-  mRuntime.SpawnOn(0, [this] { ViewLoop(); });
-  mRuntime.SpawnOn(0, [this] { RenewLoop(); });
+  mFibers.Repeat(mCallPoke, kRound, [this] { MakeCalls(); });
+  mFibers.Repeat(mViewPoke, mSettings.mViewInterval, [this] { Look(); });
+  mFibers.Repeat(mRenewPoke, kRenewal, [this] { Renew(); });
 }
 
 AssignReply TaskControl::Assign(const foxtailbarrow::Assign& aAssign)
@@ -171,6 +171,12 @@
   return mTable.Empty();
 }
 
+bool TaskControl::AllEnded() const
+{
+  const std::lock_guard lock(mMutex);
+  return mTable.EndedTasks() == mTable.Tasks().size();
+}
+
 void TaskControl::Fill(Heartbeat& aHeartbeat) const
 {
   const std::lock_guard lock(mMutex);
@@ -206,28 +212,16 @@
   return list;
 }
 
-void TaskControl::CallLoop()
+void TaskControl::MakeCalls()
 {
-  for (;;) {
-    mCallPoke.Wait(kRound);
-    const Instant now = MonotonicNow();
-    std::vector<WorkerCall> calls;
-    {
-      const std::lock_guard lock(mMutex);
-      calls = mTable.Due(now);
-    }
-    for (WorkerCall& call : calls) {
-      mRuntime.SpawnOn(
-        0, [this, call = std::move(call), now] { Perform(call, now); });
-    }
+  const Instant now = MonotonicNow();
+  std::vector<WorkerCall> calls;
+  {
+    const std::lock_guard lock(mMutex);
+    calls = mTable.Due(now);
   }
-}
-
-void TaskControl::ViewLoop()
-{
-  for (;;) {
-    Look();
-    mViewPoke.Wait(mSettings.mViewInterval);
+  for (WorkerCall& call : calls) {
+    mFibers.Spawn([this, call = std::move(call), now] { Perform(call, now); });
   }
 }
 
@@ -255,14 +249,6 @@
   }
 }
 
-void TaskControl::RenewLoop()
-{
-  for (;;) {
-    Renew();
-    boost::this_fiber::sleep_for(kRenewal);
-  }
-}
-
 void TaskControl::Renew()
 {
   std::vector<CallRenew> renewals;
--- a/apps/agent/TaskControl.h
+++ b/apps/agent/TaskControl.h
@@ -8,6 +8,7 @@
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
+#include "apps/agent/FiberGroup.h"
 #include "apps/agent/Poke.h"
 #include "foxtailbarrow/Messages.h"
 #include "foxtailbarrow/Worker.h"
@@ -35,9 +36,11 @@
               Metrics& aMetrics,
               OnNews aOnNews);
 
-  /// Starts the fibers. The object must outlive the runtime's threads.
   void Start();
 
+  /// Ends the fibers. Not to be called by a thread of the runtime.
+  void Stop() { mFibers.Stop(); }
+
   AssignReply Assign(const Assign& aAssign);
 
   /// Answers when the action is done, or after the worker's timeout with the
@@ -55,6 +58,7 @@
   /// False until the ledger was rebuilt from the worker.
   bool Ready() const { return mReady; }
   bool Empty() const;
+  bool AllEnded() const;
 
   /// Fills the parts of a heartbeat that concern tasks and capacity.
   void Fill(Heartbeat& aHeartbeat) const;
@@ -64,9 +68,7 @@
   Json::Value TasksJson() const;
 
 private:
-  void CallLoop();
-  void ViewLoop();
-  void RenewLoop();
+  void MakeCalls();
   void Look();
   void Renew();
   void Perform(const WorkerCall& aCall, Instant aDecidedAt);
@@ -80,7 +82,6 @@
   bool WaitForEnd(const TaskKey& aKey, Duration aLongest) const;
 
   const AgentSettings& mSettings;
-  net::FiberRuntime& mRuntime;
   Worker& mWorker;
   const OnNews mOnNews;
   mutable std::mutex mMutex; ///< Guards mLedger and mTable; never held in I/O.
@@ -89,6 +90,8 @@
   std::atomic<bool> mReady{ false };
   Poke mCallPoke;
   Poke mViewPoke;
+  Poke mRenewPoke;
+  FiberGroup mFibers;
   prometheus::Counter& mGranted;
   prometheus::Counter& mRefused;
   prometheus::Counter& mWorkerErrors;
--- a/standins/backend/Main.cpp
+++ b/standins/backend/Main.cpp
@@ -31,20 +31,20 @@
   Settings settings("foxtailbarrow-standin-backend",
                     "Stand-in of a backend server, for tests");
   const SettingRange<Duration> anyTime{ Duration{}, std::chrono::minutes(10) };
-  settings.AddListen("listen", aValues.mListen, "Address to serve on");
+  settings.AddListen("--listen", aValues.mListen, "Address to serve on");
   settings.AddCount(
-    "slots", aValues.mService.mSlots, { 1, 10'000 }, "Requests at a time");
+    "--slots", aValues.mService.mSlots, { 1, 10'000 }, "Requests at a time");
   settings.AddCount(
-    "connections", aValues.mConnections, { 1, 10'000 }, "Refused beyond");
-  settings.AddCount("threads", aValues.mThreads, { 1, 64 }, "Threads");
+    "--connections", aValues.mConnections, { 1, 10'000 }, "Refused beyond");
+  settings.AddCount("--threads", aValues.mThreads, { 1, 64 }, "Threads");
   settings.AddMilliseconds(
-    "service-ms", aValues.mService.mService, anyTime, "Time of a request");
-  settings.AddMilliseconds("drain-notice-ms",
+    "--service-ms", aValues.mService.mService, anyTime, "Time of a request");
+  settings.AddMilliseconds("--drain-notice-ms",
                            aValues.mDrainNotice,
                            anyTime,
                            "How long /healthz answers 503 before it closes");
   settings.AddSwitch(
-    "no-record", aValues.mNoRecord, "Do not count executions by request id");
+    "--no-record", aValues.mNoRecord, "Do not count executions by request id");
   return settings.Parse(argc, argv);
 }
 
--- a/standins/worker/Main.cpp
+++ b/standins/worker/Main.cpp
@@ -23,15 +23,15 @@
 {
   Settings settings("foxtailbarrow-standin-worker",
                     "Stand-in of the platform's worker, for tests");
-  settings.AddListen("listen", aValues.mListen, "Address to serve on");
+  settings.AddListen("--listen", aValues.mListen, "Address to serve on");
   const SettingRange<std::int64_t> any{ 0, 1'000'000'000 };
   Resources& capacity = aValues.mRunner.mCapacity;
   settings.AddCount(
-    "millicores", capacity.mMillicores, any, "Processors, in thousandths");
-  settings.AddCount("memory-mb", capacity.mMemoryMb, any, "Memory in MiB");
+    "--millicores", capacity.mMillicores, any, "Processors, in thousandths");
+  settings.AddCount("--memory-mb", capacity.mMemoryMb, any, "Memory in MiB");
   settings.AddCount(
-    "accelerators", capacity.mAccelerators, any, "Whole accelerators");
-  settings.AddMilliseconds("usage-lag-ms",
+    "--accelerators", capacity.mAccelerators, any, "Whole accelerators");
+  settings.AddMilliseconds("--usage-lag-ms",
                            aValues.mRunner.mUsageLag,
                            { Duration{}, std::chrono::minutes(10) },
                            "Age of reported usage");
