--- a/apps/entry/Answers.h
+++ b/apps/entry/Answers.h
@@ -19,8 +19,8 @@
   Verdict mVerdict = Verdict::NotRun;
   Reason mReason = Reason::None;
   /// When a new attempt makes sense; rounded up to whole seconds.
-  std::optional<Duration> mRetryAfter;
-  std::string_view mMessage;
+  std::optional<Duration> mRetryAfter{};
+  std::string_view mMessage{};
 };
 
 /// The final answer for a refusal: headers and a JSON body say the same.
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -101,6 +101,7 @@
           mJobs->TakeShard(aShard, aGeneration);
         },
       .mGivenUp = [this](ShardId aShard) { mJobs->DropShard(aShard); },
+      .mCleared = [this](ShardId aShard) { mJobs->ClearShard(aShard); },
       .mSuperseded = [] { std::quick_exit(1); },
       .mDrained = [this] { mLeft = true; } });
   mFeed = std::make_unique<ContractFeed>(
--- a/apps/entry/JobDriver.cpp
+++ b/apps/entry/JobDriver.cpp
@@ -17,34 +17,34 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr Duration kAgentTimeout = std::chrono::seconds(2);
+/// Longest wait of a record for others to share its transaction.
+constexpr Duration kCommitLinger = std::chrono::milliseconds(5);
 constexpr Duration kListRetry = std::chrono::milliseconds(500);
 
 /// The job's record changes only while its shard has the same holder.
-StoreTransaction TransactionOf(const CommitRecord& aCommit)
+RecordWrite WriteOf(const CommitRecord& aCommit)
 {
   const std::string key = JobKey(aCommit.mShard, aCommit.mRecord.mSpec.mId);
-  StoreTransaction transaction;
-  transaction.mCompares = {
-    { key, aCommit.mExpected },
-    { ShardKey(aCommit.mShard), aCommit.mGeneration },
-  };
-  transaction.mWrites = { { key, ToJsonText(aCommit.mRecord), 0 } };
-  return transaction;
-}
-
-CommitDone DoneOf(CommitToken aToken,
-                  const absl::StatusOr<StoreTransactionResult>& aResult)
-{
-  if (!aResult.ok()) {
-    const bool notRun = VerdictOf(aResult.status()) == Verdict::NotRun;
-    return { aToken,
-             notRun ? CommitOutcome::NotRun : CommitOutcome::Unknown,
-             0 };
+  return { .mWrite = { key, ToJsonText(aCommit.mRecord), 0 },
+           .mExpected = aCommit.mExpected,
+           .mGuard =
+             StoreCompare{ ShardKey(aCommit.mShard), aCommit.mGeneration } };
+}
+
+CommitDone DoneOf(CommitToken aToken, const absl::StatusOr<Revision>& aWritten)
+{
+  if (aWritten.ok()) {
+    return { aToken, CommitOutcome::Applied, *aWritten };
   }
-  if (!aResult->mApplied) {
-    return { aToken, CommitOutcome::Conflict, 0 };
+  const absl::Status& status = aWritten.status();
+  if (VerdictOf(status) != Verdict::NotRun) {
+    return { aToken, CommitOutcome::Unknown, 0 };
   }
-  return { aToken, CommitOutcome::Applied, aResult->mRevision };
+  const bool conflict =
+    absl::IsAborted(status) || absl::IsFailedPrecondition(status);
+  return { aToken,
+           conflict ? CommitOutcome::Conflict : CommitOutcome::NotRun,
+           0 };
 }
 
 std::optional<StoredJob> StoredJobOf(const StoreEntry& aEntry)
@@ -64,6 +64,11 @@
 JobDriver::JobDriver(ControlContext& aContext, MayExtend aMayExtend)
   : mContext(aContext)
   , mMayExtend(std::move(aMayExtend))
+  , mWriter(aContext.mStore,
+            { .mLinger = kCommitLinger },
+            [&aContext](std::function<void()> aBody) {
+              aContext.mRuntime.Spawn(std::move(aBody));
+            })
   , mLostHints(aContext.mMetrics.Counter(
       "job_hints_lost_total",
       "Hints about changed jobs that did not reach their owner"))
@@ -132,6 +137,8 @@
   }
 }
 
+void JobDriver::ClearShard(ShardId) {}
+
 TaskReplies JobDriver::OnHeartbeat(const Heartbeat& aHeartbeat)
 {
   mExtension.reset();
@@ -168,8 +175,8 @@
 void JobDriver::Run(const CommitRecord& aAction)
 {
   mContext.mRuntime.Spawn([this, aAction] {
-    const auto result = mContext.mStore.Commit(TransactionOf(aAction));
-    Handle(DoneOf(aAction.mToken, result));
+    const auto written = mWriter.Write(aAction.mShard, WriteOf(aAction));
+    Handle(DoneOf(aAction.mToken, written));
   });
 }
 
@@ -222,14 +229,14 @@
     const auto entry =
       mContext.mStore.Read(JobKey(aAction.mShard, aAction.mJob));
     if (absl::IsNotFound(entry.status())) {
-      Handle(JobMissing{ aAction.mJob });
+      Handle(JobMissing{ aAction.mShard, aAction.mJob });
       return;
     }
     if (auto job = entry.ok() ? StoredJobOf(*entry) : std::nullopt) {
-      Handle(JobRead{ *std::move(job) });
+      Handle(JobRead{ aAction.mShard, *std::move(job) });
       return;
     }
-    Handle(JobReadFailed{ aAction.mJob });
+    Handle(JobReadFailed{ aAction.mShard, aAction.mJob });
   });
 }
 
--- a/apps/entry/JobDriver.h
+++ b/apps/entry/JobDriver.h
@@ -10,6 +10,7 @@
 
 #include "apps/entry/ControlContext.h"
 #include "src/core/job/JobScheduler.h"
+#include "src/platform/store/BatchWriter.h"
 
 namespace foxtailbarrow::entry {
 
@@ -40,6 +41,9 @@
   void TakeShard(ShardId aShard, Generation aGeneration);
   void DropShard(ShardId aShard);
 
+  /// No lease that an earlier owner of the shard granted is left.
+  void ClearShard(ShardId aShard);
+
   /// Reads a job of which another process says that it changed. Hints for
   /// shards that this entry does not hold are ignored.
   void ReadHinted(const JobChanged& aHint);
@@ -66,6 +70,7 @@
 
   ControlContext& mContext;
   MayExtend mMayExtend;
+  BatchWriter mWriter;
   JobScheduler mLogic;
   absl::BitGen mRandom;
   /// Shards held, with the generation under which each is being listed.
--- a/apps/entry/JobSubmission.cpp
+++ b/apps/entry/JobSubmission.cpp
@@ -1,5 +1,6 @@
 #include "apps/entry/JobSubmission.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include "absl/strings/str_cat.h"
--- a/apps/entry/OwnershipDriver.cpp
+++ b/apps/entry/OwnershipDriver.cpp
@@ -8,7 +8,6 @@
 #include "apps/entry/StoreCalls.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/message/Codec.h"
-#include "src/core/message/OwnershipCodec.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
 
@@ -87,6 +86,11 @@
   mCallbacks.mGivenUp(aAction.mShard);
 }
 
+void OwnershipDriver::Run(const EarlierLeasesOver& aAction)
+{
+  mCallbacks.mCleared(aAction.mShard);
+}
+
 void OwnershipDriver::Run(const SendAttest& aAction)
 {
   mContext.mRuntime.Spawn([this, aAction] {
--- a/apps/entry/OwnershipDriver.h
+++ b/apps/entry/OwnershipDriver.h
@@ -17,6 +17,8 @@
   {
     std::function<void(ShardId, Generation)> mGained;
     std::function<void(ShardId)> mGivenUp;
+    /// No lease of an owner before this one is left.
+    std::function<void(ShardId)> mCleared;
     std::function<void()> mSuperseded; ///< This process must end.
     std::function<void()> mDrained;
   };
@@ -43,6 +45,7 @@
   void Run(const StoreRequest& aAction);
   void Run(const ShardGained& aAction);
   void Run(const ShardGivenUp& aAction);
+  void Run(const EarlierLeasesOver& aAction);
   void Run(const SendAttest& aAction);
   void Run(const SendPromise& aAction);
   void Run(const Superseded& aAction);
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -198,11 +198,14 @@
                              const RoutableAgent& aAgent,
                              Duration aAge)
 {
+  foxtailbarrow::Revoke question;
+  question.mRequest = aCaller.mId;
+  question.mAge = aAge;
   const auto reply =
     net::CallTyped<RevokeReply>(mRpc,
                                 aAgent.mEndpoint,
                                 kRevokeMethod,
-                                foxtailbarrow::Revoke{ aCaller.mId, aAge },
+                                question,
                                 kRevokeTimeout);
   if (!reply.ok() || reply->mVerdict != Verdict::NotRun) {
     return Verdict::MayHaveRun;
--- a/apps/entry/StoreCalls.cpp
+++ b/apps/entry/StoreCalls.cpp
@@ -80,7 +80,7 @@
 
 } // namespace
 
-StoreResult RunStoreCall(Store& aStore, const StoreCall& aCall)
+StoreResult RunStoreCall(Store& aStore, const StoreCommand& aCall)
 {
   return std::visit(CallRunner(aStore), aCall);
 }
--- a/apps/entry/StoreCalls.h
+++ b/apps/entry/StoreCalls.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "foxtailbarrow/Store.h"
-#include "src/core/ownership/StoreCall.h"
+#include "src/core/ownership/StoreCommand.h"
 
 namespace foxtailbarrow::entry {
 
 /// Runs one call that the ownership logic asked for. Suspends the fiber.
-StoreResult RunStoreCall(Store& aStore, const StoreCall& aCall);
+StoreResult RunStoreCall(Store& aStore, const StoreCommand& aCall);
 
 } // namespace foxtailbarrow::entry
