--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -17,7 +17,7 @@
 struct HttpClientLimits
 {
   std::size_t mMaxIdlePerEndpoint = 64; ///< Per thread.
-  std::size_t mMaxBodyBytes = 4 * 1024 * 1024;
+  std::size_t mMaxBodyBytes = 4UL * 1024 * 1024;
   Duration mConnectTimeout = std::chrono::seconds(1);
 };
 
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -19,8 +19,8 @@
 
 struct HttpServerLimits
 {
-  std::size_t mMaxHeaderBytes = 16 * 1024;
-  std::size_t mMaxBodyBytes = 1024 * 1024; ///< Larger: answered 413.
+  std::size_t mMaxHeaderBytes = 16UL * 1024;
+  std::size_t mMaxBodyBytes = 1024UL * 1024; ///< Larger: answered 413.
   /// Longest wait for a request, for the whole of one, and for a peer to take
   /// an answer.
   Duration mIdleTimeout = std::chrono::seconds(60);
--- a/src/net/detail/ClientExchange.cpp
+++ b/src/net/detail/ClientExchange.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kOk = 200;
 
--- a/src/net/detail/Connection.cpp
+++ b/src/net/detail/Connection.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::size_t kFirstBufferBytes = 4 * 1024;
-constexpr std::size_t kMaxReadBytes = 64 * 1024;
+constexpr std::size_t kFirstBufferBytes = 4UL * 1024;
+constexpr std::size_t kMaxReadBytes = 64UL * 1024;
 
 ErrorCode LastError()
 {
--- a/src/net/detail/MessageParser.h
+++ b/src/net/detail/MessageParser.h
@@ -126,7 +126,7 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
-  static constexpr std::uint64_t kMaxReserve = 64 * 1024;
+  static constexpr std::uint64_t kMaxReserve = 64UL * 1024;
 
   Message& mMessage;
   int mVersion = 0;
--- a/src/net/detail/MessageWriter.h
+++ b/src/net/detail/MessageWriter.h
@@ -11,7 +11,7 @@
 
 /// Bodies up to this size are copied behind the head, so that one buffer is
 /// written; larger ones are gathered by the kernel.
-inline constexpr std::size_t kMaxCopiedBody = 4 * 1024;
+inline constexpr std::size_t kMaxCopiedBody = 4UL * 1024;
 
 /// Appends the head of a request, up to the empty line.
 void AppendHead(std::string& aOut,
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -23,7 +23,7 @@
 
 /// Bounds of what a connection still reads after its last answer, so that the
 /// peer reads the answer before a reset.
-constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024 * 1024;
 constexpr std::chrono::seconds kDiscardTime(2);
 
 unsigned StatusOf(const ErrorCode& aError)
@@ -151,9 +151,9 @@
     RunStream(request);
     return false;
   }
-  HttpResponse response = CallHandler(request);
+  const HttpResponse response = CallHandler(request);
   const bool keepAlive = parser.keep_alive() && parser.IsHttp11() && !Ending();
-  if (!Answer(request, std::move(response), keepAlive)) {
+  if (!Answer(request, response, keepAlive)) {
     return false;
   }
   if (!keepAlive) {
@@ -244,7 +244,7 @@
 }
 
 bool ServerConnection::Answer(const HttpRequest& aRequest,
-                              HttpResponse aResponse,
+                              const HttpResponse& aResponse,
                               bool aKeepAlive)
 {
   const bool toHead = aRequest.mMethod == "HEAD";
@@ -296,7 +296,7 @@
   } else {
     Count(mThread.mRejected);
   }
-  if (Answer(HttpRequest(), std::move(response), false)) {
+  if (Answer(HttpRequest(), response, false)) {
     CloseGently();
   }
 }
--- a/src/net/detail/ServerConnection.h
+++ b/src/net/detail/ServerConnection.h
@@ -41,7 +41,7 @@
   bool AnswerContinue(const RequestParser& aParser, bool& aAnswered);
   HttpResponse CallHandler(HttpRequest& aRequest);
   bool Answer(const HttpRequest& aRequest,
-              HttpResponse aResponse,
+              const HttpResponse& aResponse,
               bool aKeepAlive);
   void RunStream(HttpRequest& aRequest);
   void Reject(unsigned aStatus);
--- a/src/net/detail/StackPool.cpp
+++ b/src/net/detail/StackPool.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kGuardBytes = 4096;
 /// Room for jsoncpp's recursion to its limit of 1,000 levels, for which 256 KiB
 /// was too little and 512 KiB enough. Untouched pages cost no memory.
-constexpr std::size_t kStackBytes = 1024 * 1024;
+constexpr std::size_t kStackBytes = 1024UL * 1024;
 constexpr std::size_t kMappedBytes = kGuardBytes + kStackBytes;
 constexpr std::size_t kMaxFree = 1024;
 
