--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -44,10 +44,14 @@
   std::string mBody;
 };
 
+/// Status with which a handler makes the server close the connection without
+/// an answer, as stand-ins do that lose replies on purpose.
+inline constexpr unsigned kCloseWithoutAnswer = 0;
+
 /// Response with its whole body; a truncated one is never built.
 struct HttpResponse
 {
-  unsigned mStatus = 200;
+  unsigned mStatus = 200; ///< See also kCloseWithoutAnswer.
   HttpHeaders mHeaders;
   std::string mBody;
 };
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -152,6 +152,9 @@
     return false;
   }
   const HttpResponse response = CallHandler(request);
+  if (response.mStatus == kCloseWithoutAnswer) {
+    return false;
+  }
   const bool keepAlive = parser.keep_alive() && parser.IsHttp11() && !Ending();
   if (!Answer(request, response, keepAlive)) {
     return false;
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -199,6 +199,18 @@
   EXPECT_EQ(2U, mServer->Counters().mHandlerFailures);
 }
 
+TEST_F(HttpServerTest, ClosesWithoutAnswerWhenTheHandlerSaysSo)
+{
+  const Endpoint endpoint = StartServer([](HttpRequest&) {
+    return HttpResponse{ kCloseWithoutAnswer, {}, "x" };
+  });
+  const RawSocket socket(endpoint);
+  socket.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ("", socket.ReadAll());
+  const auto response = Call(endpoint, HttpRequest());
+  EXPECT_EQ(Verdict::MayHaveRun, VerdictOf(response.status()));
+}
+
 TEST_F(HttpServerTest, RefusesConnectionsAboveTheLimit)
 {
   HttpServerLimits limits;
