--- a/apps/entry/EntrySettings.h
+++ b/apps/entry/EntrySettings.h
@@ -21,7 +21,7 @@
   std::vector<Endpoint> mStore;
   FailureDomainId mFailureDomain;
   unsigned mThreads = 2; ///< That serve requests; one more serves control.
-  std::uint32_t mShards = 16;
+  std::uint32_t mShards = 64;
   std::uint32_t mShareSlots = 3;
   Duration mDefaultDeadline = std::chrono::seconds(10);
   Duration mMaxDeadline = std::chrono::minutes(5);
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -201,12 +201,8 @@
   foxtailbarrow::Revoke question;
   question.mRequest = aCaller.mId;
   question.mAge = aAge;
-  const auto reply =
-    net::CallTyped<RevokeReply>(mRpc,
-                                aAgent.mEndpoint,
-                                kRevokeMethod,
-                                question,
-                                kRevokeTimeout);
+  const auto reply = net::CallTyped<RevokeReply>(
+    mRpc, aAgent.mEndpoint, kRevokeMethod, question, kRevokeTimeout);
   if (!reply.ok() || reply->mVerdict != Verdict::NotRun) {
     return Verdict::MayHaveRun;
   }
--- a/src/core/ownership/OwnershipEvents.h
+++ b/src/core/ownership/OwnershipEvents.h
@@ -5,7 +5,7 @@
 
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Ownership.h"
-#include "src/core/ownership/StoreCall.h"
+#include "src/core/ownership/StoreCommand.h"
 
 /// What ShardOwnership takes in and asks for.
 namespace foxtailbarrow {
--- a/src/core/ownership/ShardKeeper.cpp
+++ b/src/core/ownership/ShardKeeper.cpp
@@ -67,7 +67,7 @@
     work);
 }
 
-void ShardKeeper::Ask(Work aWork, StoreCall aCall, OwnershipActions& aOut)
+void ShardKeeper::Ask(Work aWork, StoreCommand aCall, OwnershipActions& aOut)
 {
   mWork = std::move(aWork);
   mCall = mNumbers.Next();
--- a/src/core/ownership/ShardKeeper.h
+++ b/src/core/ownership/ShardKeeper.h
@@ -84,7 +84,7 @@
   };
   using Work = std::variant<Listing, Taking, Releasing>;
 
-  void Ask(Work aWork, StoreCall aCall, OwnershipActions& aOut);
+  void Ask(Work aWork, StoreCommand aCall, OwnershipActions& aOut);
   bool AskListing(Instant aNow, OwnershipActions& aOut);
   bool AskRelease(Instant aNow, OwnershipActions& aOut);
   bool AskTake(Instant aNow, OwnershipActions& aOut);
--- a/src/core/ownership/StoreCall.h
+++ b/src/core/ownership/StoreCommand.h
@@ -37,7 +37,7 @@
   StoreTransaction mTransaction;
 };
 
-using StoreCall = std::
+using StoreCommand = std::
   variant<GrantLeaseCall, KeepAliveCall, RevokeLeaseCall, ListCall, CommitCall>;
 
 struct LeaseGranted
@@ -72,7 +72,7 @@
 struct StoreRequest
 {
   CallId mId = 0;
-  StoreCall mCall;
+  StoreCommand mCall;
 };
 
 /// What became of it. Every request gets one reply; the shell bounds each call
--- a/src/core/ownership/StoreSession.cpp
+++ b/src/core/ownership/StoreSession.cpp
@@ -87,7 +87,7 @@
   mRoster.Leave();
 }
 
-void StoreSession::Ask(Step aStep, StoreCall aCall, OwnershipActions& aOut)
+void StoreSession::Ask(Step aStep, StoreCommand aCall, OwnershipActions& aOut)
 {
   mStep = aStep;
   mCall = mNumbers.Next();
--- a/src/core/ownership/StoreSession.h
+++ b/src/core/ownership/StoreSession.h
@@ -67,7 +67,7 @@
     Listing,
   };
 
-  void Ask(Step aStep, StoreCall aCall, OwnershipActions& aOut);
+  void Ask(Step aStep, StoreCommand aCall, OwnershipActions& aOut);
   void StartRound(Instant aNow, OwnershipActions& aOut);
   void Register(const StoreListing& aListing, OwnershipActions& aOut);
   Change OnRegistered(Revision aRevision, Instant aNow, OwnershipActions& aOut);
--- a/src/core/ownership/TenureChores.cpp
+++ b/src/core/ownership/TenureChores.cpp
@@ -60,7 +60,7 @@
              work);
 }
 
-void TenureChores::Ask(Work aWork, StoreCall aCall, OwnershipActions& aOut)
+void TenureChores::Ask(Work aWork, StoreCommand aCall, OwnershipActions& aOut)
 {
   mWork = std::move(aWork);
   mCall = mNumbers.Next();
--- a/src/core/ownership/TenureChores.h
+++ b/src/core/ownership/TenureChores.h
@@ -59,7 +59,7 @@
   };
   using Work = std::variant<ReadingEnded, ReadingOwn, WritingVoters, Deleting>;
 
-  void Ask(Work aWork, StoreCall aCall, OwnershipActions& aOut);
+  void Ask(Work aWork, StoreCommand aCall, OwnershipActions& aOut);
   bool AskEnded(Instant aNow, OwnershipActions& aOut);
   bool AskVoters(Instant aNow, OwnershipActions& aOut);
   bool AskDelete(Instant aNow, OwnershipActions& aOut);
--- a/src/net/detail/ClientExchange.cpp
+++ b/src/net/detail/ClientExchange.cpp
@@ -56,8 +56,12 @@
   if (!aConnection.Buffered().empty()) {
     const std::string_view input = aConnection.Buffered();
     error = {};
-    aConnection.Consume(
-      aParser.put(boost::asio::buffer(input.data(), input.size()), error));
+    const std::size_t used =
+      aParser.put(boost::asio::buffer(input.data(), input.size()), error);
+    aConnection.Consume(used);
+    if (used > 0 && (!error || error == http::error::need_more)) {
+      return {}; // The caller takes what came before it waits for more.
+    }
   }
   if (aParser.is_done() || (error && error != http::error::need_more)) {
     return error == http::error::need_more ? ErrorCode() : error;
--- a/tests/ownership/Fleet.cpp
+++ b/tests/ownership/Fleet.cpp
@@ -105,7 +105,7 @@
 }
 
 void Fleet::CallStore(Node& aNode,
-                      StoreCall aCall,
+                      StoreCommand aCall,
                       std::function<void(const StoreResult&)> aOnResult)
 {
   auto done = std::make_shared<bool>(false);
--- a/tests/ownership/Fleet.h
+++ b/tests/ownership/Fleet.h
@@ -93,7 +93,7 @@
   void Deliver(Node& aNode, Duration aDelay, Task aTask);
   void Every(Node& aNode, Duration aLocalSpan, Task aTask);
   void CallStore(Node& aNode,
-                 StoreCall aCall,
+                 StoreCommand aCall,
                  std::function<void(const StoreResult&)> aOnResult);
   void Send(Node& aFrom, Node& aTo, Task aTask);
 
--- a/tests/ownership/ModelStore.cpp
+++ b/tests/ownership/ModelStore.cpp
@@ -4,7 +4,7 @@
 
 namespace foxtailbarrow::test {
 
-StoreResult ModelStore::Apply(const StoreCall& aCall, Duration aNow)
+StoreResult ModelStore::Apply(const StoreCommand& aCall, Duration aNow)
 {
   ++mCalls;
   Lapse(aNow);
--- a/tests/ownership/ModelStore.h
+++ b/tests/ownership/ModelStore.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "src/core/ownership/StoreCall.h"
+#include "src/core/ownership/StoreCommand.h"
 
 namespace foxtailbarrow::test {
 
@@ -13,7 +13,7 @@
 {
 public:
   /// Applies one call at the true time `aNow`.
-  StoreResult Apply(const StoreCall& aCall, Duration aNow);
+  StoreResult Apply(const StoreCommand& aCall, Duration aNow);
 
   std::uint64_t Calls() const { return mCalls; }
   const std::map<std::string, StoreEntry>& Keys() const { return mKeys; }
