Send a key's second attempt to the agent that knows the first

A request with an idempotency key that is not idempotent goes to the first agent in the key's order (rendezvous hash over the service's agents), so that the caller's own second attempt meets the agent that recognises it, at whichever entry. Where the first in order cannot take it, the next may only after those before it promised never to run the key (agent.revoke); where one is gone and cannot promise, the request is refused with may-have-run for 30 s.

Ruled out: a refusal without a window (runs a key twice when its holder dies), a record of keys in the store (several hundred writes/s for the whole fleet), asking all agents (grows with the fleet).

--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -168,6 +168,7 @@
 struct RevokeReply
 {
   Verdict mVerdict = Verdict::MayHaveRun;
+  bool mPromisedBefore = false; ///< NotRun, as an earlier answer said already.
 };
 
 /// `entry.jobChanged`, entry to the entry that owns the shard: a hint to read
--- a/src/core/membership/AgentDirectory.cpp
+++ b/src/core/membership/AgentDirectory.cpp
@@ -50,6 +50,7 @@
 
 HeartbeatEffect AgentDirectory::Apply(const Heartbeat& aHeartbeat, Instant aNow)
 {
+  mStartedAt = std::min(mStartedAt, aNow);
   ClaimAddress(aHeartbeat, aNow);
   auto [found, isNew] = mRecords.try_emplace(aHeartbeat.mAgent);
   if (isNew) {
@@ -179,11 +180,17 @@
                    aRecord.mRack,
                    aRecord.mFailureDomain,
                    aNow,
+                   IsFirstView(aNow) ? Instant::min() : aNow,
                    StableHash(aRecord.mAgent.Value()),
                    aRecord.mGauges,
                    ServiceOf(aRecord.mService).mHealth });
 }
 
+bool AgentDirectory::IsFirstView(Instant aNow) const
+{
+  return mStartedAt > aNow - mSettings.mFirstView;
+}
+
 void AgentDirectory::Unroute(AgentRecord& aRecord,
                              bool aReachable,
                              Instant aNow)
--- a/src/core/membership/AgentDirectory.h
+++ b/src/core/membership/AgentDirectory.h
@@ -42,6 +42,11 @@
   /// called whenever the number of live entries changed.
   void ExpectInterval(Duration aInterval);
 
+  /// True until an entry that starts among running agents has heard of all of
+  /// them. While it holds, an entry should not report itself ready: it would
+  /// take an agent for the holder of an idempotency key that is not.
+  bool IsFirstView(Instant aNow) const;
+
   HeartbeatEffect Apply(const Heartbeat& aHeartbeat, Instant aNow);
 
   /// Call at least each heartbeat interval.
@@ -112,6 +117,7 @@
   std::shared_ptr<const RoutingTable> mTable;
   std::vector<MembershipEvent> mEvents;
   Instant mAdvancedAt{};
+  Instant mStartedAt = Instant::max(); ///< First heartbeat.
 };
 
 } // namespace foxtailbarrow
--- a/src/core/membership/DirectorySettings.h
+++ b/src/core/membership/DirectorySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailbarrow/Time.h"
+#include "src/core/routing/KeyedSettings.h"
 
 namespace foxtailbarrow {
 
@@ -16,8 +17,13 @@
   /// its older incarnations are recognised.
   Duration mForgetAfter = std::chrono::seconds(60);
 
-  /// How long idempotency keys are recognised; see ServiceTable::mFormer.
-  Duration mKeyWindow = std::chrono::seconds(30);
+  /// How long an agent that gets no requests any more is kept in
+  /// ServiceTable::mFormer.
+  Duration mKeyWindow = KeyedSettings().mWindow;
+
+  /// Agents heard of first within this time of the first heartbeat were there
+  /// before this entry.
+  Duration mFirstView = std::chrono::seconds(2);
 
   /// Longest time between two calls of Advance() that counts as the agents'
   /// silence. Beyond it, this process was paused and the agents were not.
--- /dev/null
+++ b/src/core/routing/CandidateCheck.cpp
@@ -0,0 +1,65 @@
+#include "src/core/routing/CandidateCheck.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow {
+
+namespace {
+
+/// A probe is due when the ejection is over and no other probe runs. Requests
+/// that are not idempotent wait for twice the time, so that where there are
+/// others, those do the probing.
+bool IsProbeDue(const AgentHealth& aHealth, bool aIdempotent, Instant aNow)
+{
+  const Instant until = aHealth.mEjectedUntil.load(std::memory_order_relaxed);
+  const Duration extra =
+    aIdempotent ? Duration::zero()
+                : aHealth.mEjectionTime.load(std::memory_order_relaxed);
+  return aNow >= until + extra &&
+         !aHealth.mProbeInFlight.load(std::memory_order_relaxed);
+}
+
+} // namespace
+
+Candidate CandidateCheck::Examine(const PickContext& aContext,
+                                  const RoutableAgent& aAgent) const
+{
+  if (aContext.IsExcluded(aAgent)) {
+    return {};
+  }
+  const AgentHealth& health = aAgent.mGauges->mHealth;
+  if (health.mState.load(std::memory_order_acquire) == HealthState::Ejected) {
+    const bool due =
+      IsProbeDue(health, aContext.mRequest.mIdempotent, aContext.mNow);
+    return due ? Candidate{ &aAgent, 0.0, true } : Candidate{};
+  }
+  const LoadEstimate load =
+    aAgent.mGauges->mLoad.Estimate(aContext.mNow, mSettings.mReportFade);
+  if (load.mRequests >= load.mSlots * (1.0 + mSettings.mMaxWaitingPerSlot)) {
+    return {};
+  }
+  const double weight = Weight(aAgent, aContext.mNow);
+  return { &aAgent, (load.mRequests + 1.0) / (load.mSlots * weight), false };
+}
+
+bool CandidateCheck::Claim(const Candidate& aCandidate)
+{
+  return !aCandidate.mIsProbe ||
+         !aCandidate.mAgent->mGauges->mHealth.mProbeInFlight.exchange(
+           true, std::memory_order_acq_rel);
+}
+
+double CandidateCheck::Weight(const RoutableAgent& aAgent, Instant aNow) const
+{
+  const Instant readmitted =
+    aAgent.mGauges->mHealth.mReadmittedAt.load(std::memory_order_relaxed);
+  const Duration age = aNow - std::max(aAgent.mServingSince, readmitted);
+  if (age >= mSettings.mSlowStart) {
+    return 1.0;
+  }
+  const double progress = static_cast<double>(age.count()) /
+                          static_cast<double>(mSettings.mSlowStart.count());
+  return std::max(progress, mSettings.mSlowStartShare);
+}
+
+} // namespace foxtailbarrow
--- a/src/core/routing/Choice.h
+++ b/src/core/routing/Choice.h
@@ -11,14 +11,23 @@
 
 namespace foxtailbarrow {
 
+/// An agent to ask by `agent.revoke` whether a request ran there.
+struct AskFirst
+{
+  RoutableAgentPointer mAgent;
+
+  /// Where it answers that it promised before, the request may have run at an
+  /// agent that is not asked: refuse with Reason::KeyHolderLost.
+  bool mMustBeFirstPromise = false;
+};
+
 struct Picked
 {
   RoutableAgentPointer mAgent; ///< Keeps its whole routing table alive.
 
-  /// Agents to ask by `agent.revoke` first; the request may go to mAgent only
-  /// when each answered NotRun. Empty but for keyed requests soon after a
-  /// change of membership.
-  std::vector<RoutableAgentPointer> mAskFirst;
+  /// The request may go to mAgent only when each of these answered NotRun.
+  /// Empty but for keyed requests when agents change or are busy.
+  std::vector<AskFirst> mAskFirst;
 
   /// The one request that tries an ejected agent again.
   bool mIsProbe = false;
--- /dev/null
+++ b/src/core/routing/KeyedPick.cpp
@@ -0,0 +1,96 @@
+#include "src/core/routing/KeyedPick.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "src/core/routing/StableHash.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+std::uint64_t HashOf(const PickRequest& aRequest)
+{
+  return MixBits(StableHash(aRequest.mCustomer.Value()) ^
+                 MixBits(StableHash(aRequest.mIdempotencyKey)));
+}
+
+} // namespace
+
+bool KeyedPick::Member::IsBefore(const Member& aOther) const
+{
+  return std::tie(aOther.mScore, mIndex) < std::tie(mScore, aOther.mIndex);
+}
+
+KeyedPlace KeyedPick::Pick(const PickContext& aContext) const
+{
+  const PickRequest& request = aContext.mRequest;
+  const std::uint64_t key = HashOf(request);
+  const Instant windowStart = aContext.mNow - mSettings.mWindow;
+  KeyedPlace place;
+  // Since then, the candidate or one after it was there to take the key.
+  Instant heldSince = Instant::max();
+  for (auto member = Next(aContext, key, std::nullopt);
+       member.has_value() && heldSince > windowStart;
+       member = Next(aContext, key, member)) {
+    const RoutableAgent& agent = *member->mAgent;
+    const bool isServing = member->mStanding == Standing::Serving;
+    const bool isNewcomer =
+      isServing && agent.mKnownSince > aContext.mNow - mSettings.mJoinDelay;
+    const bool cameLater = place.mCandidate && agent.mKnownSince >= heldSince;
+    if (cameLater || (isNewcomer && !request.mKeyPassedOn)) {
+      continue;
+    }
+    if (isNewcomer || member->mStanding == Standing::Lost) {
+      return { {}, {}, true };
+    }
+    if (!place.mCandidate && isServing) {
+      place.mCandidate = mCheck.Examine(aContext, agent);
+    }
+    if (place.mCandidate.mAgent != &agent) {
+      place.mAskFirst.push_back({ &agent, bool(place.mCandidate) });
+    }
+    if (place.mCandidate && isServing) {
+      heldSince = agent.mKnownSince;
+    }
+    if (place.mAskFirst.size() > mSettings.mMaxAsked) {
+      return {};
+    }
+  }
+  return place;
+}
+
+std::optional<KeyedPick::Member> KeyedPick::Next(
+  const PickContext& aContext,
+  std::uint64_t aKey,
+  const std::optional<Member>& aLast) const
+{
+  const ServiceTable& service = aContext.mService;
+  std::optional<Member> best;
+  std::size_t index = 0;
+  const auto consider =
+    [&](std::uint64_t aHash, const RoutableAgent& aAgent, Standing aStanding) {
+      const Member next{ MixBits(aHash ^ aKey), index++, &aAgent, aStanding };
+      const bool isLater = !aLast.has_value() || aLast->IsBefore(next);
+      if (isLater && (!best.has_value() || next.IsBefore(*best))) {
+        best = next;
+      }
+    };
+  for (std::size_t i = 0; i < service.mServing.size(); ++i) {
+    consider(
+      service.mServingHashes[i], *service.mServing[i], Standing::Serving);
+  }
+  const Standing suspect =
+    service.mServing.empty() ? Standing::Serving : Standing::Reachable;
+  for (const RoutableAgentPointer& agent : service.mSuspect) {
+    consider(agent->mHash, *agent, suspect);
+  }
+  for (const FormerAgent& former : service.mFormer) {
+    consider(former.mAgent->mHash,
+             *former.mAgent,
+             former.mReachable ? Standing::Reachable : Standing::Lost);
+  }
+  return best;
+}
+
+} // namespace foxtailbarrow
--- a/src/core/routing/PickRequest.h
+++ b/src/core/routing/PickRequest.h
@@ -14,6 +14,10 @@
   CustomerId mCustomer;
   std::string_view mIdempotencyKey; ///< Empty = none.
   bool mIdempotent = false;
+
+  /// An agent refused the key since it had promised not to run it: NotRun with
+  /// Reason::DuplicateRequest.
+  bool mKeyPassedOn = false;
   std::span<const AgentId> mExcluded; ///< Tried before; never picked again.
 };
 
--- a/src/core/routing/RoutableAgent.h
+++ b/src/core/routing/RoutableAgent.h
@@ -22,6 +22,7 @@
   RackId mRack;
   FailureDomainId mFailureDomain;
   Instant mServingSince{}; ///< Start of its slow start.
+  Instant mKnownSince{};   ///< For keys; the minimum when before this entry.
   std::uint64_t mHash = 0; ///< Of mAgent; the same in every process.
   std::shared_ptr<AgentGauges> mGauges;
   std::shared_ptr<ServiceHealth> mServiceHealth;
--- a/src/core/routing/Router.cpp
+++ b/src/core/routing/Router.cpp
@@ -11,14 +11,21 @@
 constexpr Duration kBusyRetryAfter = std::chrono::seconds(1);
 constexpr Duration kEmptyRetryAfter = std::chrono::seconds(3);
 
-LeastLoadedPick::Result AsResult(const RoutableAgent* aAgent)
+Candidate AsCandidate(const RoutableAgent* aAgent)
 {
-  return { aAgent, false };
+  return { aAgent, 0.0, false };
 }
 
-LeastLoadedPick::Result AsResult(const LeastLoadedPick::Result& aResult)
+Candidate AsCandidate(const Candidate& aCandidate)
 {
-  return aResult;
+  return aCandidate;
+}
+
+/// Shares the table's reference count, which is the calling thread's own.
+RoutableAgentPointer Hold(const std::shared_ptr<const RoutingTable>& aTable,
+                          const RoutableAgent* aAgent)
+{
+  return { aTable, aAgent };
 }
 
 NoChoice Refuse(Reason aReason, Duration aLeast, absl::BitGenRef aRandom)
@@ -28,9 +35,12 @@
 
 } // namespace
 
-Router::Router(FailureDomainId aOwnDomain, RoutingPolicy aPolicy)
+Router::Router(FailureDomainId aOwnDomain,
+               RoutingPolicy aPolicy,
+               KeyedPick aKeyed)
   : mOwnDomain(std::move(aOwnDomain))
   , mPolicy(std::move(aPolicy))
+  , mKeyed(std::move(aKeyed))
 {
 }
 
@@ -44,6 +54,9 @@
     return Refuse(Reason::NoBackendServer, kEmptyRetryAfter, aRandom);
   }
   const PickContext context{ *service, aRequest, mOwnDomain, aNow };
+  if (!aRequest.mIdempotencyKey.empty() && !aRequest.mIdempotent) {
+    return PickKeyed(aTable, context, aRandom);
+  }
   return PickAny(aTable, context, aRandom);
 }
 
@@ -51,18 +64,36 @@
                        const PickContext& aContext,
                        absl::BitGenRef aRandom) const
 {
-  const auto result = std::visit(
+  const Candidate candidate = std::visit(
     [&](const auto& aPolicy) {
-      return AsResult(aPolicy.Pick(aContext, aRandom));
+      return AsCandidate(aPolicy.Pick(aContext, aRandom));
     },
     mPolicy);
-  if (result.mAgent == nullptr) {
+  if (!candidate) {
     return Refuse(Reason::BackendServersBusy, kBusyRetryAfter, aRandom);
   }
-  // Shares the table's reference count, which is the calling thread's own.
-  return Picked{ RoutableAgentPointer(aTable, result.mAgent),
+  return Picked{ Hold(aTable, candidate.mAgent), {}, candidate.mIsProbe };
+}
+
+Choice Router::PickKeyed(const std::shared_ptr<const RoutingTable>& aTable,
+                         const PickContext& aContext,
+                         absl::BitGenRef aRandom) const
+{
+  const KeyedPlace place = mKeyed.Pick(aContext);
+  if (place.mIsHolderLost) {
+    return NoChoice{ Reason::KeyHolderLost, Verdict::MayHaveRun, std::nullopt };
+  }
+  if (!place.mCandidate || !CandidateCheck::Claim(place.mCandidate)) {
+    return Refuse(Reason::BackendServersBusy, kBusyRetryAfter, aRandom);
+  }
+  Picked picked{ Hold(aTable, place.mCandidate.mAgent),
                  {},
-                 result.mIsProbe };
+                 place.mCandidate.mIsProbe };
+  for (const KeyedAsk& ask : place.mAskFirst) {
+    picked.mAskFirst.push_back(
+      { Hold(aTable, ask.mAgent), ask.mMustBeFirstPromise });
+  }
+  return picked;
 }
 
 } // namespace foxtailbarrow
--- a/src/core/routing/Router.h
+++ b/src/core/routing/Router.h
@@ -8,6 +8,7 @@
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/routing/Choice.h"
+#include "src/core/routing/KeyedPick.h"
 #include "src/core/routing/LeastLoadedPick.h"
 #include "src/core/routing/PickRequest.h"
 #include "src/core/routing/RandomPick.h"
@@ -25,12 +26,13 @@
 /// Promises: never picks an agent that is draining, gone or excluded; under the
 /// least-loaded policy never one that is full, nor an ejected one but as a
 /// probe; the cost of a choice does not grow with the number of agents, but
-/// for keyed requests that are not idempotent (see KeyedHome.h).
+/// for keyed requests that are not idempotent (KeyedPick).
 class Router
 {
 public:
   explicit Router(FailureDomainId aOwnDomain,
-                  RoutingPolicy aPolicy = LeastLoadedPick());
+                  RoutingPolicy aPolicy = LeastLoadedPick(),
+                  KeyedPick aKeyed = KeyedPick());
 
   Choice Pick(const std::shared_ptr<const RoutingTable>& aTable,
               const PickRequest& aRequest,
@@ -42,8 +44,13 @@
                  const PickContext& aContext,
                  absl::BitGenRef aRandom) const;
 
+  Choice PickKeyed(const std::shared_ptr<const RoutingTable>& aTable,
+                   const PickContext& aContext,
+                   absl::BitGenRef aRandom) const;
+
   FailureDomainId mOwnDomain;
   RoutingPolicy mPolicy;
+  KeyedPick mKeyed;
 };
 
 } // namespace foxtailbarrow
--- a/src/core/routing/RouterSettings.h
+++ b/src/core/routing/RouterSettings.h
@@ -9,9 +9,9 @@
 /// Settings of the least-loaded policy. Loads are requests per slot.
 struct RouterSettings
 {
-  /// Requests waiting per slot beyond which a backend server is full. With 8
-  /// slots, 7 gives the 64 connections that one accepts.
-  double mMaxWaitingPerSlot = 7.0;
+  /// Requests waiting per slot beyond which a backend server is full: what an
+  /// agent admits by default (SlotGateLimits).
+  double mMaxWaitingPerSlot = 2.0;
 
   /// A backend server of another failure domain is taken when its load is
   /// lower by at least this.
--- a/src/core/routing/RoutingTable.cpp
+++ b/src/core/routing/RoutingTable.cpp
@@ -67,6 +67,10 @@
   table->mHealth = std::move(aHealth);
   SortByDomain(table->mServing);
   SortByDomain(table->mSuspect);
+  table->mServingHashes.reserve(table->mServing.size());
+  for (const RoutableAgentPointer& agent : table->mServing) {
+    table->mServingHashes.push_back(agent->mHash);
+  }
   table->mDomains = IndexDomains(table->Routable());
   table->mHealth->mAgents.store(
     static_cast<std::uint32_t>(table->Routable().size()),
--- a/src/core/routing/RoutingTable.h
+++ b/src/core/routing/RoutingTable.h
@@ -38,6 +38,7 @@
 {
   ServiceId mService;
   std::vector<RoutableAgentPointer> mServing; ///< By failure domain, then id.
+  std::vector<std::uint64_t> mServingHashes;  ///< In the order of mServing.
   std::vector<DomainRange> mDomains;          ///< Ranges of Routable().
   std::vector<RoutableAgentPointer> mSuspect; ///< Silent; used when alone.
   std::vector<FormerAgent> mFormer;
--- /dev/null
+++ b/tests/routing/KeyedPickTest.cpp
@@ -0,0 +1,264 @@
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/routing/RoutingFixture.h"
+
+namespace foxtailbarrow {
+namespace {
+
+using namespace testing_support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kWarm = kStart + seconds(60);
+
+PickRequest KeyedRequest(std::string_view aKey)
+{
+  PickRequest request = RequestFor();
+  request.mCustomer = CustomerId("plumber");
+  request.mIdempotencyKey = aKey;
+  return request;
+}
+
+class Keyed : public testing::Test
+{
+protected:
+  Choice Pick(std::string_view aKey, Instant aNow = kWarm)
+  {
+    return mRouter.Pick(mDirectory.Table(), KeyedRequest(aKey), aNow, mRandom);
+  }
+
+  AgentId HomeOf(std::string_view aKey, Instant aNow = kWarm)
+  {
+    return std::get<Picked>(Pick(aKey, aNow)).mAgent->mAgent;
+  }
+
+  void Change(const AgentId& aAgent, ServingState aState, Incarnation aStart)
+  {
+    const int number = std::stoi(aAgent.Value().substr(6));
+    mDirectory.Apply(HeartbeatOf(number, aState, 2, aStart), kWarm);
+  }
+
+  AgentDirectory mDirectory = DirectoryOf(11);
+  Router mRouter{ FailureDomainId("domain-0") };
+  std::mt19937_64 mRandom{ 1 };
+};
+
+TEST_F(Keyed, HasOneHomeAtEveryEntry)
+{
+  const Router other(FailureDomainId("domain-2"));
+  std::map<AgentId, int> counts;
+  for (int i = 0; i < 1100; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    const auto choice =
+      other.Pick(mDirectory.Table(), KeyedRequest(key), kWarm, mRandom);
+    EXPECT_EQ(HomeOf(key), std::get<Picked>(choice).mAgent->mAgent);
+    EXPECT_TRUE(std::get<Picked>(choice).mAskFirst.empty());
+    ++counts[HomeOf(key)];
+  }
+  EXPECT_EQ(counts.size(), 11U);
+  for (const auto& [agent, count] : counts) {
+    EXPECT_NEAR(count, 100, 40) << agent.Value();
+  }
+}
+
+TEST_F(Keyed, AsksTheDrainingHomeFirst)
+{
+  const AgentId home = HomeOf("key");
+  Change(home, ServingState::Draining, 1);
+  const auto picked = std::get<Picked>(Pick("key"));
+  EXPECT_NE(picked.mAgent->mAgent, home);
+  ASSERT_EQ(picked.mAskFirst.size(), 1U);
+  EXPECT_EQ(picked.mAskFirst[0].mAgent->mAgent, home);
+}
+
+TEST_F(Keyed, RefusesForAWindowWhereTheHomeWasLost)
+{
+  const AgentId home = HomeOf("key");
+  Change(home, ServingState::Serving, 2);
+  const auto refusal = std::get<NoChoice>(Pick("key"));
+  EXPECT_EQ(refusal.mReason, Reason::KeyHolderLost);
+  EXPECT_EQ(refusal.mVerdict, Verdict::MayHaveRun);
+  EXPECT_FALSE(refusal.mRetryAfter.has_value());
+  for (seconds age(1); age <= seconds(31); ++age) {
+    for (int i = 0; i < 11; ++i) {
+      const bool isHome = HeartbeatOf(i).mAgent == home;
+      const auto heartbeat =
+        HeartbeatOf(i, ServingState::Serving, 2 + age.count(), isHome ? 2 : 1);
+      mDirectory.Apply(heartbeat, kWarm + age);
+    }
+    mDirectory.Advance(kWarm + age);
+  }
+  EXPECT_EQ(HomeOf("key", kWarm + seconds(31)), home);
+}
+
+/// Agents with their keys, and entries with tables of different ages, around
+/// the real directory and router. An attempt follows KeyedPick's rule.
+class KeyedFleet
+{
+public:
+  static constexpr int kAgents = 8;
+  static constexpr int kAtStart = 4; ///< The others join by Restart().
+  static constexpr int kEntries = 3;
+
+  explicit KeyedFleet(unsigned aSeed)
+    : mRandom(aSeed)
+  {
+    for (int i = 0; i < kAgents; ++i) {
+      mAgents.push_back(
+        { 1, i < kAtStart ? ServingState::Serving : ServingState::Starting });
+    }
+    Sleep(seconds(40));
+  }
+
+  /// Time passes; heartbeats reach each entry with its own delay.
+  void Sleep(Duration aTime)
+  {
+    constexpr milliseconds kStep(500);
+    for (const Instant end = mNow + aTime; mNow < end; mNow += kStep) {
+      for (int entry = 0; entry < kEntries; ++entry) {
+        Deliver(entry);
+      }
+    }
+  }
+
+  void Drain(int aAgent) { mAgents[aAgent].mState = ServingState::Draining; }
+
+  /// A new incarnation knows no keys.
+  void Restart(int aAgent)
+  {
+    mAgents[aAgent] = { mAgents[aAgent].mIncarnation + 1,
+                        ServingState::Serving };
+  }
+
+  void Attempt(int aEntry, const std::string& aKey)
+  {
+    std::vector<AgentId> excluded;
+    bool isPassedOn = false;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      PickRequest request = KeyedRequest(aKey);
+      request.mExcluded = excluded;
+      request.mKeyPassedOn = isPassedOn;
+      const auto choice =
+        mRouter.Pick(mDirectories[aEntry].Table(), request, mNow, mRandom);
+      const auto* picked = std::get_if<Picked>(&choice);
+      if (picked == nullptr || !Promise(picked->mAskFirst, aKey)) {
+        return;
+      }
+      Agent* agent = Reach(*picked->mAgent);
+      if (agent == nullptr) {
+        return;
+      }
+      const bool isKnown = agent->mRan.contains(aKey);
+      if (isKnown) {
+        return;
+      }
+      if (agent->mState == ServingState::Serving &&
+          !agent->mPromised.contains(aKey)) {
+        agent->mRan.insert(aKey);
+        ++mRuns[aKey];
+        return;
+      }
+      isPassedOn = isPassedOn || agent->mPromised.contains(aKey);
+      excluded.push_back(picked->mAgent->mAgent);
+    }
+  }
+
+  int Runs(const std::string& aKey) const
+  {
+    const auto found = mRuns.find(aKey);
+    return found == mRuns.end() ? 0 : found->second;
+  }
+
+private:
+  struct Agent
+  {
+    Incarnation mIncarnation = 1;
+    ServingState mState = ServingState::Serving;
+    std::set<std::string> mRan = {};
+    std::set<std::string> mPromised = {};
+  };
+
+  void Deliver(int aEntry)
+  {
+    for (int i = 0; i < kAgents; ++i) {
+      // Entry e hears a change up to 2 s late.
+      if (std::uniform_int_distribution(0, 3)(mRandom) == 0 ||
+          mNow >= mHeard[aEntry][i] + seconds(2)) {
+        mDirectories[aEntry].Apply(
+          HeartbeatOf(
+            i, mAgents[i].mState, ++mSequence, mAgents[i].mIncarnation),
+          mNow);
+        mHeard[aEntry][i] = mNow;
+      }
+    }
+    mDirectories[aEntry].Advance(mNow);
+  }
+
+  /// Null when that incarnation is gone.
+  Agent* Reach(const RoutableAgent& aAgent)
+  {
+    Agent& agent = mAgents[std::stoi(aAgent.mAgent.Value().substr(6))];
+    return agent.mIncarnation == aAgent.mIncarnation ? &agent : nullptr;
+  }
+
+  bool Promise(const std::vector<AskFirst>& aAsked, const std::string& aKey)
+  {
+    for (const AskFirst& asked : aAsked) {
+      Agent* agent = Reach(*asked.mAgent);
+      if (agent == nullptr || agent->mRan.contains(aKey)) {
+        return false;
+      }
+      const bool isFirst = agent->mPromised.insert(aKey).second;
+      if (asked.mMustBeFirstPromise && !isFirst) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  std::mt19937_64 mRandom;
+  Instant mNow = kStart;
+  std::vector<Agent> mAgents;
+  AgentDirectory mDirectories[kEntries];
+  std::map<int, std::map<int, Instant>> mHeard;
+  std::uint64_t mSequence = 0;
+  Router mRouter{ FailureDomainId("domain-0") };
+  std::map<std::string, int> mRuns;
+};
+
+RC_GTEST_PROP(KeyedProperty, RunsAKeyOnceWhateverAgentsDo, ())
+{
+  KeyedFleet fleet(*rc::gen::arbitrary<unsigned>());
+  const auto agent = rc::gen::inRange(0, KeyedFleet::kAgents);
+  constexpr int kKeys = 10;
+  const int steps = *rc::gen::inRange(1, 100);
+  Duration elapsed{};
+  for (int step = 0; step < steps && elapsed < seconds(25); ++step) {
+    if (const int event = *rc::gen::inRange(0, 30); event == 0) {
+      fleet.Drain(*agent);
+    } else if (event == 1) {
+      fleet.Restart(*agent);
+    } else if (event < 6) {
+      const milliseconds pause(*rc::gen::inRange(0, 4'000));
+      fleet.Sleep(pause);
+      elapsed += pause;
+    } else {
+      fleet.Attempt(*rc::gen::inRange(0, KeyedFleet::kEntries),
+                    "key-" + std::to_string(*rc::gen::inRange(0, kKeys)));
+    }
+  }
+  int ran = 0;
+  for (int i = 0; i < kKeys; ++i) {
+    const int runs = fleet.Runs("key-" + std::to_string(i));
+    RC_ASSERT(runs <= 1);
+    ran += runs;
+  }
+  RC_TAG(ran);
+}
+
+} // namespace
+} // namespace foxtailbarrow
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -149,7 +149,7 @@
   std::mt19937_64 random(1);
   for (int i = 0; i < 3; ++i) {
     directory.Find(HeartbeatOf(i).mAgent)
-      ->mGauges->mLoad.Report({ 8, 8, 56 }, kWarm);
+      ->mGauges->mLoad.Report({ 8, 8, 16 }, kWarm);
   }
   const auto table = directory.Table();
   for (int i = 0; i < 100; ++i) {
@@ -157,7 +157,7 @@
     EXPECT_EQ(AgentOf(choice)->mAgent, HeartbeatOf(3).mAgent);
   }
   directory.Find(HeartbeatOf(3).mAgent)
-    ->mGauges->mLoad.Report({ 8, 8, 60 }, kWarm);
+    ->mGauges->mLoad.Report({ 8, 8, 17 }, kWarm);
   const auto choice = router.Pick(table, RequestFor(), kWarm, random);
   EXPECT_EQ(std::get<NoChoice>(choice).mReason, Reason::BackendServersBusy);
 }
