--- /dev/null
+++ b/src/core/trace/OutcomeCheck.cpp
@@ -0,0 +1,132 @@
+#include "src/core/trace/OutcomeCheck.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_format.h"
+
+namespace foxtailbarrow {
+
+namespace {
+
+OutcomeRow Told(std::string aName, std::int64_t aCount)
+{
+  return { std::move(aName), std::to_string(aCount), "", true };
+}
+
+OutcomeRow AtMost(std::string aName, std::int64_t aCount, std::int64_t aLimit)
+{
+  return { std::move(aName),
+           std::to_string(aCount),
+           absl::StrFormat("<= %d", aLimit),
+           aCount <= aLimit };
+}
+
+OutcomeRow Never(std::string aName, std::int64_t aCount)
+{
+  return AtMost(std::move(aName), aCount, 0);
+}
+
+double Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+OutcomeRow Latency(std::string aName, Duration aLatency)
+{
+  return {
+    std::move(aName), absl::StrFormat("%.2f", Milliseconds(aLatency)), "", true
+  };
+}
+
+OutcomeRow LatencyAtMost(std::string aName, Duration aLatency, double aLimitMs)
+{
+  OutcomeRow row = Latency(std::move(aName), aLatency);
+  row.mStated = absl::StrFormat("<= %.2f", aLimitMs);
+  row.mMet = Milliseconds(aLatency) <= aLimitMs;
+  return row;
+}
+
+double Share(std::int64_t aPart, std::int64_t aWhole)
+{
+  return aWhole == 0 ? 0.0
+                     : static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+OutcomeRow NotRunRow(const StatedOutcomes& aStated, const ReplayTotals& aTotals)
+{
+  const double share = Share(aTotals.mNotRun, aTotals.mRequests);
+  return { "requests told not run",
+           absl::StrFormat("%d (%.2f%%)", aTotals.mNotRun, 100.0 * share),
+           absl::StrFormat("<= %.2f%%", 100.0 * aStated.mMaxNotRunShare),
+           share <= aStated.mMaxNotRunShare };
+}
+
+OutcomeRow JobsRow(const StatedOutcomes& aStated, const ReplayTotals& aTotals)
+{
+  const std::int64_t submitted = aTotals.mJobs + aTotals.mJobsRefused;
+  const double share =
+    submitted == 0 ? 1.0 : Share(aTotals.mJobsAsStated, submitted);
+  return { "jobs ended as stated",
+           absl::StrFormat("%d (%.2f%%)", aTotals.mJobsAsStated, 100.0 * share),
+           absl::StrFormat(">= %.2f%%", 100.0 * aStated.mMinJobsAsStated),
+           share >= aStated.mMinJobsAsStated };
+}
+
+} // namespace
+
+std::vector<OutcomeRow> CheckOutcomes(const StatedOutcomes& aStated,
+                                      const ReplayTotals& aTotals)
+{
+  return {
+    Told("requests", aTotals.mRequests),
+    Told("requests answered", aTotals.mAnswered),
+    NotRunRow(aStated, aTotals),
+    Told("requests told may have run", aTotals.mMayHaveRun),
+    Told("requests failed by backend servers", aTotals.mErrors),
+    Told("retries", aTotals.mRetries),
+    Never("requests unanswered", aTotals.mUnanswered),
+    Never("wrong answers", aTotals.mWrongAnswers),
+    Never("told wrongly", aTotals.mToldWrongly),
+    Latency("latency p50 (ms)", aTotals.mP50),
+    LatencyAtMost("latency p99 (ms)", aTotals.mP99, aStated.mMaxP99Ms),
+    Latency("latency p99.9 (ms)", aTotals.mP999),
+    Told("contracts applied", aTotals.mContracts),
+    Told("jobs accepted", aTotals.mJobs),
+    Told("jobs refused", aTotals.mJobsRefused),
+    JobsRow(aStated, aTotals),
+    AtMost("evictions", aTotals.mEvictions, aStated.mMaxEvictions),
+    Never("lost requests", aTotals.mLostRequests),
+    Never("lost jobs", aTotals.mLostJobs),
+    Never("doubled requests", aTotals.mDoubledRequests),
+    Never("doubled jobs", aTotals.mDoubledJobs),
+    Never("workers over-committed", aTotals.mOvercommitted),
+  };
+}
+
+bool AllMet(std::span<const OutcomeRow> aRows)
+{
+  return std::ranges::all_of(aRows, &OutcomeRow::mMet);
+}
+
+std::string FormatOutcomes(std::span<const OutcomeRow> aRows)
+{
+  std::size_t nameWidth = 0;
+  for (const OutcomeRow& row : aRows) {
+    nameWidth = std::max(nameWidth, row.mName.size());
+  }
+  std::string text;
+  for (const OutcomeRow& row : aRows) {
+    const char* verdict =
+      row.mStated.empty() ? "" : (row.mMet ? "met" : "MISSED");
+    absl::StrAppendFormat(&text,
+                          "%-*s  %14s  %14s  %s\n",
+                          static_cast<int>(nameWidth),
+                          row.mName,
+                          row.mMeasured,
+                          row.mStated,
+                          verdict);
+  }
+  return text;
+}
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/trace/TraceHeader.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "src/core/trace/StatedOutcomes.h"
+
+namespace foxtailbarrow {
+
+/// Format that this version reads and writes.
+inline constexpr std::uint32_t kTraceFormat = 1;
+
+/// First line of a trace.
+struct TraceHeader
+{
+  std::uint32_t mFormat = kTraceFormat;
+  std::string mDeployment;
+  std::uint64_t mSeed = 0; ///< Of the generator; 0 for a recorded trace.
+  std::int64_t mDurationMs = 0;
+  StatedOutcomes mOutcomes;
+
+  bool operator==(const TraceHeader&) const = default;
+};
+
+} // namespace foxtailbarrow
