--- a/src/core/trace/DeploymentShape.h
+++ b/src/core/trace/DeploymentShape.h
@@ -42,8 +42,8 @@
   JobPriority mPriority = JobPriority::Normal;
   Resources mDeclared;
   std::int64_t mDeclaredRunMs = 0;
-  Range mRunMs;        ///< Real; far off what is declared.
-  double mUsed = 1.0;  ///< Real size over declared size.
+  Range mRunMs;                 ///< Real; far off what is declared.
+  double mUsed = 1.0;           ///< Real size over declared size.
   std::int64_t mCancelAtMs = 0; ///< 0 = never cancelled.
   JobState mEndState = JobState::Finished;
 };
--- a/src/core/trace/LatencyHistogram.cpp
+++ b/src/core/trace/LatencyHistogram.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 #include <boost/histogram.hpp>
 
@@ -12,8 +11,8 @@
 
 namespace histogram = boost::histogram;
 using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
-using Histogram =
-  histogram::histogram<std::tuple<Axis>, std::vector<std::uint64_t>>;
+using Storage = histogram::dense_storage<std::uint64_t>;
+using Histogram = histogram::histogram<std::tuple<Axis>, Storage>;
 
 constexpr double kMinUs = 1.0;
 constexpr double kMaxUs = 1e9;
@@ -24,7 +23,7 @@
 {
   const auto buckets = static_cast<unsigned>(
     std::ceil(std::log(kMaxUs / kMinUs) / std::log(kBucketRatio)));
-  return histogram::make_histogram_with(std::vector<std::uint64_t>(),
+  return histogram::make_histogram_with(Storage(),
                                         Axis(buckets, kMinUs, kMaxUs));
 }
 
--- a/src/core/trace/TraceGenerator.cpp
+++ b/src/core/trace/TraceGenerator.cpp
@@ -51,8 +51,8 @@
   /// 1 at both ends of the trace, the rush factor in the middle.
   double LoadFactor(double aAtMs) const
   {
-    const double angle = std::numbers::pi * aAtMs /
-                         static_cast<double>(mShape.mDurationMs);
+    const double angle =
+      std::numbers::pi * aAtMs / static_cast<double>(mShape.mDurationMs);
     const double rise = std::pow(std::sin(angle), 2.0);
     return 1.0 + (mShape.mRushFactor - 1.0) * rise;
   }
@@ -116,8 +116,7 @@
       const TraceJob job = MakeJob(aCustomer, aShape, i);
       mTrace.mEvents.push_back(job);
       if (aShape.mCancelAtMs > 0) {
-        mTrace.mEvents.push_back(
-          TraceCancel{ aShape.mCancelAtMs, job.mId });
+        mTrace.mEvents.push_back(TraceCancel{ aShape.mCancelAtMs, job.mId });
       }
     }
   }
--- a/src/telemetry/Settings.cpp
+++ b/src/telemetry/Settings.cpp
@@ -17,15 +17,22 @@
 namespace {
 
 constexpr char kVersion[] = "foxtailbarrow 0.1.0";
-constexpr std::size_t kFlagDashes = 2;
+constexpr std::string_view kDashes = "--";
 constexpr std::string_view kEndpointAllowed =
   "an IPv4 number and a port in 1..65535, as in 127.0.0.1:8080";
 constexpr std::string_view kListenAllowed =
   "an IPv4 number and a port in 0..65535, as in 127.0.0.1:0";
 
-std::string VariableName(std::string_view aFlag)
+/// "--name", whether or not the dashes were given.
+std::string FlagName(std::string_view aFlag)
 {
-  std::string name(aFlag.substr(kFlagDashes));
+  return aFlag.starts_with(kDashes) ? std::string(aFlag)
+                                    : std::string(kDashes).append(aFlag);
+}
+
+std::string VariableName(const std::string& aFlag)
+{
+  std::string name = aFlag.substr(kDashes.size());
   std::ranges::replace(name, '-', '_');
   return "FOXTAILBARROW_" + absl::AsciiStrToUpper(name);
 }
@@ -156,8 +163,8 @@
                       Acceptor aAcceptor,
                       std::string_view aDefault)
 {
-  const std::string flag(aFlag);
-  const std::string variable = VariableName(aFlag);
+  const std::string flag = FlagName(aFlag);
+  const std::string variable = VariableName(flag);
   Setting::Impl& setting =
     mImpl->Remember(flag + " (" + variable + ")", aAllowed);
   const auto accept =
@@ -338,11 +345,11 @@
                          bool& aTarget,
                          std::string_view aHelp)
 {
-  const std::string variable = VariableName(aFlag);
-  Setting::Impl& setting = mImpl->Remember(
-    absl::StrCat(std::string(aFlag), " (", variable, ")"), "true, false");
-  setting.mOption =
-    mImpl->mApp->add_flag(std::string(aFlag), aTarget, std::string(aHelp));
+  const std::string flag = FlagName(aFlag);
+  const std::string variable = VariableName(flag);
+  Setting::Impl& setting =
+    mImpl->Remember(absl::StrCat(flag, " (", variable, ")"), "true, false");
+  setting.mOption = mImpl->mApp->add_flag(flag, aTarget, std::string(aHelp));
   setting.mOption->envname(variable);
 }
 
--- a/src/telemetry/Settings.h
+++ b/src/telemetry/Settings.h
@@ -50,7 +50,8 @@
 /// (`--failure-domain` and FOXTAILBARROW_FAILURE_DOMAIN), checked at start-up.
 /// The flag wins over the variable; the target keeps the value that it had
 /// before (the default) where neither is given. `--help` and `--version` are
-/// always there. Targets must outlive Parse().
+/// always there. Targets must outlive Parse(). A flag's leading dashes may be
+/// left out in the Add functions.
 class Settings
 {
 public:
--- a/tests/telemetry/SettingsTest.cpp
+++ b/tests/telemetry/SettingsTest.cpp
@@ -33,7 +33,7 @@
   Program()
   {
     mSettings.AddId("--id", mId, "id of this process").Required();
-    mSettings.AddListen("--listen", mListen, "where to listen");
+    mSettings.AddListen("listen", mListen, "where to listen");
     mSettings.AddEndpoint("--store", mStore, "the store").Required();
     mSettings.AddEndpoints("--seeds", mSeeds, "entries");
     mSettings.AddMilliseconds(
--- /dev/null
+++ b/tests/trace/OutcomeCheckTest.cpp
@@ -0,0 +1,81 @@
+#include "src/core/trace/OutcomeCheck.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace foxtailbarrow {
+namespace {
+
+const StatedOutcomes kStated{ 100.0, 0.01, 0.95, 3, 1'000 };
+
+ReplayTotals GoodTotals()
+{
+  ReplayTotals totals;
+  totals.mRequests = 1'000;
+  totals.mAnswered = 990;
+  totals.mNotRun = 10;
+  totals.mP99 = std::chrono::milliseconds(100);
+  totals.mJobs = 100;
+  totals.mJobsAsStated = 95;
+  totals.mEvictions = 3;
+  return totals;
+}
+
+TEST(Outcomes, AreMetAtTheirBounds)
+{
+  EXPECT_TRUE(AllMet(CheckOutcomes(kStated, GoodTotals())));
+  EXPECT_TRUE(AllMet(CheckOutcomes(kStated, ReplayTotals{})));
+}
+
+struct Miss
+{
+  std::string mRow;
+  void (*mBreak)(ReplayTotals&);
+
+  friend void PrintTo(const Miss& aMiss, std::ostream* aOut)
+  {
+    *aOut << aMiss.mRow;
+  }
+};
+
+class OutcomeMissed : public testing::TestWithParam<Miss>
+{};
+
+TEST_P(OutcomeMissed, FailsAndIsNamed)
+{
+  ReplayTotals totals = GoodTotals();
+  GetParam().mBreak(totals);
+  const std::vector<OutcomeRow> rows = CheckOutcomes(kStated, totals);
+  EXPECT_FALSE(AllMet(rows));
+  for (const OutcomeRow& row : rows) {
+    EXPECT_EQ(row.mMet, row.mName != GetParam().mRow) << row.mName;
+  }
+  EXPECT_THAT(FormatOutcomes(rows), testing::HasSubstr("MISSED"));
+}
+
+const Miss kMisses[] = {
+  { "latency p99 (ms)",
+    [](ReplayTotals& aTotals) { aTotals.mP99 += Duration(1); } },
+  { "requests told not run", [](ReplayTotals& aTotals) { ++aTotals.mNotRun; } },
+  { "requests unanswered",
+    [](ReplayTotals& aTotals) { ++aTotals.mUnanswered; } },
+  { "wrong answers", [](ReplayTotals& aTotals) { ++aTotals.mWrongAnswers; } },
+  { "told wrongly", [](ReplayTotals& aTotals) { ++aTotals.mToldWrongly; } },
+  { "lost requests", [](ReplayTotals& aTotals) { ++aTotals.mLostRequests; } },
+  { "lost jobs", [](ReplayTotals& aTotals) { ++aTotals.mLostJobs; } },
+  { "doubled requests",
+    [](ReplayTotals& aTotals) { ++aTotals.mDoubledRequests; } },
+  { "doubled jobs", [](ReplayTotals& aTotals) { ++aTotals.mDoubledJobs; } },
+  { "jobs ended as stated",
+    [](ReplayTotals& aTotals) { --aTotals.mJobsAsStated; } },
+  { "jobs ended as stated",
+    [](ReplayTotals& aTotals) { ++aTotals.mJobsRefused; } },
+  { "evictions", [](ReplayTotals& aTotals) { ++aTotals.mEvictions; } },
+  { "workers over-committed",
+    [](ReplayTotals& aTotals) { ++aTotals.mOvercommitted; } },
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, OutcomeMissed, testing::ValuesIn(kMisses));
+
+} // namespace
+} // namespace foxtailbarrow
