--- /dev/null
+++ b/apps/ctl/ContractBook.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+#include "foxtailbarrow/Contract.h"
+#include "foxtailbarrow/Store.h"
+
+namespace foxtailbarrow::ctl {
+
+/// The write took effect, at this revision.
+struct ContractWritten
+{
+  Revision mRevision = 0;
+};
+
+/// The store held the same contract already; nothing was written.
+struct ContractUnchanged
+{
+  Revision mRevision = 0;
+};
+
+/// The store holds another revision than expected: another operator was
+/// faster. 0 = the contract does not exist.
+struct ContractConflict
+{
+  Revision mFound = 0;
+};
+
+/// The reply was lost, and the store could not be read back or does not show
+/// the write (yet).
+struct ContractUnknown
+{
+  absl::Status mStatus;
+};
+
+using ContractOutcome = std::variant<ContractWritten,
+                                     ContractUnchanged,
+                                     ContractConflict,
+                                     ContractUnknown,
+                                     absl::Status>;
+
+/// Contracts as the store holds them. Every change is one compare-and-swap on
+/// the revision that was read (or expected by the operator). After a lost
+/// reply the key is read back and judged by what it holds; nothing is written
+/// twice. An absl::Status in the outcome means that nothing was changed.
+class ContractBook
+{
+public:
+  explicit ContractBook(Store& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  /// Every contract, or an error that names the key that cannot be read.
+  absl::StatusOr<std::vector<Contract>> List();
+
+  /// NotFound when there is none.
+  absl::StatusOr<Contract> Read(const CustomerId& aCustomer);
+
+  ContractOutcome Apply(const Contract& aContract,
+                        std::optional<Revision> aExpected);
+
+  /// A status of NotFound when there is nothing to remove.
+  ContractOutcome Remove(const CustomerId& aCustomer,
+                         std::optional<Revision> aExpected);
+
+private:
+  struct Held; ///< What the store holds under a key.
+
+  absl::StatusOr<Held> ReadHeld(const std::string& aKey);
+  ContractOutcome Write(const Held& aBefore,
+                        const std::string& aKey,
+                        std::optional<std::string> aValue);
+  ContractOutcome JudgeByReadingBack(const Held& aBefore,
+                                     const std::string& aKey,
+                                     const std::optional<std::string>& aValue,
+                                     const absl::Status& aLost);
+
+  Store& mStore;
+};
+
+} // namespace foxtailbarrow::ctl
--- /dev/null
+++ b/apps/ctl/CtlSettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "apps/ctl/Command.h"
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::ctl {
+
+/// Checked settings of foxtailbarrow-ctl.
+struct CtlSettings
+{
+  Command mCommand;
+  std::vector<Endpoint> mStore;   ///< Set for `contracts`.
+  std::vector<Endpoint> mEntries; ///< Set for `jobs`, `servers`, `workers`.
+  Duration mTimeout = std::chrono::seconds(5);
+  bool mJson = false;
+};
+
+/// The settings, or the exit code when the program is to end now.
+std::variant<CtlSettings, int> ParseCtlSettings(
+  std::vector<std::string> aArguments,
+  std::ostream& aOut,
+  std::ostream& aErr);
+
+} // namespace foxtailbarrow::ctl
--- a/src/telemetry/Settings.h
+++ b/src/telemetry/Settings.h
@@ -141,9 +141,14 @@
   void AddSwitch(std::string_view aFlag, bool& aTarget, std::string_view aHelp);
 
   /// Argument by position, for example "FILE". No environment variable.
+  /// `aAllowed` tells what the acceptor takes, in the help, too.
+  Setting AddPositional(std::string_view aName,
+                        std::string_view aAllowed,
+                        Acceptor aAcceptor);
+
   Setting AddPositional(std::string_view aName,
                         std::string& aTarget,
-                        std::string_view aHelp);
+                        std::string_view aAllowed);
 
   /// Any other type: `aAllowed` tells what the acceptor takes.
   Setting Add(std::string_view aFlag,
@@ -153,6 +158,7 @@
               std::string_view aDefault = {});
 
   /// Subcommand with settings of its own. One must be chosen when any exists.
+  /// Flags of its parents may stand behind its name, too.
   Settings& AddSubcommand(std::string_view aName,
                           std::string_view aDescription);
 
