--- a/apps/ctl/ContractCommands.cpp
+++ b/apps/ctl/ContractCommands.cpp
@@ -5,11 +5,12 @@
 
 #include "absl/strings/str_cat.h"
 
-#include "src/platform/contract/ContractBook.h"
 #include "apps/ctl/ReadFile.h"
 #include "apps/ctl/TextTable.h"
+#include "foxtailbarrow/Verdict.h"
 #include "src/core/contract/ContractDocument.h"
 #include "src/core/message/Codec.h"
+#include "src/platform/contract/ContractBook.h"
 
 namespace foxtailbarrow::ctl {
 
--- /dev/null
+++ b/apps/replay/GenerateCommand.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "absl/status/status.h"
+
+#include "apps/replay/ReplaySettings.h"
+
+namespace foxtailbarrow::replay {
+
+/// Writes the trace and, where asked, the contracts that it needs.
+absl::Status Generate(const GenerateSettings& aSettings);
+
+} // namespace foxtailbarrow::replay
--- /dev/null
+++ b/apps/replay/JobBook.cpp
@@ -0,0 +1,90 @@
+#include "apps/replay/JobBook.h"
+
+#include <utility>
+
+namespace foxtailbarrow::replay {
+
+namespace {
+
+bool EndedAsStated(const ReplayedJob& aJob)
+{
+  return aJob.mState == aJob.mStatedEnd;
+}
+
+} // namespace
+
+void JobBook::Accept(const TraceJob& aLine, std::string aId)
+{
+  ReplayedJob job;
+  job.mLineId = aLine.mId;
+  job.mStatedEnd = aLine.mEndState;
+  job.mId = std::move(aId);
+  const std::lock_guard lock(mMutex);
+  mJobs.insert_or_assign(aLine.mId, std::move(job));
+}
+
+void JobBook::Refuse(const TraceJob& aLine)
+{
+  Accept(aLine, {});
+}
+
+std::string JobBook::IdOf(const JobId& aLineId) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mJobs.find(aLineId);
+  return found == mJobs.end() ? std::string() : found->second.mId;
+}
+
+void JobBook::See(const JobId& aLineId,
+                  JobState aState,
+                  std::int64_t aEvictions)
+{
+  const std::lock_guard lock(mMutex);
+  ReplayedJob& job = mJobs[aLineId];
+  job.mState = aState;
+  job.mEvictions = aEvictions;
+  job.mUnknown = false;
+}
+
+void JobBook::SeeNothing(const JobId& aLineId)
+{
+  const std::lock_guard lock(mMutex);
+  mJobs[aLineId].mUnknown = true;
+}
+
+std::vector<ReplayedJob> JobBook::Open() const
+{
+  std::vector<ReplayedJob> open;
+  const std::lock_guard lock(mMutex);
+  for (const auto& [id, job] : mJobs) {
+    if (!job.mId.empty() && !EndedAsStated(job)) {
+      open.push_back(job);
+    }
+  }
+  return open;
+}
+
+void JobBook::AddTo(ReplayTotals& aTotals) const
+{
+  const std::lock_guard lock(mMutex);
+  for (const auto& [id, job] : mJobs) {
+    ++(job.mId.empty() ? aTotals.mJobsRefused : aTotals.mJobs);
+    aTotals.mJobsAsStated += EndedAsStated(job) ? 1 : 0;
+    aTotals.mLostJobs += job.mUnknown ? 1 : 0;
+    aTotals.mEvictions += job.mEvictions;
+  }
+}
+
+std::vector<std::string> JobBook::Ids() const
+{
+  std::vector<std::string> ids;
+  const std::lock_guard lock(mMutex);
+  for (const auto& [id, job] : mJobs) {
+    if (!job.mId.empty()) {
+      ids.push_back(job.mId);
+    }
+  }
+  return ids;
+}
+
+} // namespace foxtailbarrow::replay
--- /dev/null
+++ b/apps/replay/JobReplayer.cpp
@@ -0,0 +1,125 @@
+#include "apps/replay/JobReplayer.h"
+
+#include "absl/strings/str_cat.h"
+#include <boost/fiber/operations.hpp>
+
+#include "foxtailbarrow/RequestHeaders.h"
+#include "src/core/message/Codec.h"
+
+namespace foxtailbarrow::replay {
+
+namespace {
+
+constexpr char kJobsTarget[] = "/foxtailbarrow/v1/jobs";
+constexpr Duration kCallTimeout = std::chrono::seconds(5);
+constexpr Duration kPause = std::chrono::milliseconds(500);
+constexpr int kMaxCalls = 20;
+constexpr unsigned kAccepted = 202;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kFirstServerError = 500;
+
+net::HttpRequest Request(const char* aMethod, const std::string& aTarget)
+{
+  net::HttpRequest request;
+  request.mMethod = aMethod;
+  request.mTarget = aTarget;
+  return request;
+}
+
+std::string TargetOf(const std::string& aId)
+{
+  return absl::StrCat(kJobsTarget, "/", aId);
+}
+
+/// The entry chooses the id.
+std::string SubmissionBody(const TraceJob& aLine)
+{
+  Json::Value body = ToJson(ToJobSpec(aLine));
+  body.removeMember("id");
+  return FormatJson(body);
+}
+
+} // namespace
+
+void JobReplayer::Submit(const TraceJob& aLine)
+{
+  net::HttpRequest request = Request("POST", kJobsTarget);
+  request.mHeaders.Set("Content-Type", "application/json");
+  request.mHeaders.Set(kIdempotencyKeyHeader,
+                       absl::StrCat(mContext.mRun, "-", aLine.mId.Value()));
+  request.mBody = SubmissionBody(aLine);
+  const absl::StatusOr<net::HttpResponse> response = CallUntilAnswered(request);
+  if (response.ok() && response->mStatus == kAccepted) {
+    const absl::StatusOr<Json::Value> body = ParseJson(response->mBody);
+    if (body.ok() && (*body)["id"].isString()) {
+      mBook.Accept(aLine, (*body)["id"].asString());
+      return;
+    }
+  }
+  mBook.Refuse(aLine);
+}
+
+void JobReplayer::Cancel(const TraceCancel& aLine)
+{
+  if (const std::string id = mBook.IdOf(aLine.mJob); !id.empty()) {
+    // What came of it shows in the job's state.
+    (void)CallUntilAnswered(Request("DELETE", TargetOf(id)));
+  }
+}
+
+void JobReplayer::LookAtOpenJobs()
+{
+  for (const ReplayedJob& job : mBook.Open()) {
+    LookAt(job);
+  }
+}
+
+void JobReplayer::Follow(Instant aUntil)
+{
+  LookAtOpenJobs();
+  while (!mBook.Open().empty() && MonotonicNow() < aUntil) {
+    boost::this_fiber::sleep_for(kPause);
+    LookAtOpenJobs();
+  }
+}
+
+absl::StatusOr<net::HttpResponse> JobReplayer::CallUntilAnswered(
+  const net::HttpRequest& aRequest)
+{
+  absl::StatusOr<net::HttpResponse> response;
+  for (int call = 0; call < kMaxCalls; ++call) {
+    if (call > 0) {
+      boost::this_fiber::sleep_for(kPause);
+    }
+    response =
+      mContext.mClient.Call(mContext.NextEntry(), aRequest, kCallTimeout);
+    if (response.ok() && response->mStatus < kFirstServerError) {
+      return response;
+    }
+  }
+  return response;
+}
+
+void JobReplayer::LookAt(const ReplayedJob& aJob)
+{
+  const absl::StatusOr<net::HttpResponse> response = mContext.mClient.Call(
+    mContext.NextEntry(), Request("GET", TargetOf(aJob.mId)), kCallTimeout);
+  if (!response.ok()) {
+    return;
+  }
+  if (response->mStatus == kNotFound) {
+    mBook.SeeNothing(aJob.mLineId);
+    return;
+  }
+  const absl::StatusOr<Json::Value> body = ParseJson(response->mBody);
+  if (!body.ok() || !(*body)["state"].isString()) {
+    return;
+  }
+  const std::optional<JobState> state =
+    ParseJobState((*body)["state"].asString());
+  if (state) {
+    mBook.See(aJob.mLineId, *state, (*body)["evictions"].asInt64());
+  }
+}
+
+} // namespace foxtailbarrow::replay
--- /dev/null
+++ b/apps/replay/ReplayRun.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+
+#include "apps/replay/JobBook.h"
+#include "apps/replay/ReplayContext.h"
+#include "apps/replay/ReplaySettings.h"
+#include "apps/replay/RequestBook.h"
+#include "foxtailbarrow/Store.h"
+#include "src/core/trace/ReplayTotals.h"
+#include "src/core/trace/Trace.h"
+#include "src/net/FiberRuntime.h"
+
+namespace foxtailbarrow::replay {
+
+/// One replay: puts the contracts of time 0 in force, waits until every
+/// customer is served, sends each line when it is due, waits for what is under
+/// way, and asks the stand-ins what really ran. Run() belongs in a fiber of
+/// the runtime. The references outlive it.
+class ReplayRun
+{
+public:
+  /// `aStore` may be null when the trace has no contract lines.
+  ReplayRun(net::FiberRuntime& aRuntime,
+            const RunSettings& aSettings,
+            const Trace& aTrace,
+            Store* aStore);
+
+  /// An error when the replay could not be carried out as a whole.
+  absl::StatusOr<ReplayTotals> Run();
+
+private:
+  absl::Status Prepare();
+  void SendAll(Instant aStart);
+  void Dispatch(const TraceEvent& aEvent, std::size_t aIndex, Instant aDue);
+  void Spawn(std::size_t aIndex, std::function<void()> aBody);
+  absl::Status ApplyContract(const TraceContract& aLine);
+  void WaitForAll(Instant aUntil);
+  absl::Status Audit(ReplayTotals& aTotals);
+  ReplayTotals Totals() const;
+  void PrintProgress(Instant aStart);
+
+  net::FiberRuntime& mRuntime;
+  const RunSettings& mSettings;
+  const Trace& mTrace;
+  Store* mStore;
+  net::HttpClient mClient;
+  ReplayContext mContext;
+  RequestBook mRequests;
+  JobBook mJobs;
+  std::atomic<std::int64_t> mContracts{ 0 };
+  std::atomic<std::int64_t> mFailedContracts{ 0 };
+  std::atomic<std::int64_t> mUnderWay{ 0 }; ///< Fibers of events.
+  Instant mNextProgress;
+};
+
+} // namespace foxtailbarrow::replay
--- a/src/core/trace/RequestAudit.cpp
+++ b/src/core/trace/RequestAudit.cpp
@@ -10,8 +10,7 @@
     std::int64_t allRuns = 0;
     for (const Attempt& attempt : request.mAttempts) {
       const auto found = aExecutions.find(attempt.mRequestId);
-      const std::int64_t runs =
-        found == aExecutions.end() ? 0 : found->second;
+      const std::int64_t runs = found == aExecutions.end() ? 0 : found->second;
       allRuns += runs;
       if (attempt.mEnd == AttemptEnd::NotRun && runs > 0) {
         ++audit.mToldWrongly;
--- a/src/core/trace/RequestAudit.h
+++ b/src/core/trace/RequestAudit.h
@@ -39,7 +39,7 @@
 {
   std::int64_t mToldWrongly = 0; ///< Attempts told "not run" that ran.
   std::int64_t mLost = 0;        ///< Attempts answered that never ran.
-  std::int64_t mDoubled = 0; ///< Requests, not idempotent, that ran twice.
+  std::int64_t mDoubled = 0;     ///< Requests, not idempotent, that ran twice.
 };
 
 /// Compares what callers were told with what backend servers did.
--- /dev/null
+++ b/tests/ctl/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(ctl-tests PRIVATE ftb_app_ctl)
