--- a/src/core/trace/QoimaShape.cpp
+++ b/src/core/trace/QoimaShape.cpp
@@ -108,15 +108,15 @@
   shape.mOutcomes = { 250.0, 0.005, 0.98, 2, 20'000 };
   shape.mCustomers = {
     { MakeContract("bank-alatau", "banks"),
-      25.0,
+      15.0,
       { Verification(), CatalogueEntry(), FollowerStart() },
       { Rehearsals(6), UrgentRehearsal(), Followers(4) } },
     { MakeContract("klinika-medeu", "clinics"),
-      15.0,
+      9.0,
       { Verification(), CatalogueEntry() },
       { Rehearsals(5), CatalogueScans(6), Followers(3) } },
     { MakeContract("dukon-samal", "retailers"),
-      20.0,
+      12.0,
       { Verification(), CatalogueEntry() },
       { CatalogueScans(10), ImpossibleScan() } },
   };
--- a/src/core/trace/TrasowkaShape.cpp
+++ b/src/core/trace/TrasowkaShape.cpp
@@ -101,19 +101,19 @@
   shape.mOutcomes = { 150.0, 0.005, 0.98, 8, 20'000 };
   shape.mCustomers = {
     { MakeContract("hydro-krakow", "plumbers"),
-      25.0,
+      15.0,
       { TripSync(), TripEdit(), MonthlyLog(), Claim() },
       { DeductionReports(10), UrgentReport() } },
     { MakeContract("elektra-lodz", "electricians"),
-      20.0,
+      12.0,
       { TripSync(), MonthlyLog(), Claim() },
       { DeductionReports(12), TooLargeReport() } },
     { MakeContract("dachy-poznan", "roofers"),
-      15.0,
+      9.0,
       { TripSync(), TripEdit(), MonthlyLog() },
       { DeductionReports(8) } },
     { MakeContract("flota-wisla", "fleets"),
-      10.0,
+      6.0,
       { TripSync(), MonthlyLog() },
       { RouteWatchers(6) } },
   };
--- a/src/telemetry/Settings.cpp
+++ b/src/telemetry/Settings.cpp
@@ -148,6 +148,25 @@
     return aMessage;
   }
 
+  /// What is wrong where CLI11 misses a subcommand; `aRest` are the arguments
+  /// that it did not understand.
+  std::string SubcommandFault(const std::vector<std::string>& aRest) const
+  {
+    std::vector<std::string> names;
+    for (const auto& subcommand : mSubcommands) {
+      if (subcommand->Chosen()) {
+        return subcommand->mImpl->SubcommandFault(aRest);
+      }
+      names.push_back(subcommand->mImpl->mApp->get_name());
+    }
+    return absl::StrCat("subcommand: ",
+                        aRest.empty()
+                          ? "missing"
+                          : "value '" + aRest.front() + "' is not allowed",
+                        "; allowed: ",
+                        absl::StrJoin(names, ", "));
+  }
+
   Setting::Impl& Remember(std::string aName, std::string_view aAllowed)
   {
     auto setting = std::make_unique<Setting::Impl>();
@@ -412,6 +431,9 @@
     std::reverse(aArguments.begin(), aArguments.end());
     mImpl->mApp->parse(std::move(aArguments));
     fault = mImpl->MissingSetting();
+  } catch (const CLI::RequiredError&) {
+    // Required settings are checked here, so that only a subcommand can miss.
+    fault = mImpl->SubcommandFault(mImpl->mApp->remaining(true));
   } catch (const CLI::ParseError& error) {
     if (error.get_exit_code() == 0) {
       mImpl->mApp->exit(error, aOut, aErr);
--- a/tests/ctl/CtlSettingsTest.cpp
+++ b/tests/ctl/CtlSettingsTest.cpp
@@ -39,9 +39,9 @@
 }
 
 const BadLine kBadLines[] = {
-  { {}, { "subcommand" } },
-  { { "contracts" }, { "subcommand" } },
-  { { "dance" }, { "dance" } },
+  { {}, { "subcommand: missing", "contracts, jobs, servers" } },
+  { { "contracts" }, { "subcommand: missing", "check, apply" } },
+  { { "dance" }, { "'dance'", "contracts, jobs" } },
   { { "contracts", "check" }, { "FILE: missing", "a readable file" } },
   { { "contracts", "apply", "a.json" }, { "--store", "missing", "IPv4" } },
   { { "contracts", "show", "Big Customer", "--store", "127.0.0.1:1" },
