--- a/apps/ctl/ContractCommands.cpp
+++ b/apps/ctl/ContractCommands.cpp
@@ -87,12 +87,12 @@
   }
 
 private:
-  static CommandResult Told(std::string aText,
-                            std::string aOutcome,
+  static CommandResult Told(const std::string& aText,
+                            const std::string& aOutcome,
                             Revision aRevision)
   {
     Json::Value json(Json::objectValue);
-    json["outcome"] = std::move(aOutcome);
+    json["outcome"] = aOutcome;
     json["revision"] = Json::Int64{ aRevision };
     return Succeed(aText + "\n", std::move(json));
   }
--- a/apps/ctl/ReadFile.cpp
+++ b/apps/ctl/ReadFile.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxFileBytes = 1024 * 1024;
+constexpr std::size_t kMaxFileBytes = std::size_t{ 1024 } * 1024;
 
 } // namespace
 
--- a/apps/replay/GenerateCommand.cpp
+++ b/apps/replay/GenerateCommand.cpp
@@ -32,7 +32,7 @@
   std::filesystem::create_directories(aFolder, error);
   for (const CustomerShape& customer : aShape.mCustomers) {
     const Contract& contract = customer.mContract;
-    const absl::Status written =
+    absl::Status written =
       WriteFile(aFolder / (contract.mCustomer.Value() + ".json"),
                 FormatContract(contract) + "\n");
     if (!written.ok()) {
--- a/apps/replay/ReplayRun.cpp
+++ b/apps/replay/ReplayRun.cpp
@@ -68,7 +68,7 @@
 
 absl::StatusOr<ReplayTotals> ReplayRun::Run()
 {
-  if (const absl::Status prepared = Prepare(); !prepared.ok()) {
+  if (absl::Status prepared = Prepare(); !prepared.ok()) {
     return prepared;
   }
   const Instant start = MonotonicNow();
@@ -95,7 +95,7 @@
     if (contract == nullptr || contract->mAtMs > 0) {
       continue;
     }
-    if (const absl::Status applied = ApplyContract(*contract); !applied.ok()) {
+    if (absl::Status applied = ApplyContract(*contract); !applied.ok()) {
       return applied;
     }
   }
--- a/apps/replay/StandInAudit.cpp
+++ b/apps/replay/StandInAudit.cpp
@@ -16,7 +16,7 @@
 constexpr char kCountsTarget[] = "/standin/counts";
 constexpr Duration kCallTimeout = std::chrono::seconds(10);
 constexpr unsigned kOk = 200;
-constexpr JsonLimits kLimits{ 64 * 1024 * 1024 };
+constexpr JsonLimits kLimits{ std::size_t{ 64 } * 1024 * 1024 };
 
 absl::StatusOr<Json::Value> Ask(net::HttpClient& aClient,
                                 const Endpoint& aStandIn,
--- a/src/core/trace/detail/TraceFields.h
+++ b/src/core/trace/detail/TraceFields.h
@@ -12,7 +12,7 @@
 namespace foxtailbarrow::detail {
 
 inline constexpr std::int64_t kMaxTraceMs = 24LL * 3600 * 1000;
-inline constexpr std::int64_t kMaxTraceBodyBytes = 1024 * 1024;
+inline constexpr std::int64_t kMaxTraceBodyBytes = 1024LL * 1024;
 inline constexpr std::int64_t kMaxServiceUs = 600LL * 1000 * 1000;
 inline constexpr std::int64_t kMaxTraceEvictions = 1'000'000;
 
