--- a/tests/ctl/ContractCommandsTest.cpp
+++ b/tests/ctl/ContractCommandsTest.cpp
@@ -2,6 +2,8 @@
 
 #include <fstream>
 
+#include <unistd.h>
+
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -29,23 +31,23 @@
   return contract;
 }
 
+/// A file of this process alone: tests run side by side.
+std::string WriteFile(const std::string& aText)
+{
+  const std::string path =
+    testing::TempDir() + "contract-" + std::to_string(getpid()) + ".json";
+  std::ofstream(path) << aText;
+  return path;
+}
+
 class ContractCommands : public testing::Test
 {
 protected:
-  std::string File(const std::string& aText)
-  {
-    const std::string path =
-      testing::TempDir() +
-      testing::UnitTest::GetInstance()->current_test_info()->name() + ".json";
-    std::ofstream(path) << aText;
-    return path;
-  }
-
   CommandResult Apply(std::int32_t aMaxCopies,
                       std::optional<Revision> aExpected = std::nullopt)
   {
     return ApplyContractFile(
-      mStore, File(FormatContract(MakeContract(aMaxCopies))), aExpected);
+      mStore, WriteFile(FormatContract(MakeContract(aMaxCopies))), aExpected);
   }
 
   Contract Held() { return *ContractBook(mStore).Read(CustomerId("hydro")); }
@@ -176,7 +178,7 @@
       mStore.Commit({ {}, { { kKey, FormatContract(MakeContract(9)) } } })
         .ok());
   });
-  const std::string path = File(FormatContract(MakeContract(4)));
+  const std::string path = WriteFile(FormatContract(MakeContract(4)));
   const CommandResult result = ApplyContractFile(store, path, std::nullopt);
   EXPECT_EQ(result.mExitCode, kExitRefused);
   EXPECT_THAT(result.mText, HasSubstr("another operator was faster"));
@@ -185,7 +187,7 @@
 
 TEST_F(ContractCommands, DoNotGuessWhenTheStoreStaysSilentAfterALostReply)
 {
-  const std::string path = File(FormatContract(MakeContract(4)));
+  const std::string path = WriteFile(FormatContract(MakeContract(4)));
   // The write is applied and its reply lost; the reading back fails, too.
   InterruptedStore store(mStore, [this] {
     mStore.SetFaults({ .mLoseReplies = 1, .mReadsPerSecond = 1 });
@@ -217,8 +219,7 @@
 TEST_P(ContractFileRefused, NamesTheFieldAndChangesNothing)
 {
   MemoryStore store;
-  const std::string path = testing::TempDir() + "refused.json";
-  std::ofstream(path) << GetParam().mText;
+  const std::string path = WriteFile(GetParam().mText);
   for (const CommandResult& result :
        { CheckContractFile(path),
          ApplyContractFile(store, path, std::nullopt) }) {
