--- /dev/null
+++ b/apps/entry/AgentCalls.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "apps/entry/CallerRequest.h"
+#include "foxtailbarrow/Messages.h"
+#include "src/core/routing/LoadFigures.h"
+#include "src/core/routing/RoutableAgent.h"
+#include "src/net/HttpClient.h"
+#include "src/net/Rpc.h"
+#include "src/telemetry/Metrics.h"
+
+namespace foxtailbarrow::entry {
+
+/// What became of sending a request to one agent.
+struct Attempt
+{
+  Verdict mVerdict = Verdict::MayHaveRun;
+  Reason mReason = Reason::None; ///< Set when the agent refused.
+  std::optional<Duration> mRetryAfter;
+  std::optional<net::HttpResponse> mResponse; ///< Whole, when there is one.
+  std::optional<LoadFigures> mLoad;
+};
+
+/// The calls that the request path makes to agents. Callable from any request
+/// thread.
+class AgentCalls
+{
+public:
+  AgentCalls(net::HttpClient& aClient, Metrics& aMetrics);
+
+  /// Sends the request and judges the outcome. Where the connection broke and
+  /// the request is not idempotent, the agent is asked to revoke it.
+  Attempt Send(net::HttpRequest& aRequest,
+               const CallerRequest& aCaller,
+               const RoutableAgent& aAgent);
+
+  /// Asks the agent never to run the caller's idempotency key; nullopt when it
+  /// does not answer.
+  std::optional<RevokeReply> RevokeKey(const CallerRequest& aCaller,
+                                       const RoutableAgent& aAgent);
+
+private:
+  Verdict RevokeRequest(const CallerRequest& aCaller,
+                        const RoutableAgent& aAgent,
+                        Duration aAge);
+  std::optional<RevokeReply> Ask(const Revoke& aQuestion,
+                                 const RoutableAgent& aAgent);
+
+  net::HttpClient& mClient;
+  net::RpcClient mRpc;
+  prometheus::Counter& mRevoked;
+};
+
+} // namespace foxtailbarrow::entry
--- a/apps/entry/AgentDesk.cpp
+++ b/apps/entry/AgentDesk.cpp
@@ -15,6 +15,7 @@
 /// Also how long changes of membership other than a drain may gather before a
 /// new routing table is made.
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
+constexpr Duration kEvaluateInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -43,8 +44,10 @@
 {
   mContext.mRuntime.Spawn([this] {
     while (true) {
-      mDirectory.Advance(MonotonicNow());
+      const Instant now = MonotonicNow();
+      mDirectory.Advance(now);
       Publish();
+      EvaluateHealth(now);
       boost::this_fiber::sleep_for(kAdvanceInterval);
     }
   });
@@ -65,6 +68,19 @@
   return reply;
 }
 
+void AgentDesk::EvaluateHealth(Instant aNow)
+{
+  if (aNow - mEvaluatedAt < kEvaluateInterval) {
+    return;
+  }
+  mEvaluatedAt = aNow;
+  for (const EjectionEvent& event : mDetector.Evaluate(*mTable.Load(), aNow)) {
+    LogChange(
+      "agent-health",
+      { { "agent", event.mAgent }, { "reason", ToString(event.mReason) } });
+  }
+}
+
 void AgentDesk::Publish()
 {
   for (const MembershipEvent& event : mDirectory.TakeEvents()) {
--- a/apps/entry/AgentDesk.h
+++ b/apps/entry/AgentDesk.h
@@ -8,6 +8,7 @@
 #include "apps/entry/JobDriver.h"
 #include "src/core/base/Snapshot.h"
 #include "src/core/membership/AgentDirectory.h"
+#include "src/core/routing/OutlierDetector.h"
 #include "src/core/routing/RoutingTable.h"
 #include "src/net/Rpc.h"
 
@@ -33,14 +34,18 @@
   void Start();
 
   const AgentDirectory& Directory() const { return mDirectory; }
+  const OutlierDetector& Detector() const { return mDetector; }
 
 private:
   HeartbeatReply OnHeartbeat(const Heartbeat& aHeartbeat);
   void Publish();
+  void EvaluateHealth(Instant aNow);
 
   ControlContext& mContext;
   Snapshot<RoutingTable>& mTable;
   AgentDirectory mDirectory;
+  OutlierDetector mDetector;
+  Instant mEvaluatedAt{};
   std::vector<Contributor> mContributors;
   prometheus::Counter& mHeartbeats;
 };
--- a/apps/entry/CallerRequest.cpp
+++ b/apps/entry/CallerRequest.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 
 #include "foxtailbarrow/RequestHeaders.h"
@@ -26,8 +27,21 @@
   return { .mStatus = 400, .mVerdict = Verdict::NotRun, .mMessage = aMessage };
 }
 
-/// Visible ASCII, so that an id is safe in headers, logs and dumps.
-bool IsToken(std::string_view aText)
+bool IsIdCharacter(char aChar)
+{
+  return absl::ascii_isalnum(static_cast<unsigned char>(aChar)) ||
+         aChar == '.' || aChar == '_' || aChar == ':' || aChar == '-';
+}
+
+/// What the messages between the processes allow as an id.
+bool IsRequestId(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxIdBytes &&
+         std::ranges::all_of(aText, IsIdCharacter);
+}
+
+/// Visible ASCII, so that a key is safe in headers, logs and dumps.
+bool IsKey(std::string_view aText)
 {
   return !aText.empty() && aText.size() <= kMaxIdBytes &&
          std::ranges::all_of(
@@ -52,15 +66,16 @@
 
   request.mId = std::move(aFreshId);
   if (const auto id = headers.Find(kRequestIdHeader)) {
-    if (!IsToken(*id)) {
+    if (!IsRequestId(*id)) {
       return BadHeader(
-        "Foxtailbarrow-Request-Id: allowed 1 to 128 visible characters");
+        "Foxtailbarrow-Request-Id: allowed 1 to 128 of A-Z, a-z, 0-9, . _ : -");
     }
     request.mId = RequestId(std::string(*id));
   }
   if (const auto key = headers.Find(kIdempotencyKeyHeader)) {
-    if (!IsToken(*key)) {
-      return BadHeader("Idempotency-Key: allowed 1 to 128 visible characters");
+    if (!IsKey(*key)) {
+      return BadHeader(
+        "Idempotency-Key: allowed 1 to 128 of A-Z, a-z, 0-9, . _ : -");
     }
     request.mIdempotencyKey = *key;
   }
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -119,6 +119,7 @@
     mRouting,
     mContracts,
     mSettings.mFailureDomain,
+    mAgents->Detector(),
     DeadlineLimits{ mSettings.mDefaultDeadline, mSettings.mMaxDeadline },
     mRequestClient,
     mMetrics);
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -1,25 +1,22 @@
 #include "apps/entry/RequestProxy.h"
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
+#include <boost/fiber/operations.hpp>
+
 #include "absl/random/random.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
-#include "foxtailbarrow/MethodNames.h"
 #include "foxtailbarrow/RequestHeaders.h"
-#include "src/core/routing/LoadFigures.h"
-#include "src/net/TypedRpc.h"
+#include "src/core/retry/WorstVerdict.h"
+#include "src/core/routing/RequestInFlight.h"
 
 namespace foxtailbarrow::entry {
 
 namespace {
 
-constexpr int kMaxAttempts = 3;
-constexpr Duration kRevokeTimeout = std::chrono::milliseconds(500);
-constexpr Duration kBusyRetryAfter = std::chrono::seconds(1);
+constexpr unsigned kFirstServerError = 500;
 
 absl::BitGen& Random()
 {
@@ -35,27 +32,24 @@
                                 absl::Hex(low, absl::kZeroPad16)));
 }
 
-std::string RemainingMs(Instant aDeadline, Instant aNow)
-{
-  const auto remaining =
-    std::chrono::ceil<std::chrono::milliseconds>(aDeadline - aNow);
-  return std::to_string(std::max<std::int64_t>(remaining.count(), 1));
-}
-
-/// Headers that only the entry and the agent are to see.
-void HideInternals(net::HttpResponse& aResponse)
+/// What the attempt tells about the agent and its backend server.
+Outcome OutcomeOf(const Attempt& aAttempt)
 {
-  aResponse.mHeaders.Erase(kLoadHeader);
+  if (aAttempt.mVerdict == Verdict::Ran) {
+    return aAttempt.mResponse->mStatus < kFirstServerError ? Outcome::Success
+                                                           : Outcome::Failure;
+  }
+  return aAttempt.mReason == Reason::None ? Outcome::Failure : Outcome::Neutral;
 }
 
-Refusal RefusalOf(const Attempt& aAttempt)
+Refusal RefusalOf(const GiveUp& aGiveUp)
 {
-  const bool notRun = aAttempt.mVerdict == Verdict::NotRun;
+  const bool notRun = aGiveUp.mVerdict == Verdict::NotRun;
   Refusal refusal;
   refusal.mStatus = notRun ? 503 : 502;
-  refusal.mVerdict = aAttempt.mVerdict;
-  refusal.mReason = aAttempt.mReason;
-  refusal.mRetryAfter = kBusyRetryAfter;
+  refusal.mVerdict = aGiveUp.mVerdict;
+  refusal.mReason = aGiveUp.mReason;
+  refusal.mRetryAfter = aGiveUp.mRetryAfter;
   refusal.mMessage = notRun ? "the request was not run"
                             : "the request may have run; its answer is lost";
   return refusal;
@@ -66,15 +60,17 @@
 RequestProxy::RequestProxy(const Snapshot<RoutingTable>& aRouting,
                            const Snapshot<ContractTable>& aContracts,
                            FailureDomainId aOwnDomain,
+                           const OutlierDetector& aDetector,
                            DeadlineLimits aDeadlines,
                            net::HttpClient& aClient,
                            Metrics& aMetrics)
   : mRouting(aRouting)
   , mContracts(aContracts)
   , mRouter(std::move(aOwnDomain))
+  , mDetector(aDetector)
   , mDeadlines(aDeadlines)
-  , mClient(aClient)
-  , mRpc(aClient)
+  , mAgents(aClient, aMetrics)
+  , mRetryBudget({}, MonotonicNow())
   , mRequests(aMetrics.Counter("requests_total", "Requests from callers"))
   , mAnswered(aMetrics.Counter("requests_answered_total",
                                "Requests answered by a backend server"))
@@ -82,8 +78,6 @@
                               "Requests answered by an error of the system"))
   , mRetried(aMetrics.Counter("request_retries_total",
                               "Attempts after the first of a request"))
-  , mRevoked(aMetrics.Counter("requests_revoked_total",
-                              "Lost attempts that an agent said never ran"))
 {
 }
 
@@ -105,109 +99,111 @@
                .mReason = Reason::NoContract,
                .mMessage = "no contract of this customer is in force" });
   } else {
-    response = Route(aRequest, caller, contract->mService);
+    Progress progress{ aRequest, caller, contract->mService, {} };
+    response = Route(progress);
   }
   response.mHeaders.Set(kRequestIdHeader, caller.mId.Value());
   return response;
 }
 
-net::HttpResponse RequestProxy::Route(net::HttpRequest& aRequest,
-                                      const CallerRequest& aCaller,
-                                      const ServiceId& aService)
+net::HttpResponse RequestProxy::Route(Progress& aProgress)
 {
-  std::vector<AgentId> excluded;
-  Attempt last;
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    const Choice choice =
-      mRouter.Pick(mRouting.Load(),
-                   { .mService = aService,
-                     .mCustomer = aCaller.mCustomer,
-                     .mIdempotencyKey = aCaller.mIdempotencyKey,
-                     .mIdempotent = aCaller.mIdempotent,
-                     .mExcluded = excluded },
-                   MonotonicNow(),
-                   Random());
+  mRetryBudget.FirstAttempt();
+  while (true) {
+    Choice choice = Pick(aProgress);
     if (const auto* none = std::get_if<NoChoice>(&choice)) {
-      if (attempt > 0) {
-        return Refuse(RefusalOf(last));
-      }
-      return Refuse({ .mVerdict = none->mVerdict,
-                      .mReason = none->mReason,
-                      .mRetryAfter = none->mRetryAfter,
-                      .mMessage = "no backend server takes the request" });
+      return Refuse(
+        RefusalOf(GiveUp{ WorstVerdict(aProgress.mEarlier, none->mVerdict),
+                          none->mReason,
+                          none->mRetryAfter }));
     }
-    if (attempt > 0) {
-      mRetried.Increment();
+    Picked& picked = std::get<Picked>(choice);
+    if (const auto refusal = AskFirst(aProgress, picked)) {
+      return Refuse(*refusal);
     }
-    const RoutableAgentPointer agent = std::get<Picked>(choice).mAgent;
-    last = Send(aRequest, aCaller, *agent);
-    if (last.mVerdict == Verdict::Ran) {
+    ++aProgress.mAttempts;
+    Attempt attempt = Send(aProgress, std::move(picked));
+    if (attempt.mVerdict == Verdict::Ran) {
       mAnswered.Increment();
-      return *std::move(last.mResponse);
+      return *std::move(attempt.mResponse);
     }
-    const bool mayRepeat =
-      last.mVerdict == Verdict::NotRun || aCaller.mIdempotent;
-    if (!mayRepeat || MonotonicNow() >= aCaller.mDeadline) {
-      break;
+    if (const auto refusal = AfterFailure(aProgress, attempt)) {
+      return Refuse(*refusal);
     }
-    excluded.push_back(agent->mAgent);
+    mRetried.Increment();
   }
-  return Refuse(RefusalOf(last));
 }
 
-Attempt RequestProxy::Send(net::HttpRequest& aRequest,
-                           const CallerRequest& aCaller,
-                           const RoutableAgent& aAgent)
+Choice RequestProxy::Pick(const Progress& aProgress) const
 {
-  const Instant start = MonotonicNow();
-  aRequest.mHeaders.Set(kRequestIdHeader, aCaller.mId.Value());
-  aRequest.mHeaders.Set(kDeadlineHeader, RemainingMs(aCaller.mDeadline, start));
-  if (aCaller.mIdempotent) {
-    aRequest.mHeaders.Set(kIdempotentHeader, "true");
-  }
-  aAgent.mGauges->mLoad.Start();
-  absl::StatusOr<net::HttpResponse> response =
-    mClient.Call(aAgent.mEndpoint, aRequest, aCaller.mDeadline - start);
-  aAgent.mGauges->mLoad.End();
-  Attempt attempt;
-  if (!response.ok()) {
-    attempt.mVerdict = VerdictOf(response.status());
-    attempt.mReason = Reason::NoBackendServer;
-    if (attempt.mVerdict == Verdict::MayHaveRun && !aCaller.mIdempotent) {
-      attempt.mVerdict = Revoke(aCaller, aAgent, MonotonicNow() - start);
+  const CallerRequest& caller = aProgress.mCaller;
+  return mRouter.Pick(mRouting.Load(),
+                      { .mService = aProgress.mService,
+                        .mCustomer = caller.mCustomer,
+                        .mIdempotencyKey = caller.mIdempotencyKey,
+                        .mIdempotent = caller.mIdempotent,
+                        .mKeyPassedOn = aProgress.mKeyPassedOn,
+                        .mExcluded = aProgress.mExcluded },
+                      MonotonicNow(),
+                      Random());
+}
+
+/// Has the agents that may know the idempotency key promise not to run it. One
+/// that already did is sent the request itself: it replays its answer.
+std::optional<Refusal> RequestProxy::AskFirst(const Progress& aProgress,
+                                              Picked& aPicked)
+{
+  for (const foxtailbarrow::AskFirst& ask : aPicked.mAskFirst) {
+    const auto reply = mAgents.RevokeKey(aProgress.mCaller, *ask.mAgent);
+    const bool elsewhere =
+      reply && ask.mMustBeFirstPromise && reply->mPromisedBefore;
+    if (!reply || elsewhere) {
+      return RefusalOf(
+        GiveUp{ Verdict::MayHaveRun, Reason::KeyHolderLost, std::nullopt });
     }
-    return attempt;
-  }
-  if (const auto load = response->mHeaders.Find(kLoadHeader)) {
-    if (const auto figures = ParseLoadFigures(*load)) {
-      aAgent.mGauges->mLoad.Report(*figures, MonotonicNow());
+    if (reply->mVerdict != Verdict::NotRun) {
+      aPicked.mAgent = ask.mAgent;
+      return std::nullopt;
     }
   }
-  HideInternals(*response);
-  const auto verdict = response->mHeaders.Find(net::kVerdictHeader);
-  attempt.mVerdict =
-    verdict ? ParseVerdict(*verdict).value_or(Verdict::Ran) : Verdict::Ran;
-  if (const auto reason = response->mHeaders.Find(kReasonHeader)) {
-    attempt.mReason = ParseReason(*reason).value_or(Reason::None);
-  }
-  attempt.mResponse = *std::move(response);
+  return std::nullopt;
+}
+
+Attempt RequestProxy::Send(Progress& aProgress, Picked aPicked)
+{
+  RequestInFlight inFlight(std::move(aPicked), mDetector, MonotonicNow());
+  Attempt attempt =
+    mAgents.Send(aProgress.mRequest, aProgress.mCaller, inFlight.Agent());
+  inFlight.Finish(OutcomeOf(attempt), MonotonicNow(), attempt.mLoad);
+  aProgress.mExcluded.push_back(inFlight.Agent().mAgent);
   return attempt;
 }
 
-Verdict RequestProxy::Revoke(const CallerRequest& aCaller,
-                             const RoutableAgent& aAgent,
-                             Duration aAge)
+std::optional<Refusal> RequestProxy::AfterFailure(Progress& aProgress,
+                                                  const Attempt& aAttempt)
 {
-  foxtailbarrow::Revoke question;
-  question.mRequest = aCaller.mId;
-  question.mAge = aAge;
-  const auto reply = net::CallTyped<RevokeReply>(
-    mRpc, aAgent.mEndpoint, kRevokeMethod, question, kRevokeTimeout);
-  if (!reply.ok() || reply->mVerdict != Verdict::NotRun) {
-    return Verdict::MayHaveRun;
+  const Instant now = MonotonicNow();
+  const RetryDecision decision =
+    mRetryPolicy.Decide({ .mVerdict = aAttempt.mVerdict,
+                          .mEarlier = aProgress.mEarlier,
+                          .mReason = aAttempt.mReason,
+                          .mIdempotent = aProgress.mCaller.mIdempotent,
+                          .mAttempts = aProgress.mAttempts,
+                          .mRemaining = aProgress.mCaller.mDeadline - now,
+                          .mRetryAfter = aAttempt.mRetryAfter },
+                        mRetryBudget,
+                        now,
+                        Random());
+  if (const auto* giveUp = std::get_if<GiveUp>(&decision)) {
+    return RefusalOf(*giveUp);
+  }
+  aProgress.mEarlier = WorstVerdict(aProgress.mEarlier, aAttempt.mVerdict);
+  aProgress.mKeyPassedOn = aAttempt.mReason == Reason::DuplicateRequest;
+  if (const Duration delay = std::get<Retry>(decision).mDelay;
+      delay > Duration::zero()) {
+    boost::this_fiber::sleep_for(delay);
   }
-  mRevoked.Increment();
-  return Verdict::NotRun;
+  return std::nullopt;
 }
 
 net::HttpResponse RequestProxy::Refuse(const Refusal& aRefusal)
--- a/apps/entry/RequestProxy.h
+++ b/apps/entry/RequestProxy.h
@@ -1,29 +1,21 @@
 #pragma once
 
-#include <functional>
-#include <memory>
+#include <optional>
+#include <variant>
 #include <vector>
 
-#include "absl/random/random.h"
-
+#include "apps/entry/AgentCalls.h"
 #include "apps/entry/CallerRequest.h"
 #include "apps/entry/ContractTable.h"
 #include "src/core/base/Snapshot.h"
+#include "src/core/retry/RetryPolicy.h"
+#include "src/core/routing/OutlierDetector.h"
 #include "src/core/routing/Router.h"
 #include "src/net/HttpClient.h"
-#include "src/net/Rpc.h"
 #include "src/telemetry/Metrics.h"
 
 namespace foxtailbarrow::entry {
 
-/// What became of sending a request to one agent.
-struct Attempt
-{
-  Verdict mVerdict = Verdict::MayHaveRun;
-  Reason mReason = Reason::None;
-  std::optional<net::HttpResponse> mResponse; ///< Whole, when there is one.
-};
-
 /// Takes a caller's request to a backend server and its answer back.
 ///
 /// Promises: the answer is that to this request, whole or an error; a request
@@ -36,6 +28,7 @@
   RequestProxy(const Snapshot<RoutingTable>& aRouting,
                const Snapshot<ContractTable>& aContracts,
                FailureDomainId aOwnDomain,
+               const OutlierDetector& aDetector,
                DeadlineLimits aDeadlines,
                net::HttpClient& aClient,
                Metrics& aMetrics);
@@ -43,28 +36,38 @@
   net::HttpResponse Forward(net::HttpRequest& aRequest);
 
 private:
-  net::HttpResponse Route(net::HttpRequest& aRequest,
-                          const CallerRequest& aCaller,
-                          const ServiceId& aService);
-  Attempt Send(net::HttpRequest& aRequest,
-               const CallerRequest& aCaller,
-               const RoutableAgent& aAgent);
-  Verdict Revoke(const CallerRequest& aCaller,
-                 const RoutableAgent& aAgent,
-                 Duration aAge);
+  /// One request on its way through the attempts.
+  struct Progress
+  {
+    net::HttpRequest& mRequest;
+    const CallerRequest& mCaller;
+    ServiceId mService;
+    std::vector<AgentId> mExcluded;
+    Verdict mEarlier = Verdict::NotRun; ///< Of the attempts so far.
+    bool mKeyPassedOn = false;
+    int mAttempts = 0;
+  };
+
+  net::HttpResponse Route(Progress& aProgress);
+  Choice Pick(const Progress& aProgress) const;
+  std::optional<Refusal> AskFirst(const Progress& aProgress, Picked& aPicked);
+  Attempt Send(Progress& aProgress, Picked aPicked);
+  std::optional<Refusal> AfterFailure(Progress& aProgress,
+                                      const Attempt& aAttempt);
   net::HttpResponse Refuse(const Refusal& aRefusal);
 
   const Snapshot<RoutingTable>& mRouting;
   const Snapshot<ContractTable>& mContracts;
   Router mRouter;
+  const OutlierDetector& mDetector;
   DeadlineLimits mDeadlines;
-  net::HttpClient& mClient;
-  net::RpcClient mRpc;
+  AgentCalls mAgents;
+  RetryPolicy mRetryPolicy;
+  RetryBudget mRetryBudget;
   prometheus::Counter& mRequests;
   prometheus::Counter& mAnswered;
   prometheus::Counter& mRefused;
   prometheus::Counter& mRetried;
-  prometheus::Counter& mRevoked;
 };
 
 } // namespace foxtailbarrow::entry
