Run the agent against both stand-ins in one process

Cause: the agent's shell was only tried by hand. Found by the new tests: an eviction's answer was lost when a heartbeat acknowledged the task before the caller of agent.control saw its end (red: AgentShell.AnswersAnEviction...); TaskTable now keeps the final states of tasks acknowledged lately.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -83,17 +83,13 @@
     return server.status();
   }
   agent->mServer = *std::move(server);
+  agent->mEndpoint = agent->mServer->ListeningEndpoint();
   agent->mTasks.Start();
   agent->mProbe.Start();
   agent->mHeartbeats.Start();
   return agent;
 }
 
-Endpoint Agent::ListeningEndpoint() const
-{
-  return mServer->ListeningEndpoint();
-}
-
 net::HttpResponse Agent::Handle(net::HttpRequest& aRequest)
 {
   if (aRequest.mTarget == net::kRpcTarget) {
@@ -220,7 +216,7 @@
   Update();
   aHeartbeat.mAgent = mSettings.mId;
   aHeartbeat.mIncarnation = mIncarnation;
-  aHeartbeat.mEndpoint = ListeningEndpoint();
+  aHeartbeat.mEndpoint = mEndpoint;
   aHeartbeat.mService = mSettings.mService;
   aHeartbeat.mRack = mSettings.mRack;
   aHeartbeat.mFailureDomain = mSettings.mFailureDomain;
--- a/apps/agent/Agent.h
+++ b/apps/agent/Agent.h
@@ -38,7 +38,7 @@
     AgentSettings aSettings,
     net::FiberRuntime& aRuntime);
 
-  Endpoint ListeningEndpoint() const;
+  const Endpoint& ListeningEndpoint() const { return mEndpoint; }
 
   /// Takes nothing new, checkpoints the tasks, and tells the entries at once.
   void Drain();
@@ -88,6 +88,7 @@
   std::atomic<ServingState> mServing{ ServingState::Starting };
   std::mutex mConfigurationMutex; ///< Orders replies' configurations.
   std::atomic<Revision> mConfiguration{ 0 };
+  Endpoint mEndpoint; ///< Where mServer listens.
   std::unique_ptr<net::HttpServer> mServer;
 };
 
--- a/apps/agent/TaskControl.cpp
+++ b/apps/agent/TaskControl.cpp
@@ -102,12 +102,12 @@
   mCallPoke.Now();
   WaitForEnd(aControl.mKey, mSettings.mWorkerTimeout);
   const std::lock_guard lock(mMutex);
-  const auto task = mTable.Tasks().find(aControl.mKey);
-  if (task == mTable.Tasks().end()) {
+  auto status = mTable.StatusOf(aControl.mKey);
+  if (!status) {
     return WithVerdict(absl::NotFoundError("the task was acknowledged"),
                        Verdict::Ran);
   }
-  return ControlReply{ task->second.mStatus };
+  return ControlReply{ *std::move(status) };
 }
 
 bool TaskControl::WaitForEnd(const TaskKey& aKey, Duration aLongest) const
@@ -116,8 +116,8 @@
   while (MonotonicNow() < end) {
     {
       const std::lock_guard lock(mMutex);
-      const auto task = mTable.Tasks().find(aKey);
-      if (task == mTable.Tasks().end() || task->second.Ended()) {
+      const auto status = mTable.StatusOf(aKey);
+      if (!status || status->mState != TaskState::Running) {
         return true;
       }
     }
--- a/src/core/agent/TaskTable.cpp
+++ b/src/core/agent/TaskTable.cpp
@@ -129,6 +129,9 @@
   }
   AgentTask* const task = Find(aControl.mKey);
   if (task == nullptr) {
+    if (auto ended = StatusOf(aControl.mKey)) {
+      return *std::move(ended);
+    }
     mRefused.Remember(aControl.mKey, aControl.mReason, mSequence, aNow);
     TaskStatus status;
     status.mKey = aControl.mKey;
@@ -237,6 +240,21 @@
   return reports;
 }
 
+std::optional<TaskStatus> TaskTable::StatusOf(const TaskKey& aKey) const
+{
+  if (const auto task = mTasks.find(aKey); task != mTasks.end()) {
+    return task->second.mStatus;
+  }
+  const auto forgotten = std::find_if(
+    mForgotten.begin(), mForgotten.end(), [&aKey](const TaskStatus& aStatus) {
+      return aStatus.mKey == aKey;
+    });
+  if (forgotten == mForgotten.end()) {
+    return std::nullopt;
+  }
+  return *forgotten;
+}
+
 std::size_t TaskTable::EndedTasks() const
 {
   return std::count_if(mTasks.begin(), mTasks.end(), [](const auto& aEntry) {
--- a/src/core/agent/TaskTable.h
+++ b/src/core/agent/TaskTable.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -32,6 +34,7 @@
   std::int32_t mMaxTries = 4;
   std::size_t mMaxTasks = 512;
   std::size_t mMaxRefused = 4'096;
+  std::size_t mMaxForgotten = 256; ///< Final states kept to answer Control.
   Duration mRefusedFor = std::chrono::minutes(2);
 };
 
@@ -153,6 +156,9 @@
   // Reports.
 
   std::vector<TaskReport> Reports() const;
+  /// Of a task in the table, or of one acknowledged not long ago.
+  std::optional<TaskStatus> StatusOf(const TaskKey& aKey) const;
+
   const absl::btree_map<TaskKey, AgentTask>& Tasks() const { return mTasks; }
   const ShardLeases& Leases() const { return mLeases; }
 
@@ -180,6 +186,7 @@
   void EndUnseen(AgentTask& aTask);
   void Adopt(const TaskStatus& aStatus, Instant aNow);
   void ObserveOne(AgentTask& aTask, const TaskStatus& aStatus);
+  void Forget(const TaskKey& aKey, Instant aNow);
   AgentTask* Find(const TaskKey& aKey);
 
   const TaskTableLimits mLimits;
@@ -189,6 +196,7 @@
   ShardLeases mLeases;
   RefusedAssignments mRefused;
   absl::btree_map<TaskKey, AgentTask> mTasks;
+  std::deque<TaskStatus> mForgotten; ///< Oldest first.
   std::uint64_t mSequence = 0;
   Instant mForgottenAt{}; ///< When a task was last erased.
   bool mDraining = false;
--- a/src/core/agent/TaskTableWorker.cpp
+++ b/src/core/agent/TaskTableWorker.cpp
@@ -285,12 +285,22 @@
     if (AgentTask* const task = Find(key)) {
       Settle(*task, aResult, aNow);
       if (aResult.ok()) {
-        mRefused.Remember(key, Reason::StaleEpoch, mSequence, aNow);
-        mTasks.erase(key);
-        mForgottenAt = aNow;
+        Forget(key, aNow);
       }
     }
   }
 }
 
+void TaskTable::Forget(const TaskKey& aKey, Instant aNow)
+{
+  const auto task = mTasks.find(aKey);
+  mRefused.Remember(aKey, Reason::StaleEpoch, mSequence, aNow);
+  mForgotten.push_back(std::move(task->second.mStatus));
+  if (mForgotten.size() > mLimits.mMaxForgotten) {
+    mForgotten.pop_front();
+  }
+  mTasks.erase(task);
+  mForgottenAt = aNow;
+}
+
 } // namespace foxtailbarrow
--- /dev/null
+++ b/tests/agent/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(agent-tests PRIVATE ftb_app_agent ftb_standin_worker ftb_standin_backend)
--- a/tests/agent/SlotGateTest.cpp
+++ b/tests/agent/SlotGateTest.cpp
@@ -154,7 +154,9 @@
         if (std::holds_alternative<SlotRefused>(admission)) {
           continue;
         }
-        given = given || std::holds_alternative<SlotGranted>(admission);
+        if (std::holds_alternative<SlotGranted>(admission)) {
+          given = true;
+        }
       }
       while (!given) {
         std::this_thread::yield();
