--- a/apps/agent/HeartbeatSender.cpp
+++ b/apps/agent/HeartbeatSender.cpp
@@ -85,7 +85,7 @@
 
 void HeartbeatSender::SendOne(const Endpoint& aEntry,
                               std::uint64_t aSequence,
-                              Json::Value aBody)
+                              const Json::Value& aBody)
 {
   mSent.Increment();
   const Duration timeout = std::max(kLeastTimeout, 2 * mSettings.mHeartbeat);
--- a/apps/agent/HeartbeatSender.h
+++ b/apps/agent/HeartbeatSender.h
@@ -73,7 +73,7 @@
   std::vector<Endpoint> Targets(Instant aNow);
   void SendOne(const Endpoint& aEntry,
                std::uint64_t aSequence,
-               Json::Value aBody);
+               const Json::Value& aBody);
   void NoteAnswer(const Endpoint& aEntry, const HeartbeatReply* aReply);
 
   const AgentSettings& mSettings;
--- a/src/core/agent/IdempotencyRegister.h
+++ b/src/core/agent/IdempotencyRegister.h
@@ -35,9 +35,9 @@
 
 struct IdempotencyLimits
 {
-  std::size_t mMaxKeys = 65'536;            ///< Of ended attempts.
-  std::size_t mMaxAnswerBytes = 16 * 1024;  ///< Larger answers are not kept.
-  std::size_t mMaxBytes = 16 * 1024 * 1024; ///< Of all answers together.
+  std::size_t mMaxKeys = 65'536;        ///< Of ended attempts.
+  std::size_t mMaxAnswerBytes = 16'384; ///< Larger answers are not kept.
+  std::size_t mMaxBytes = 16'777'216;   ///< Of all answers together.
   Duration mKeptFor = std::chrono::minutes(10); ///< From the attempt's end.
 };
 
--- a/src/core/agent/TaskTableWorker.cpp
+++ b/src/core/agent/TaskTableWorker.cpp
@@ -186,6 +186,7 @@
     group.mKeys.push_back(key);
   }
   std::vector<CallRenew> renewals;
+  renewals.reserve(groups.size());
   for (auto& [step, group] : groups) {
     renewals.push_back(std::move(group));
   }
