--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -179,8 +179,8 @@
   /// key instead of mRequest: whether an attempt under it runs, ran or may have
   /// run on this agent. Answered NotRun, no attempt under the key runs on this
   /// agent from then on, for as long as the agent remembers keys.
-  CustomerId mCustomer;
-  std::string mIdempotencyKey;
+  CustomerId mCustomer{};
+  std::string mIdempotencyKey{};
 
   bool operator==(const Revoke&) const = default;
 };
