Spread contracts by revision with heartbeat replies

Cause: an accepted contract has to be in force everywhere within seconds and never revert, while a watch for each process would count as a waiting call of the store (6,100 agents).

Weighed: a watch an agent (6,100 waiting calls); full contracts in each reply (some 300 bytes times thousands of contracts, beyond 8 KB a second); deltas by revision alone (a contract that moves to another service, or a removal that happened while an entry did not watch, would never reach the agent).

HeartbeatReply carries From, Through, AsOf and Digest (additive).

--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -95,9 +95,18 @@
 struct HeartbeatReply
 {
   EntryId mEntry;
-  Revision mConfiguration = 0;        ///< Newest that the entry applied.
-  std::vector<Contract> mContracts;   ///< Changed since the agent's revision.
-  std::vector<CustomerId> mRemoved;   ///< Contracts deleted since then.
+  Revision mConfiguration = 0; ///< Newest change that the entry applied.
+  /// mContracts and mRemoved are what changed after mConfigurationFrom, the
+  /// revision that the heartbeat stated, up to mConfigurationThrough. Where
+  /// that is below mConfiguration, the rest follows with the next reply.
+  Revision mConfigurationFrom = 0;
+  Revision mConfigurationThrough = 0;
+  /// Revision of the store up to which the entry knows every change.
+  Revision mConfigurationAsOf = 0;
+  /// Over all contracts that concern the agent, as of mConfigurationAsOf.
+  std::uint64_t mConfigurationDigest = 0;
+  std::vector<Contract> mContracts;
+  std::vector<CustomerId> mRemoved;
   std::vector<Endpoint> mEntries;     ///< Entries now live.
   std::vector<ShardLease> mLeases;    ///< Shards that this entry owns.
   std::vector<TaskKey> mAcknowledged; ///< Ended tasks recorded durably.
--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -52,6 +52,10 @@
 {
   aVisitor.Required("entry", aMessage.mEntry);
   aVisitor.Required("configuration", aMessage.mConfiguration);
+  aVisitor.Optional("configurationFrom", aMessage.mConfigurationFrom);
+  aVisitor.Optional("configurationThrough", aMessage.mConfigurationThrough);
+  aVisitor.Optional("configurationAsOf", aMessage.mConfigurationAsOf);
+  aVisitor.Optional("configurationDigest", aMessage.mConfigurationDigest);
   aVisitor.Optional("contracts", aMessage.mContracts);
   aVisitor.Optional("removed", aMessage.mRemoved);
   aVisitor.Optional("entries", aMessage.mEntries);
