Admit by shares and follow contracts by revision at the entry

Change: ShareDriver and CustomerAdmission on the request path; ContractFeed over ConfigurationSource; JobHints repeats the word until an owner takes it, and held shards are listed again every 30 s, for a submitter that dies.

--- a/apps/entry/ContractFeed.cpp
+++ b/apps/entry/ContractFeed.cpp
@@ -5,22 +5,15 @@
 
 #include <boost/fiber/operations.hpp>
 
-#include "absl/container/flat_hash_set.h"
-
-#include "src/core/contract/ContractDocument.h"
+#include "src/core/retry/Jitter.h"
 #include "src/telemetry/Log.h"
 
 namespace foxtailbarrow::entry {
 
 namespace {
 
-constexpr std::string_view kContractsPrefix = "/foxtailbarrow/contracts/";
-constexpr Duration kRetryInterval = std::chrono::milliseconds(500);
-
-CustomerId CustomerOf(const std::string& aKey)
-{
-  return CustomerId(aKey.substr(kContractsPrefix.size()));
-}
+constexpr Duration kShortestRetry = std::chrono::milliseconds(250);
+constexpr Duration kLongestRetry = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -38,101 +31,84 @@
   mContext.mRuntime.Spawn([this] {
     while (true) {
       Follow();
-      boost::this_fiber::sleep_for(kRetryInterval);
+      boost::this_fiber::sleep_for(
+        Jitter(kShortestRetry, kLongestRetry, mRandom));
     }
   });
 }
 
 void ContractFeed::Follow()
 {
-  const auto listing = mContext.mStore.List(kContractsPrefix);
-  if (!listing.ok() || listing->mRevision < mNewest) {
+  const auto listing = mContext.mStore.List(kContractPrefix);
+  if (!listing.ok()) {
     return;
   }
-  std::vector<StoreEvent> events;
-  absl::flat_hash_set<CustomerId> present;
-  for (const StoreEntry& entry : listing->mEntries) {
-    present.insert(CustomerOf(entry.mKey));
-    events.push_back({ entry.mKey, entry.mValue, entry.mModRevision });
-  }
-  for (const auto& [customer, contract] : mContracts) {
-    if (!present.contains(customer)) {
-      events.push_back({ std::string(kContractsPrefix) + customer.Value(),
-                         std::nullopt,
-                         listing->mRevision });
-    }
-  }
-  Apply(events);
-  mNewest = std::max(mNewest, listing->mRevision);
-  const absl::Status ended =
-    mContext.mStore.Watch(kContractsPrefix,
-                          listing->mRevision,
-                          [this](const std::vector<StoreEvent>& aEvents) {
-                            Apply(aEvents);
-                            return true;
-                          });
+  Take(mSource.ApplyListing(*listing));
+  const absl::Status ended = mContext.mStore.Watch(
+    kContractPrefix,
+    listing->mRevision,
+    [this](const std::vector<StoreEvent>& aEvents) {
+      Take(mSource.ApplyEvents(aEvents));
+      return !mSource.NeedsListing();
+    });
   LogChange("contract-watch-ended",
             { { "cause", std::string(ended.message()) } });
 }
 
-void ContractFeed::Apply(const std::vector<StoreEvent>& aEvents)
+void ContractFeed::Take(const ConfigurationUpdate& aUpdate)
 {
-  Change change;
-  for (const StoreEvent& event : aEvents) {
-    const CustomerId customer = CustomerOf(event.mKey);
-    const auto known = mContracts.find(customer);
-    if (known != mContracts.end() &&
-        known->second.mRevision >= event.mModRevision) {
-      continue;
-    }
-    mNewest = std::max(mNewest, event.mModRevision);
-    if (!event.mValue) {
-      mContracts.erase(customer);
-      change.mRemoved.push_back(customer);
-      continue;
-    }
-    absl::StatusOr<Contract> contract = ParseContract(*event.mValue);
-    if (!contract.ok() || contract->mCustomer != customer) {
-      LogError("contract-unreadable", { { "key", event.mKey } });
-      continue;
-    }
-    contract->mRevision = event.mModRevision;
-    mContracts[customer] = *contract;
-    change.mChanged.push_back(*std::move(contract));
+  for (const absl::Status& error : aUpdate.mErrors) {
+    LogError("contract-unreadable",
+             { { "problem", std::string(error.message()) } });
   }
-  if (change.mChanged.empty() && change.mRemoved.empty()) {
+  if (aUpdate.mChanged.empty()) {
     return;
   }
   Publish();
+  Change change;
+  const auto view = mSource.View();
+  for (const CustomerId& customer : aUpdate.mChanged) {
+    if (const Contract* contract = view->Find(customer)) {
+      change.mChanged.push_back(*contract);
+    } else {
+      change.mRemoved.push_back(customer);
+    }
+  }
   mListener(change);
 }
 
 void ContractFeed::Publish()
 {
+  const auto view = mSource.View();
+  const auto former = mTable.Load();
   auto table = std::make_shared<ContractTable>();
-  for (const auto& [customer, contract] : mContracts) {
-    table->mContracts.emplace(customer,
-                              std::make_shared<const Contract>(contract));
+  for (const auto& record : view->ByRevision()) {
+    if (record->mContract == nullptr) {
+      continue;
+    }
+    const CustomerState* known = former->Find(record->mCustomer);
+    table->mCustomers.emplace(
+      record->mCustomer,
+      CustomerState{ record->mContract,
+                     known != nullptr
+                       ? known->mAdmission
+                       : std::make_shared<CustomerAdmission>() });
   }
-  mTable.Publish(std::move(table));
   LogChange("contracts-in-force",
-            { { "revision", mNewest }, { "contracts", mContracts.size() } });
+            { { "revision", view->Newest() },
+              { "contracts", table->mCustomers.size() } });
+  mTable.Publish(std::move(table));
 }
 
 void ContractFeed::Contribute(const Heartbeat& aHeartbeat,
-                              HeartbeatReply& aReply) const
+                              HeartbeatReply& aReply)
 {
-  aReply.mConfiguration = mNewest;
-  for (const auto& [customer, contract] : mContracts) {
-    if (contract.mRevision > aHeartbeat.mConfiguration) {
-      aReply.mContracts.push_back(contract);
-    }
-  }
+  PutDelta(mSource.Answer(aHeartbeat), aReply);
 }
 
 bool ContractFeed::Has(const CustomerId& aCustomer) const
 {
-  return mContracts.contains(aCustomer);
+  return mSource.View()->Find(aCustomer) != nullptr;
 }
 
 } // namespace foxtailbarrow::entry
--- a/apps/entry/ContractFeed.h
+++ b/apps/entry/ContractFeed.h
@@ -1,18 +1,21 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <vector>
 
+#include "absl/random/random.h"
+
 #include "apps/entry/ContractTable.h"
 #include "apps/entry/ControlContext.h"
 #include "foxtailbarrow/Messages.h"
 #include "src/core/base/Snapshot.h"
+#include "src/core/contract/ConfigurationSource.h"
 
 namespace foxtailbarrow::entry {
 
-/// Follows the contracts in the store by one watch and publishes them to the
-/// request threads. While the store is away the last ones stay in force.
+/// Follows the contracts in the store by one watch, publishes them to the
+/// request threads and hands them on to agents in heartbeat replies. While the
+/// store is away the last ones stay in force.
 class ContractFeed
 {
 public:
@@ -27,24 +30,27 @@
                Snapshot<ContractTable>& aTable,
                Listener aListener);
 
+  /// Starts the fiber that follows the store.
   void Start();
 
   /// Adds to the reply what the agent has not seen yet.
-  void Contribute(const Heartbeat& aHeartbeat, HeartbeatReply& aReply) const;
+  void Contribute(const Heartbeat& aHeartbeat, HeartbeatReply& aReply);
 
   bool Has(const CustomerId& aCustomer) const;
-  Revision Newest() const { return mNewest; }
+
+  /// Revision of the store at which the contracts were complete; 0 = never.
+  Revision AsOf() const { return mSource.AsOf(); }
 
 private:
   void Follow();
-  void Apply(const std::vector<StoreEvent>& aEvents);
+  void Take(const ConfigurationUpdate& aUpdate);
   void Publish();
 
   ControlContext& mContext;
   Snapshot<ContractTable>& mTable;
   Listener mListener;
-  std::map<CustomerId, Contract> mContracts;
-  Revision mNewest = 0;
+  ConfigurationSource mSource;
+  absl::BitGen mRandom;
 };
 
 } // namespace foxtailbarrow::entry
--- a/apps/entry/ContractTable.h
+++ b/apps/entry/ContractTable.h
@@ -5,19 +5,29 @@
 #include "absl/container/flat_hash_map.h"
 
 #include "foxtailbarrow/Contract.h"
+#include "src/core/admission/CustomerAdmission.h"
 
 namespace foxtailbarrow::entry {
 
-/// The contracts in force, as the request threads see them. Immutable.
+/// A customer as the request threads see it. The admission object outlives
+/// changes of the contract, since it counts what is in progress.
+struct CustomerState
+{
+  std::shared_ptr<const Contract> mContract;
+  std::shared_ptr<CustomerAdmission> mAdmission;
+};
+
+/// The contracts in force, as the request threads see them. Immutable but for
+/// the admission counts.
 struct ContractTable
 {
-  absl::flat_hash_map<CustomerId, std::shared_ptr<const Contract>> mContracts;
+  absl::flat_hash_map<CustomerId, CustomerState> mCustomers;
 
   /// Null when the customer has no contract.
-  const Contract* Find(const CustomerId& aCustomer) const
+  const CustomerState* Find(const CustomerId& aCustomer) const
   {
-    const auto found = mContracts.find(aCustomer);
-    return found == mContracts.end() ? nullptr : found->second.get();
+    const auto found = mCustomers.find(aCustomer);
+    return found == mCustomers.end() ? nullptr : &found->second;
   }
 };
 
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -39,6 +39,7 @@
   : mSettings(aSettings)
   , mRouting(std::make_shared<const RoutingTable>())
   , mContracts(std::make_shared<const ContractTable>())
+  , mShares(std::make_shared<const ShareBasis>())
   , mRequestRuntime(aSettings.mThreads)
   , mControlRuntime(kControlThreads)
   , mRequestClient(mRequestRuntime)
@@ -104,6 +105,14 @@
       .mCleared = [this](ShardId aShard) { mJobs->ClearShard(aShard); },
       .mSuperseded = [] { std::quick_exit(1); },
       .mDrained = [this] { mLeft = true; } });
+  ShareSettings shares;
+  shares.mSlots = static_cast<std::int32_t>(mSettings.mShareSlots);
+  mShareDriver =
+    std::make_unique<ShareDriver>(*mContext,
+                                  shares,
+                                  ShareOwner{ self.mEntry, self.mIncarnation },
+                                  mOwnership->Logic(),
+                                  mShares);
   mFeed = std::make_unique<ContractFeed>(
     *mContext, mContracts, [this](const ContractFeed::Change& aChange) {
       mJobs->Handle(ContractsChanged{ aChange.mChanged, aChange.mRemoved });
@@ -118,6 +127,7 @@
   mProxy = std::make_unique<RequestProxy>(
     mRouting,
     mContracts,
+    mShares,
     mSettings.mFailureDomain,
     mAgents->Detector(),
     DeadlineLimits{ mSettings.mDefaultDeadline, mSettings.mMaxDeadline },
@@ -131,6 +141,7 @@
   mFeed->Start();
   mAgents->Start();
   mOwnership->Start();
+  mShareDriver->Start();
   mJobs->Start();
   mReady = true;
 }
@@ -172,7 +183,8 @@
     return OwnershipView(mOwnership->Logic(), MonotonicNow());
   });
   mState.Add("contracts", [this] {
-    return ContractsView(*mContracts.Load(), mFeed->Newest());
+    return ContractsView(
+      *mContracts.Load(), *mShares.Load(), mFeed->AsOf(), MonotonicNow());
   });
 }
 
@@ -206,7 +218,7 @@
   if (mDraining) {
     return absl::UnavailableError("draining");
   }
-  if (mFeed->Newest() == 0) {
+  if (mFeed->AsOf() == 0) {
     return absl::UnavailableError("no configuration read yet");
   }
   return absl::OkStatus();
@@ -217,7 +229,10 @@
   mDraining = true;
   const Instant end = MonotonicNow() + mSettings.mDrainTimeout;
   mCallers->Drain();
-  mControlRuntime.RunAndWait([this] { mOwnership->Drain(); });
+  mControlRuntime.RunAndWait([this] {
+    mShareDriver->Release();
+    mOwnership->Drain();
+  });
   while (MonotonicNow() < end &&
          (mCallers->RequestsInProgress() > 0 || !mLeft)) {
     std::this_thread::sleep_for(kDrainPoll);
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -13,6 +13,7 @@
 #include "apps/entry/JobPages.h"
 #include "apps/entry/OwnershipDriver.h"
 #include "apps/entry/RequestProxy.h"
+#include "apps/entry/ShareDriver.h"
 #include "src/net/HttpServer.h"
 #include "src/telemetry/AdminPages.h"
 #include "src/telemetry/Metrics.h"
@@ -52,6 +53,7 @@
   StateDump mState;
   Snapshot<RoutingTable> mRouting;
   Snapshot<ContractTable> mContracts;
+  Snapshot<ShareBasis> mShares;
   net::FiberRuntime mRequestRuntime;
   net::FiberRuntime mControlRuntime;
   net::HttpClient mRequestClient;
@@ -63,6 +65,7 @@
   std::unique_ptr<ControlContext> mContext;
   std::unique_ptr<JobDriver> mJobs;
   std::unique_ptr<OwnershipDriver> mOwnership;
+  std::unique_ptr<ShareDriver> mShareDriver;
   std::unique_ptr<AgentDesk> mAgents;
   std::unique_ptr<ContractFeed> mFeed;
   std::unique_ptr<JobPages> mJobPages;
--- a/apps/entry/JobDriver.cpp
+++ b/apps/entry/JobDriver.cpp
@@ -19,6 +19,9 @@
 constexpr Duration kAgentTimeout = std::chrono::seconds(2);
 /// Longest wait of a record for others to share its transaction.
 constexpr Duration kCommitLinger = std::chrono::milliseconds(5);
+/// Every held shard is listed again this often.
+constexpr Duration kListAgainInterval = std::chrono::seconds(30);
+constexpr Duration kShortestListInterval = std::chrono::seconds(1);
 constexpr Duration kListRetry = std::chrono::milliseconds(500);
 
 /// The job's record changes only while its shard has the same holder.
@@ -69,9 +72,6 @@
             [&aContext](std::function<void()> aBody) {
               aContext.mRuntime.Spawn(std::move(aBody));
             })
-  , mLostHints(aContext.mMetrics.Counter(
-      "job_hints_lost_total",
-      "Hints about changed jobs that did not reach their owner"))
 {
 }
 
@@ -83,6 +83,14 @@
       boost::this_fiber::sleep_for(kTickInterval);
     }
   });
+  mContext.mRuntime.Spawn([this] {
+    while (true) {
+      const auto shards = static_cast<int>(std::max(mHeld.size(), 1UL));
+      boost::this_fiber::sleep_for(
+        std::max(kListAgainInterval / shards, kShortestListInterval));
+      ListAgain();
+    }
+  });
 }
 
 void JobDriver::Handle(const JobEvent& aEvent)
@@ -124,17 +132,54 @@
   }
 }
 
+/// Finds jobs whose word never came, since the process that accepted them died:
+/// one held shard after the other.
+void JobDriver::ListAgain()
+{
+  auto next = mHeld.upper_bound(mListedAgain);
+  if (next == mHeld.end()) {
+    next = mHeld.begin();
+  }
+  if (next == mHeld.end()) {
+    return;
+  }
+  mListedAgain = next->first;
+  const auto listing = mContext.mStore.List(JobShardPrefix(mListedAgain));
+  if (listing.ok()) {
+    ReadChanged(mListedAgain, *listing);
+  }
+}
+
+void JobDriver::ReadChanged(ShardId aShard, const StoreListing& aListing)
+{
+  if (!mLogic.Owns(aShard)) {
+    return;
+  }
+  for (const StoreEntry& entry : aListing.mEntries) {
+    const JobId job(entry.mKey.substr(JobShardPrefix(aShard).size()));
+    const JobEntry* known = mLogic.Jobs().Find(job);
+    if (known != nullptr && known->mStored.mRevision >= entry.mModRevision) {
+      continue;
+    }
+    if (auto stored = StoredJobOf(entry); stored && !IsFinal(stored->mRecord.mState)) {
+      Handle(JobRead{ aShard, *std::move(stored) });
+    }
+  }
+}
+
 void JobDriver::DropShard(ShardId aShard)
 {
   mHeld.erase(aShard);
   Handle(ShardLost{ aShard });
 }
 
-void JobDriver::ReadHinted(const JobChanged& aHint)
+bool JobDriver::ReadHinted(const JobChanged& aHint)
 {
-  if (mLogic.Owns(aHint.mShard)) {
-    Run(ReadJob{ aHint.mShard, aHint.mJob });
+  if (!mLogic.Owns(aHint.mShard)) {
+    return false;
   }
+  Run(ReadJob{ aHint.mShard, aHint.mJob });
+  return true;
 }
 
 void JobDriver::ClearShard(ShardId) {}
--- a/apps/entry/JobDriver.h
+++ b/apps/entry/JobDriver.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/random/random.h"
 
@@ -32,7 +33,7 @@
 
   JobDriver(ControlContext& aContext, MayExtend aMayExtend);
 
-  /// Starts the ticking fiber.
+  /// Starts the ticking fiber and the one that lists held shards again.
   void Start();
 
   void Handle(const JobEvent& aEvent);
@@ -44,12 +45,9 @@
   /// No lease that an earlier owner of the shard granted is left.
   void ClearShard(ShardId aShard);
 
-  /// Reads a job of which another process says that it changed. Hints for
-  /// shards that this entry does not hold are ignored.
-  void ReadHinted(const JobChanged& aHint);
-
-  /// A hint to another owner was lost: its next full listing finds the job.
-  void CountLostHint() { mLostHints.Increment(); }
+  /// Reads a job of which another process says that it changed. False when
+  /// this entry does not own the shard.
+  bool ReadHinted(const JobChanged& aHint);
 
   /// Gives the heartbeat to the scheduler and returns what its reply carries.
   TaskReplies OnHeartbeat(const Heartbeat& aHeartbeat);
@@ -58,6 +56,8 @@
 
 private:
   void ListShard(ShardId aShard, Generation aGeneration);
+  void ListAgain();
+  void ReadChanged(ShardId aShard, const StoreListing& aListing);
   TaskReplies& PendingFor(const AgentId& aAgent);
 
   void Run(const CommitRecord& aAction);
@@ -74,9 +74,9 @@
   JobScheduler mLogic;
   absl::BitGen mRandom;
   /// Shards held, with the generation under which each is being listed.
-  absl::flat_hash_map<ShardId, Generation> mHeld;
+  absl::btree_map<ShardId, Generation> mHeld;
+  ShardId mListedAgain = 0;
   absl::flat_hash_map<AgentId, TaskReplies> mPending;
-  prometheus::Counter& mLostHints;
   /// Set by the scheduler while it handles a heartbeat.
   std::optional<ExtendLeases> mExtension;
 };
--- a/apps/entry/JobPages.cpp
+++ b/apps/entry/JobPages.cpp
@@ -75,15 +75,24 @@
   , mShards(aShards)
   , mHasContract(std::move(aHasContract))
   , mWriter(aContext.mStore)
+  , mHints(
+      aContext,
+      [this](ShardId aShard) { return OwnerOf(aShard); },
+      [this](const JobChanged& aHint) { return mJobs.ReadHinted(aHint); })
 {
 }
 
 void JobPages::AddMethods(net::RpcDispatcher& aDispatcher)
 {
   net::AddTyped<JobChanged>(
-    aDispatcher, kJobChangedMethod, [this](const JobChanged& aHint) {
-      mJobs.ReadHinted(aHint);
-      return JobChangedReply{};
+    aDispatcher,
+    kJobChangedMethod,
+    [this](const JobChanged& aHint) -> absl::StatusOr<JobChangedReply> {
+      if (mJobs.ReadHinted(aHint)) {
+        return JobChangedReply{};
+      }
+      return WithVerdict(absl::FailedPreconditionError("not the shard's owner"),
+                         Verdict::NotRun);
     });
   aDispatcher.Add(
     kExplainMethod,
@@ -187,11 +196,11 @@
   Json::Value view;
   if (mJobs.Logic().Owns(shard)) {
     view = ExplainHere(aJob);
-  } else if (const auto* owner = mOwnership.Logic().OwnerOf(shard)) {
+  } else if (const auto owner = OwnerOf(shard)) {
     Json::Value params(Json::objectValue);
     params["job"] = aJob.Value();
     const auto reply = mContext.mRpc.Call(
-      owner->mRecord.mEndpoint, kExplainMethod, params, kPeerTimeout);
+      *owner, kExplainMethod, params, kPeerTimeout);
     if (!reply.ok()) {
       return StoreAway(Verdict::NotRun);
     }
@@ -263,22 +272,16 @@
 
 void JobPages::TellOwner(const JobId& aJob)
 {
-  const JobChanged hint{ ShardFor(aJob), aJob };
-  if (mJobs.Logic().Owns(hint.mShard)) {
-    mJobs.ReadHinted(hint);
-    return;
-  }
-  const LiveEntry* owner = mOwnership.Logic().OwnerOf(hint.mShard);
-  if (owner == nullptr) {
-    return; // The next owner lists the shard.
+  mHints.Send({ ShardFor(aJob), aJob });
+}
+
+std::optional<Endpoint> JobPages::OwnerOf(ShardId aShard) const
+{
+  const LiveEntry* owner = mOwnership.Logic().OwnerOf(aShard);
+  if (owner == nullptr || owner->mRecord.mEntry == mContext.mSelf) {
+    return std::nullopt;
   }
-  mContext.mRuntime.Spawn([this, hint, endpoint = owner->mRecord.mEndpoint] {
-    const auto reply = net::CallTyped<JobChangedReply>(
-      mContext.mRpc, endpoint, kJobChangedMethod, hint, kPeerTimeout);
-    if (!reply.ok()) {
-      mJobs.CountLostHint();
-    }
-  });
+  return owner->mRecord.mEndpoint;
 }
 
 Json::Value JobPages::ExplainHere(const JobId& aJob) const
--- a/apps/entry/JobPages.h
+++ b/apps/entry/JobPages.h
@@ -8,6 +8,7 @@
 
 #include "apps/entry/ControlContext.h"
 #include "apps/entry/JobDriver.h"
+#include "apps/entry/JobHints.h"
 #include "apps/entry/JobWriter.h"
 #include "apps/entry/OwnershipDriver.h"
 #include "src/net/HttpMessage.h"
@@ -45,6 +46,7 @@
 
   ShardId ShardFor(const JobId& aJob) const;
   void TellOwner(const JobId& aJob);
+  std::optional<Endpoint> OwnerOf(ShardId aShard) const;
   Json::Value ExplainHere(const JobId& aJob) const;
   Json::Value ListHere() const;
 
@@ -54,6 +56,7 @@
   std::uint32_t mShards;
   HasContract mHasContract;
   JobWriter mWriter;
+  JobHints mHints;
   absl::BitGen mRandom;
 };
 
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -32,6 +32,23 @@
                                 absl::Hex(low, absl::kZeroPad16)));
 }
 
+/// Tells the customer's admission that an admitted request has ended.
+class AdmissionEnd
+{
+public:
+  explicit AdmissionEnd(CustomerAdmission& aAdmission)
+    : mAdmission(aAdmission)
+  {
+  }
+  ~AdmissionEnd() { mAdmission.Finish(MonotonicNow()); }
+
+  AdmissionEnd(const AdmissionEnd&) = delete;
+  AdmissionEnd& operator=(const AdmissionEnd&) = delete;
+
+private:
+  CustomerAdmission& mAdmission;
+};
+
 /// What the attempt tells about the agent and its backend server.
 Outcome OutcomeOf(const Attempt& aAttempt)
 {
@@ -59,6 +76,7 @@
 
 RequestProxy::RequestProxy(const Snapshot<RoutingTable>& aRouting,
                            const Snapshot<ContractTable>& aContracts,
+                           const Snapshot<ShareBasis>& aShares,
                            FailureDomainId aOwnDomain,
                            const OutlierDetector& aDetector,
                            DeadlineLimits aDeadlines,
@@ -66,6 +84,7 @@
                            Metrics& aMetrics)
   : mRouting(aRouting)
   , mContracts(aContracts)
+  , mShares(aShares)
   , mRouter(std::move(aOwnDomain))
   , mDetector(aDetector)
   , mDeadlines(aDeadlines)
@@ -91,21 +110,39 @@
   }
   const auto& caller = std::get<CallerRequest>(read);
   const auto contracts = mContracts.Load();
-  const Contract* contract = contracts->Find(caller.mCustomer);
-  net::HttpResponse response;
-  if (contract == nullptr) {
-    response =
-      Refuse({ .mStatus = 403,
-               .mReason = Reason::NoContract,
-               .mMessage = "no contract of this customer is in force" });
-  } else {
-    Progress progress{ aRequest, caller, contract->mService, {} };
-    response = Route(progress);
-  }
+  const CustomerState* customer = contracts->Find(caller.mCustomer);
+  net::HttpResponse response =
+    customer != nullptr
+      ? Admitted(aRequest, caller, *customer)
+      : Refuse({ .mStatus = 403,
+                 .mReason = Reason::NoContract,
+                 .mMessage = "no contract of this customer is in force" });
   response.mHeaders.Set(kRequestIdHeader, caller.mId.Value());
   return response;
 }
 
+net::HttpResponse RequestProxy::Admitted(net::HttpRequest& aRequest,
+                                         const CallerRequest& aCaller,
+                                         const CustomerState& aCustomer)
+{
+  const AdmissionDecision decision = aCustomer.mAdmission->Decide(
+    *aCustomer.mContract,
+    *mShares.Load(),
+    { .mNow = MonotonicNow(),
+      .mDeadline = aCaller.mDeadline,
+      .mJitter = absl::Uniform(Random(), 0.0, 1.0) });
+  if (const auto* refused = std::get_if<foxtailbarrow::Refuse>(&decision)) {
+    return Refuse({ .mStatus = 429,
+                    .mReason = refused->mReason,
+                    .mRetryAfter = refused->mRetryAfter,
+                    .mMessage = "the customer's share of its contract at this "
+                                "entry is used up" });
+  }
+  const AdmissionEnd end(*aCustomer.mAdmission);
+  Progress progress{ aRequest, aCaller, aCustomer.mContract->mService, {} };
+  return Route(progress);
+}
+
 net::HttpResponse RequestProxy::Route(Progress& aProgress)
 {
   mRetryBudget.FirstAttempt();
--- a/apps/entry/RequestProxy.h
+++ b/apps/entry/RequestProxy.h
@@ -7,6 +7,7 @@
 #include "apps/entry/AgentCalls.h"
 #include "apps/entry/CallerRequest.h"
 #include "apps/entry/ContractTable.h"
+#include "src/core/admission/ShareBasis.h"
 #include "src/core/base/Snapshot.h"
 #include "src/core/retry/RetryPolicy.h"
 #include "src/core/routing/OutlierDetector.h"
@@ -27,6 +28,7 @@
 public:
   RequestProxy(const Snapshot<RoutingTable>& aRouting,
                const Snapshot<ContractTable>& aContracts,
+               const Snapshot<ShareBasis>& aShares,
                FailureDomainId aOwnDomain,
                const OutlierDetector& aDetector,
                DeadlineLimits aDeadlines,
@@ -48,6 +50,9 @@
     int mAttempts = 0;
   };
 
+  net::HttpResponse Admitted(net::HttpRequest& aRequest,
+                             const CallerRequest& aCaller,
+                             const CustomerState& aCustomer);
   net::HttpResponse Route(Progress& aProgress);
   Choice Pick(const Progress& aProgress) const;
   std::optional<Refusal> AskFirst(const Progress& aProgress, Picked& aPicked);
@@ -58,6 +63,7 @@
 
   const Snapshot<RoutingTable>& mRouting;
   const Snapshot<ContractTable>& mContracts;
+  const Snapshot<ShareBasis>& mShares;
   Router mRouter;
   const OutlierDetector& mDetector;
   DeadlineLimits mDeadlines;
--- /dev/null
+++ b/apps/entry/ShareDriver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "apps/entry/ControlContext.h"
+#include "src/core/admission/ShareKeeper.h"
+#include "src/core/base/Snapshot.h"
+#include "src/core/ownership/ShardOwnership.h"
+
+namespace foxtailbarrow::entry {
+
+/// Runs ShareKeeper: tells it the roster as ownership's rounds confirm it,
+/// claims a share slot in the store, and publishes to the request threads how
+/// much of every limit this entry may use.
+class ShareDriver
+{
+public:
+  ShareDriver(ControlContext& aContext,
+              const ShareSettings& aSettings,
+              const ShareOwner& aSelf,
+              const ShardOwnership& aOwnership,
+              Snapshot<ShareBasis>& aBasis);
+
+  /// Starts the fibers.
+  void Start();
+
+  /// Gives the slot back for good, on a planned stop. Suspends the fiber.
+  void Release();
+
+private:
+  void FollowRoster();
+  void ReadSlots();
+  void Claim(const SlotClaim& aClaim);
+  std::vector<EntryId> LiveIds() const;
+  std::vector<ShareSlot> SlotsOf(const StoreListing& aListing) const;
+
+  ControlContext& mContext;
+  ShareSettings mSettings;
+  ShareOwner mSelf;
+  const ShardOwnership& mOwnership;
+  Snapshot<ShareBasis>& mBasis;
+  ShareKeeper mKeeper;
+  std::optional<StoreLease> mTenure;
+  std::optional<Instant> mRosterFrom;
+  bool mReleased = false;
+};
+
+} // namespace foxtailbarrow::entry
--- a/apps/entry/StateViews.cpp
+++ b/apps/entry/StateViews.cpp
@@ -113,13 +113,23 @@
   return view;
 }
 
-Json::Value ContractsView(const ContractTable& aTable, Revision aNewest)
+Json::Value ContractsView(const ContractTable& aTable,
+                          const ShareBasis& aShares,
+                          Revision aAsOf,
+                          Instant aNow)
 {
   Json::Value view(Json::objectValue);
-  view["revision"] = Json::Int64(aNewest);
-  view["contracts"] = Json::Value(Json::arrayValue);
-  for (const auto& [customer, contract] : aTable.mContracts) {
-    view["contracts"].append(ToJson(*contract));
+  view["asOfRevision"] = Json::Int64(aAsOf);
+  view["standingShare"] = aShares.mSlot.has_value();
+  view["leaseShare"] = HasLeasePart(aShares, aNow);
+  view["customers"] = Json::Value(Json::arrayValue);
+  for (const auto& [customer, state] : aTable.mCustomers) {
+    Json::Value item(Json::objectValue);
+    item["contract"] = ToJson(*state.mContract);
+    item["inProgressHere"] = Json::Int64(state.mAdmission->InProgress());
+    item["usableConcurrencyHere"] = Json::Int64(
+      UsableShare(state.mContract->mMaxConcurrency, aShares, aNow));
+    view["customers"].append(std::move(item));
   }
   return view;
 }
--- a/apps/entry/StateViews.h
+++ b/apps/entry/StateViews.h
@@ -3,6 +3,7 @@
 #include <json/value.h>
 
 #include "apps/entry/ContractTable.h"
+#include "src/core/admission/ShareBasis.h"
 #include "src/core/job/JobScheduler.h"
 #include "src/core/membership/AgentDirectory.h"
 #include "src/core/ownership/ShardOwnership.h"
@@ -21,7 +22,10 @@
 /// Live entries and the shards held.
 Json::Value OwnershipView(const ShardOwnership& aOwnership, Instant aNow);
 
-/// The contracts in force.
-Json::Value ContractsView(const ContractTable& aTable, Revision aNewest);
+/// The contracts in force, and how much of each limit this entry may use now.
+Json::Value ContractsView(const ContractTable& aTable,
+                          const ShareBasis& aShares,
+                          Revision aAsOf,
+                          Instant aNow);
 
 } // namespace foxtailbarrow::entry
