Share contract limits over the entries without a central counter

Cause: a contract's concurrency and rate hold for the whole fleet, while each entry decides alone and the store is too slow to be asked for each request.

--- /dev/null
+++ b/src/core/admission/CustomerAdmission.cpp
@@ -0,0 +1,62 @@
+#include "src/core/admission/CustomerAdmission.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow {
+
+namespace {
+
+/// Rates are shared in thousandths of a request a second.
+constexpr double kRateUnits = 1000.0;
+
+/// No caller is asked back sooner than this, to bound the load of retries.
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
+
+AdmissionDecision RefuseFor(Reason aReason,
+                            Duration aWait,
+                            const AdmissionRequest& aRequest)
+{
+  const Duration wait = std::max(aWait, kMinRetryAfter);
+  return Refuse{ aReason, WithJitter(wait, aRequest.mJitter) };
+}
+
+} // namespace
+
+BucketLimit RateShare(const Contract& aContract,
+                      const ShareBasis& aBasis,
+                      Instant aNow)
+{
+  const auto units =
+    static_cast<std::int64_t>(aContract.mRequestsPerSecond * kRateUnits);
+  const std::int64_t rate = UsableShare(units, aBasis, aNow);
+  const std::int64_t burst = UsableShare(aContract.mBurst, aBasis, aNow);
+  return { static_cast<double>(rate) / kRateUnits,
+           std::max<std::int64_t>(burst, 1) };
+}
+
+AdmissionDecision CustomerAdmission::Decide(const Contract& aContract,
+                                            const ShareBasis& aBasis,
+                                            const AdmissionRequest& aRequest)
+{
+  const Instant now = aRequest.mNow;
+  if (now >= aRequest.mDeadline ||
+      aRequest.mExpectedWait >= aRequest.mDeadline - now) {
+    return RefuseFor(
+      Reason::DeadlineTooShort, aRequest.mExpectedWait, aRequest);
+  }
+  const std::int64_t concurrency =
+    UsableShare(aContract.mMaxConcurrency, aBasis, now);
+  if (!mGate.TryEnter(concurrency)) {
+    const Duration wait =
+      concurrency == 0 ? kRetryWithoutShare : mGate.MeanInterval();
+    return RefuseFor(Reason::ConcurrencyLimit, wait, aRequest);
+  }
+  if (const auto wait =
+        mBucket.TryTake(now, RateShare(aContract, aBasis, now))) {
+    mGate.Undo();
+    return RefuseFor(Reason::RateLimit, *wait, aRequest);
+  }
+  return Admit{};
+}
+
+} // namespace foxtailbarrow
