--- /dev/null
+++ b/src/platform/store/Backoff.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "absl/random/bit_gen_ref.h"
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow {
+
+struct BackoffLimits
+{
+  Duration mMin = std::chrono::milliseconds(100);
+  Duration mMax = std::chrono::seconds(5);
+};
+
+/// Waits between attempts: uniform between the minimum and a ceiling that
+/// doubles with each failure, so that many processes that lost the store at
+/// once do not come back at once. Pure: randomness is passed in.
+class Backoff
+{
+public:
+  explicit Backoff(BackoffLimits aLimits);
+
+  /// The wait before the next attempt.
+  Duration Next(absl::BitGenRef aRandom);
+
+  /// To be called after a success.
+  void Reset() { mCeiling = mLimits.mMin; }
+
+private:
+  BackoffLimits mLimits;
+  Duration mCeiling;
+};
+
+} // namespace foxtailbarrow
