--- a/src/platform/store/CountingStore.h
+++ b/src/platform/store/CountingStore.h
@@ -7,7 +7,7 @@
 
 /// Passes every call on to another store and counts it by kind, since the
 /// store counts and limits calls too. Both references outlive this object.
-class CountingStore final : public Store
+class CountingStore : public Store
 {
 public:
   explicit CountingStore(Store& aStore);
--- a/standins/store/Main.cpp
+++ b/standins/store/Main.cpp
@@ -37,7 +37,7 @@
   Endpoint listen{ "127.0.0.1", 0 };
   Settings settings("foxtailbarrow-standin-store",
                     "Key-value store for tests, by etcd v3's JSON gateway");
-  settings.AddListen("listen", listen, "Address to listen on");
+  settings.AddListen("--listen", listen, "Address to listen on");
   if (const auto code = settings.Parse(argc, argv)) {
     return *code;
   }
--- a/tests/store/EtcdStoreTest.cpp
+++ b/tests/store/EtcdStoreTest.cpp
@@ -14,6 +14,8 @@
 
 using namespace std::chrono_literals;
 
+using Code = absl::StatusCode;
+
 constexpr char kApplied[] =
   R"({"header":{"revision":"7"},"succeeded":true,"kvs":[]})";
 
@@ -51,7 +53,7 @@
   const char* mName;
   unsigned mStatus;
   const char* mBody;
-  absl::StatusCode mCode;
+  Code mCode;
   Verdict mOfWrite;
   bool mNextTried = false; ///< Whether a read goes on to the next endpoint.
 };
@@ -80,58 +82,33 @@
   });
 }
 
+constexpr char kCeiling[] = R"({"error":"etcdserver: busy","code":8})";
+constexpr char kNoLeader[] = R"({"error":"etcdserver: no leader","code":14})";
+constexpr char kTimedOut[] = R"({"error":"etcdserver: timed out","code":14})";
+constexpr char kDuplicate[] = R"({"error":"duplicate key","code":3})";
+constexpr char kWrongTypes[] = R"({"header":[],"succeeded":"yes","kvs":7})";
+constexpr Verdict kNotRun = Verdict::NotRun;
+constexpr Verdict kMayHaveRun = Verdict::MayHaveRun;
+
 INSTANTIATE_TEST_SUITE_P(
   Replies,
   EtcdReply,
   testing::Values(
-    ReplyCase{ "Ceiling",
-               503,
-               R"({"error":"etcdserver: too many requests","code":8})",
-               absl::StatusCode::kResourceExhausted,
-               Verdict::NotRun },
-    ReplyCase{ "TooManyRequests",
-               429,
-               "",
-               absl::StatusCode::kResourceExhausted,
-               Verdict::NotRun },
-    ReplyCase{ "NoLeader",
-               503,
-               R"({"error":"etcdserver: no leader","code":14})",
-               absl::StatusCode::kUnavailable,
-               Verdict::NotRun,
-               true },
-    ReplyCase{ "ProposalTimedOut",
+    ReplyCase{ "Ceiling", 503, kCeiling, Code::kResourceExhausted, kNotRun },
+    ReplyCase{ "TooMany", 429, "", Code::kResourceExhausted, kNotRun },
+    ReplyCase{ "NoLeader", 503, kNoLeader, Code::kUnavailable, kNotRun, true },
+    ReplyCase{ "InDoubt",
                503,
-               R"({"error":"etcdserver: request timed out","code":14})",
-               absl::StatusCode::kUnavailable,
-               Verdict::MayHaveRun,
+               kTimedOut,
+               Code::kUnavailable,
+               kMayHaveRun,
                true },
-    ReplyCase{ "GatewayTimeout",
-               504,
-               "<html>",
-               absl::StatusCode::kDeadlineExceeded,
-               Verdict::MayHaveRun,
-               true },
-    ReplyCase{ "BadRequest",
-               400,
-               R"({"error":"duplicate key","code":3})",
-               absl::StatusCode::kInvalidArgument,
-               Verdict::NotRun },
-    ReplyCase{ "ServerError",
-               500,
-               "",
-               absl::StatusCode::kInternal,
-               Verdict::MayHaveRun },
-    ReplyCase{ "NotJson",
-               200,
-               "hello",
-               absl::StatusCode::kInternal,
-               Verdict::MayHaveRun },
-    ReplyCase{ "WrongTypes",
-               200,
-               R"({"header":[],"succeeded":"yes","kvs":7})",
-               absl::StatusCode::kInternal,
-               Verdict::MayHaveRun }),
+    ReplyCase{ "Proxy", 503, "<html>", Code::kUnavailable, kMayHaveRun, true },
+    ReplyCase{ "Late", 504, "", Code::kDeadlineExceeded, kMayHaveRun, true },
+    ReplyCase{ "Bad", 400, kDuplicate, Code::kInvalidArgument, kNotRun },
+    ReplyCase{ "Failed", 500, "", Code::kInternal, kMayHaveRun },
+    ReplyCase{ "NotJson", 200, "hello", Code::kInternal, kMayHaveRun },
+    ReplyCase{ "Types", 200, kWrongTypes, Code::kInternal, kMayHaveRun }),
   [](const auto& aInfo) { return aInfo.param.mName; });
 
 class EtcdEndpoints : public testing::Test
@@ -195,10 +172,9 @@
 
 struct LineCase
 {
-  const char* mName;
   const char* mLine;
-  absl::StatusCode mCode;
-  std::size_t mEvents = 0;
+  Code mCode;
+  std::size_t mEvents;
 };
 
 class WatchLine : public testing::TestWithParam<LineCase>
@@ -211,35 +187,27 @@
   EXPECT_EQ(events.ok() ? events->size() : 0, GetParam().mEvents);
 }
 
+constexpr char kTwoEvents[] =
+  R"({"result":{"events":[{"kv":{"key":"YQ==","mod_revision":"2"}},
+     {"type":"DELETE","kv":{"key":"YQ==","mod_revision":"3"}}]}})";
+constexpr char kCompacted[] =
+  R"({"result":{"canceled":true,"compact_revision":"9"}})";
+constexpr char kMove[] =
+  R"({"result":{"events":[{"type":"MOVE","kv":{"key":"YQ=="}}]}})";
+constexpr char kNoKey[] = R"({"result":{"events":[{"kv":{}}]}})";
+
 INSTANTIATE_TEST_SUITE_P(
   Lines,
   WatchLine,
   testing::Values(
-    LineCase{ "Created",
-              R"({"result":{"header":{},"created":true}})",
-              absl::StatusCode::kOk },
-    LineCase{ "PutAndDelete",
-              R"({"result":{"events":[{"kv":{"key":"YQ==","mod_revision":"2"}},
-        {"type":"DELETE","kv":{"key":"YQ==","mod_revision":"3"}}]}})",
-              absl::StatusCode::kOk,
-              2 },
-    LineCase{ "Compacted",
-              R"({"result":{"canceled":true,"compact_revision":"9"}})",
-              absl::StatusCode::kOutOfRange },
-    LineCase{ "Canceled",
-              R"({"result":{"canceled":true}})",
-              absl::StatusCode::kUnavailable },
-    LineCase{ "Error",
-              R"({"error":{"code":14}})",
-              absl::StatusCode::kUnavailable },
-    LineCase{ "Garbage", "}{", absl::StatusCode::kInternal },
-    LineCase{ "UnknownType",
-              R"({"result":{"events":[{"type":"MOVE","kv":{"key":"YQ=="}}]}})",
-              absl::StatusCode::kInternal },
-    LineCase{ "NoKey",
-              R"({"result":{"events":[{"kv":{}}]}})",
-              absl::StatusCode::kInternal }),
-  [](const auto& aInfo) { return aInfo.param.mName; });
+    LineCase{ R"({"result":{"created":true}})", Code::kOk, 0 },
+    LineCase{ kTwoEvents, Code::kOk, 2 },
+    LineCase{ kCompacted, Code::kOutOfRange, 0 },
+    LineCase{ R"({"result":{"canceled":true}})", Code::kUnavailable, 0 },
+    LineCase{ R"({"error":{"code":14}})", Code::kUnavailable, 0 },
+    LineCase{ "}{", Code::kInternal, 0 },
+    LineCase{ kMove, Code::kInternal, 0 },
+    LineCase{ kNoKey, Code::kInternal, 0 }));
 
 } // namespace
 } // namespace foxtailbarrow
--- a/tests/store/GatewayTest.cpp
+++ b/tests/store/GatewayTest.cpp
@@ -66,58 +66,53 @@
   EXPECT_EQ(Send("POST", "/v3/kv/range", R"({"key":"YQ=="})").mStatus, 200U);
 }
 
+constexpr char kPut[] = "/v3/kv/put";
+constexpr char kRange[] = "/v3/kv/range";
+constexpr char kTxn[] = "/v3/kv/txn";
+constexpr char kGrant[] = "/v3/lease/grant";
+constexpr char kKeepAlive[] = "/v3/lease/keepalive";
+constexpr char kRevoke[] = "/v3/kv/lease/revoke";
+constexpr char kFaults[] = "/standin/faults";
 const std::string kLargePut =
   R"({"key":"YQ==","value":")" + std::string(1'500'000, 'A') + R"("})";
+const std::string kDeleteRange = R"({"success":[{"request_delete_range":
+  {"key":"YQ==","range_end":"Yg=="}}]})";
 
 INSTANTIATE_TEST_SUITE_P(
   Requests,
   GatewayRefuses,
   testing::Values(
-    BadRequest{ "Empty", "/v3/kv/txn", "" },
-    BadRequest{ "Truncated", "/v3/kv/put", R"({"key":"YQ==)" },
-    BadRequest{ "Trailing", "/v3/kv/put", R"({"key":"YQ=="} x)" },
-    BadRequest{ "NotAnObject", "/v3/kv/range", "[1]" },
-    BadRequest{ "Binary", "/v3/kv/range", std::string("\xff\x00\x01", 3) },
-    BadRequest{ "TooDeep", "/v3/kv/range", Nested() },
-    BadRequest{ "RepeatedMember",
-                "/v3/kv/put",
-                R"({"key":"YQ==","key":"Yg=="})" },
-    BadRequest{ "NoKey", "/v3/kv/put", R"({"value":"YQ=="})" },
-    BadRequest{ "KeyNotBase64", "/v3/kv/put", R"({"key":"%%%"})" },
-    BadRequest{ "KeyNotText", "/v3/kv/range", R"({"key":7})" },
-    BadRequest{ "ValueNotText", "/v3/kv/put", R"({"key":"YQ==","value":{}})" },
-    BadRequest{ "NegativeLimit",
-                "/v3/kv/range",
-                R"({"key":"YQ==","limit":"-1"})" },
-    BadRequest{ "HugeRevision",
-                "/v3/kv/range",
-                R"({"key":"YQ==","revision":"99999999999999999999"})" },
-    BadRequest{ "FutureRevision",
-                "/v3/kv/range",
-                R"({"key":"YQ==","revision":"99"})" },
-    BadRequest{
-      "CompareOnValue",
-      "/v3/kv/txn",
-      R"({"compare":[{"key":"YQ==","target":"VALUE","value":"YQ=="}]})" },
-    BadRequest{ "CompareNotAList", "/v3/kv/txn", R"({"compare":{}})" },
-    BadRequest{ "UnknownOperation",
-                "/v3/kv/txn",
-                R"({"success":[{"request_move":{}}]})" },
-    BadRequest{
-      "DeleteOfARange",
-      "/v3/kv/txn",
-      R"({"success":[{"request_delete_range":{"key":"YQ==","range_end":"Yg=="}}]})" },
-    BadRequest{ "FailureBranch",
-                "/v3/kv/txn",
+    BadRequest{ "Empty", kPut, "" },
+    BadRequest{ "Truncated", kPut, R"({"key":"YQ==)" },
+    BadRequest{ "Trailing", kPut, R"({"key":"YQ=="} x)" },
+    BadRequest{ "NotAnObject", kRange, "[1]" },
+    BadRequest{ "Binary", kRange, "\xff\x01" },
+    BadRequest{ "TooDeep", kRange, Nested() },
+    BadRequest{ "Twice", kPut, R"({"key":"YQ==","key":"Yg=="})" },
+    BadRequest{ "NoKey", kPut, R"({"value":"YQ=="})" },
+    BadRequest{ "NotBase64", kPut, R"({"key":"%%%"})" },
+    BadRequest{ "KeyNotText", kRange, R"({"key":7})" },
+    BadRequest{ "ValueNotText", kPut, R"({"key":"YQ==","value":{}})" },
+    BadRequest{ "NegativeLimit", kRange, R"({"key":"YQ==","limit":"-1"})" },
+    BadRequest{ "HugeRevision", kRange, R"({"key":"YQ==","revision":"9e99"})" },
+    BadRequest{ "Future", kRange, R"({"key":"YQ==","revision":"99"})" },
+    BadRequest{ "OnValue",
+                kTxn,
+                R"({"compare":[{"key":"YQ==","target":"VALUE"}]})" },
+    BadRequest{ "NotAList", kTxn, R"({"compare":{}})" },
+    BadRequest{ "Unknown", kTxn, R"({"success":[{"request_move":{}}]})" },
+    BadRequest{ "DeleteRange", kTxn, kDeleteRange },
+    BadRequest{ "Failure",
+                kTxn,
                 R"({"failure":[{"request_put":{"key":"YQ=="}}]})" },
-    BadRequest{ "ZeroTtl", "/v3/lease/grant", R"({"TTL":"0"})" },
-    BadRequest{ "LeaseNotANumber", "/v3/lease/keepalive", R"({"ID":"abc"})" },
-    BadRequest{ "UnknownLease", "/v3/kv/lease/revoke", R"({"ID":"9"})", 404 },
-    BadRequest{ "UnknownTarget", "/v3/auth/enable", "{}", 404 },
-    BadRequest{ "ValueTooLarge", "/v3/kv/put", kLargePut },
-    BadRequest{ "UnknownFault", "/standin/faults", R"({"outrage":true})" },
-    BadRequest{ "FaultOfAWrongType", "/standin/faults", R"({"outage":"yes"})" },
-    BadRequest{ "NegativeFault", "/standin/faults", R"({"delayMs":-1})" }),
+    BadRequest{ "ZeroTtl", kGrant, R"({"TTL":"0"})" },
+    BadRequest{ "LeaseText", kKeepAlive, R"({"ID":"abc"})" },
+    BadRequest{ "NoLease", kRevoke, R"({"ID":"9"})", 404 },
+    BadRequest{ "NoTarget", "/v3/auth/enable", "{}", 404 },
+    BadRequest{ "TooLarge", kPut, kLargePut },
+    BadRequest{ "NoFault", kFaults, R"({"outrage":true})" },
+    BadRequest{ "FaultType", kFaults, R"({"outage":"yes"})" },
+    BadRequest{ "Negative", kFaults, R"({"delayMs":-1})" }),
   [](const auto& aInfo) { return aInfo.param.mName; });
 
 class GatewaySwitches
--- a/tests/store/StoreConformanceTest.cpp
+++ b/tests/store/StoreConformanceTest.cpp
@@ -1,7 +1,6 @@
 #include <chrono>
 #include <string>
 
-#include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
 #include "foxtailbarrow/Verdict.h"
@@ -32,19 +31,6 @@
       { { { aKey, aExpected } }, { { aKey, std::move(aValue), aLease } } });
   }
 
-  /// Waits until `aCondition` holds; false after a generous bound.
-  static bool Eventually(const std::function<bool()>& aCondition)
-  {
-    const Instant end = MonotonicNow() + 20s;
-    while (!aCondition()) {
-      if (MonotonicNow() > end) {
-        return false;
-      }
-      boost::this_fiber::sleep_for(1ms);
-    }
-    return true;
-  }
-
   std::unique_ptr<StoreHarness> mHarness = GetParam().mMake();
   Store& mStore = mHarness->Client();
 };
--- a/tests/store/StoreHarness.h
+++ b/tests/store/StoreHarness.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 
+#include <boost/fiber/operations.hpp>
+
 #include "foxtailbarrow/Store.h"
 #include "src/platform/store/MemoryStore.h"
 
@@ -37,6 +39,16 @@
   } };
 };
 
+/// Waits until `aCondition` holds; false after a generous bound.
+inline bool Eventually(const std::function<bool()>& aCondition)
+{
+  const Instant end = MonotonicNow() + std::chrono::seconds(20);
+  while (!aCondition() && MonotonicNow() < end) {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+  }
+  return MonotonicNow() < end;
+}
+
 using HarnessFactory = std::unique_ptr<StoreHarness> (*)();
 
 std::unique_ptr<StoreHarness> MakeMemoryHarness();
--- a/tests/store/UnreliableStore.h
+++ b/tests/store/UnreliableStore.h
@@ -6,18 +6,19 @@
 #include <boost/fiber/operations.hpp>
 
 #include "foxtailbarrow/Verdict.h"
-#include "src/platform/store/MemoryStore.h"
+#include "src/platform/store/CountingStore.h"
 
 namespace foxtailbarrow {
 
-/// Passes calls on to a MemoryStore, at random losing replies, refusing calls,
+/// Passes calls on to another store, at random losing replies, refusing calls,
 /// and delaying a transaction on its way past its own timeout: it is answered
 /// MayHaveRun and takes effect during some later call, or never.
-class UnreliableStore final : public Store
+class UnreliableStore final : public CountingStore
 {
 public:
-  UnreliableStore(MemoryStore& aStore, std::uint32_t aSeed)
-    : mStore(aStore)
+  UnreliableStore(Store& aStore, std::uint32_t aSeed)
+    : CountingStore(aStore)
+    , mStore(aStore)
     , mRandom(aSeed)
   {
   }
@@ -58,29 +59,6 @@
     }
   }
 
-  absl::StatusOr<StoreListing> List(std::string_view aPrefix) override
-  {
-    return mStore.List(aPrefix);
-  }
-  absl::StatusOr<StoreLease> GrantLease(Duration aTtl) override
-  {
-    return mStore.GrantLease(aTtl);
-  }
-  absl::StatusOr<Duration> KeepAlive(StoreLease aLease) override
-  {
-    return mStore.KeepAlive(aLease);
-  }
-  absl::Status RevokeLease(StoreLease aLease) override
-  {
-    return mStore.RevokeLease(aLease);
-  }
-  absl::Status Watch(std::string_view aPrefix,
-                     Revision aFrom,
-                     const MemoryStore::EventHandler& aOnEvents) override
-  {
-    return mStore.Watch(aPrefix, aFrom, aOnEvents);
-  }
-
 private:
   static absl::Status Lost()
   {
@@ -99,7 +77,7 @@
     }
   }
 
-  MemoryStore& mStore;
+  Store& mStore;
   std::mt19937 mRandom;
   std::vector<StoreTransaction> mDelayed;
 };
--- a/tests/store/WatchFeedTest.cpp
+++ b/tests/store/WatchFeedTest.cpp
@@ -7,6 +7,7 @@
 
 #include "src/platform/store/MemoryStore.h"
 #include "src/platform/store/WatchFeed.h"
+#include "tests/store/StoreHarness.h"
 
 namespace foxtailbarrow {
 namespace {
@@ -97,18 +98,6 @@
     }
   }
 
-  bool Eventually(const std::function<bool()>& aCondition)
-  {
-    const Instant end = MonotonicNow() + 20s;
-    while (MonotonicNow() < end) {
-      if (aCondition()) {
-        return true;
-      }
-      std::this_thread::sleep_for(1ms);
-    }
-    return false;
-  }
-
   bool EventuallySees(const std::map<std::string, std::string>& aExpected)
   {
     return Eventually([&] {
