--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -102,12 +102,15 @@
 {
   aVisitor.Required("request", aMessage.mRequest);
   aVisitor.Optional("ageUs", aMessage.mAge);
+  aVisitor.Optional("customer", aMessage.mCustomer);
+  aVisitor.Optional("idempotencyKey", aMessage.mIdempotencyKey);
 }
 
 template<typename Visitor, Is<RevokeReply> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("verdict", aMessage.mVerdict);
+  aVisitor.Optional("promisedBefore", aMessage.mPromisedBefore);
 }
 
 template<typename Visitor, Is<JobChanged> Message>
--- a/src/net/detail/ClientExchange.cpp
+++ b/src/net/detail/ClientExchange.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kOk = 200;
 
@@ -56,8 +56,12 @@
   if (!aConnection.Buffered().empty()) {
     const std::string_view input = aConnection.Buffered();
     error = {};
-    aConnection.Consume(
-      aParser.put(boost::asio::buffer(input.data(), input.size()), error));
+    const std::size_t used =
+      aParser.put(boost::asio::buffer(input.data(), input.size()), error);
+    aConnection.Consume(used);
+    if (used > 0 && (!error || error == http::error::need_more)) {
+      return {}; // The caller takes what came before it waits for more.
+    }
   }
   if (aParser.is_done() || (error && error != http::error::need_more)) {
     return error == http::error::need_more ? ErrorCode() : error;
--- /dev/null
+++ b/standins/backend/ExecutionBook.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+namespace foxtailbarrow::standin {
+
+/// What ran, as totals.
+struct ExecutionCounts
+{
+  std::uint64_t mTotal = 0;
+  std::uint64_t mDistinct = 0;          ///< Request ids.
+  std::uint64_t mDoubled = 0;           ///< Ids that ran more than once.
+  std::vector<std::string> mDoubledIds; ///< The first few of them.
+};
+
+/// Counts how often each request id ran. Safe for use by several threads.
+class ExecutionBook
+{
+public:
+  void Add(std::string_view aRequestId);
+  ExecutionCounts Counts() const;
+
+  /// Runs of every id.
+  std::map<std::string, std::uint32_t> Runs() const;
+
+private:
+  struct alignas(64) Shard
+  {
+    mutable std::mutex mMutex;
+    absl::flat_hash_map<std::string, std::uint32_t> mRuns;
+  };
+
+  static constexpr std::size_t kShards = 32;
+
+  std::array<Shard, kShards> mShards;
+};
+
+} // namespace foxtailbarrow::standin
