Answer revocations of keys, spread heartbeats by HeartbeatSchedule

Change: IdempotencyRegister::Revoke with promisedBefore; a refused id is forgotten (its only copy was consumed), revoked ids stay refused; heartbeats in turns within the byte budget; a drained agent leaves when every entry that answers has heard of it.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "foxtailbarrow/MethodNames.h"
-#include "src/core/message/Codec.h"
+#include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
 
 namespace foxtailbarrow {
@@ -23,12 +23,6 @@
     std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
-/// A message that cannot be read has certainly had no effect.
-absl::Status Unreadable(const absl::Status& aStatus)
-{
-  return WithVerdict(aStatus, Verdict::NotRun);
-}
-
 } // namespace
 
 Agent::Agent(AgentSettings aSettings, net::FiberRuntime& aRuntime)
@@ -103,37 +97,17 @@
 
 void Agent::AddMethods()
 {
-  mDispatcher.Add(
-    kAssignMethod,
-    [this](const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
-      const auto assign = FromJson<Assign>(aParams);
-      if (!assign.ok()) {
-        return Unreadable(assign.status());
-      }
-      return ToJson(mTasks.Assign(*assign));
+  net::AddTyped<Assign>(
+    mDispatcher, kAssignMethod, [this](const Assign& aAssign) {
+      return mTasks.Assign(aAssign);
     });
-  mDispatcher.Add(
-    kControlMethod,
-    [this](const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
-      const auto control = FromJson<Control>(aParams);
-      if (!control.ok()) {
-        return Unreadable(control.status());
-      }
-      const auto reply = mTasks.Control(*control);
-      if (!reply.ok()) {
-        return reply.status();
-      }
-      return ToJson(*reply);
+  net::AddTyped<Control>(
+    mDispatcher, kControlMethod, [this](const Control& aControl) {
+      return mTasks.Control(aControl);
     });
-  mDispatcher.Add(
-    kRevokeMethod,
-    [this](const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
-      const auto revoke = FromJson<Revoke>(aParams);
-      if (!revoke.ok()) {
-        return Unreadable(revoke.status());
-      }
-      return ToJson(
-        RevokeReply{ mForwarder.Revoke(revoke->mRequest, revoke->mAge) });
+  net::AddTyped<Revoke>(
+    mDispatcher, kRevokeMethod, [this](const Revoke& aRevoke) {
+      return mForwarder.Revoke(aRevoke);
     });
 }
 
@@ -269,8 +243,7 @@
   const SlotLoad load = mForwarder.Load();
   const bool isIdle = load.mInUse == 0 && load.mWaiting == 0 &&
                       mServer->RequestsInProgress() == 0;
-  const bool isTold =
-    mHeartbeats.AnsweredSequence() >= mDrainSequence + 1 && mTasks.Empty();
+  const bool isTold = mHeartbeats.Told(mDrainSequence) && mTasks.Empty();
   const bool isAlone =
     mHeartbeats.LastAnswer() + kAlone <= MonotonicNow() && mTasks.AllEnded();
   return isIdle && (isTold || isAlone);
--- a/apps/agent/FiberGroup.cpp
+++ b/apps/agent/FiberGroup.cpp
@@ -26,19 +26,26 @@
   });
 }
 
-void FiberGroup::Repeat(Poke& aPoke,
-                        Duration aPause,
-                        std::function<void()> aRound)
+void FiberGroup::Repeat(Poke& aPoke, std::function<Duration()> aRound)
 {
   mPokes.push_back(&aPoke);
-  Spawn([this, &aPoke, aPause, round = std::move(aRound)] {
+  Spawn([this, &aPoke, round = std::move(aRound)] {
     while (!mStopping) {
-      round();
-      aPoke.Wait(aPause);
+      aPoke.Wait(round());
     }
   });
 }
 
+void FiberGroup::Repeat(Poke& aPoke,
+                        Duration aPause,
+                        std::function<void()> aRound)
+{
+  Repeat(aPoke, [aPause, round = std::move(aRound)] {
+    round();
+    return aPause;
+  });
+}
+
 void FiberGroup::Stop()
 {
   mStopping = true;
--- a/apps/agent/FiberGroup.h
+++ b/apps/agent/FiberGroup.h
@@ -25,8 +25,11 @@
   /// Runs `aBody` once.
   void Spawn(std::function<void()> aBody);
 
-  /// Runs `aRound` again and again, `aPause` apart or when `aPoke` says so,
-  /// until Stop(). The poke must outlive the group's fibers.
+  /// Runs `aRound` again and again until Stop(), after the pause that it
+  /// returned or when `aPoke` says so. The poke must outlive the fibers.
+  void Repeat(Poke& aPoke, std::function<Duration()> aRound);
+
+  /// As above, with one pause for all rounds.
   void Repeat(Poke& aPoke, Duration aPause, std::function<void()> aRound);
 
   bool Stopping() const { return mStopping; }
--- a/apps/agent/Forwarder.cpp
+++ b/apps/agent/Forwarder.cpp
@@ -33,7 +33,7 @@
                                Reason::DuplicateRequest,
                                Verdict::NotRun };
 constexpr ErrorCause kKeyOfOther{ kUnprocessable,
-                                  Reason::DuplicateRequest,
+                                  Reason::None,
                                   Verdict::NotRun };
 constexpr ErrorCause kClosed{ kUnavailable,
                               Reason::Draining,
@@ -120,7 +120,7 @@
     case RequestStanding::InProgress:
     case RequestStanding::Finished:
       return ErrorAnswer(kDuplicate);
-    case RequestStanding::Refused:
+    case RequestStanding::Revoked:
       return ErrorAnswer(kRevoked);
   }
   Outcome outcome = Run(aRequest, aForwarded);
@@ -150,6 +150,9 @@
   if (std::holds_alternative<AttemptDuplicate>(attempt)) {
     return Fail(kDuplicate);
   }
+  if (std::holds_alternative<AttemptPromised>(attempt)) {
+    return Fail(kRevoked);
+  }
   if (std::holds_alternative<AttemptMismatch>(attempt)) {
     return Fail(kKeyOfOther);
   }
@@ -245,9 +248,15 @@
   return { kBadGateway, Reason::NoBackendServer, verdict };
 }
 
-Verdict Forwarder::Revoke(const RequestId& aRequest, Duration aAge)
+RevokeReply Forwarder::Revoke(const foxtailbarrow::Revoke& aQuestion)
 {
-  return mRequests.Revoke(aRequest, aAge, MonotonicNow());
+  const Instant now = MonotonicNow();
+  if (aQuestion.mIdempotencyKey.empty()) {
+    return { mRequests.Revoke(aQuestion.mRequest, aQuestion.mAge, now) };
+  }
+  const KeyPromise promise =
+    mKeys.Revoke({ aQuestion.mCustomer, aQuestion.mIdempotencyKey }, now);
+  return { promise.mVerdict, promise.mPromisedBefore };
 }
 
 } // namespace foxtailbarrow
--- a/apps/agent/Forwarder.h
+++ b/apps/agent/Forwarder.h
@@ -7,6 +7,7 @@
 #include "apps/agent/AgentSettings.h"
 #include "apps/agent/ErrorAnswer.h"
 #include "apps/agent/ForwardedRequest.h"
+#include "foxtailbarrow/Messages.h"
 #include "src/core/agent/IdempotencyRegister.h"
 #include "src/core/agent/RequestRegister.h"
 #include "src/core/agent/SlotGate.h"
@@ -39,8 +40,9 @@
 
   net::HttpResponse Forward(net::HttpRequest& aRequest);
 
-  /// See RequestRegister::Revoke().
-  Verdict Revoke(const RequestId& aRequest, Duration aAge);
+  /// See RequestRegister::Revoke(), and IdempotencyRegister::Revoke() where the
+  /// question names a key.
+  RevokeReply Revoke(const foxtailbarrow::Revoke& aQuestion);
 
   /// Refuses new requests, or takes them again.
   void SetOpen(bool aOpen) { mOpen.store(aOpen, std::memory_order_relaxed); }
--- a/apps/agent/HeartbeatSender.h
+++ b/apps/agent/HeartbeatSender.h
@@ -7,24 +7,28 @@
 #include <mutex>
 #include <vector>
 
+#include "absl/random/random.h"
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
 #include "apps/agent/FiberGroup.h"
 #include "apps/agent/Poke.h"
 #include "foxtailbarrow/Messages.h"
+#include "src/core/membership/HeartbeatSchedule.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Rpc.h"
 #include "src/telemetry/Metrics.h"
 
 namespace foxtailbarrow {
 
-/// Announces the agent to every live entry and hands on what they answer.
+/// Announces the agent to every live entry, by HeartbeatSchedule, and hands on
+/// what they answer.
 ///
 /// Entries are those of the settings until one answers, then those that the
 /// latest answer named; the settings' ones are tried again when nobody has
 /// answered for a while. An entry that has not answered its last heartbeat yet
-/// is left out of a round.
+/// is left out of a round. A round is one heartbeat, sent to every entry whose
+/// turn it is.
 class HeartbeatSender
 {
 public:
@@ -48,13 +52,16 @@
   /// Ends its fibers. Not to be called by a thread of the runtime.
   void Stop() { mFibers.Stop(); }
 
-  /// Sends a round at once.
-  void SendNow() { mPoke.Now(); }
+  /// Sends a round to every entry at once.
+  void SendNow();
 
-  /// Rounds that at least one entry has answered.
-  std::uint64_t AnsweredSequence() const { return mAnswered; }
+  /// Of the latest round.
   std::uint64_t SentSequence() const { return mSequence; }
 
+  /// True when every entry that answers has answered this round or a later one,
+  /// and at least one has.
+  bool Told(std::uint64_t aSequence) const;
+
   /// When an entry answered last.
   Instant LastAnswer() const;
 
@@ -67,14 +74,22 @@
     bool mBusy = false; ///< A heartbeat is under way.
     bool mAnswers = false;
     Instant mAnsweredAt{};
+    std::uint64_t mAnsweredSequence = 0;
   };
 
   void SendRound();
+  Duration Pause() const;
   std::vector<Endpoint> Targets(Instant aNow);
+  void UpdateEntries(Instant aNow);
   void SendOne(const Endpoint& aEntry,
                std::uint64_t aSequence,
-               const Json::Value& aBody);
-  void NoteAnswer(const Endpoint& aEntry, const HeartbeatReply* aReply);
+               const Json::Value& aBody,
+               std::size_t aBytes);
+  void NoteAnswer(const Endpoint& aEntry,
+                  std::uint64_t aSequence,
+                  const HeartbeatReply& aReply,
+                  std::size_t aBytes);
+  void NoteSilence(const Endpoint& aEntry);
 
   const AgentSettings& mSettings;
   net::RpcClient mRpc;
@@ -82,9 +97,11 @@
   Poke mPoke;
   FiberGroup mFibers;
   std::atomic<std::uint64_t> mSequence{ 0 };
-  std::atomic<std::uint64_t> mAnswered{ 0 };
+  std::atomic<bool> mHurry{ false };
   mutable std::mutex mMutex; ///< Guards what follows.
-  std::vector<Endpoint> mEntries;
+  HeartbeatSchedule mSchedule;
+  absl::BitGen mRandom;
+  std::vector<Endpoint> mEntries; ///< As the latest answer named them.
   std::map<Endpoint, Peer> mPeers;
   Instant mLastAnswer{};
   prometheus::Counter& mSent;
--- a/src/core/agent/IdempotencyRegister.cpp
+++ b/src/core/agent/IdempotencyRegister.cpp
@@ -17,6 +17,9 @@
   Trim(aNow);
   if (const auto found = mRecords.find(aKey); found != mRecords.end()) {
     const Record& record = found->second;
+    if (record.mPromised) {
+      return AttemptPromised{};
+    }
     if (record.mFingerprint != aFingerprint) {
       return AttemptMismatch{};
     }
@@ -55,6 +58,24 @@
   Trim(aNow);
 }
 
+KeyPromise IdempotencyRegister::Revoke(const IdempotencyKey& aKey, Instant aNow)
+{
+  const std::lock_guard lock(mMutex);
+  Trim(aNow);
+  const auto [found, isNew] = mRecords.try_emplace(aKey);
+  Record& record = found->second;
+  if (isNew) {
+    record.mInProgress = false;
+    record.mPromised = true;
+    mEnded.push_back({ aKey, aNow });
+    return { Verdict::NotRun, false };
+  }
+  if (record.mPromised) {
+    return { Verdict::NotRun, true };
+  }
+  return { record.mInProgress ? Verdict::MayHaveRun : record.mVerdict, false };
+}
+
 std::size_t IdempotencyRegister::Size() const
 {
   const std::lock_guard lock(mMutex);
--- a/src/core/agent/IdempotencyRegister.h
+++ b/src/core/agent/IdempotencyRegister.h
@@ -55,14 +55,28 @@
 struct AttemptMismatch
 {};
 
+/// Revoke() promised that no attempt under this key runs here.
+struct AttemptPromised
+{};
+
 /// An earlier attempt's answer.
 struct AttemptReplay
 {
   std::shared_ptr<const StoredAnswer> mAnswer;
 };
 
-using Attempt = std::
-  variant<AttemptAllowed, AttemptDuplicate, AttemptMismatch, AttemptReplay>;
+/// Answer of IdempotencyRegister::Revoke().
+struct KeyPromise
+{
+  Verdict mVerdict = Verdict::MayHaveRun;
+  bool mPromisedBefore = false; ///< NotRun, as an earlier answer said already.
+};
+
+using Attempt = std::variant<AttemptAllowed,
+                             AttemptDuplicate,
+                             AttemptMismatch,
+                             AttemptPromised,
+                             AttemptReplay>;
 
 /// Lets one attempt under an idempotency key run on this agent.
 ///
@@ -88,6 +102,10 @@
               std::optional<StoredAnswer> aAnswer,
               Instant aNow);
 
+  /// Whether an attempt under the key runs, ran or may have run here. Where the
+  /// answer is NotRun, none runs from now on, for `mKeptFor`.
+  KeyPromise Revoke(const IdempotencyKey& aKey, Instant aNow);
+
   std::size_t Size() const;
 
 private:
@@ -95,6 +113,7 @@
   {
     std::uint64_t mFingerprint = 0;
     bool mInProgress = true;
+    bool mPromised = false;
     Verdict mVerdict = Verdict::MayHaveRun;
     std::shared_ptr<const StoredAnswer> mAnswer;
   };
--- a/src/core/agent/RequestRegister.cpp
+++ b/src/core/agent/RequestRegister.cpp
@@ -34,9 +34,8 @@
   switch (state->second) {
     case State::InProgress:
       return RequestStanding::InProgress;
-    case State::Refused:
     case State::Revoked:
-      return RequestStanding::Refused;
+      return RequestStanding::Revoked;
     case State::Ran:
     case State::MayHaveRun:
       break;
@@ -55,12 +54,11 @@
     return;
   }
   if (aVerdict == Verdict::NotRun) {
-    state->second = State::Refused;
-    shard.mRefused.push_back({ aRequest, aNow });
-  } else {
-    state->second = aVerdict == Verdict::Ran ? State::Ran : State::MayHaveRun;
-    shard.mFinished.push_back({ aRequest, aNow });
+    shard.mStates.erase(state);
+    return;
   }
+  state->second = aVerdict == Verdict::Ran ? State::Ran : State::MayHaveRun;
+  shard.mFinished.push_back({ aRequest, aNow });
   Trim(shard, aNow);
 }
 
@@ -79,7 +77,6 @@
       case State::InProgress:
       case State::MayHaveRun:
         return Verdict::MayHaveRun;
-      case State::Refused:
       case State::Revoked:
         return Verdict::NotRun;
     }
@@ -87,7 +84,7 @@
   const bool mayBeForgotten =
     aAge > aNow - shard.mForgottenBefore - kRevokeTransit;
   if (mayBeForgotten ||
-      shard.mRevoked.size() >= mLimits.mMaxRefused / kShards) {
+      shard.mRevoked.size() >= mLimits.mMaxRevoked / kShards) {
     return Verdict::MayHaveRun;
   }
   shard.mStates.emplace(aRequest, State::Revoked);
@@ -116,9 +113,6 @@
     aShard.mForgottenBefore = std::max(aShard.mForgottenBefore, endedAt);
     DropOldest(aShard, aShard.mFinished);
   }
-  while (aShard.mRefused.size() > mLimits.mMaxRefused / kShards) {
-    DropOldest(aShard, aShard.mRefused);
-  }
   while (!aShard.mRevoked.empty() &&
          aShard.mRevoked.front().mAt + mLimits.mRevokedFor <= aNow) {
     DropOldest(aShard, aShard.mRevoked);
--- a/src/core/agent/RequestRegister.h
+++ b/src/core/agent/RequestRegister.h
@@ -21,8 +21,8 @@
   std::size_t mMaxFinished = 65'536;
   /// Requests that ran are remembered for this long after their end.
   Duration mFinishedFor = std::chrono::seconds(60);
-  /// Refused and revoked ids, remembered at most of each.
-  std::size_t mMaxRefused = 8'192;
+  /// Revoked ids, remembered at most; beyond it, Revoke() says MayHaveRun.
+  std::size_t mMaxRevoked = 8'192;
   /// Revoked ids stay refused for this long.
   Duration mRevokedFor = std::chrono::minutes(10);
 };
@@ -33,7 +33,7 @@
   Admitted,   ///< Never seen: it may run, and Finish() must follow.
   InProgress, ///< It runs now: refuse, MayHaveRun.
   Finished,   ///< It ran: refuse, MayHaveRun.
-  Refused,    ///< It was refused or revoked: refuse again, NotRun.
+  Revoked,    ///< Revoke() said NotRun: refuse, NotRun.
 };
 
 /// Remembers which requests this agent admitted, so that its word about each
@@ -47,8 +47,9 @@
 /// unknown id that may be older than that gets MayHaveRun. So a full memory, a
 /// restart or a late question costs a retry, never a doubled run.
 ///
-/// Refused ids are remembered too, the newest `mMaxRefused`; to forget one is
-/// safe, since no copy of a refused request is left to run.
+/// An id that ended NotRun is forgotten, so that a caller who was told when to
+/// come back may come with the same id. That is safe: the refusal consumed the
+/// only copy that was sent here.
 ///
 /// 64 shards, a mutex each; safe for use by any number of threads.
 class RequestRegister
@@ -80,7 +81,6 @@
     InProgress,
     Ran,
     MayHaveRun,
-    Refused,
     Revoked,
   };
 
@@ -95,7 +95,6 @@
     mutable std::mutex mMutex;
     absl::flat_hash_map<RequestId, State> mStates;
     std::deque<Ended> mFinished;
-    std::deque<Ended> mRefused;
     std::deque<Ended> mRevoked;
     Instant mForgottenBefore{}; ///< See the class comment.
   };
--- a/src/core/agent/ShardLeases.h
+++ b/src/core/agent/ShardLeases.h
@@ -60,7 +60,7 @@
     Instant mAt{};
   };
 
-  static constexpr std::size_t kRemembered = 256;
+  static constexpr std::size_t kRemembered = 2'048;
 
   std::array<Sending, kRemembered> mSent{};
   absl::flat_hash_map<ShardId, Lease> mLeases;
--- a/tests/agent/IdempotencyRegisterTest.cpp
+++ b/tests/agent/IdempotencyRegisterTest.cpp
@@ -18,12 +18,13 @@
   return { 200, {}, std::string(aBytes, 'x') };
 }
 
-/// Index of the variant: allowed, duplicate, mismatch, replay.
+/// Index of the variant: allowed, duplicate, mismatch, promised, replay.
 enum Kind : std::size_t
 {
   Allowed,
   Duplicate,
   Mismatch,
+  Promised,
   Replay,
 };
 
@@ -64,6 +65,45 @@
     SecondCase{ "old", Verdict::Ran, 100, kPrint, minutes(10), Allowed }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
+struct RevokeKeyCase
+{
+  const char* mName;
+  bool mBegun;
+  std::optional<Verdict> mEnd;
+  Verdict mExpected;
+};
+
+class RevokeKey : public testing::TestWithParam<RevokeKeyCase>
+{};
+
+TEST_P(RevokeKey, PromisesOnlyWhereNothingRan)
+{
+  IdempotencyRegister keys({});
+  if (GetParam().mBegun) {
+    keys.Begin(kKey, kPrint, kNow);
+  }
+  if (GetParam().mEnd) {
+    keys.Finish(kKey, *GetParam().mEnd, AnswerOf(1), kNow);
+  }
+  const KeyPromise first = keys.Revoke(kKey, kNow);
+  EXPECT_EQ(first.mVerdict, GetParam().mExpected);
+  EXPECT_FALSE(first.mPromisedBefore);
+  const bool promised = GetParam().mExpected == Verdict::NotRun;
+  EXPECT_EQ(keys.Revoke(kKey, kNow).mPromisedBefore, promised);
+  EXPECT_EQ(keys.Begin(kKey, kPrint, kNow).index() == Promised, promised);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  All,
+  RevokeKey,
+  testing::Values(
+    RevokeKeyCase{ "unknown", false, {}, Verdict::NotRun },
+    RevokeKeyCase{ "refused", true, Verdict::NotRun, Verdict::NotRun },
+    RevokeKeyCase{ "running", true, {}, Verdict::MayHaveRun },
+    RevokeKeyCase{ "lost", true, Verdict::MayHaveRun, Verdict::MayHaveRun },
+    RevokeKeyCase{ "ran", true, Verdict::Ran, Verdict::Ran }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
 TEST(IdempotencyRegister, DropsTheOldestAnswersFirst)
 {
   IdempotencyLimits limits;
