--- a/src/telemetry/Settings.cpp
+++ b/src/telemetry/Settings.cpp
@@ -17,15 +17,22 @@
 namespace {
 
 constexpr char kVersion[] = "foxtailbarrow 0.1.0";
-constexpr std::size_t kFlagDashes = 2;
+constexpr std::string_view kDashes = "--";
 constexpr std::string_view kEndpointAllowed =
   "an IPv4 number and a port in 1..65535, as in 127.0.0.1:8080";
 constexpr std::string_view kListenAllowed =
   "an IPv4 number and a port in 0..65535, as in 127.0.0.1:0";
 
-std::string VariableName(std::string_view aFlag)
+/// "--name", whether or not the dashes were given.
+std::string FlagName(std::string_view aFlag)
 {
-  std::string name(aFlag.substr(kFlagDashes));
+  return aFlag.starts_with(kDashes) ? std::string(aFlag)
+                                    : std::string(kDashes).append(aFlag);
+}
+
+std::string VariableName(const std::string& aFlag)
+{
+  std::string name = aFlag.substr(kDashes.size());
   std::ranges::replace(name, '-', '_');
   return "FOXTAILBARROW_" + absl::AsciiStrToUpper(name);
 }
@@ -78,6 +85,23 @@
   }
 };
 
+namespace {
+
+/// Callback for CLI11 that refuses what the acceptor does not take.
+std::function<void(const std::string&)> Checked(const Setting::Impl& aSetting,
+                                                Settings::Acceptor aAcceptor)
+{
+  return
+    [&aSetting, acceptor = std::move(aAcceptor)](const std::string& aText) {
+      if (!acceptor(aText)) {
+        throw CLI::ValidationError(
+          aSetting.Refusal("value '" + aText + "' is not allowed"));
+      }
+    };
+}
+
+} // namespace
+
 void Setting::Required()
 {
   mImpl.mRequired = true;
@@ -124,6 +148,25 @@
     return aMessage;
   }
 
+  /// What is wrong where CLI11 misses a subcommand; `aRest` are the arguments
+  /// that it did not understand.
+  std::string SubcommandFault(const std::vector<std::string>& aRest) const
+  {
+    std::vector<std::string> names;
+    for (const auto& subcommand : mSubcommands) {
+      if (subcommand->Chosen()) {
+        return subcommand->mImpl->SubcommandFault(aRest);
+      }
+      names.push_back(subcommand->mImpl->mApp->get_name());
+    }
+    return absl::StrCat("subcommand: ",
+                        aRest.empty()
+                          ? "missing"
+                          : "value '" + aRest.front() + "' is not allowed",
+                        "; allowed: ",
+                        absl::StrJoin(names, ", "));
+  }
+
   Setting::Impl& Remember(std::string aName, std::string_view aAllowed)
   {
     auto setting = std::make_unique<Setting::Impl>();
@@ -156,19 +199,12 @@
                       Acceptor aAcceptor,
                       std::string_view aDefault)
 {
-  const std::string flag(aFlag);
-  const std::string variable = VariableName(aFlag);
+  const std::string flag = FlagName(aFlag);
+  const std::string variable = VariableName(flag);
   Setting::Impl& setting =
     mImpl->Remember(flag + " (" + variable + ")", aAllowed);
-  const auto accept =
-    [&setting, acceptor = std::move(aAcceptor)](const std::string& aText) {
-      if (!acceptor(aText)) {
-        throw CLI::ValidationError(
-          setting.Refusal("value '" + aText + "' is not allowed"));
-      }
-    };
   setting.mOption = mImpl->mApp->add_option_function<std::string>(
-    flag, accept, std::string(aHelp));
+    flag, Checked(setting, std::move(aAcceptor)), std::string(aHelp));
   setting.mOption->envname(variable);
   setting.mOption->default_str(std::string(aDefault));
   return Setting(setting);
@@ -338,30 +374,43 @@
                          bool& aTarget,
                          std::string_view aHelp)
 {
-  const std::string variable = VariableName(aFlag);
-  Setting::Impl& setting = mImpl->Remember(
-    absl::StrCat(std::string(aFlag), " (", variable, ")"), "true, false");
-  setting.mOption =
-    mImpl->mApp->add_flag(std::string(aFlag), aTarget, std::string(aHelp));
+  const std::string flag = FlagName(aFlag);
+  const std::string variable = VariableName(flag);
+  Setting::Impl& setting =
+    mImpl->Remember(absl::StrCat(flag, " (", variable, ")"), "true, false");
+  setting.mOption = mImpl->mApp->add_flag(flag, aTarget, std::string(aHelp));
   setting.mOption->envname(variable);
 }
 
 Setting Settings::AddPositional(std::string_view aName,
-                                std::string& aTarget,
-                                std::string_view aHelp)
+                                std::string_view aAllowed,
+                                Acceptor aAcceptor)
 {
-  Setting::Impl& setting = mImpl->Remember(std::string(aName), aHelp);
-  setting.mOption =
-    mImpl->mApp->add_option(std::string(aName), aTarget, std::string(aHelp));
+  Setting::Impl& setting = mImpl->Remember(std::string(aName), aAllowed);
+  setting.mOption = mImpl->mApp->add_option_function<std::string>(
+    std::string(aName),
+    Checked(setting, std::move(aAcceptor)),
+    std::string(aAllowed));
   return Setting(setting);
 }
 
+Setting Settings::AddPositional(std::string_view aName,
+                                std::string& aTarget,
+                                std::string_view aAllowed)
+{
+  return AddPositional(aName, aAllowed, [&aTarget](std::string_view aText) {
+    aTarget = aText;
+    return !aText.empty();
+  });
+}
+
 Settings& Settings::AddSubcommand(std::string_view aName,
                                   std::string_view aDescription)
 {
   auto impl = std::make_unique<Impl>();
   impl->mApp =
     mImpl->mApp->add_subcommand(std::string(aName), std::string(aDescription));
+  impl->mApp->fallthrough();
   mImpl->mApp->require_subcommand(1);
   mImpl->mSubcommands.emplace_back(new Settings(std::move(impl)));
   return *mImpl->mSubcommands.back();
@@ -382,6 +431,9 @@
     std::reverse(aArguments.begin(), aArguments.end());
     mImpl->mApp->parse(std::move(aArguments));
     fault = mImpl->MissingSetting();
+  } catch (const CLI::RequiredError&) {
+    // Required settings are checked here, so that only a subcommand can miss.
+    fault = mImpl->SubcommandFault(mImpl->mApp->remaining(true));
   } catch (const CLI::ParseError& error) {
     if (error.get_exit_code() == 0) {
       mImpl->mApp->exit(error, aOut, aErr);
