--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -102,6 +102,8 @@
 {
   aVisitor.Required("request", aMessage.mRequest);
   aVisitor.Optional("ageUs", aMessage.mAge);
+  aVisitor.Optional("customer", aMessage.mCustomer);
+  aVisitor.Optional("idempotencyKey", aMessage.mIdempotencyKey);
 }
 
 template<typename Visitor, Is<RevokeReply> Message>
