--- a/apps/replay/JobBook.cpp
+++ b/apps/replay/JobBook.cpp
@@ -37,11 +37,13 @@
 
 void JobBook::See(const JobId& aLineId,
                   JobState aState,
+                  const std::string& aReason,
                   std::int64_t aEvictions)
 {
   const std::lock_guard lock(mMutex);
   ReplayedJob& job = mJobs[aLineId];
   job.mState = aState;
+  job.mReason = aReason;
   job.mEvictions = aEvictions;
   job.mUnknown = false;
 }
--- a/apps/replay/JobBook.h
+++ b/apps/replay/JobBook.h
@@ -19,6 +19,7 @@
   JobState mStatedEnd = JobState::Finished;
   std::string mId;                ///< Told by the entry; empty = not accepted.
   std::optional<JobState> mState; ///< Last seen.
+  std::string mReason;            ///< Last seen, of that state.
   std::int64_t mEvictions = 0;
   bool mUnknown = false; ///< The entry last asked said "no such job".
 };
@@ -33,7 +34,10 @@
   /// Empty when the job was not accepted (yet).
   std::string IdOf(const JobId& aLineId) const;
 
-  void See(const JobId& aLineId, JobState aState, std::int64_t aEvictions);
+  void See(const JobId& aLineId,
+           JobState aState,
+           const std::string& aReason,
+           std::int64_t aEvictions);
   void SeeNothing(const JobId& aLineId);
 
   /// Accepted jobs that have not ended as stated.
--- a/apps/replay/JobReplayer.cpp
+++ b/apps/replay/JobReplayer.cpp
@@ -118,7 +118,10 @@
   const std::optional<JobState> state =
     ParseJobState((*body)["state"].asString());
   if (state) {
-    mBook.See(aJob.mLineId, *state, (*body)["evictions"].asInt64());
+    mBook.See(aJob.mLineId,
+              *state,
+              (*body)["reason"].asString(),
+              (*body)["evictions"].asInt64());
   }
 }
 
--- a/apps/replay/ReplayRun.cpp
+++ b/apps/replay/ReplayRun.cpp
@@ -80,6 +80,7 @@
     .Follow(end + std::chrono::milliseconds(outcomes.mJobsDeadlineMs));
   WaitForAll(MonotonicNow() + kStragglers);
   PrintProgress(start);
+  PrintOpenJobs();
   if (mFailedContracts > 0) {
     return absl::UnavailableError("a contract of the trace was not applied");
   }
@@ -111,6 +112,7 @@
     boost::this_fiber::sleep_until(due);
     if (MonotonicNow() >= mNextProgress) {
       PrintProgress(aStart);
+      Spawn(i, [this] { JobReplayer(mContext, mJobs).LookAtOpenJobs(); });
     }
     Dispatch(event, i, due);
   }
@@ -229,4 +231,15 @@
     totals.mJobsAsStated);
 }
 
+void ReplayRun::PrintOpenJobs() const
+{
+  for (const ReplayedJob& job : mJobs.Open()) {
+    std::cerr << "not ended as stated: job " << job.mLineId.Value() << ", id "
+              << job.mId << ", "
+              << (job.mState ? ToString(*job.mState) : "never seen")
+              << " in place of " << ToString(job.mStatedEnd) << ", reason "
+              << (job.mReason.empty() ? "none" : job.mReason) << "\n";
+  }
+}
+
 } // namespace foxtailbarrow::replay
--- a/apps/replay/ReplayRun.h
+++ b/apps/replay/ReplayRun.h
@@ -39,6 +39,7 @@
   absl::Status Audit(ReplayTotals& aTotals);
   ReplayTotals Totals() const;
   void PrintProgress(Instant aStart);
+  void PrintOpenJobs() const;
 
   net::FiberRuntime& mRuntime;
   const RunSettings& mSettings;
--- a/apps/replay/RequestBook.cpp
+++ b/apps/replay/RequestBook.cpp
@@ -42,6 +42,11 @@
   const AttemptEnd end = aRequest.mAttempts.back().mEnd;
   const std::lock_guard lock(mMutex);
   ++CounterOf(end, mTotals);
+  for (const Attempt& attempt : aRequest.mAttempts) {
+    if (!attempt.mReason.empty()) {
+      ++mTotals.mRefusals[attempt.mReason];
+    }
+  }
   mTotals.mRetries += static_cast<std::int64_t>(aRequest.mAttempts.size()) - 1;
   if (end == AttemptEnd::Answered) {
     mLatency.Record(aLatency);
@@ -66,6 +71,7 @@
   aTotals.mWrongAnswers = mTotals.mWrongAnswers;
   aTotals.mUnanswered = mTotals.mUnanswered;
   aTotals.mRetries = mTotals.mRetries;
+  aTotals.mRefusals = mTotals.mRefusals;
   aTotals.mP50 = mLatency.Quantile(kP50);
   aTotals.mP99 = mLatency.Quantile(kP99);
   aTotals.mP999 = mLatency.Quantile(kP999);
--- a/apps/replay/RequestReplayer.cpp
+++ b/apps/replay/RequestReplayer.cpp
@@ -81,7 +81,7 @@
       MakeRequest(aLine, { absl::StrCat(name, "-", attempt), name, remaining });
     const Outcome outcome = Send(aLine, request, remaining);
     attempted.mAttempts.push_back(
-      { absl::StrCat(name, "-", attempt), outcome.mEnd });
+      { absl::StrCat(name, "-", attempt), outcome.mEnd, outcome.mReason });
     if (!MayRepeat(outcome.mEnd, attempted.mIdempotent) ||
         !outcome.mRetryAfter ||
         MonotonicNow() + *outcome.mRetryAfter >= deadline) {
@@ -99,13 +99,16 @@
   const absl::StatusOr<net::HttpResponse> response = mContext.mClient.Call(
     mContext.NextEntry(), aRequest, aRemaining + kAnswerMargin);
   if (response.ok()) {
-    return { Judge(aRequest, *response), RetryAfterOf(*response) };
+    return { Judge(aRequest, *response),
+             RetryAfterOf(*response),
+             std::string(response->mHeaders.Find(kReasonHeader).value_or("")) };
   }
   // As a balancer does: another entry takes over at once where nothing ran.
   const bool notRun = VerdictOf(response.status()) == Verdict::NotRun;
   const bool repeat = notRun || IsIdempotent(aLine);
   return { notRun ? AttemptEnd::NotRun : AttemptEnd::Unanswered,
-           repeat ? std::optional(Duration{}) : std::nullopt };
+           repeat ? std::optional(Duration{}) : std::nullopt,
+           notRun ? "no connection to the entry" : "connection broke" };
 }
 
 } // namespace foxtailbarrow::replay
--- a/apps/replay/StandInAudit.cpp
+++ b/apps/replay/StandInAudit.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr char kExecutionsTarget[] = "/standin/executions?ids=1";
+constexpr char kExecutionsTarget[] = "/standin/executions/ids";
 constexpr char kEventsTarget[] = "/standin/events";
 constexpr char kCountsTarget[] = "/standin/counts";
 constexpr Duration kCallTimeout = std::chrono::seconds(10);
--- a/src/core/trace/OutcomeCheck.cpp
+++ b/src/core/trace/OutcomeCheck.cpp
@@ -88,7 +88,7 @@
 std::vector<OutcomeRow> CheckOutcomes(const StatedOutcomes& aStated,
                                       const ReplayTotals& aTotals)
 {
-  return {
+  std::vector<OutcomeRow> rows = {
     Told("requests", aTotals.mRequests),
     Told("requests answered", aTotals.mAnswered),
     NotRunRow(aStated, aTotals),
@@ -112,6 +112,10 @@
     NeverAudited("doubled jobs", aTotals.mDoubledJobs, aTotals),
     NeverAudited("workers over-committed", aTotals.mOvercommitted, aTotals),
   };
+  for (const auto& [reason, count] : aTotals.mRefusals) {
+    rows.push_back(Told("attempts refused: " + reason, count));
+  }
+  return rows;
 }
 
 bool AllMet(std::span<const OutcomeRow> aRows)
--- a/src/core/trace/ReplayTotals.h
+++ b/src/core/trace/ReplayTotals.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 #include "foxtailbarrow/Time.h"
 
@@ -16,6 +18,8 @@
   std::int64_t mErrors = 0;     ///< Other error answers of backend servers.
   std::int64_t mUnanswered = 0; ///< No answer by the deadline and a margin.
   std::int64_t mRetries = 0;
+  /// Attempts that were refused, by the reason told.
+  std::map<std::string, std::int64_t> mRefusals;
   std::int64_t mWrongAnswers = 0; ///< Of another request, or damaged.
   /// Told "not run", but a backend server ran it.
   std::int64_t mToldWrongly = 0;
--- a/tests/trace/ReplayBooksTest.cpp
+++ b/tests/trace/ReplayBooksTest.cpp
@@ -27,9 +27,9 @@
   book.Accept(Line("c", JobState::Finished), "c.3");
   book.Accept(Line("d", JobState::Finished), "c.4");
   book.Refuse(Line("e", JobState::Finished));
-  book.See(JobId("a"), JobState::Finished, 2);
-  book.See(JobId("b"), JobState::Parked, 0);
-  book.See(JobId("c"), JobState::Failed, 1);
+  book.See(JobId("a"), JobState::Finished, "", 2);
+  book.See(JobId("b"), JobState::Parked, "", 0);
+  book.See(JobId("c"), JobState::Failed, "", 1);
   book.SeeNothing(JobId("d"));
   ReplayTotals totals;
   book.AddTo(totals);
