--- a/src/core/trace/OutcomeCheck.cpp
+++ b/src/core/trace/OutcomeCheck.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_format.h"
 
 namespace foxtailbarrow {
@@ -140,6 +141,8 @@
                           row.mMeasured,
                           row.mStated,
                           verdict);
+    absl::StripTrailingAsciiWhitespace(&text);
+    text += '\n';
   }
   return text;
 }
--- a/tests/trace/OutcomeCheckTest.cpp
+++ b/tests/trace/OutcomeCheckTest.cpp
@@ -41,6 +41,15 @@
   }
 }
 
+TEST(Outcomes, ListRefusalsByReason)
+{
+  ReplayTotals totals = GoodTotals();
+  totals.mRefusals["rate-limit"] = 12;
+  const std::string text = FormatOutcomes(CheckOutcomes(kStated, totals));
+  EXPECT_THAT(text, testing::HasSubstr("attempts refused: rate-limit"));
+  EXPECT_THAT(text, testing::Not(testing::HasSubstr(" \n")));
+}
+
 struct Miss
 {
   std::string mRow;
