--- a/src/core/membership/AgentDirectory.h
+++ b/src/core/membership/AgentDirectory.h
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <vector>
 
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
@@ -85,9 +86,20 @@
     }
   };
 
+  /// By failure domain, then id, as ServiceTable wants them; neither changes
+  /// while an incarnation is listed.
+  struct InTableOrder
+  {
+    bool operator()(const AgentRecord* aLeft, const AgentRecord* aRight) const
+    {
+      return std::tie(aLeft->mFailureDomain, aLeft->mAgent) <
+             std::tie(aRight->mFailureDomain, aRight->mAgent);
+    }
+  };
+
   struct Service
   {
-    absl::flat_hash_set<AgentRecord*> mAgents;
+    absl::btree_set<AgentRecord*, InTableOrder> mAgents;
     std::vector<FormerAgent> mFormer;
     std::shared_ptr<ServiceHealth> mHealth;
   };
--- a/src/core/routing/KeyedPick.cpp
+++ b/src/core/routing/KeyedPick.cpp
@@ -1,8 +1,5 @@
 #include "src/core/routing/KeyedPick.h"
 
-#include <algorithm>
-#include <tuple>
-
 #include "src/core/routing/StableHash.h"
 
 namespace foxtailbarrow {
@@ -19,7 +16,8 @@
 
 bool KeyedPick::Member::IsBefore(const Member& aOther) const
 {
-  return std::tie(aOther.mScore, mIndex) < std::tie(mScore, aOther.mIndex);
+  return mScore > aOther.mScore ||
+         (mScore == aOther.mScore && mIndex < aOther.mIndex);
 }
 
 KeyedPlace KeyedPick::Pick(const PickContext& aContext) const
@@ -30,9 +28,12 @@
   KeyedPlace place;
   // Since then, the candidate or one after it was there to take the key.
   Instant heldSince = Instant::max();
-  for (auto member = Next(aContext, key, std::nullopt);
-       member.has_value() && heldSince > windowStart;
-       member = Next(aContext, key, member)) {
+  std::optional<Member> member;
+  while (heldSince > windowStart) {
+    member = Next(aContext, key, member);
+    if (!member.has_value()) {
+      break;
+    }
     const RoutableAgent& agent = *member->mAgent;
     const bool isServing = member->mStanding == Standing::Serving;
     const bool isNewcomer =
@@ -66,31 +67,30 @@
   const std::optional<Member>& aLast) const
 {
   const ServiceTable& service = aContext.mService;
-  std::optional<Member> best;
+  Member best;
   std::size_t index = 0;
   const auto consider =
-    [&](std::uint64_t aHash, const RoutableAgent& aAgent, Standing aStanding) {
-      const Member next{ MixBits(aHash ^ aKey), index++, &aAgent, aStanding };
-      const bool isLater = !aLast.has_value() || aLast->IsBefore(next);
-      if (isLater && (!best.has_value() || next.IsBefore(*best))) {
+    [&](std::uint64_t aHash, const auto& aAgent, Standing aStanding) {
+      const Member next{ MixBits(aHash ^ aKey), index++, &*aAgent, aStanding };
+      if ((best.mAgent == nullptr || next.IsBefore(best)) &&
+          (!aLast.has_value() || aLast->IsBefore(next))) {
         best = next;
       }
     };
   for (std::size_t i = 0; i < service.mServing.size(); ++i) {
-    consider(
-      service.mServingHashes[i], *service.mServing[i], Standing::Serving);
+    consider(service.mServingHashes[i], service.mServing[i], Standing::Serving);
   }
   const Standing suspect =
     service.mServing.empty() ? Standing::Serving : Standing::Reachable;
   for (const RoutableAgentPointer& agent : service.mSuspect) {
-    consider(agent->mHash, *agent, suspect);
+    consider(agent->mHash, agent, suspect);
   }
   for (const FormerAgent& former : service.mFormer) {
     consider(former.mAgent->mHash,
-             *former.mAgent,
+             former.mAgent,
              former.mReachable ? Standing::Reachable : Standing::Lost);
   }
-  return best;
+  return best.mAgent == nullptr ? std::nullopt : std::optional(best);
 }
 
 } // namespace foxtailbarrow
--- a/src/core/routing/RoutingTable.cpp
+++ b/src/core/routing/RoutingTable.cpp
@@ -1,24 +1,11 @@
 #include "src/core/routing/RoutingTable.h"
 
-#include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace foxtailbarrow {
 
 namespace {
 
-void SortByDomain(std::vector<RoutableAgentPointer>& aAgents)
-{
-  std::sort(
-    aAgents.begin(),
-    aAgents.end(),
-    [](const RoutableAgentPointer& aLeft, const RoutableAgentPointer& aRight) {
-      return std::tie(aLeft->mFailureDomain, aLeft->mAgent) <
-             std::tie(aRight->mFailureDomain, aRight->mAgent);
-    });
-}
-
 std::vector<DomainRange> IndexDomains(
   std::span<const RoutableAgentPointer> aAgents)
 {
@@ -65,8 +52,6 @@
   table->mSuspect = std::move(aSuspect);
   table->mFormer = std::move(aFormer);
   table->mHealth = std::move(aHealth);
-  SortByDomain(table->mServing);
-  SortByDomain(table->mSuspect);
   table->mServingHashes.reserve(table->mServing.size());
   for (const RoutableAgentPointer& agent : table->mServing) {
     table->mServingHashes.push_back(agent->mHash);
--- a/src/core/routing/RoutingTable.h
+++ b/src/core/routing/RoutingTable.h
@@ -79,7 +79,7 @@
   Services mServices;
 };
 
-/// Sorts the agents and indexes their failure domains.
+/// Indexes the agents, which are sorted by failure domain, then id.
 std::shared_ptr<const ServiceTable> BuildServiceTable(
   ServiceId aService,
   std::vector<RoutableAgentPointer> aServing,
