--- /dev/null
+++ b/standins/backend/ExecutionBook.cpp
@@ -0,0 +1,51 @@
+#include "standins/backend/ExecutionBook.h"
+
+#include "absl/hash/hash.h"
+
+namespace foxtailbarrow::standin {
+
+namespace {
+
+constexpr std::size_t kMaxIdsShown = 20;
+
+} // namespace
+
+void ExecutionBook::Add(std::string_view aRequestId)
+{
+  const std::string id(aRequestId);
+  Shard& shard = mShards[(absl::HashOf(id) >> 40) % kShards];
+  const std::lock_guard lock(shard.mMutex);
+  ++shard.mRuns[id];
+}
+
+ExecutionCounts ExecutionBook::Counts() const
+{
+  ExecutionCounts counts;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mMutex);
+    counts.mDistinct += shard.mRuns.size();
+    for (const auto& [id, runs] : shard.mRuns) {
+      counts.mTotal += runs;
+      if (runs < 2) {
+        continue;
+      }
+      ++counts.mDoubled;
+      if (counts.mDoubledIds.size() < kMaxIdsShown) {
+        counts.mDoubledIds.push_back(id);
+      }
+    }
+  }
+  return counts;
+}
+
+std::map<std::string, std::uint32_t> ExecutionBook::Runs() const
+{
+  std::map<std::string, std::uint32_t> runs;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mMutex);
+    runs.insert(shard.mRuns.begin(), shard.mRuns.end());
+  }
+  return runs;
+}
+
+} // namespace foxtailbarrow::standin
