--- a/apps/replay/RequestReplayer.h
+++ b/apps/replay/RequestReplayer.h
@@ -29,7 +29,7 @@
   {
     AttemptEnd mEnd = AttemptEnd::Unanswered;
     std::optional<Duration> mRetryAfter;
-    std::string mReason; ///< Told with a refusal.
+    std::string mReason{}; ///< Told with a refusal.
   };
 
   Outcome Send(const TraceRequest& aLine,
--- a/src/core/trace/RequestAudit.h
+++ b/src/core/trace/RequestAudit.h
@@ -23,7 +23,7 @@
 {
   std::string mRequestId; ///< Unique over all attempts of all requests.
   AttemptEnd mEnd = AttemptEnd::Unanswered;
-  std::string mReason; ///< Why it was refused, as told; empty when it was not.
+  std::string mReason{}; ///< Why it was refused; empty when it was not.
 };
 
 /// A request of the trace as it was carried out.
