Tell a process's processor time and memory among its metrics

Cause: docs/CAPACITY.md needs both for each role from a real run, and prometheus-cpp's core has no collector for the process.

--- /dev/null
+++ b/src/telemetry/ProcessMetrics.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "src/telemetry/Metrics.h"
+
+namespace foxtailbarrow {
+
+/// Registers what this process costs its VM, read from the system at each
+/// scrape: `process_cpu_seconds` (user and system time since the start) and
+/// `process_resident_bytes`.
+void AddProcessMetrics(Metrics& aMetrics);
+
+} // namespace foxtailbarrow
--- a/tests/telemetry/AdminPagesTest.cpp
+++ b/tests/telemetry/AdminPagesTest.cpp
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "src/telemetry/ProcessMetrics.h"
+
 namespace foxtailbarrow {
 namespace {
 
@@ -73,6 +75,15 @@
   EXPECT_THAT(response->mBody, HasSubstr("store is silent"));
 }
 
+TEST(Metrics, TellWhatTheProcessCosts)
+{
+  Metrics metrics;
+  AddProcessMetrics(metrics);
+  const std::string text = metrics.Text();
+  EXPECT_THAT(text, testing::ContainsRegex("_process_cpu_seconds [0-9.e-]+"));
+  EXPECT_THAT(text, testing::ContainsRegex("_process_resident_bytes [1-9]"));
+}
+
 TEST(Metrics, ReturnsTheSameSeriesForTheSameLabels)
 {
   Metrics metrics;
