--- a/apps/entry/ContractFeed.cpp
+++ b/apps/entry/ContractFeed.cpp
@@ -44,13 +44,13 @@
     return;
   }
   Take(mSource.ApplyListing(*listing));
-  const absl::Status ended = mContext.mStore.Watch(
-    kContractPrefix,
-    listing->mRevision,
-    [this](const std::vector<StoreEvent>& aEvents) {
-      Take(mSource.ApplyEvents(aEvents));
-      return !mSource.NeedsListing();
-    });
+  const absl::Status ended =
+    mContext.mStore.Watch(kContractPrefix,
+                          listing->mRevision,
+                          [this](const std::vector<StoreEvent>& aEvents) {
+                            Take(mSource.ApplyEvents(aEvents));
+                            return !mSource.NeedsListing();
+                          });
   LogChange("contract-watch-ended",
             { { "cause", std::string(ended.message()) } });
 }
--- a/apps/entry/JobDriver.cpp
+++ b/apps/entry/JobDriver.cpp
@@ -161,7 +161,8 @@
     if (known != nullptr && known->mStored.mRevision >= entry.mModRevision) {
       continue;
     }
-    if (auto stored = StoredJobOf(entry); stored && !IsFinal(stored->mRecord.mState)) {
+    if (auto stored = StoredJobOf(entry);
+        stored && !IsFinal(stored->mRecord.mState)) {
       Handle(JobRead{ aShard, *std::move(stored) });
     }
   }
--- a/apps/entry/JobHints.cpp
+++ b/apps/entry/JobHints.cpp
@@ -66,12 +66,10 @@
     return true;
   }
   const auto owner = mOwnerOf(aHint.mShard);
-  return owner && net::CallTyped<JobChangedReply>(mContext.mRpc,
-                                                  *owner,
-                                                  kJobChangedMethod,
-                                                  aHint,
-                                                  kPeerTimeout)
-                    .ok();
+  return owner &&
+         net::CallTyped<JobChangedReply>(
+           mContext.mRpc, *owner, kJobChangedMethod, aHint, kPeerTimeout)
+           .ok();
 }
 
 } // namespace foxtailbarrow::entry
--- a/apps/entry/JobPages.cpp
+++ b/apps/entry/JobPages.cpp
@@ -199,8 +199,8 @@
   } else if (const auto owner = OwnerOf(shard)) {
     Json::Value params(Json::objectValue);
     params["job"] = aJob.Value();
-    const auto reply = mContext.mRpc.Call(
-      *owner, kExplainMethod, params, kPeerTimeout);
+    const auto reply =
+      mContext.mRpc.Call(*owner, kExplainMethod, params, kPeerTimeout);
     if (!reply.ok()) {
       return StoreAway(Verdict::NotRun);
     }
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnprocessable = 422;
 
 absl::BitGen& Random()
 {
@@ -59,6 +61,19 @@
   return aAttempt.mReason == Reason::None ? Outcome::Failure : Outcome::Neutral;
 }
 
+/// The answer is the caller's: the request ran, or it is one that no agent
+/// would take.
+bool IsFinal(const Attempt& aAttempt)
+{
+  if (aAttempt.mVerdict == Verdict::Ran) {
+    return true;
+  }
+  return aAttempt.mResponse && aAttempt.mVerdict == Verdict::NotRun &&
+         aAttempt.mReason == Reason::None &&
+         (aAttempt.mResponse->mStatus == kBadRequest ||
+          aAttempt.mResponse->mStatus == kUnprocessable);
+}
+
 Refusal RefusalOf(const GiveUp& aGiveUp)
 {
   const bool notRun = aGiveUp.mVerdict == Verdict::NotRun;
@@ -160,7 +175,7 @@
     }
     ++aProgress.mAttempts;
     Attempt attempt = Send(aProgress, std::move(picked));
-    if (attempt.mVerdict == Verdict::Ran) {
+    if (IsFinal(attempt)) {
       mAnswered.Increment();
       return *std::move(attempt.mResponse);
     }
--- a/apps/entry/ShareDriver.cpp
+++ b/apps/entry/ShareDriver.cpp
@@ -86,8 +86,8 @@
   if (!listing.ok() || mReleased) {
     return;
   }
-  const auto claim = mKeeper.OnSlots(
-    started, MonotonicNow(), SlotsOf(*listing), LiveIds());
+  const auto claim =
+    mKeeper.OnSlots(started, MonotonicNow(), SlotsOf(*listing), LiveIds());
   if (claim) {
     Claim(*claim);
   }
--- a/apps/entry/StateViews.cpp
+++ b/apps/entry/StateViews.cpp
@@ -127,8 +127,8 @@
     Json::Value item(Json::objectValue);
     item["contract"] = ToJson(*state.mContract);
     item["inProgressHere"] = Json::Int64(state.mAdmission->InProgress());
-    item["usableConcurrencyHere"] = Json::Int64(
-      UsableShare(state.mContract->mMaxConcurrency, aShares, aNow));
+    item["usableConcurrencyHere"] =
+      Json::Int64(UsableShare(state.mContract->mMaxConcurrency, aShares, aNow));
     view["customers"].append(std::move(item));
   }
   return view;
