Answer requests on their way when a drain begins

A connection whose fiber started between the flag and the wake-up of the drain took that wake-up for the end and closed, so that a request on its way was lost. The same wake-up now just makes it wait on, until the drain's end.

--- a/bench/net/HttpLoad.cpp
+++ b/bench/net/HttpLoad.cpp
@@ -1,19 +1,24 @@
 // Requests a second and latency over loopback of HttpServer alone (echo) and of
-// an HttpServer whose handler calls on by HttpClient (proxy). Figures hold for
-// an otherwise idle machine only; the processor time of the threads under test
-// is reported beside them, which a busy machine distorts less.
+// an HttpServer whose handler calls on by HttpClient (proxy), of one new
+// connection for each request (connect), and the memory of idle connections
+// (idle). Figures hold for an otherwise idle machine only; the processor time
+// of the threads under test is reported beside them, which a busy machine
+// distorts less.
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <fstream>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <vector>
 
 #include <pthread.h>
+#include <unistd.h>
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -68,6 +73,37 @@
   return bytes <= aText.size() ? bytes : 0;
 }
 
+boost::asio::ip::tcp::endpoint PeerOf(const Endpoint& aEndpoint)
+{
+  return { boost::asio::ip::make_address_v4(aEndpoint.mAddress),
+           aEndpoint.mPort };
+}
+
+/// A new connection for each request.
+void RunConnects(const Endpoint& aEndpoint,
+                 const std::string& aRequest,
+                 Clock::time_point aEnd,
+                 Load& aLoad,
+                 std::vector<std::uint32_t>& aLatencies)
+{
+  const auto never = detail::Connection::TimePoint::max();
+  Clock::time_point begin = Clock::now();
+  while (begin < aEnd) {
+    detail::Connection connection(detail::RuntimeThread::Current()->Io());
+    bool good = !connection.Connect(PeerOf(aEndpoint), never);
+    std::size_t written = 0;
+    good = good && !connection.Write(aRequest, {}, never, written);
+    while (good && AnswerBytes(connection.Buffered()) == 0) {
+      good = !connection.Read(never);
+    }
+    aLoad.mFailures += good ? 0 : 1;
+    const Clock::time_point now = Clock::now();
+    aLatencies.push_back(static_cast<std::uint32_t>((now - begin).count()));
+    begin = now;
+  }
+  aLoad.mRunning.fetch_sub(1);
+}
+
 /// One connection that waits for each answer before it sends again.
 void RunConnection(const Endpoint& aEndpoint,
                    const std::string& aRequest,
@@ -77,9 +113,7 @@
 {
   detail::Connection connection(detail::RuntimeThread::Current()->Io());
   const auto never = detail::Connection::TimePoint::max();
-  const boost::asio::ip::tcp::endpoint peer(
-    boost::asio::ip::make_address_v4(aEndpoint.mAddress), aEndpoint.mPort);
-  bool good = !connection.Connect(peer, never);
+  bool good = !connection.Connect(PeerOf(aEndpoint), never);
   Clock::time_point begin = Clock::now();
   while (good && begin < aEnd) {
     std::size_t written = 0;
@@ -178,7 +212,9 @@
                      std::chrono::duration<double>(aOptions.mSeconds));
   for (unsigned index = 0; index < aOptions.mConnections; ++index) {
     loadRuntime.Spawn([&, index] {
-      RunConnection(aEndpoint, request, end, load, load.mLatencies[index]);
+      const auto run =
+        aOptions.mMode == "connect" ? RunConnects : RunConnection;
+      run(aEndpoint, request, end, load, load.mLatencies[index]);
     });
   }
   while (load.mRunning > 0) {
@@ -187,6 +223,42 @@
   Report(aOptions, load, ThreadSeconds(threads) - before);
 }
 
+std::size_t ResidentBytes()
+{
+  std::size_t pages = 0;
+  std::size_t resident = 0;
+  std::ifstream("/proc/self/statm") >> pages >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/// Memory of connections that answered one request and wait for another.
+void MeasureIdle(const Options& aOptions,
+                 FiberRuntime& aClients,
+                 HttpServer& aServer)
+{
+  const std::string request = RequestText(aOptions.mBodyBytes);
+  std::vector<std::unique_ptr<detail::Connection>> connections;
+  const std::size_t before = ResidentBytes();
+  aClients.RunAndWait([&] {
+    const auto never = detail::Connection::TimePoint::max();
+    for (unsigned index = 0; index < aOptions.mConnections; ++index) {
+      connections.push_back(std::make_unique<detail::Connection>(
+        detail::RuntimeThread::Current()->Io()));
+      std::size_t written = 0;
+      connections.back()->Connect(PeerOf(aServer.ListeningEndpoint()), never);
+      connections.back()->Write(request, {}, never, written);
+    }
+  });
+  while (aServer.Counters().mRequests < aOptions.mConnections ||
+         aServer.RequestsInProgress() > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  std::printf("idle: %u connections, %zu bytes resident each, both ends\n",
+              aOptions.mConnections,
+              (ResidentBytes() - before) / aOptions.mConnections);
+  aClients.RunAndWait([&] { connections.clear(); });
+}
+
 void RunBench(const Options& aOptions)
 {
   FiberRuntime servers(aOptions.mServerThreads);
@@ -204,6 +276,11 @@
   }
   auto server =
     HttpServer::Start(servers, { "127.0.0.1", 0 }, std::move(handler));
+  if (aOptions.mMode == "idle") {
+    FiberRuntime clients(1);
+    MeasureIdle(aOptions, clients, **server);
+    return;
+  }
   RunLoad(aOptions, servers, (*server)->ListeningEndpoint());
 }
 
@@ -215,7 +292,7 @@
   foxtailbarrow::net::Options options;
   CLI::App app("Load over loopback on HttpServer and HttpClient");
   app.add_option("--mode", options.mMode)
-    ->check(CLI::IsMember({ "echo", "proxy" }));
+    ->check(CLI::IsMember({ "echo", "proxy", "connect", "idle" }));
   app.add_option("--connections", options.mConnections);
   app.add_option("--threads", options.mServerThreads);
   app.add_option("--load-threads", options.mLoadThreads);
--- a/src/net/RpcClient.cpp
+++ b/src/net/RpcClient.cpp
@@ -55,12 +55,27 @@
   }
 }
 
+/// Client errors won't go away by another try; all others may.
+absl::StatusCode CodeOf(unsigned aHttpStatus)
+{
+  constexpr unsigned kFirstClientError = 400;
+  constexpr unsigned kContentTooLarge = 413;
+  constexpr unsigned kFirstServerError = 500;
+  if (aHttpStatus == kContentTooLarge) {
+    return absl::StatusCode::kResourceExhausted;
+  }
+  return aHttpStatus >= kFirstClientError && aHttpStatus < kFirstServerError
+           ? absl::StatusCode::kInvalidArgument
+           : absl::StatusCode::kUnavailable;
+}
+
 absl::Status FromHttp(const HttpResponse& aResponse)
 {
   const std::string_view text =
     aResponse.mHeaders.Find(kVerdictHeader).value_or("");
-  return WithVerdict(absl::UnavailableError(absl::StrCat(
-                       "RPC answered with HTTP status ", aResponse.mStatus)),
+  return WithVerdict(absl::Status(CodeOf(aResponse.mStatus),
+                                  absl::StrCat("RPC answered with HTTP status ",
+                                               aResponse.mStatus)),
                      ParseVerdict(text).value_or(Verdict::MayHaveRun));
 }
 
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -170,15 +170,16 @@
 {
   const TimePoint idleEnd = Deadline();
   while (mConnection.Buffered().empty()) {
-    const bool draining = mState->mDraining.load();
-    const TimePoint end =
-      draining ? std::min(idleEnd, mState->DrainEnd()) : idleEnd;
+    const TimePoint end = mState->mDraining.load()
+                            ? std::min(idleEnd, mState->DrainEnd())
+                            : idleEnd;
     mIdle = true;
     const ErrorCode error = mConnection.Read(end);
     mIdle = false;
-    const bool drainBegan = error == boost::asio::error::operation_aborted &&
-                            !draining && !mState->mClosing.load();
-    if (error && !drainBegan) {
+    // The drain ends the wait even of a connection that knows of it already.
+    const bool drains = error == boost::asio::error::operation_aborted &&
+                        !mState->mClosing.load();
+    if (error && !drains) {
       return false;
     }
   }
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -87,6 +87,7 @@
 {
   const char* mName;
   std::string mAnswer; ///< Sent, then the connection is closed.
+  absl::StatusCode mCode = absl::StatusCode::kUnavailable;
 };
 
 void PrintTo(const PeerCase& aCase, std::ostream* aOut)
@@ -110,7 +111,7 @@
   const auto response = Call(listener.Where(), HttpRequest());
   peer.join();
   ASSERT_FALSE(response.ok());
-  EXPECT_EQ(absl::StatusCode::kUnavailable, response.status().code());
+  EXPECT_EQ(GetParam().mCode, response.status().code());
   EXPECT_EQ(Verdict::MayHaveRun, VerdictOf(response.status()));
 }
 
@@ -131,6 +132,12 @@
               "50\r\nshort" },
     PeerCase{ "no length", "HTTP/1.1 200 OK\r\n\r\nwhole or short" },
     PeerCase{ "continue and no answer", "HTTP/1.1 100 Continue\r\n\r\n" },
+    PeerCase{ "length above the limit",
+              "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n",
+              absl::StatusCode::kResourceExhausted },
+    PeerCase{ "header above the limit",
+              "HTTP/1.1 200 OK\r\nA: " + std::string(70'000, 'x'),
+              absl::StatusCode::kResourceExhausted },
     PeerCase{ "no HTTP", "hello\r\n\r\n" }));
 
 TEST_F(HttpClientTest, SkipsInterimAnswers)
@@ -274,6 +281,28 @@
   EXPECT_TRUE(Eventually([&] { return gone.load(); }));
 }
 
+TEST_F(HttpClientTest, StreamHandsOverALineWhileTheServerIsSilent)
+{
+  std::atomic<bool> seen{ false };
+  const Endpoint endpoint =
+    StartServer(Echo, {}, [&seen](HttpRequest&, HttpStreamWriter& aWriter) {
+      aWriter.WriteLine("only");
+      const Instant end = MonotonicNow() + kGenerous;
+      while (!seen && MonotonicNow() < end) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+      }
+    });
+  mRuntime.RunAndWait([&] {
+    const auto status =
+      mClient.Stream(endpoint,
+                     { "POST", "/watch", {}, "" },
+                     kGenerous / 2,
+                     [&seen](std::string_view) { return !(seen = true); });
+    EXPECT_TRUE(status.ok()) << status;
+  });
+  EXPECT_TRUE(seen);
+}
+
 struct StreamEndCase
 {
   const char* mName;
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -1,6 +1,8 @@
 #include <atomic>
+#include <memory>
 #include <set>
 #include <stdexcept>
+#include <vector>
 
 #include <boost/fiber/operations.hpp>
 
@@ -272,16 +274,22 @@
   EXPECT_EQ(Verdict::NotRun, VerdictOf(late.status())) << late.status();
 }
 
-TEST_F(HttpServerTest, DrainAnswersARequestOnItsWay)
+TEST_F(HttpServerTest, DrainAnswersRequestsOnTheirWay)
 {
   HttpServerLimits limits;
   limits.mDrainGrace = kGenerous;
   const Endpoint endpoint = StartServer(Echo, limits);
-  const RawSocket socket(endpoint);
-  ASSERT_TRUE(Eventually([this] { return mServer->Connections() == 1; }));
+  std::vector<std::unique_ptr<RawSocket>> sockets;
+  for (int number = 0; number < 100; ++number) {
+    sockets.push_back(std::make_unique<RawSocket>(endpoint));
+  }
   mServer->Drain();
-  socket.Send("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
-  EXPECT_NE(std::string::npos, socket.ReadAll().find("GET /late"));
+  for (const auto& socket : sockets) {
+    socket->Send("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  for (const auto& socket : sockets) {
+    EXPECT_NE(std::string::npos, socket->ReadAll().find("GET /late"));
+  }
 }
 
 TEST_F(HttpServerTest, SpreadsConnectionsOverThreads)
--- a/tests/net/RpcTest.cpp
+++ b/tests/net/RpcTest.cpp
@@ -1,9 +1,14 @@
 #include "src/net/Rpc.h"
 
 #include <json/reader.h>
+#include <json/writer.h>
 
+#include "src/net/rpcshim/RpcShim.h"
 #include "tests/net/NetFixture.h"
 
+// Needs <gtest/gtest.h> before it.
+#include <rapidcheck/gtest.h>
+
 namespace foxtailbarrow::net {
 namespace {
 
@@ -93,6 +98,32 @@
     StatusCase{ "none", absl::StatusCode::kUnimplemented, Verdict::NotRun },
     StatusCase{ "throw", absl::StatusCode::kInternal, Verdict::MayHaveRun }));
 
+TEST_F(RpcTest, OversizeParamsAreNotRun)
+{
+  Json::Value params(Json::objectValue);
+  params["text"] = std::string(2'000'000, 'x');
+  const auto result = CallRpc(StartRpc(), "echo", params);
+  EXPECT_EQ(absl::StatusCode::kResourceExhausted, result.status().code());
+  EXPECT_EQ(Verdict::NotRun, VerdictOf(result.status())) << result.status();
+}
+
+RC_GTEST_PROP(RpcNesting, IsCountedAsBuilt, ())
+{
+  const int depth = *rc::gen::inRange(0, 2 * rpcshim::kMaxNesting);
+  Json::Value value = *rc::gen::arbitrary<std::string>();
+  for (int level = 0; level < depth; ++level) {
+    Json::Value outer;
+    if (*rc::gen::arbitrary<bool>()) {
+      outer.append(value);
+    } else {
+      outer[*rc::gen::arbitrary<std::string>()] = value;
+    }
+    value = outer;
+  }
+  RC_ASSERT(rpcshim::NestsTooDeep(Json::FastWriter().write(value)) ==
+            (depth > rpcshim::kMaxNesting));
+}
+
 struct TextCase
 {
   std::string mText;
