--- a/src/core/routing/Router.cpp
+++ b/src/core/routing/Router.cpp
@@ -40,7 +40,7 @@
                KeyedPick aKeyed)
   : mOwnDomain(std::move(aOwnDomain))
   , mPolicy(std::move(aPolicy))
-  , mKeyed(std::move(aKeyed))
+  , mKeyed(aKeyed)
 {
 }
 
