Let a probe that was never sent expire; retry a key that was passed on

A probe is claimed when it is picked. Where the request is then refused for another cause (an agent asked first did not promise), the claim was never given back and the agent stayed ejected for good. Claims now end after 30 s at most.

RetryPolicy took every duplicate for final. An agent's not-run refusal of a key that it promised not to run must be followed to the next agent in the key's order; only a duplicate that may have run is final.

--- a/src/core/retry/RetryPolicy.cpp
+++ b/src/core/retry/RetryPolicy.cpp
@@ -21,15 +21,17 @@
          (verdict == Verdict::MayHaveRun && aAttempt.mIdempotent);
 }
 
-/// Refusals that no other agent would decide differently.
-bool IsSameElsewhere(Reason aReason)
+/// Refusals that no other agent would decide differently. A duplicate that was
+/// not run is none: the agent had promised not to run it, another may.
+bool IsSameElsewhere(const FailedAttempt& aAttempt)
 {
-  switch (aReason) {
+  switch (aAttempt.mReason) {
     case Reason::NoContract:
     case Reason::RateLimit:
     case Reason::DeadlineTooShort:
-    case Reason::DuplicateRequest:
       return true;
+    case Reason::DuplicateRequest:
+      return aAttempt.mVerdict != Verdict::NotRun;
     default:
       return false;
   }
@@ -42,7 +44,7 @@
                                   Instant aNow,
                                   absl::BitGenRef aRandom) const
 {
-  if (!IsSafeToRepeat(aAttempt) || IsSameElsewhere(aAttempt.mReason) ||
+  if (!IsSafeToRepeat(aAttempt) || IsSameElsewhere(aAttempt) ||
       aAttempt.mAttempts >= mSettings.mMaxAttempts) {
     return GiveUpFor(aAttempt, aAttempt.mReason, aRandom);
   }
--- a/src/core/routing/AgentHealth.h
+++ b/src/core/routing/AgentHealth.h
@@ -30,7 +30,8 @@
   std::atomic<Instant> mReadmittedAt{ Instant::min() };
   std::atomic<Duration> mEjectionTime{ Duration{} }; ///< Of the latest.
   std::atomic<Reason> mReason{ Reason::None };       ///< Of the latest.
-  std::atomic<bool> mProbeInFlight{ false };
+  /// Until then a probe may be in flight and no other is sent.
+  std::atomic<Instant> mProbeUntil{ Instant::min() };
   std::atomic<std::uint32_t> mProbeSuccesses{ 0 };
 
   // Touched by OutlierDetector::Evaluate() alone.
--- a/src/core/routing/CandidateCheck.cpp
+++ b/src/core/routing/CandidateCheck.cpp
@@ -16,7 +16,7 @@
     aIdempotent ? Duration::zero()
                 : aHealth.mEjectionTime.load(std::memory_order_relaxed);
   return aNow >= until + extra &&
-         !aHealth.mProbeInFlight.load(std::memory_order_relaxed);
+         aNow >= aHealth.mProbeUntil.load(std::memory_order_relaxed);
 }
 
 } // namespace
@@ -42,11 +42,15 @@
   return { &aAgent, (load.mRequests + 1.0) / (load.mSlots * weight), false };
 }
 
-bool CandidateCheck::Claim(const Candidate& aCandidate)
+bool CandidateCheck::Claim(const Candidate& aCandidate, Instant aNow) const
 {
-  return !aCandidate.mIsProbe ||
-         !aCandidate.mAgent->mGauges->mHealth.mProbeInFlight.exchange(
-           true, std::memory_order_acq_rel);
+  if (!aCandidate.mIsProbe) {
+    return true;
+  }
+  auto& probeUntil = aCandidate.mAgent->mGauges->mHealth.mProbeUntil;
+  Instant last = probeUntil.load(std::memory_order_relaxed);
+  return aNow >= last && probeUntil.compare_exchange_strong(
+                           last, aNow + mSettings.mLongestProbe);
 }
 
 double CandidateCheck::Weight(const RoutableAgent& aAgent, Instant aNow) const
--- a/src/core/routing/CandidateCheck.h
+++ b/src/core/routing/CandidateCheck.h
@@ -23,7 +23,7 @@
 
   /// To be called for the candidate that was chosen; false when it is a probe
   /// and another thread sends one already.
-  static bool Claim(const Candidate& aCandidate);
+  bool Claim(const Candidate& aCandidate, Instant aNow) const;
 
   const RouterSettings& Settings() const { return mSettings; }
 
--- a/src/core/routing/KeyedPick.h
+++ b/src/core/routing/KeyedPick.h
@@ -61,6 +61,12 @@
 
   KeyedPlace Pick(const PickContext& aContext) const;
 
+  /// As CandidateCheck::Claim().
+  bool Claim(const Candidate& aCandidate, Instant aNow) const
+  {
+    return mCheck.Claim(aCandidate, aNow);
+  }
+
 private:
   enum class Standing : std::uint8_t
   {
--- a/src/core/routing/LeastLoadedPick.cpp
+++ b/src/core/routing/LeastLoadedPick.cpp
@@ -33,7 +33,7 @@
   if (!best) {
     best = Scan(aContext, aRandom);
   }
-  if (best && !CandidateCheck::Claim(best)) {
+  if (best && !mCheck.Claim(best, aContext.mNow)) {
     best = Scan(aContext, aRandom);
   }
   return best;
--- a/src/core/routing/OutlierDetector.cpp
+++ b/src/core/routing/OutlierDetector.cpp
@@ -79,7 +79,7 @@
         mSettings.mProbesToReadmit) {
     Readmit(aAgent, aNow);
   }
-  health.mProbeInFlight.store(false, std::memory_order_release);
+  health.mProbeUntil.store(Instant::min(), std::memory_order_release);
 }
 
 void OutlierDetector::Eject(const RoutableAgent& aAgent,
--- a/src/core/routing/Router.cpp
+++ b/src/core/routing/Router.cpp
@@ -83,7 +83,7 @@
   if (place.mIsHolderLost) {
     return NoChoice{ Reason::KeyHolderLost, Verdict::MayHaveRun, std::nullopt };
   }
-  if (!place.mCandidate || !CandidateCheck::Claim(place.mCandidate)) {
+  if (!place.mCandidate || !mKeyed.Claim(place.mCandidate, aContext.mNow)) {
     return Refuse(Reason::BackendServersBusy, kBusyRetryAfter, aRandom);
   }
   Picked picked{ Hold(aTable, place.mCandidate.mAgent),
--- a/src/core/routing/RouterSettings.h
+++ b/src/core/routing/RouterSettings.h
@@ -24,6 +24,9 @@
   Duration mSlowStart = std::chrono::seconds(10);
   double mSlowStartShare = 0.1; ///< Share of its full weight at the start.
 
+  /// A probe whose outcome is not reported by then counts as ended.
+  Duration mLongestProbe = std::chrono::seconds(30);
+
   /// Random draws for one request before it scans.
   std::size_t mMaxDraws = 6;
 
--- a/tests/routing/OutlierDetectorTest.cpp
+++ b/tests/routing/OutlierDetectorTest.cpp
@@ -187,6 +187,14 @@
   EXPECT_TRUE(Probe(kWarm + seconds(4), false).has_value());
 }
 
+TEST_F(Readmission, SurvivesAProbeThatWasPickedAndNeverSent)
+{
+  Fail(mDetector, mAgent, kWarm);
+  EXPECT_TRUE(Probe(kWarm + seconds(2)).has_value());
+  EXPECT_FALSE(Probe(kWarm + seconds(31)).has_value());
+  EXPECT_TRUE(Probe(kWarm + seconds(32)).has_value());
+}
+
 TEST_F(Readmission, SurvivesAProbeThatIsAbandoned)
 {
   Fail(mDetector, mAgent, kWarm);
