--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -11,6 +11,7 @@
 #include "src/platform/store/CountingStore.h"
 #include "src/platform/store/EtcdStore.h"
 #include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
 
 namespace foxtailbarrow::entry {
 
@@ -135,6 +136,7 @@
     mMetrics);
   mAdmin =
     std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
+  AddProcessMetrics(mMetrics);
   AddContributors();
   AddMethods();
   AddStatePages();
@@ -221,6 +223,9 @@
   if (mFeed->AsOf() == 0) {
     return absl::UnavailableError("no configuration read yet");
   }
+  if (mAgents->Directory().IsFirstView(MonotonicNow())) {
+    return absl::UnavailableError("agents are not known yet");
+  }
   return absl::OkStatus();
 }
 
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -250,7 +250,8 @@
     return RefusalOf(*giveUp);
   }
   aProgress.mEarlier = WorstVerdict(aProgress.mEarlier, aAttempt.mVerdict);
-  aProgress.mKeyPassedOn = aAttempt.mReason == Reason::DuplicateRequest;
+  aProgress.mKeyPassedOn |= aAttempt.mVerdict == Verdict::NotRun &&
+                            aAttempt.mReason == Reason::DuplicateRequest;
   if (const Duration delay = std::get<Retry>(decision).mDelay;
       delay > Duration::zero()) {
     boost::this_fiber::sleep_for(delay);
