Test the job scheduler under random schedules of faults

Cause: the scheduler's promises are about lost replies, frozen agents and owners that pause or crash, in any order. Invariants: one place at a time, no epoch started on two agents, epochs move only by assignments, a final record never changes, a checkpoint is written with its eviction and the next start resumes it, ended tasks are forgotten only once recorded, no worker over its size, all jobs end. Advance() now takes every job off the queue and AdvanceIdle() puts it back.

--- a/src/core/job/JobScheduler.h
+++ b/src/core/job/JobScheduler.h
@@ -116,7 +116,7 @@
   bool WaitsForStore(JobEntry& aEntry, Turn& aTurn);
   void AdvanceEnd(JobEntry& aEntry, Turn& aTurn);
   bool AdvanceAssigned(JobEntry& aEntry, Turn& aTurn);
-  void AdvanceIdle(JobEntry& aEntry, Turn& aTurn);
+  void AdvanceIdle(JobEntry& aEntry, ReadyQueue::Ticket aTicket, Turn& aTurn);
   void AdvanceParked(JobEntry& aEntry, Turn& aTurn);
   Instant LapsedAt(const JobEntry& aEntry) const;
   void Release(JobEntry& aEntry, Reason aReason, Turn& aTurn);
--- a/src/core/job/JobSchedulerAdvance.cpp
+++ b/src/core/job/JobSchedulerAdvance.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "src/core/job/JobScheduler.h"
 #include "src/core/job/JobTransitions.h"
@@ -8,6 +9,8 @@
 
 void JobScheduler::Advance(JobEntry& aEntry, Turn& aTurn)
 {
+  // Whatever else is due takes the job off the queue.
+  const ReadyQueue::Ticket ticket = std::exchange(aEntry.mTicket, 0);
   if (WaitsForStore(aEntry, aTurn)) {
     return;
   }
@@ -23,7 +26,7 @@
   if (aEntry.IsAssigned() && AdvanceAssigned(aEntry, aTurn)) {
     return;
   }
-  AdvanceIdle(aEntry, aTurn);
+  AdvanceIdle(aEntry, ticket, aTurn);
 }
 
 bool JobScheduler::WaitsForStore(JobEntry& aEntry, Turn& aTurn)
@@ -113,8 +116,10 @@
   Note(aEntry, aReason, aTurn);
 }
 
-/// The job runs nowhere.
-void JobScheduler::AdvanceIdle(JobEntry& aEntry, Turn& aTurn)
+/// The job runs nowhere. It keeps the place in the queue that it had.
+void JobScheduler::AdvanceIdle(JobEntry& aEntry,
+                               ReadyQueue::Ticket aTicket,
+                               Turn& aTurn)
 {
   if (aEntry.CancelPending()) {
     Commit(aEntry, Cancelled(aEntry.Record()), aTurn);
@@ -131,7 +136,8 @@
   if (aEntry.mWaitingSince == Instant{}) {
     aEntry.mWaitingSince = aTurn.mNow;
   }
-  if (aEntry.mTicket == 0) {
+  aEntry.mTicket = aTicket;
+  if (aTicket == 0) {
     const JobSpec& spec = aEntry.Spec();
     aEntry.mTicket = mReady.Push(spec.mCustomer, spec.mPriority, spec.mId);
   }
--- /dev/null
+++ b/tests/job/ModelFleet.cpp
@@ -0,0 +1,427 @@
+#include "tests/job/ModelFleet.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kStoreLease = 4s;
+constexpr Duration kValidity = 3s;
+constexpr Duration kCallTimeout = 1s;
+
+} // namespace
+
+ModelFleet::ModelFleet(std::uint64_t aSeed,
+                       const Faults& aFaults,
+                       const JobSchedulerSettings& aSettings)
+  : mRandom(aSeed)
+  , mFaults(aFaults)
+  , mSettings(aSettings)
+  , mEntries(2)
+{
+  for (int i = 0; i < 4; ++i) {
+    mAgents.emplace_back("agent-" + std::to_string(i),
+                         Resources{ 4000, 4000, 0 });
+  }
+  for (Entry& entry : mEntries) {
+    entry.mScheduler = std::make_unique<JobScheduler>(mSettings);
+  }
+}
+
+void ModelFleet::Submit(const JobSpec& aSpec)
+{
+  StoredJob& job = mRecords[aSpec.mId];
+  job.mRecord.mSpec = aSpec;
+  job.mRevision = ++mRevision;
+  Tell(mOwner, mEntries[mOwner].mLife, JobRead{ kShard, job });
+}
+
+void ModelFleet::Cancel(const JobId& aJob)
+{
+  Tell(mOwner, mEntries[mOwner].mLife, CancelRequested{ aJob });
+}
+
+void ModelFleet::Run(Duration aSpan)
+{
+  for (const Instant end = mNow + aSpan; mNow < end;) {
+    Step();
+  }
+}
+
+void ModelFleet::Step()
+{
+  mNow += kStep;
+  Break();
+  while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+    const auto work = std::move(mQueue.begin()->second);
+    mQueue.erase(mQueue.begin());
+    work();
+  }
+  for (ModelAgent& agent : mAgents) {
+    agent.StepWorker(mNow, mRandom, mFaults.mTaskFails);
+    if (!agent.Frozen(mNow) && Chance(mRandom, 100)) {
+      Beat(agent);
+    }
+  }
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    StepEntry(i);
+  }
+  CheckPlaces();
+}
+
+void ModelFleet::Break()
+{
+  ModelAgent& agent = mAgents[mRandom() % mAgents.size()];
+  if (Chance(mRandom, mFaults.mAgentFreeze)) {
+    agent.mFrozenUntil = mNow + Delay(60'000);
+  }
+  if (Chance(mRandom, mFaults.mAgentReplace)) {
+    agent.Replace();
+  }
+  if (Chance(mRandom, mFaults.mAgentRestart)) {
+    agent.RestartProcess();
+  }
+  if (Chance(mRandom, mFaults.mEvict)) {
+    agent.EvictOne(mRandom);
+  }
+  if (Chance(mRandom, mFaults.mEntryPause)) {
+    mEntries[mRandom() % 2].mPausedUntil = mNow + Delay(30'000);
+  }
+  if (Chance(mRandom, mFaults.mEntryCrash)) {
+    Entry& entry = mEntries[mRandom() % 2];
+    const std::uint64_t life = entry.mLife + 1;
+    entry = Entry{};
+    entry.mLife = life;
+    entry.mScheduler = std::make_unique<JobScheduler>(mSettings);
+  }
+}
+
+void ModelFleet::StepEntry(std::size_t aIndex)
+{
+  Entry& entry = mEntries[aIndex];
+  if (mNow < entry.mPausedUntil) {
+    return;
+  }
+  // What waited is worked off first: a paused owner does not know better.
+  for (const JobEvent& event : std::exchange(entry.mInbox, {})) {
+    Tell(aIndex, entry.mLife, event);
+  }
+  if (entry.mGeneration != 0) {
+    if (entry.mGeneration == mGeneration && mNow < mStoreLeaseUntil) {
+      mStoreLeaseUntil = mNow + kStoreLease;
+      entry.mValidUntil = mNow + kValidity;
+      ListAgain(aIndex);
+    } else {
+      entry.mGeneration = 0;
+      Tell(aIndex, entry.mLife, ShardLost{ kShard });
+    }
+  } else if (mNow >= mStoreLeaseUntil) {
+    Acquire(aIndex);
+  }
+  Tell(aIndex, entry.mLife, Tick{});
+}
+
+/// Hints get lost: the shell lists its shards now and then.
+void ModelFleet::ListAgain(std::size_t aIndex)
+{
+  if (Chance(mRandom, 10)) {
+    for (const auto& [id, job] : mRecords) {
+      Tell(aIndex, mEntries[aIndex].mLife, JobRead{ kShard, job });
+    }
+  }
+}
+
+void ModelFleet::Acquire(std::size_t aIndex)
+{
+  Entry& entry = mEntries[aIndex];
+  mOwner = aIndex;
+  mStoreLeaseUntil = mNow + kStoreLease;
+  entry.mValidUntil = mNow + kValidity;
+  entry.mGeneration = mGeneration = ++mRevision;
+  ContractsChanged contracts;
+  ShardAcquired acquired{ kShard, mGeneration, {} };
+  for (const std::string_view name : { "even", "odd" }) {
+    Contract contract;
+    contract.mCustomer = CustomerId(std::string(name));
+    contract.mBatch = { { 100'000, 100'000, 0 }, 100, 1.0 };
+    contracts.mChanged.push_back(contract);
+  }
+  for (const auto& [id, job] : mRecords) {
+    acquired.mJobs.push_back(job);
+  }
+  Tell(aIndex, entry.mLife, contracts);
+  Tell(aIndex, entry.mLife, acquired);
+}
+
+void ModelFleet::Tell(std::size_t aIndex,
+                      std::uint64_t aLife,
+                      const JobEvent& aEvent)
+{
+  Entry& entry = mEntries[aIndex];
+  if (entry.mLife != aLife) {
+    return;
+  }
+  if (mNow < entry.mPausedUntil) {
+    entry.mInbox.push_back(aEvent);
+    return;
+  }
+  const auto actions = entry.mScheduler->Handle(aEvent, mNow, mRandom);
+  for (const JobAction& action : actions) {
+    std::visit([&](const auto& aKind) { Do(aIndex, aKind); }, action);
+  }
+}
+
+void ModelFleet::Beat(ModelAgent& aAgent)
+{
+  const Heartbeat heartbeat = aAgent.Beat(mNow);
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    if (!Chance(mRandom, mFaults.mHeartbeatLost)) {
+      After(Delay(300), [this, i, life = mEntries[i].mLife, heartbeat] {
+        Tell(i, life, HeartbeatSeen{ heartbeat });
+      });
+    }
+  }
+}
+
+void ModelFleet::Do(std::size_t aIndex, const ExtendLeases& aAction)
+{
+  Entry& entry = mEntries[aIndex];
+  const bool owns = entry.mGeneration != 0 && mNow < entry.mValidUntil;
+  const auto leases = owns ? aAction.mLeases : std::vector<ShardLease>{};
+  if (owns) {
+    Tell(aIndex,
+         entry.mLife,
+         HeartbeatReplySent{ aAction.mAgent,
+                             aAction.mIncarnation,
+                             aAction.mSequence,
+                             mNow + mSettings.mTaskLease });
+  }
+  if (Chance(mRandom, mFaults.mHeartbeatLost)) {
+    return;
+  }
+  auto acknowledged = std::exchange(entry.mAcknowledge[aAction.mAgent], {});
+  auto disowned = std::exchange(entry.mDisown[aAction.mAgent], {});
+  ModelAgent& agent = Find(aAction.mAgent);
+  const auto deliver = [=, this, &agent] {
+    if (agent.mIncarnation == aAction.mIncarnation) {
+      std::ranges::for_each(acknowledged,
+                            [&](const auto& aKey) { CheckAcknowledge(aKey); });
+      agent.TakeReply(aAction.mSequence, leases, acknowledged, disowned);
+    }
+  };
+  AfterThaw(agent, Delay(300), deliver);
+}
+
+void ModelFleet::Do(std::size_t aIndex, const CommitRecord& aAction)
+{
+  const std::uint64_t life = mEntries[aIndex].mLife;
+  const auto answer = [this, aIndex, life](CommitDone aDone) {
+    After(Delay(100), [=, this] { Tell(aIndex, life, aDone); });
+  };
+  if (Chance(mRandom, mFaults.mStoreNotRun)) {
+    answer({ aAction.mToken, CommitOutcome::NotRun, 0 });
+  } else if (Chance(mRandom, mFaults.mStoreUnknown)) {
+    answer({ aAction.mToken, CommitOutcome::Unknown, 0 });
+    After(Delay(8'000), [=, this] { Write(aAction); });
+  } else {
+    After(Delay(100), [=, this] { answer(Write(aAction)); });
+  }
+}
+
+CommitDone ModelFleet::Write(const CommitRecord& aCommit)
+{
+  StoredJob& job = mRecords.at(aCommit.mRecord.mSpec.mId);
+  if (job.mRevision != aCommit.mExpected ||
+      mGeneration != aCommit.mGeneration) {
+    return { aCommit.mToken, CommitOutcome::Conflict, 0 };
+  }
+  CheckWrite(job.mRecord, aCommit.mRecord);
+  job = { aCommit.mRecord, ++mRevision };
+  return { aCommit.mToken, CommitOutcome::Applied, job.mRevision };
+}
+
+void ModelFleet::Do(std::size_t aIndex, const SendAssign& aAction)
+{
+  const std::uint64_t life = mEntries[aIndex].mLife;
+  const TaskKey key = aAction.mAssign.mTask.mKey;
+  ModelAgent& agent = Find(aAction.mAgent);
+  const bool lost = Chance(mRandom, mFaults.mAssignLost);
+  const auto arrive = [=, this, &agent] {
+    const std::size_t before = agent.mStarted.size();
+    const AssignReply reply = agent.Take(aAction.mAssign, mNow);
+    if (agent.mStarted.size() > before) {
+      CheckStart(aAction.mAssign.mTask);
+    }
+    if (reply.mGranted &&
+        mStarts.emplace(key, agent.mId).first->second != agent.mId) {
+      Violate("epoch started on two agents: " + key.mJob.Value());
+    }
+    if (!lost) {
+      After(Delay(100), [=, this] {
+        Tell(aIndex, life, AssignDone{ key, reply });
+      });
+    }
+  };
+  AfterThaw(agent, Delay(lost ? 40'000 : 100), arrive);
+  if (lost) {
+    const auto error = WithVerdict(absl::DeadlineExceededError("no answer"),
+                                   Verdict::MayHaveRun);
+    After(kCallTimeout, [=, this] {
+      Tell(aIndex, life, AssignDone{ key, error });
+    });
+  }
+}
+
+void ModelFleet::Do(std::size_t aIndex, const SendControl& aAction)
+{
+  ModelAgent& agent = Find(aAction.mAgent);
+  const std::uint64_t life = mEntries[aIndex].mLife;
+  AfterThaw(agent, Delay(100), [=, this, &agent] {
+    const ControlReply reply = agent.Take(aAction.mControl);
+    Tell(aIndex, life, ControlDone{ aAction.mControl.mKey, reply });
+  });
+}
+
+void ModelFleet::Do(std::size_t aIndex, const AcknowledgeTasks& aAction)
+{
+  auto& keys = mEntries[aIndex].mAcknowledge[aAction.mAgent];
+  keys.insert(keys.end(), aAction.mKeys.begin(), aAction.mKeys.end());
+}
+
+void ModelFleet::Do(std::size_t aIndex, const DisownTasks& aAction)
+{
+  auto& keys = mEntries[aIndex].mDisown[aAction.mAgent];
+  keys.insert(keys.end(), aAction.mKeys.begin(), aAction.mKeys.end());
+}
+
+void ModelFleet::Do(std::size_t aIndex, const ReadJob& aAction)
+{
+  const std::uint64_t life = mEntries[aIndex].mLife;
+  After(Delay(100), [=, this] {
+    const auto found = mRecords.find(aAction.mJob);
+    if (Chance(mRandom, mFaults.mStoreNotRun)) {
+      Tell(aIndex, life, JobReadFailed{ kShard, aAction.mJob });
+    } else if (found == mRecords.end()) {
+      Tell(aIndex, life, JobMissing{ kShard, aAction.mJob });
+    } else {
+      const JobEvent read = JobRead{ kShard, found->second };
+      After(Delay(100), [=, this] { Tell(aIndex, life, read); });
+    }
+  });
+}
+
+void ModelFleet::CheckWrite(const JobRecord& aBefore, const JobRecord& aAfter)
+{
+  const std::string& job = aBefore.mSpec.mId.Value();
+  if (IsFinal(aBefore.mState)) {
+    Violate("final record changed: " + job);
+  }
+  const bool assigns =
+    aAfter.mEpoch == aBefore.mEpoch + 1 && aAfter.mState == JobState::Assigned;
+  if (!assigns && aAfter.mEpoch != aBefore.mEpoch) {
+    Violate("epoch moved without an assignment: " + job);
+  }
+  const bool evicted = aAfter.mEvictions != aBefore.mEvictions;
+  if (evicted != (aAfter.mCheckpoint != aBefore.mCheckpoint)) {
+    Violate("eviction without its checkpoint: " + job);
+  }
+}
+
+void ModelFleet::CheckStart(const TaskStart& aStart)
+{
+  const JobRecord& record = Record(aStart.mKey.mJob);
+  if (record.mEpoch == aStart.mKey.mEpoch &&
+      record.mCheckpoint != aStart.mCheckpoint) {
+    Violate("not resumed from its checkpoint: " + aStart.mKey.mJob.Value());
+  }
+}
+
+void ModelFleet::CheckAcknowledge(const TaskKey& aKey)
+{
+  const JobRecord& record = Record(aKey.mJob);
+  if (record.mEpoch == aKey.mEpoch && record.mState == JobState::Assigned) {
+    Violate("acknowledged before it was recorded: " + aKey.mJob.Value());
+  }
+}
+
+int ModelFleet::RunningPlaces(const JobId& aJob) const
+{
+  int places = 0;
+  for (const ModelAgent& agent : mAgents) {
+    const auto running = agent.RunningJobs();
+    places += static_cast<int>(std::ranges::count(running, aJob));
+  }
+  return places;
+}
+
+void ModelFleet::CheckPlaces()
+{
+  for (const auto& [id, job] : mRecords) {
+    if (RunningPlaces(id) > 1) {
+      Violate("runs in two places: " + id.Value());
+    }
+  }
+  for (const ModelAgent& agent : mAgents) {
+    if (!agent.Reserved().FitsIn(agent.mCapacity)) {
+      Violate("over its size: " + agent.mId.Value());
+    }
+  }
+}
+
+void ModelFleet::PauseOwner(Duration aSpan)
+{
+  mEntries[mOwner].mPausedUntil = mNow + aSpan;
+}
+
+void ModelFleet::FreezeAgentOf(const JobId& aJob, Duration aSpan)
+{
+  Find(*Record(aJob).mAgent).mFrozenUntil = mNow + aSpan;
+}
+
+bool ModelFleet::AllFinal() const
+{
+  return std::ranges::all_of(mRecords, [](const auto& aJob) {
+    return IsFinal(aJob.second.mRecord.mState);
+  });
+}
+
+void ModelFleet::After(Duration aDelay, std::function<void()> aWork)
+{
+  mQueue.emplace(mNow + aDelay, std::move(aWork));
+}
+
+void ModelFleet::AfterThaw(ModelAgent& aAgent,
+                           Duration aDelay,
+                           std::function<void()> aWork)
+{
+  After(aDelay, [this, &aAgent, work = std::move(aWork)]() mutable {
+    if (aAgent.Frozen(mNow)) {
+      AfterThaw(aAgent, aAgent.mFrozenUntil - mNow, std::move(work));
+    } else {
+      work();
+    }
+  });
+}
+
+Duration ModelFleet::Delay(int aMaxMs)
+{
+  return std::chrono::milliseconds(mRandom() %
+                                   static_cast<std::uint64_t>(aMaxMs));
+}
+
+ModelAgent& ModelFleet::Find(const AgentId& aAgent)
+{
+  return *std::ranges::find(mAgents, aAgent, &ModelAgent::mId);
+}
+
+void ModelFleet::Violate(std::string aWhat)
+{
+  if (std::ranges::find(mViolations, aWhat) == mViolations.end()) {
+    mViolations.push_back(std::move(aWhat));
+  }
+}
+
+} // namespace foxtailbarrow::test
--- /dev/null
+++ b/tests/job/ModelFleet.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/core/job/JobScheduler.h"
+#include "tests/job/ModelAgent.h"
+
+namespace foxtailbarrow::test {
+
+/// How often each fault happens, in a thousand chances.
+struct Faults
+{
+  int mStoreUnknown = 0; ///< Reply lost; the write applied, or applies later.
+  int mStoreNotRun = 0;
+  int mAssignLost = 0; ///< Answer lost; the call may arrive much later.
+  int mHeartbeatLost = 0;
+  int mAgentFreeze = 0; ///< Each step, for some agent.
+  int mAgentReplace = 0;
+  int mAgentRestart = 0;
+  int mEntryPause = 0;
+  int mEntryCrash = 0;
+  int mEvict = 0;
+  int mTaskFails = 0; ///< Each step, each task.
+};
+
+/// Two entries that hand one shard to each other, a store and four agents, in
+/// virtual time. Every broken promise is noted in Violations().
+class ModelFleet
+{
+public:
+  static constexpr ShardId kShard = 0;
+  static constexpr Duration kStep = std::chrono::milliseconds(100);
+
+  ModelFleet(std::uint64_t aSeed,
+             const Faults& aFaults,
+             const JobSchedulerSettings& aSettings = {});
+
+  void Submit(const JobSpec& aSpec);
+  void Cancel(const JobId& aJob);
+  void Run(Duration aSpan);
+  void StopFaults() { mFaults = {}; }
+  void PauseOwner(Duration aSpan);
+  void FreezeAgentOf(const JobId& aJob, Duration aSpan);
+
+  const JobRecord& Record(const JobId& aJob) const
+  {
+    return mRecords.at(aJob).mRecord;
+  }
+  bool AllFinal() const;
+  int RunningPlaces(const JobId& aJob) const;
+  const std::vector<std::string>& Violations() const { return mViolations; }
+
+private:
+  struct Entry
+  {
+    std::unique_ptr<JobScheduler> mScheduler;
+    std::vector<JobEvent> mInbox; ///< While paused.
+    Instant mPausedUntil{};
+    Instant mValidUntil{};
+    Generation mGeneration = 0; ///< 0 = believes to own nothing.
+    std::uint64_t mLife = 0;    ///< Raised by a crash.
+    std::map<AgentId, std::vector<TaskKey>> mAcknowledge;
+    std::map<AgentId, std::vector<TaskKey>> mDisown;
+  };
+
+  void Step();
+  void Break();
+  void StepEntry(std::size_t aIndex);
+  void ListAgain(std::size_t aIndex);
+  void Acquire(std::size_t aIndex);
+  void Beat(ModelAgent& aAgent);
+  void Tell(std::size_t aIndex, std::uint64_t aLife, const JobEvent& aEvent);
+  void Do(std::size_t aIndex, const CommitRecord& aAction);
+  void Do(std::size_t aIndex, const SendAssign& aAction);
+  void Do(std::size_t aIndex, const SendControl& aAction);
+  void Do(std::size_t aIndex, const AcknowledgeTasks& aAction);
+  void Do(std::size_t aIndex, const DisownTasks& aAction);
+  void Do(std::size_t aIndex, const ExtendLeases& aAction);
+  void Do(std::size_t aIndex, const ReadJob& aAction);
+  CommitDone Write(const CommitRecord& aCommit);
+  void CheckWrite(const JobRecord& aBefore, const JobRecord& aAfter);
+  void CheckStart(const TaskStart& aStart);
+  void CheckAcknowledge(const TaskKey& aKey);
+  void CheckPlaces();
+  void After(Duration aDelay, std::function<void()> aWork);
+  void AfterThaw(ModelAgent& aAgent, Duration aDelay, std::function<void()>);
+  Duration Delay(int aMaxMs);
+  ModelAgent& Find(const AgentId& aAgent);
+  void Violate(std::string aWhat);
+
+  Random mRandom;
+  Faults mFaults;
+  JobSchedulerSettings mSettings;
+  Instant mNow{ std::chrono::seconds(1000) };
+  std::vector<ModelAgent> mAgents;
+  std::vector<Entry> mEntries;
+  std::map<JobId, StoredJob> mRecords;
+  Revision mRevision = 10;
+  Generation mGeneration = 0;
+  std::size_t mOwner = 0;
+  Instant mStoreLeaseUntil{};
+  std::multimap<Instant, std::function<void()>> mQueue;
+  std::map<TaskKey, AgentId> mStarts;
+  std::vector<std::string> mViolations;
+};
+
+} // namespace foxtailbarrow::test
