--- /dev/null
+++ b/apps/agent/BackendProbe.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+
+#include "apps/agent/AgentSettings.h"
+#include "apps/agent/FiberGroup.h"
+#include "apps/agent/Poke.h"
+#include "src/net/FiberRuntime.h"
+#include "src/net/HttpClient.h"
+
+namespace foxtailbarrow {
+
+/// Watches the backend server by GET /healthz. It is up while it answers with a
+/// status below 500, and leaving as soon as it answers 503, or after
+/// kFailures probes in a row without an answer.
+class BackendProbe
+{
+public:
+  using OnChange = std::function<void(bool aIsUp)>;
+
+  BackendProbe(const AgentSettings& aSettings,
+               net::FiberRuntime& aRuntime,
+               net::HttpClient& aClient,
+               OnChange aOnChange);
+
+  void Start();
+
+  /// Ends its fiber. Not to be called by a thread of the runtime.
+  void Stop() { mFibers.Stop(); }
+
+  bool IsUp() const { return mIsUp; }
+
+private:
+  static constexpr int kFailures = 2;
+
+  void Probe();
+
+  const AgentSettings& mSettings;
+  net::HttpClient& mClient;
+  const OnChange mOnChange;
+  Poke mPoke;
+  FiberGroup mFibers;
+  std::atomic<bool> mIsUp{ false };
+  int mFailures = 0;
+};
+
+} // namespace foxtailbarrow
