Learn sizes, judge failures and make room for urgent jobs

Ruled out: counting failures per worker alone (a program that fails everywhere would quarantine the fleet): failures are held against what the same program does elsewhere, in standard deviations. A fixed factor over the expected failures (3x) missed a bad worker whenever a bad program ran beside it (red: FailureJudgeTest/Both). Change: SizeLearner over QuantileSketch, FailureJudge with bounded quarantine and probation, PlanEviction, and their use in JobScheduler. Room made by evictions is held until the worker's own count shows it. A failure on a quarantined worker costs the job no attempt. Heartbeat carries usage samples (additive, optional in the codec); UsageSeen does the same for other sources. ModelAgent rebuilds its ledger over up to 30 heartbeats after a restart.

--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -76,7 +76,8 @@
   ServingState mState = ServingState::Starting;
   LoadReport mLoad;
   std::vector<TaskReport> mTasks;
-  Revision mConfiguration = 0; ///< Newest applied.
+  std::vector<UsageSample> mUsage; ///< Measured since the last heartbeat.
+  Revision mConfiguration = 0;     ///< Newest applied.
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/src/core/job/JobBooks.cpp
+++ b/src/core/job/JobBooks.cpp
@@ -1,5 +1,7 @@
 #include "src/core/job/JobBooks.h"
 
+#include <algorithm>
+
 namespace foxtailbarrow {
 
 void JobBooks::Reserve(JobEntry& aEntry,
@@ -28,6 +30,17 @@
   Book(aEntry, { aSize, aWorker, false });
 }
 
+std::vector<JobEntry*> JobBooks::HoldersOf(WorkerSlot aWorker) const
+{
+  if (aWorker >= mHolders.size()) {
+    return {};
+  }
+  const auto& holders = mHolders[aWorker];
+  std::vector<JobEntry*> sorted(holders.begin(), holders.end());
+  std::ranges::sort(sorted, {}, &JobEntry::mSerial);
+  return sorted;
+}
+
 void JobBooks::Book(JobEntry& aEntry, const Booking& aBooking)
 {
   Release(aEntry);
@@ -36,6 +49,8 @@
   if (aBooking.mWorker) {
     const WorkerSlot slot = *aBooking.mWorker;
     mLoad.Add(customer, slot, mWorkers.At(slot), aBooking.mSize);
+    mHolders.resize(std::max<std::size_t>(mHolders.size(), slot + 1));
+    mHolders[slot].insert(&aEntry);
     if (aBooking.mPending) {
       mWorkers.AddPending(slot, aBooking.mSize);
     }
@@ -55,6 +70,7 @@
   if (booking.mWorker) {
     const WorkerSlot slot = *booking.mWorker;
     mLoad.Remove(customer, slot, mWorkers.At(slot), booking.mSize);
+    mHolders[slot].erase(&aEntry);
     if (booking.mPending) {
       mWorkers.RemovePending(slot, booking.mSize);
     }
--- a/src/core/job/JobBooks.h
+++ b/src/core/job/JobBooks.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+
 #include "foxtailbarrow/Resources.h"
 #include "src/core/job/JobEntry.h"
 #include "src/core/placement/PlacementLoad.h"
@@ -27,6 +31,9 @@
   /// The job holds nothing any more. No effect when it held nothing.
   void Release(JobEntry& aEntry);
 
+  /// Jobs booked on the worker, in order of arrival.
+  std::vector<JobEntry*> HoldersOf(WorkerSlot aWorker) const;
+
   WorkerIndex& Workers() { return mWorkers; }
   const WorkerIndex& Workers() const { return mWorkers; }
   QuotaBook& Quotas() { return mQuotas; }
@@ -39,6 +46,7 @@
   WorkerIndex mWorkers;
   QuotaBook mQuotas;
   PlacementLoad mLoad;
+  std::vector<absl::flat_hash_set<JobEntry*>> mHolders; ///< By worker.
 };
 
 } // namespace foxtailbarrow
--- a/src/core/job/JobCounters.h
+++ b/src/core/job/JobCounters.h
@@ -18,6 +18,7 @@
   std::uint64_t mEvicted = 0; ///< Checkpoints recorded.
   std::uint64_t mParked = 0;
   std::uint64_t mDisowned = 0;
+  std::uint64_t mQuarantined = 0; ///< Workers put into quarantine.
   std::uint64_t mCommits = 0;
   std::uint64_t mConflicts = 0;
   std::uint64_t mLostCommits = 0; ///< Replies lost.
--- a/src/core/job/JobEntry.h
+++ b/src/core/job/JobEntry.h
@@ -60,7 +60,13 @@
   Whereabouts mWhereabouts = Whereabouts::Unconfirmed;
   AssignmentLease mLease;
   std::optional<TaskStatus> mEnd; ///< Reported, not yet recorded.
+  bool mJudged = false;           ///< mEnd was counted for or against.
   std::optional<Booking> mBooking;
+  Resources mPeak;      ///< Greatest usage measured in this assignment.
+  Instant mStartedAt{}; ///< When it was first seen to run.
+  Reason mEvictReason = Reason::None; ///< None: it may stay.
+  std::optional<WorkerSlot> mHeldFor; ///< Where tasks make room for it.
+  Instant mHeldUntil{};
 
   Incarnation mSentTo = 0;  ///< Of the agent when Assign was first sent.
   bool mAnswerDue = false;  ///< An Assign is under way.
--- a/src/core/job/JobScheduler.cpp
+++ b/src/core/job/JobScheduler.cpp
@@ -83,11 +83,17 @@
   }
 }
 
-void JobScheduler::On(const UsageSeen&, Turn&) {}
+void JobScheduler::On(const UsageSeen& aEvent, Turn&)
+{
+  TakeUsage(aEvent.mSamples);
+}
 
 void JobScheduler::On(const Tick&, Turn& aTurn)
 {
   mBooks.Workers().Sweep(aTurn.mNow, mSettings.mSuspectAfter);
+  for (const WorkerSlot slot : mJudge.Readmitted(aTurn.mNow)) {
+    mBooks.Workers().SetQuarantined(slot, false);
+  }
   while (JobEntry* due = mTable.PopDue(aTurn.mNow)) {
     if (IsFinal(due->Record().mState)) {
       Drop(JobId(due->Spec().mId));
--- a/src/core/job/JobScheduler.h
+++ b/src/core/job/JobScheduler.h
@@ -19,7 +19,10 @@
 #include "src/core/job/JobTable.h"
 #include "src/core/job/LeaseBounds.h"
 #include "src/core/job/ReadyQueue.h"
+#include "src/core/placement/FailureJudge.h"
 #include "src/core/placement/Placer.h"
+#include "src/core/placement/Preemption.h"
+#include "src/core/placement/SizeLearner.h"
 
 namespace foxtailbarrow {
 
@@ -82,6 +85,7 @@
     Placed,
     NoQuota,
     NoRoom,
+    Held, ///< Waits for evicted tasks to make room.
   };
 
   // Events.
@@ -134,7 +138,11 @@
                       const TaskStatus& aStatus,
                       Turn& aTurn);
   void SendOwedAssign(JobEntry& aEntry, Turn& aTurn);
-  void SendOwedStop(JobEntry& aEntry, Turn& aTurn);
+  void SendOwedControl(JobEntry& aEntry,
+                       TaskAction aAction,
+                       Reason aReason,
+                       Turn& aTurn);
+  void Avoid(JobEntry& aEntry, WorkerSlot aSlot);
   void TakeRefusal(JobEntry& aEntry, const AssignReply& aReply, Turn& aTurn);
 
   // Placement.
@@ -142,7 +150,27 @@
   void PlaceWaiting(JobPriority aPriority, int& aPlacements, Turn& aTurn);
   JobEntry* NextWaiting(const CustomerId& aCustomer, JobPriority aPriority);
   Placement Place(JobEntry& aEntry, Turn& aTurn);
+  Placement PlaceHeld(JobEntry& aEntry, Turn& aTurn);
+  void CommitPlacement(JobEntry& aEntry, WorkerSlot aSlot, Turn& aTurn);
+  PlacementRequest RequestFor(const JobEntry& aEntry,
+                              const Resources& aSize) const;
+  bool MakeRoom(JobEntry& aEntry,
+                const PlacementRequest& aRequest,
+                Turn& aTurn);
+  bool RespectsShare(const EvictionPlan& aPlan,
+                     const PlacementRequest& aRequest,
+                     WorkerSlot aSlot) const;
+  std::vector<EvictionCandidate> EvictableOn(WorkerSlot aSlot,
+                                             const Turn& aTurn) const;
   void Miss(JobEntry& aEntry, Reason aReason, Turn& aTurn);
+  void Requeue(JobEntry& aEntry);
+
+  // Learning.
+  ProgramKey ProgramOf(const JobEntry& aEntry) const;
+  Resources SizeOf(const JobEntry& aEntry) const;
+  void TakeUsage(std::span<const UsageSample> aSamples);
+  void Judge(JobEntry& aEntry, Turn& aTurn);
+  void JudgeWorker(JobEntry& aEntry, WorkerSlot aSlot, Turn& aTurn);
 
   void Note(JobEntry& aEntry,
             Reason aReason,
@@ -160,6 +188,8 @@
   LeaseBounds mBounds;
   ReadyQueue mReady;
   Placer mPlacer;
+  SizeLearner mSizes;
+  FailureJudge mJudge;
   absl::flat_hash_map<CommitToken, JobId> mCommits;
   absl::flat_hash_map<JobId, ShardId> mMissing; ///< Reported, not stored.
   absl::flat_hash_map<JobId, ShardId> mAsked;   ///< Unknown; read under way.
--- a/src/core/job/JobSchedulerAdvance.cpp
+++ b/src/core/job/JobSchedulerAdvance.cpp
@@ -48,6 +48,10 @@
 
 void JobScheduler::AdvanceEnd(JobEntry& aEntry, Turn& aTurn)
 {
+  if (!aEntry.mJudged) {
+    Judge(aEntry, aTurn);
+    aEntry.mJudged = true;
+  }
   JobRecord record = aEntry.Record();
   record.mCancelRequested = aEntry.CancelPending();
   if (aEntry.mEnd->mState == TaskState::Failed) {
@@ -90,7 +94,10 @@
       Commit(aEntry, std::move(marked), aTurn);
       return true;
     }
-    SendOwedStop(aEntry, aTurn);
+    SendOwedControl(aEntry, TaskAction::Stop, Reason::CancelRequested, aTurn);
+    wake = std::min(wake, aEntry.mResendAt);
+  } else if (aEntry.mEvictReason != Reason::None) {
+    SendOwedControl(aEntry, TaskAction::Evict, aEntry.mEvictReason, aTurn);
     wake = std::min(wake, aEntry.mResendAt);
   } else if (aEntry.mAnswerLost) {
     SendOwedAssign(aEntry, aTurn);
@@ -146,8 +153,8 @@
 void JobScheduler::AdvanceParked(JobEntry& aEntry, Turn& aTurn)
 {
   const JobSpec& spec = aEntry.Spec();
-  const bool fits = mBooks.Workers().FitsSomewhereEmpty(spec.mDeclared) &&
-                    mBooks.Quotas().CanEverRun(spec.mCustomer, spec.mDeclared);
+  const bool fits = mBooks.Workers().FitsSomewhereEmpty(SizeOf(aEntry)) &&
+                    mBooks.Quotas().CanEverRun(spec.mCustomer, SizeOf(aEntry));
   if (fits) {
     Commit(aEntry, Requeued(aEntry.Record(), Reason::None), aTurn);
     return;
--- a/src/core/job/JobSchedulerAgents.cpp
+++ b/src/core/job/JobSchedulerAgents.cpp
@@ -14,6 +14,7 @@
     return;
   }
   mBounds.Received(*slot, heartbeat, aTurn.mNow);
+  TakeUsage(heartbeat.mUsage);
   for (const TaskReport& report : heartbeat.mTasks) {
     TakeReport(heartbeat.mAgent, *slot, report, aTurn);
   }
@@ -88,6 +89,7 @@
   mBooks.Confirm(aEntry, aSlot, aStatus.mReserved);
   if (aEntry.mWhereabouts != Whereabouts::Running) {
     aEntry.mWhereabouts = Whereabouts::Running;
+    aEntry.mStartedAt = aTurn.mNow;
     aEntry.mAnswerLost = false;
     aEntry.mTicket = 0;
     Note(aEntry, Reason::None, aTurn, aSlot);
@@ -157,7 +159,10 @@
   mTable.Wake(aEntry, aEntry.mResendAt);
 }
 
-void JobScheduler::SendOwedStop(JobEntry& aEntry, Turn& aTurn)
+void JobScheduler::SendOwedControl(JobEntry& aEntry,
+                                   TaskAction aAction,
+                                   Reason aReason,
+                                   Turn& aTurn)
 {
   const AgentId& agent = *aEntry.Record().mAgent;
   const auto slot = mBooks.Workers().SlotOf(agent);
@@ -171,8 +176,8 @@
   control.mShard = aEntry.mShard;
   control.mGeneration = mShards.at(aEntry.mShard).mGeneration;
   control.mKey = aEntry.Key();
-  control.mAction = TaskAction::Stop;
-  control.mReason = Reason::CancelRequested;
+  control.mAction = aAction;
+  control.mReason = aReason;
   aTurn.mActions.push_back(SendControl{
     agent, mBooks.Workers().At(*slot).mEndpoint, std::move(control) });
 }
@@ -208,19 +213,25 @@
                                Turn& aTurn)
 {
   ++mCounters.mRefused;
-  constexpr std::size_t kAvoidLimit = 8;
   if (const auto slot = mBooks.Workers().SlotOf(*aEntry.Record().mAgent)) {
     if (aReply.mReason == Reason::CapacityTaken) {
       mBooks.Workers().CorrectFree(*slot, aReply.mFree);
     }
-    if (aEntry.mAvoid.size() == kAvoidLimit) {
-      aEntry.mAvoid.erase(aEntry.mAvoid.begin());
-    }
-    aEntry.mAvoid.push_back(*slot);
+    Avoid(aEntry, *slot);
   }
   Release(aEntry, aReply.mReason, aTurn);
 }
 
+/// Remembers, within limits, where the job did not do well.
+void JobScheduler::Avoid(JobEntry& aEntry, WorkerSlot aSlot)
+{
+  constexpr std::size_t kAvoidLimit = 8;
+  if (aEntry.mAvoid.size() == kAvoidLimit) {
+    aEntry.mAvoid.erase(aEntry.mAvoid.begin());
+  }
+  aEntry.mAvoid.push_back(aSlot);
+}
+
 void JobScheduler::On(const ControlDone& aEvent, Turn& aTurn)
 {
   if (!aEvent.mReply.ok()) {
--- a/src/core/job/JobSchedulerCommit.cpp
+++ b/src/core/job/JobSchedulerCommit.cpp
@@ -11,6 +11,9 @@
 {
   mBooks.Release(aEntry);
   aEntry.mEnd.reset();
+  aEntry.mJudged = false;
+  aEntry.mEvictReason = Reason::None;
+  aEntry.mHeldFor.reset();
   aEntry.mAnswerDue = false;
   aEntry.mAnswerLost = false;
   aEntry.mWhereabouts = Whereabouts::Unconfirmed;
@@ -179,6 +182,7 @@
   mCommits.erase(aEntry.mCommit->mToken);
   if (aEntry.mCommit->mPlaces) {
     mBooks.Release(aEntry);
+    aEntry.mHeldFor.reset();
   }
   aEntry.mCommit.reset();
 }
@@ -201,6 +205,10 @@
     aEntry.mResendAt = Instant{};
     aEntry.mAnswerDue = false;
     aEntry.mAnswerLost = false;
+    aEntry.mPeak = {};
+    aEntry.mStartedAt = Instant{};
+    aEntry.mEvictReason = Reason::None;
+    aEntry.mHeldFor.reset();
   } else if (aEntry.IsAssigned()) {
     aEntry.mResendAt = Instant{}; // A stop is due now.
   } else {
@@ -209,6 +217,7 @@
   }
   if (done.mEnded) {
     aEntry.mEnd.reset();
+    aEntry.mJudged = false;
     aTurn.mActions.push_back(
       AcknowledgeTasks{ *aEntry.Record().mAgent, { *done.mEnded } });
   }
--- /dev/null
+++ b/src/core/job/JobSchedulerLearning.cpp
@@ -0,0 +1,89 @@
+#include <algorithm>
+
+#include "src/core/job/JobScheduler.h"
+
+/// The part of JobScheduler that learns from what tasks used and how they
+/// ended.
+namespace foxtailbarrow {
+
+namespace {
+
+/// Workers name the cause of an end in text; this word marks a task that was
+/// stopped for using more memory than reserved.
+constexpr std::string_view kMemoryWord = "memory";
+
+bool IsMemoryOverrun(const TaskStatus& aEnd)
+{
+  return aEnd.mState == TaskState::Failed &&
+         aEnd.mReason.find(kMemoryWord) != std::string::npos;
+}
+
+} // namespace
+
+ProgramKey JobScheduler::ProgramOf(const JobEntry& aEntry) const
+{
+  return { aEntry.Spec().mCustomer, aEntry.Spec().mProgram };
+}
+
+Resources JobScheduler::SizeOf(const JobEntry& aEntry) const
+{
+  return mSizes.Estimate(ProgramOf(aEntry), aEntry.Spec().mDeclared);
+}
+
+void JobScheduler::TakeUsage(std::span<const UsageSample> aSamples)
+{
+  for (const UsageSample& sample : aSamples) {
+    JobEntry* entry = mTable.Find(sample.mKey.mJob);
+    // A late sample of an earlier assignment says nothing about this one.
+    if (entry == nullptr || entry->Key() != sample.mKey) {
+      continue;
+    }
+    Resources& peak = entry->mPeak;
+    peak.mMillicores = std::max(peak.mMillicores, sample.mUsed.mMillicores);
+    peak.mMemoryMb = std::max(peak.mMemoryMb, sample.mUsed.mMemoryMb);
+  }
+}
+
+/// Counts the reported end once.
+void JobScheduler::Judge(JobEntry& aEntry, Turn& aTurn)
+{
+  const TaskStatus& end = *aEntry.mEnd;
+  RunObservation run;
+  run.mReserved = end.mReserved;
+  run.mPeak = aEntry.mPeak;
+  run.mFinished = end.mState == TaskState::Finished;
+  run.mMemoryOverrun = IsMemoryOverrun(end);
+  if (aEntry.mStartedAt != Instant{}) {
+    run.mRunTime = aTurn.mNow - aEntry.mStartedAt;
+  }
+  mSizes.Observe(ProgramOf(aEntry), run);
+  const auto slot = mBooks.Workers().SlotOf(*aEntry.Record().mAgent);
+  if (!slot || run.mMemoryOverrun) {
+    return;
+  }
+  if (run.mFinished) {
+    mJudge.Succeeded(*slot, ProgramOf(aEntry), aTurn.mNow);
+  } else if (end.mState == TaskState::Failed) {
+    JudgeWorker(aEntry, *slot, aTurn);
+  }
+}
+
+void JobScheduler::JudgeWorker(JobEntry& aEntry, WorkerSlot aSlot, Turn& aTurn)
+{
+  WorkerIndex& workers = mBooks.Workers();
+  const bool bad = mJudge.Failed(
+    aSlot, aEntry.Spec().mId, ProgramOf(aEntry), workers.Size(), aTurn.mNow);
+  if (bad) {
+    ++mCounters.mQuarantined;
+    workers.SetQuarantined(aSlot, true);
+  }
+  Avoid(aEntry, aSlot);
+  if (workers.At(aSlot).mQuarantined) {
+    // The worker's failure, not the job's: it costs the job no attempt.
+    aEntry.mEnd->mState = TaskState::Stopped;
+    aEntry.mEnd->mReason = ToString(Reason::Quarantined);
+    Note(aEntry, Reason::Quarantined, aTurn, aSlot);
+  }
+}
+
+} // namespace foxtailbarrow
--- a/src/core/job/JobSchedulerPlacing.cpp
+++ b/src/core/job/JobSchedulerPlacing.cpp
@@ -37,6 +37,10 @@
       order.Push(*customer);
       continue;
     }
+    if (placement == Placement::Held) {
+      Requeue(*entry);
+      continue;
+    }
     const bool room = placement == Placement::NoRoom;
     --misses;
     Miss(*entry,
@@ -64,29 +68,53 @@
 
 JobScheduler::Placement JobScheduler::Place(JobEntry& aEntry, Turn& aTurn)
 {
+  if (aEntry.mHeldFor) {
+    return PlaceHeld(aEntry, aTurn);
+  }
   const JobSpec& spec = aEntry.Spec();
-  const Resources size = spec.mDeclared;
+  const Resources size = SizeOf(aEntry);
   const QuotaBook& quotas = mBooks.Quotas();
   if (quotas.Check(spec.mCustomer, size) != Reason::None) {
     return Placement::NoQuota;
   }
+  const PlacementRequest request = RequestFor(aEntry, size);
+  const auto slot =
+    mPlacer.Choose(request, mBooks.Workers(), mBooks.Load(), aTurn.mRandom);
+  if (slot) {
+    mBooks.Reserve(aEntry, *slot, size);
+    CommitPlacement(aEntry, *slot, aTurn);
+    return Placement::Placed;
+  }
+  const bool mayEvict = spec.mPriority == JobPriority::Urgent &&
+                        quotas.Find(spec.mCustomer)->mUrgentAllowed;
+  if (mayEvict && MakeRoom(aEntry, request, aTurn)) {
+    return Placement::Held;
+  }
+  // Every worker may be among those to avoid: they get another chance.
+  aEntry.mAvoid.clear();
+  return Placement::NoRoom;
+}
+
+PlacementRequest JobScheduler::RequestFor(const JobEntry& aEntry,
+                                          const Resources& aSize) const
+{
+  const JobSpec& spec = aEntry.Spec();
   PlacementRequest request;
   request.mCustomer = spec.mCustomer;
   request.mKind = spec.mKind;
-  request.mSize = size;
-  request.mSharePerWorker = quotas.Find(spec.mCustomer)->mBatch.mSharePerWorker;
+  request.mSize = aSize;
+  request.mSharePerWorker =
+    mBooks.Quotas().Find(spec.mCustomer)->mBatch.mSharePerWorker;
   request.mAvoid = aEntry.mAvoid;
-  const WorkerIndex& workers = mBooks.Workers();
-  const auto slot =
-    mPlacer.Choose(request, workers, mBooks.Load(), aTurn.mRandom);
-  if (!slot) {
-    // Every worker may be among those to avoid: they get another chance.
-    aEntry.mAvoid.clear();
-    return Placement::NoRoom;
-  }
-  mBooks.Reserve(aEntry, *slot, size);
-  Commit(aEntry, AssignedTo(aEntry.Record(), workers.At(*slot).mAgent), aTurn);
-  return Placement::Placed;
+  return request;
+}
+
+void JobScheduler::CommitPlacement(JobEntry& aEntry,
+                                   WorkerSlot aSlot,
+                                   Turn& aTurn)
+{
+  const AgentId& agent = mBooks.Workers().At(aSlot).mAgent;
+  Commit(aEntry, AssignedTo(aEntry.Record(), agent), aTurn);
 }
 
 void JobScheduler::Miss(JobEntry& aEntry, Reason aReason, Turn& aTurn)
@@ -94,8 +122,8 @@
   Note(aEntry, aReason, aTurn);
   const JobSpec& spec = aEntry.Spec();
   const bool tooLarge =
-    !mBooks.Workers().FitsSomewhereEmpty(spec.mDeclared) ||
-    !mBooks.Quotas().CanEverRun(spec.mCustomer, spec.mDeclared);
+    !mBooks.Workers().FitsSomewhereEmpty(SizeOf(aEntry)) ||
+    !mBooks.Quotas().CanEverRun(spec.mCustomer, SizeOf(aEntry));
   if (tooLarge && aTurn.mNow >= aEntry.mWaitingSince + mSettings.mParkAfter) {
     Commit(aEntry, Parked(aEntry.Record(), Reason::LargerThanAnyWorker), aTurn);
     return;
@@ -104,6 +132,12 @@
     Commit(aEntry, Requeued(aEntry.Record(), aReason), aTurn);
     return;
   }
+  Requeue(aEntry);
+}
+
+void JobScheduler::Requeue(JobEntry& aEntry)
+{
+  const JobSpec& spec = aEntry.Spec();
   aEntry.mTicket = mReady.Push(spec.mCustomer, spec.mPriority, spec.mId);
 }
 
--- a/src/core/job/JobSchedulerSettings.h
+++ b/src/core/job/JobSchedulerSettings.h
@@ -29,6 +29,8 @@
   Duration mParkedRecheck = std::chrono::seconds(10);
   /// Ended jobs stay in memory this long, to answer late reports.
   Duration mForgetAfter = std::chrono::minutes(1);
+  /// Room made by evictions is held for an urgent job this long.
+  Duration mHoldRoom = std::chrono::seconds(5);
   std::int32_t mAttemptsLimit = 5;
   std::int32_t mPlacementsPerTick = 256;
   std::int32_t mMissesPerTick = 64;
--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -36,6 +36,7 @@
   aVisitor.Required("state", aMessage.mState);
   aVisitor.Required("load", aMessage.mLoad);
   aVisitor.Optional("tasks", aMessage.mTasks);
+  aVisitor.Optional("usage", aMessage.mUsage);
   aVisitor.Required("configuration", aMessage.mConfiguration);
 }
 
--- a/src/core/placement/Placer.cpp
+++ b/src/core/placement/Placer.cpp
@@ -6,6 +6,16 @@
 
 namespace foxtailbarrow {
 
+bool WithinShare(const PlacementRequest& aRequest,
+                 const WorkerInfo& aWorker,
+                 std::int64_t aUsedMillicores)
+{
+  const double share = aRequest.mSharePerWorker *
+                       static_cast<double>(aWorker.mCapacity.mMillicores);
+  const std::int64_t wanted = aUsedMillicores + aRequest.mSize.mMillicores;
+  return static_cast<double>(wanted) <= share;
+}
+
 namespace {
 
 double Portion(std::int64_t aPart, std::int64_t aWhole)
@@ -25,18 +35,19 @@
          Portion(left.mAccelerators, aCapacity.mAccelerators);
 }
 
+bool IsAvoided(const PlacementRequest& aRequest, WorkerSlot aSlot)
+{
+  return std::ranges::find(aRequest.mAvoid, aSlot) != aRequest.mAvoid.end();
+}
+
 bool Wanted(const PlacementRequest& aRequest,
             const WorkerInfo& aWorker,
             WorkerSlot aSlot,
             const PlacementLoad& aLoad)
 {
-  if (std::ranges::find(aRequest.mAvoid, aSlot) != aRequest.mAvoid.end()) {
-    return false;
-  }
-  const double share = aRequest.mSharePerWorker *
-                       static_cast<double>(aWorker.mCapacity.mMillicores);
-  const std::int64_t used = aLoad.Millicores(aRequest.mCustomer, aSlot);
-  return static_cast<double>(used + aRequest.mSize.mMillicores) <= share;
+  return !IsAvoided(aRequest, aSlot) &&
+         WithinShare(
+           aRequest, aWorker, aLoad.Millicores(aRequest.mCustomer, aSlot));
 }
 
 /// Less is better.
@@ -127,4 +138,30 @@
   return best.Slot();
 }
 
+std::vector<WorkerSlot> Placer::Sample(const PlacementRequest& aRequest,
+                                       const WorkerIndex& aWorkers,
+                                       absl::BitGenRef aRandom) const
+{
+  std::vector<WorkerSlot> sample;
+  const std::size_t count = aWorkers.Size();
+  if (count == 0) {
+    return sample;
+  }
+  absl::uniform_int_distribution<std::size_t> anySlot(0, count - 1);
+  const std::size_t first = anySlot(aRandom);
+  const std::size_t looked =
+    std::min(count, static_cast<std::size_t>(mSettings.mEvictionSamples));
+  // Spread evenly over the fleet: neighbours often share a rack.
+  const std::size_t stride = count / looked;
+  for (std::size_t i = 0; i < looked; ++i) {
+    const auto slot = static_cast<WorkerSlot>((first + i * stride) % count);
+    const WorkerInfo& worker = aWorkers.At(slot);
+    if (aWorkers.Placeable(slot) && aRequest.mSize.FitsIn(worker.mCapacity) &&
+        !IsAvoided(aRequest, slot)) {
+      sample.push_back(slot);
+    }
+  }
+  return sample;
+}
+
 } // namespace foxtailbarrow
--- a/src/core/placement/Placer.h
+++ b/src/core/placement/Placer.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "absl/random/bit_gen_ref.h"
 
@@ -23,6 +24,12 @@
   std::span<const WorkerSlot> mAvoid; ///< Where it failed or was refused.
 };
 
+/// True when the request stays within the customer's share of the worker, of
+/// which it uses that much already.
+bool WithinShare(const PlacementRequest& aRequest,
+                 const WorkerInfo& aWorker,
+                 std::int64_t aUsedMillicores);
+
 /// Picks the worker for a job. Samples feasible workers and keeps the best:
 /// batch goes where it fits most tightly, so that large holes stay; exclusive
 /// and standing work goes where the customer has least in the failure domain
@@ -34,6 +41,7 @@
   struct Settings
   {
     int mSamples = 8;
+    int mEvictionSamples = 32;
     int mWalk = 64; ///< Neighbours tried when the whole sample is unwanted.
   };
 
@@ -51,6 +59,12 @@
                                    const PlacementLoad& aLoad,
                                    absl::BitGenRef aRandom) const;
 
+  /// Workers that would do if they were empty, for evictions. The share per
+  /// worker is not looked at: it depends on who is evicted.
+  std::vector<WorkerSlot> Sample(const PlacementRequest& aRequest,
+                                 const WorkerIndex& aWorkers,
+                                 absl::BitGenRef aRandom) const;
+
 private:
   Settings mSettings;
 };
--- a/tests/job/JobSchedulerTest.cpp
+++ b/tests/job/JobSchedulerTest.cpp
@@ -70,6 +70,7 @@
     heartbeat.mSequence = ++mSequence;
     heartbeat.mState = ServingState::Serving;
     heartbeat.mLoad.mCapacity = { 64000, 250000, 0 };
+    heartbeat.mLoad.mReserved = mReserved;
     heartbeat.mTasks = std::move(aTasks);
     auto actions = Tell(HeartbeatSeen{ heartbeat });
     Tell(HeartbeatReplySent{ kAgent, 1, mSequence, mNow + 20s });
@@ -109,6 +110,7 @@
     return sent.empty() ? SendAssign{} : sent.front();
   }
 
+  Resources mReserved;
   Instant mNow{ 1000s };
   std::mt19937_64 mRandom{ 1 };
   std::uint64_t mSequence = 0;
@@ -196,6 +198,103 @@
   EXPECT_EQ(TheCommit(stopped).mRecord.mState, JobState::Cancelled);
 }
 
+struct WaitCase
+{
+  std::string_view mName;
+  Resources mDeclared;
+  std::int32_t mMaxRunningJobs;
+  double mShare;
+  Reason mReason;
+  bool mParks;
+};
+
+class JobSchedulerWait
+  : public JobSchedulerTest
+  , public testing::WithParamInterface<WaitCase>
+{};
+
+TEST_P(JobSchedulerWait, SaysWhyAndParksWhatCanNeverRun)
+{
+  const WaitCase& given = GetParam();
+  Contract contract = TestContract();
+  contract.mBatch.mMaxRunningJobs = given.mMaxRunningJobs;
+  contract.mBatch.mSharePerWorker = given.mShare;
+  Tell(ContractsChanged{ { contract }, {} });
+  JobRecord record = TestRecord();
+  record.mSpec.mDeclared = given.mDeclared;
+  Tell(JobRead{ kShard, { record, 6 } });
+  EXPECT_TRUE(Tell(Tick{}).empty());
+  EXPECT_EQ(mScheduler.Explain(kJob).back().mReason, given.mReason);
+  mNow += 11s;
+  Beat({});
+  const auto commits = Only<CommitRecord>(Tell(Tick{}));
+  ASSERT_EQ(!commits.empty(), given.mParks);
+  EXPECT_TRUE(!given.mParks ||
+              commits.front().mRecord.mState == JobState::Parked);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         JobSchedulerWait,
+                         testing::Values(WaitCase{ "NoJobsAllowed",
+                                                   { 1000, 1024, 0 },
+                                                   0,
+                                                   1.0,
+                                                   Reason::WaitingForQuota,
+                                                   false },
+                                         WaitCase{ "NoShareOfAnyWorker",
+                                                   { 1000, 1024, 0 },
+                                                   9,
+                                                   0.0,
+                                                   Reason::WaitingForCapacity,
+                                                   false },
+                                         WaitCase{ "LargerThanAnyWorker",
+                                                   { 65000, 1024, 0 },
+                                                   9,
+                                                   1.0,
+                                                   Reason::WaitingForCapacity,
+                                                   true },
+                                         WaitCase{ "NoSuchAccelerator",
+                                                   { 1000, 1024, 1 },
+                                                   9,
+                                                   1.0,
+                                                   Reason::WaitingForQuota,
+                                                   true }),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.mName);
+                         });
+
+TEST_F(JobSchedulerTest, EvictsBatchWorkForAnUrgentJob)
+{
+  Contract contract = TestContract();
+  contract.mUrgentAllowed = true;
+  Tell(ContractsChanged{ { contract }, {} });
+  Start();
+  TaskReport running = Report(1, TaskState::Running);
+  running.mStatus.mReserved = { 60000, 1024, 0 };
+  mReserved = running.mStatus.mReserved;
+  Beat({ running });
+
+  JobRecord urgent = TestRecord();
+  urgent.mSpec.mId = JobIdFor(kCustomer, "urgent");
+  urgent.mSpec.mPriority = JobPriority::Urgent;
+  urgent.mSpec.mDeclared = { 8000, 1024, 0 };
+  Tell(JobRead{ kShard, { urgent, 9 } });
+  const auto evictions = Only<SendControl>(Tell(Tick{}));
+  ASSERT_EQ(evictions.size(), 1U);
+  EXPECT_EQ(evictions.front().mControl.mAction, TaskAction::Evict);
+  EXPECT_EQ(evictions.front().mControl.mReason, Reason::EvictedForUrgent);
+
+  // The room is held until the worker's own count shows it.
+  mNow += 1s;
+  EXPECT_TRUE(Only<CommitRecord>(Tell(Tick{})).empty());
+  mReserved = {};
+  Apply(TheCommit(Beat({ Report(1, TaskState::Checkpointed) })));
+  const auto commits = Only<CommitRecord>(Tell(Tick{}));
+  ASSERT_FALSE(commits.empty());
+  EXPECT_EQ(commits.front().mRecord.mSpec.mId, urgent.mSpec.mId);
+  EXPECT_EQ(commits.front().mRecord.mState, JobState::Assigned);
+}
+
 TEST_F(JobSchedulerTest, DisownsATaskOfAnEarlierEpoch)
 {
   Start();
--- a/tests/job/ModelAgent.cpp
+++ b/tests/job/ModelAgent.cpp
@@ -26,7 +26,8 @@
   heartbeat.mSequence = ++mSequence;
   heartbeat.mLoad.mCapacity = mCapacity;
   mSentAt[mSequence] = aNow;
-  if (std::exchange(mRebuilding, false)) {
+  if (mRebuildBeats > 0) {
+    --mRebuildBeats;
     heartbeat.mState = ServingState::Starting;
     return heartbeat;
   }
@@ -96,7 +97,8 @@
                       aNow < sent->second + start.mLease;
   const bool current = aAssign.mGeneration >= mGenerations[aAssign.mShard] &&
                        start.mKey.mEpoch > mEpochs[start.mKey.mJob];
-  if (!leased || !current || mRefused.contains(start.mKey)) {
+  if (mRebuildBeats > 0 || !leased || !current ||
+      mRefused.contains(start.mKey)) {
     return Refuse(start.mKey, Reason::StaleEpoch);
   }
   if (!(Reserved() + start.mResources).FitsIn(mCapacity)) {
@@ -150,16 +152,15 @@
   mEpochs.clear();
   mRefused.clear();
   mGenerations.clear();
-  RestartProcess();
-  mRebuilding = false;
+  RestartProcess(0);
 }
 
-void ModelAgent::RestartProcess()
+void ModelAgent::RestartProcess(int aRebuildBeats)
 {
   ++mIncarnation;
   mSequence = 0;
   mSentAt.clear();
-  mRebuilding = true;
+  mRebuildBeats = aRebuildBeats;
 }
 
 std::vector<JobId> ModelAgent::RunningJobs() const
--- a/tests/job/ModelAgent.h
+++ b/tests/job/ModelAgent.h
@@ -46,7 +46,7 @@
   void Replace();
 
   /// The process starts again and has yet to ask the worker for its tasks.
-  void RestartProcess();
+  void RestartProcess(int aRebuildBeats);
 
   bool Frozen(Instant aNow) const { return aNow < mFrozenUntil; }
   std::vector<JobId> RunningJobs() const;
@@ -75,7 +75,7 @@
   std::map<JobId, Epoch> mEpochs;
   std::set<TaskKey> mRefused;
   std::uint64_t mSequence = 0;
-  bool mRebuilding = false;
+  int mRebuildBeats = 0; ///< Heartbeats until it knows its tasks again.
 };
 
 } // namespace foxtailbarrow::test
--- a/tests/job/ModelFleet.cpp
+++ b/tests/job/ModelFleet.cpp
@@ -82,7 +82,7 @@
     agent.Replace();
   }
   if (Chance(mRandom, mFaults.mAgentRestart)) {
-    agent.RestartProcess();
+    agent.RestartProcess(static_cast<int>(mRandom() % 30));
   }
   if (Chance(mRandom, mFaults.mEvict)) {
     agent.EvictOne(mRandom);
