--- a/src/core/job/JobEntry.h
+++ b/src/core/job/JobEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -51,16 +52,16 @@
   ShardId mShard = 0;
   std::uint64_t mSerial = 0; ///< Order of arrival.
 
-  std::optional<PendingCommit> mCommit;
-  Revision mSeenRevision = 0; ///< Newest revision heard of.
-  bool mReading = false;      ///< A ReadJob is under way.
-  bool mMustRead = false;     ///< The store may hold something newer.
+  std::unique_ptr<PendingCommit> mCommit; ///< Rare, hence not inside.
+  Revision mSeenRevision = 0;             ///< Newest revision heard of.
+  bool mReading = false;                  ///< A ReadJob is under way.
+  bool mMustRead = false; ///< The store may hold something newer.
   bool mCancelWanted = false;
 
   Whereabouts mWhereabouts = Whereabouts::Unconfirmed;
   AssignmentLease mLease;
-  std::optional<TaskStatus> mEnd; ///< Reported, not yet recorded.
-  bool mJudged = false;           ///< mEnd was counted for or against.
+  std::unique_ptr<TaskStatus> mEnd; ///< Reported, not yet recorded.
+  bool mJudged = false;             ///< mEnd was counted for or against.
   std::optional<Booking> mBooking;
   Resources mPeak;      ///< Greatest usage measured in this assignment.
   Instant mStartedAt{}; ///< When it was first seen to run.
--- a/src/core/job/JobScheduler.h
+++ b/src/core/job/JobScheduler.h
@@ -187,7 +187,6 @@
   JobBooks mBooks;
   LeaseBounds mBounds;
   ReadyQueue mReady;
-  Placer mPlacer;
   SizeLearner mSizes;
   FailureJudge mJudge;
   absl::flat_hash_map<CommitToken, JobId> mCommits;
--- a/src/core/job/JobSchedulerAgents.cpp
+++ b/src/core/job/JobSchedulerAgents.cpp
@@ -81,7 +81,7 @@
     return;
   }
   if (aStatus.mState != TaskState::Running) {
-    aEntry.mEnd = aStatus;
+    aEntry.mEnd = std::make_unique<TaskStatus>(aStatus);
     Advance(aEntry, aTurn);
     return;
   }
--- a/src/core/job/JobSchedulerCommit.cpp
+++ b/src/core/job/JobSchedulerCommit.cpp
@@ -137,7 +137,7 @@
                                          generation,
                                          pending.mNext,
                                          aEntry.mStored.mRevision });
-  aEntry.mCommit = std::move(pending);
+  aEntry.mCommit = std::make_unique<PendingCommit>(std::move(pending));
   mCommits.emplace(token, aEntry.Spec().mId);
   ++mCounters.mCommits;
 }
--- a/src/core/job/JobSchedulerEviction.cpp
+++ b/src/core/job/JobSchedulerEviction.cpp
@@ -28,7 +28,7 @@
   const WorkerIndex& workers = mBooks.Workers();
   std::optional<EvictionPlan> best;
   WorkerSlot bestSlot = 0;
-  const auto sample = mPlacer.Sample(aRequest, workers, aTurn.mRandom);
+  const auto sample = SampleWorkers(aRequest, workers, aTurn.mRandom);
   for (const WorkerSlot slot : sample) {
     const auto candidates = EvictableOn(slot, aTurn);
     auto plan = PlanEviction(aRequest.mSize, workers.Free(slot), candidates);
--- a/src/core/job/JobSchedulerLearning.cpp
+++ b/src/core/job/JobSchedulerLearning.cpp
@@ -27,6 +27,9 @@
 
 Resources JobScheduler::SizeOf(const JobEntry& aEntry) const
 {
+  if (!mSettings.mLearnSizes) {
+    return aEntry.Spec().mDeclared;
+  }
   return mSizes.Estimate(ProgramOf(aEntry), aEntry.Spec().mDeclared);
 }
 
--- a/src/core/job/JobSchedulerPlacing.cpp
+++ b/src/core/job/JobSchedulerPlacing.cpp
@@ -78,8 +78,8 @@
     return Placement::NoQuota;
   }
   const PlacementRequest request = RequestFor(aEntry, size);
-  const auto slot =
-    mPlacer.Choose(request, mBooks.Workers(), mBooks.Load(), aTurn.mRandom);
+  const auto slot = Choose(
+    mSettings.mPolicy, request, mBooks.Workers(), mBooks.Load(), aTurn.mRandom);
   if (slot) {
     mBooks.Reserve(aEntry, *slot, size);
     CommitPlacement(aEntry, *slot, aTurn);
--- a/src/core/job/JobSchedulerSettings.h
+++ b/src/core/job/JobSchedulerSettings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "foxtailbarrow/Time.h"
+#include "src/core/placement/PlacementPolicy.h"
 
 namespace foxtailbarrow {
 
@@ -31,6 +32,10 @@
   Duration mForgetAfter = std::chrono::minutes(1);
   /// Room made by evictions is held for an urgent job this long.
   Duration mHoldRoom = std::chrono::seconds(5);
+  /// How workers are picked; the default is the one that measured best.
+  PlacementPolicy mPolicy = Placer();
+  /// Reserve what was learned instead of what is declared.
+  bool mLearnSizes = true;
   std::int32_t mAttemptsLimit = 5;
   std::int32_t mPlacementsPerTick = 256;
   std::int32_t mMissesPerTick = 64;
--- a/src/core/placement/Placer.cpp
+++ b/src/core/placement/Placer.cpp
@@ -40,16 +40,6 @@
   return std::ranges::find(aRequest.mAvoid, aSlot) != aRequest.mAvoid.end();
 }
 
-bool Wanted(const PlacementRequest& aRequest,
-            const WorkerInfo& aWorker,
-            WorkerSlot aSlot,
-            const PlacementLoad& aLoad)
-{
-  return !IsAvoided(aRequest, aSlot) &&
-         WithinShare(
-           aRequest, aWorker, aLoad.Millicores(aRequest.mCustomer, aSlot));
-}
-
 /// Less is better.
 double Cost(const PlacementRequest& aRequest,
             const WorkerInfo& aWorker,
@@ -85,7 +75,7 @@
   bool Offer(WorkerSlot aSlot)
   {
     const WorkerInfo& worker = mWorkers.At(aSlot);
-    if (!Wanted(mRequest, worker, aSlot, mLoad)) {
+    if (!IsWanted(mRequest, mWorkers, aSlot, mLoad)) {
       return false;
     }
     const double cost = Cost(mRequest, worker, mWorkers.Free(aSlot), mLoad);
@@ -108,6 +98,17 @@
 
 } // namespace
 
+bool IsWanted(const PlacementRequest& aRequest,
+              const WorkerIndex& aWorkers,
+              WorkerSlot aSlot,
+              const PlacementLoad& aLoad)
+{
+  return !IsAvoided(aRequest, aSlot) &&
+         WithinShare(aRequest,
+                     aWorkers.At(aSlot),
+                     aLoad.Millicores(aRequest.mCustomer, aSlot));
+}
+
 std::optional<WorkerSlot> Placer::Choose(const PlacementRequest& aRequest,
                                          const WorkerIndex& aWorkers,
                                          const PlacementLoad& aLoad,
@@ -138,10 +139,11 @@
   return best.Slot();
 }
 
-std::vector<WorkerSlot> Placer::Sample(const PlacementRequest& aRequest,
-                                       const WorkerIndex& aWorkers,
-                                       absl::BitGenRef aRandom) const
+std::vector<WorkerSlot> SampleWorkers(const PlacementRequest& aRequest,
+                                      const WorkerIndex& aWorkers,
+                                      absl::BitGenRef aRandom)
 {
+  constexpr std::size_t kSamples = 32;
   std::vector<WorkerSlot> sample;
   const std::size_t count = aWorkers.Size();
   if (count == 0) {
@@ -149,8 +151,7 @@
   }
   absl::uniform_int_distribution<std::size_t> anySlot(0, count - 1);
   const std::size_t first = anySlot(aRandom);
-  const std::size_t looked =
-    std::min(count, static_cast<std::size_t>(mSettings.mEvictionSamples));
+  const std::size_t looked = std::min(count, kSamples);
   // Spread evenly over the fleet: neighbours often share a rack.
   const std::size_t stride = count / looked;
   for (std::size_t i = 0; i < looked; ++i) {
--- a/src/core/placement/Placer.h
+++ b/src/core/placement/Placer.h
@@ -30,6 +30,19 @@
                  const WorkerInfo& aWorker,
                  std::int64_t aUsedMillicores);
 
+/// Workers on which the request would fit if they were empty, for evictions:
+/// some spread evenly over the fleet. The share per worker is not looked at,
+/// since it depends on who is evicted.
+std::vector<WorkerSlot> SampleWorkers(const PlacementRequest& aRequest,
+                                      const WorkerIndex& aWorkers,
+                                      absl::BitGenRef aRandom);
+
+/// Whether a job may go to this worker, as far as the customer is concerned.
+bool IsWanted(const PlacementRequest& aRequest,
+              const WorkerIndex& aWorkers,
+              WorkerSlot aSlot,
+              const PlacementLoad& aLoad);
+
 /// Picks the worker for a job. Samples feasible workers and keeps the best:
 /// batch goes where it fits most tightly, so that large holes stay; exclusive
 /// and standing work goes where the customer has least in the failure domain
@@ -41,7 +54,6 @@
   struct Settings
   {
     int mSamples = 8;
-    int mEvictionSamples = 32;
     int mWalk = 64; ///< Neighbours tried when the whole sample is unwanted.
   };
 
@@ -59,12 +71,6 @@
                                    const PlacementLoad& aLoad,
                                    absl::BitGenRef aRandom) const;
 
-  /// Workers that would do if they were empty, for evictions. The share per
-  /// worker is not looked at: it depends on who is evicted.
-  std::vector<WorkerSlot> Sample(const PlacementRequest& aRequest,
-                                 const WorkerIndex& aWorkers,
-                                 absl::BitGenRef aRandom) const;
-
 private:
   Settings mSettings;
 };
--- /dev/null
+++ b/src/core/placement/RandomFit.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <optional>
+
+#include "absl/random/bit_gen_ref.h"
+
+#include "src/core/placement/Placer.h"
+
+namespace foxtailbarrow {
+
+/// Baseline: any worker that takes the job, found from a random start.
+class RandomFit
+{
+public:
+  std::optional<WorkerSlot> Choose(const PlacementRequest& aRequest,
+                                   const WorkerIndex& aWorkers,
+                                   const PlacementLoad& aLoad,
+                                   absl::BitGenRef aRandom) const
+  {
+    Placer::Settings settings;
+    settings.mSamples = 1;
+    return Placer(settings).Choose(aRequest, aWorkers, aLoad, aRandom);
+  }
+};
+
+} // namespace foxtailbarrow
