--- a/include/foxtailbarrow/Worker.h
+++ b/include/foxtailbarrow/Worker.h
@@ -21,6 +21,8 @@
   JobId mJob;
   Epoch mEpoch = 0;
 
+  // The check takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const TaskKey&) const = default;
 
   template<typename H>
--- a/src/core/placement/SizeLearner.cpp
+++ b/src/core/placement/SizeLearner.cpp
@@ -10,7 +10,7 @@
 constexpr double kProcessorQuantile = 0.95;
 constexpr double kProcessorMargin = 1.15;
 constexpr double kMemoryQuantile = 1.0;
-constexpr double kMemoryMargin = 1.25;
+constexpr double kMemoryMargin = 1.1;
 /// Usage above this part of the reservation may have been cut off by it.
 constexpr double kNearlyAll = 0.9;
 constexpr Resources kLeast{ 50, 32, 0 };
@@ -20,11 +20,11 @@
   return static_cast<std::int64_t>(static_cast<double>(aAmount) * aFactor);
 }
 
-/// What the run may have needed, given that it could use at most `aReserved`.
-std::int64_t Need(std::int64_t aPeak, std::int64_t aReserved)
+/// True when the run may have wanted more than it could get.
+bool WasCutOff(const RunObservation& aRun)
 {
-  return aPeak >= Scaled(aReserved, kNearlyAll) ? std::max(aPeak, aReserved) * 2
-                                                : aPeak;
+  return aRun.mPeak.mMillicores >=
+         Scaled(aRun.mReserved.mMillicores, kNearlyAll);
 }
 
 std::int64_t Reservation(const QuantileSketch& aSketch,
@@ -49,8 +49,9 @@
   }
   Learned& learned = mPrograms[aKey];
   if (aRun.mPeak.mMillicores > 0) {
-    learned.mMillicores.Add(
-      Need(aRun.mPeak.mMillicores, aRun.mReserved.mMillicores));
+    learned.mMillicores.Add(aRun.mPeak.mMillicores);
+    learned.mMillicoresSought =
+      WasCutOff(aRun) ? aRun.mReserved.mMillicores * 2 : 0;
   }
   if (aRun.mMemoryOverrun) {
     learned.mMemoryMb.Add(aRun.mReserved.mMemoryMb * 2);
@@ -78,6 +79,7 @@
                                  kProcessorMargin,
                                  aDeclared.mMillicores,
                                  kLeast.mMillicores);
+  size.mMillicores = std::max(size.mMillicores, learned.mMillicoresSought);
   size.mMemoryMb = Reservation(learned.mMemoryMb,
                                kMemoryQuantile,
                                kMemoryMargin,
--- a/src/core/placement/SizeLearner.h
+++ b/src/core/placement/SizeLearner.h
@@ -39,8 +39,9 @@
 
 /// Learns the size and run time of a customer's program in place of what its
 /// jobs declare. Input: usage measured during runs, and their ends. A run that
-/// used nearly all of a resource may have wanted more, so it counts as twice
-/// that: an underestimate grows at least by doubling with each run.
+/// used nearly all its processors may have wanted more: the next gets twice as
+/// many, until one leaves some unused. One stopped for its memory counts as
+/// having needed twice as much. So an underestimate doubles with each run.
 class SizeLearner
 {
 public:
@@ -66,6 +67,7 @@
   struct Learned
   {
     QuantileSketch mMillicores;
+    std::int64_t mMillicoresSought = 0; ///< Twice the last that was cut off.
     QuantileSketch mMemoryMb;
     QuantileSketch mRunTimeMs;
   };
