--- a/src/core/placement/Placer.cpp
+++ b/src/core/placement/Placer.cpp
@@ -6,6 +6,16 @@
 
 namespace foxtailbarrow {
 
+bool WithinShare(const PlacementRequest& aRequest,
+                 const WorkerInfo& aWorker,
+                 std::int64_t aUsedMillicores)
+{
+  const double share = aRequest.mSharePerWorker *
+                       static_cast<double>(aWorker.mCapacity.mMillicores);
+  const std::int64_t wanted = aUsedMillicores + aRequest.mSize.mMillicores;
+  return static_cast<double>(wanted) <= share;
+}
+
 namespace {
 
 double Portion(std::int64_t aPart, std::int64_t aWhole)
@@ -25,18 +35,9 @@
          Portion(left.mAccelerators, aCapacity.mAccelerators);
 }
 
-bool Wanted(const PlacementRequest& aRequest,
-            const WorkerInfo& aWorker,
-            WorkerSlot aSlot,
-            const PlacementLoad& aLoad)
+bool IsAvoided(const PlacementRequest& aRequest, WorkerSlot aSlot)
 {
-  if (std::ranges::find(aRequest.mAvoid, aSlot) != aRequest.mAvoid.end()) {
-    return false;
-  }
-  const double share = aRequest.mSharePerWorker *
-                       static_cast<double>(aWorker.mCapacity.mMillicores);
-  const std::int64_t used = aLoad.Millicores(aRequest.mCustomer, aSlot);
-  return static_cast<double>(used + aRequest.mSize.mMillicores) <= share;
+  return std::ranges::find(aRequest.mAvoid, aSlot) != aRequest.mAvoid.end();
 }
 
 /// Less is better.
@@ -74,7 +75,7 @@
   bool Offer(WorkerSlot aSlot)
   {
     const WorkerInfo& worker = mWorkers.At(aSlot);
-    if (!Wanted(mRequest, worker, aSlot, mLoad)) {
+    if (!IsWanted(mRequest, mWorkers, aSlot, mLoad)) {
       return false;
     }
     const double cost = Cost(mRequest, worker, mWorkers.Free(aSlot), mLoad);
@@ -97,6 +98,17 @@
 
 } // namespace
 
+bool IsWanted(const PlacementRequest& aRequest,
+              const WorkerIndex& aWorkers,
+              WorkerSlot aSlot,
+              const PlacementLoad& aLoad)
+{
+  return !IsAvoided(aRequest, aSlot) &&
+         WithinShare(aRequest,
+                     aWorkers.At(aSlot),
+                     aLoad.Millicores(aRequest.mCustomer, aSlot));
+}
+
 std::optional<WorkerSlot> Placer::Choose(const PlacementRequest& aRequest,
                                          const WorkerIndex& aWorkers,
                                          const PlacementLoad& aLoad,
@@ -127,4 +139,30 @@
   return best.Slot();
 }
 
+std::vector<WorkerSlot> SampleWorkers(const PlacementRequest& aRequest,
+                                      const WorkerIndex& aWorkers,
+                                      absl::BitGenRef aRandom)
+{
+  constexpr std::size_t kSamples = 32;
+  std::vector<WorkerSlot> sample;
+  const std::size_t count = aWorkers.Size();
+  if (count == 0) {
+    return sample;
+  }
+  absl::uniform_int_distribution<std::size_t> anySlot(0, count - 1);
+  const std::size_t first = anySlot(aRandom);
+  const std::size_t looked = std::min(count, kSamples);
+  // Spread evenly over the fleet: neighbours often share a rack.
+  const std::size_t stride = count / looked;
+  for (std::size_t i = 0; i < looked; ++i) {
+    const auto slot = static_cast<WorkerSlot>((first + i * stride) % count);
+    const WorkerInfo& worker = aWorkers.At(slot);
+    if (aWorkers.Placeable(slot) && aRequest.mSize.FitsIn(worker.mCapacity) &&
+        !IsAvoided(aRequest, slot)) {
+      sample.push_back(slot);
+    }
+  }
+  return sample;
+}
+
 } // namespace foxtailbarrow
--- a/src/core/placement/Placer.h
+++ b/src/core/placement/Placer.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "absl/random/bit_gen_ref.h"
 
@@ -23,6 +24,25 @@
   std::span<const WorkerSlot> mAvoid; ///< Where it failed or was refused.
 };
 
+/// True when the request stays within the customer's share of the worker, of
+/// which it uses that much already.
+bool WithinShare(const PlacementRequest& aRequest,
+                 const WorkerInfo& aWorker,
+                 std::int64_t aUsedMillicores);
+
+/// Workers on which the request would fit if they were empty, for evictions:
+/// some spread evenly over the fleet. The share per worker is not looked at,
+/// since it depends on who is evicted.
+std::vector<WorkerSlot> SampleWorkers(const PlacementRequest& aRequest,
+                                      const WorkerIndex& aWorkers,
+                                      absl::BitGenRef aRandom);
+
+/// Whether a job may go to this worker, as far as the customer is concerned.
+bool IsWanted(const PlacementRequest& aRequest,
+              const WorkerIndex& aWorkers,
+              WorkerSlot aSlot,
+              const PlacementLoad& aLoad);
+
 /// Picks the worker for a job. Samples feasible workers and keeps the best:
 /// batch goes where it fits most tightly, so that large holes stay; exclusive
 /// and standing work goes where the customer has least in the failure domain
