Add the fair queue for overload beside a FIFO baseline, and benchmarks

Cause: in overload a first-come queue gives the slots to whoever asks most.

Weighed: deficit round robin, as first planned: with a request as the unit and weights as far apart as contracts' concurrency (1 to 1,000,000) it either serves a heavy customer in long bursts or visits many queues for one request. Self-clocked fair queueing gives the same shares at O(log customers) a request and without bursts; taken instead. Batch waits in a band of its own behind latency-critical requests.

Every request given up is named at once with its Retry-After.

--- /dev/null
+++ b/bench/admission/Overload.cpp
@@ -0,0 +1,234 @@
+// One customer floods, others keep their pace: FairQueue against FifoQueue in
+// virtual time, median and spread over seeds.
+
+#include <algorithm>
+#include <array>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "src/core/admission/FairQueue.h"
+#include "src/core/admission/FifoQueue.h"
+
+namespace foxtailbarrow {
+namespace {
+
+constexpr int kSlots = 88;          // 11 runners of 8 slots
+constexpr double kServiceMs = 10.0; // mean, exponential
+constexpr int kCustomers = 10;      // customer 0 floods
+constexpr double kCalmPerMs = 0.6;  // of the 8.8 that the slots serve
+constexpr double kFloodPerMs = 8.8; // ten times its fair part
+constexpr Duration kDeadline = std::chrono::milliseconds(500);
+constexpr Duration kRun = std::chrono::seconds(60);
+constexpr Duration kSweepInterval = std::chrono::milliseconds(5);
+constexpr std::array<std::uint64_t, 5> kSeeds = { 1, 2, 3, 4, 5 };
+
+struct Outcome
+{
+  double mCalmServed = 0; ///< Part of what the others offered.
+  double mFloodPart = 0;  ///< Of all that was served.
+  double mCalmP50Ms = 0;  ///< From arrival to answer.
+  double mCalmP99Ms = 0;
+  double mRefusalP99Ms = 0; ///< From arrival to being given up.
+  double mUtilization = 0;
+};
+
+double Quantile(std::vector<double>& aValues, double aPart)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  const auto place = static_cast<std::ptrdiff_t>(
+    aPart * static_cast<double>(aValues.size() - 1));
+  std::nth_element(aValues.begin(), aValues.begin() + place, aValues.end());
+  return aValues[static_cast<std::size_t>(place)];
+}
+
+template<typename Queue>
+class Simulation
+{
+public:
+  Simulation(std::uint64_t aSeed, double aFloodPerMs)
+    : mRandom(aSeed)
+    , mFloodPerMs(aFloodPerMs)
+  {
+  }
+
+  Outcome Run()
+  {
+    Instant sweep = mNow;
+    Instant arrival = NextArrival();
+    while (mNow < kEnd) {
+      const Instant ended = mEnds.empty() ? Instant::max() : mEnds.top();
+      mNow = std::min({ arrival, ended, sweep });
+      if (mNow == ended) {
+        mEnds.pop();
+        Fill();
+      } else if (mNow == arrival) {
+        Arrive();
+        arrival = NextArrival();
+      } else {
+        GiveUp(mQueue.Sweep(mNow));
+        sweep = mNow + kSweepInterval;
+      }
+    }
+    return Summary();
+  }
+
+private:
+  static constexpr Instant kBegin{ std::chrono::seconds(1) };
+  static constexpr Instant kEnd = kBegin + kRun;
+
+  double Rate() const { return mFloodPerMs + (kCustomers - 1) * kCalmPerMs; }
+
+  Instant NextArrival()
+  {
+    std::exponential_distribution<double> gap(Rate());
+    return mNow + Duration(static_cast<Duration::rep>(gap(mRandom) * 1000) + 1);
+  }
+
+  void Arrive()
+  {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const double draw = uniform(mRandom) * Rate();
+    const int customer =
+      draw < mFloodPerMs
+        ? 0
+        : 1 + static_cast<int>((draw - mFloodPerMs) / kCalmPerMs);
+    QueuedRequest request;
+    request.mHandle = mArrived.size();
+    request.mCustomer =
+      mNames[static_cast<std::size_t>(std::min(customer, kCustomers - 1))];
+    request.mDeadline = mNow + kDeadline;
+    request.mJitter = uniform(mRandom);
+    mArrived.push_back(mNow);
+    mCalmOffered += customer == 0 ? 0 : 1;
+    GiveUp(mQueue.Offer(mNow, std::move(request)));
+    Fill();
+  }
+
+  void Fill()
+  {
+    while (mEnds.size() < kSlots && mQueue.Size() > 0) {
+      QueuePop pop = mQueue.Pop(mNow);
+      GiveUp(pop.mRefused);
+      if (pop.mNext) {
+        Serve(*pop.mNext);
+      }
+    }
+  }
+
+  void Serve(const QueuedRequest& aRequest)
+  {
+    std::exponential_distribution<double> service(1 / kServiceMs);
+    const double took = service(mRandom);
+    const Instant ends =
+      mNow + Duration(static_cast<Duration::rep>(took * 1000) + 1);
+    mEnds.push(ends);
+    mBusyMs += took;
+    ++mServed;
+    if (aRequest.mCustomer != mNames[0]) {
+      mCalmMs.push_back(Since(aRequest.mHandle, ends));
+    }
+  }
+
+  void GiveUp(const std::vector<QueueRefusal>& aRefusals)
+  {
+    for (const QueueRefusal& refusal : aRefusals) {
+      mRefusalMs.push_back(Since(refusal.mHandle, mNow));
+    }
+  }
+
+  double Since(std::uint64_t aHandle, Instant aThen) const
+  {
+    return static_cast<double>((aThen - mArrived[aHandle]).count()) / 1000;
+  }
+
+  Outcome Summary()
+  {
+    const auto calm = static_cast<double>(mCalmMs.size());
+    Outcome outcome;
+    outcome.mCalmServed = calm / mCalmOffered;
+    outcome.mFloodPart = 1 - calm / mServed;
+    outcome.mCalmP50Ms = Quantile(mCalmMs, 0.5);
+    outcome.mCalmP99Ms = Quantile(mCalmMs, 0.99);
+    outcome.mRefusalP99Ms = Quantile(mRefusalMs, 0.99);
+    outcome.mUtilization =
+      mBusyMs / kSlots / (static_cast<double>(kRun.count()) / 1000);
+    return outcome;
+  }
+
+  std::vector<CustomerId> mNames = [] {
+    std::vector<CustomerId> names;
+    for (int i = 0; i < kCustomers; ++i) {
+      names.emplace_back("customer-" + std::to_string(i));
+    }
+    return names;
+  }();
+  std::mt19937_64 mRandom;
+  double mFloodPerMs;
+  Queue mQueue{ QueueSettings{ 8192 } };
+  Instant mNow = kBegin;
+  std::priority_queue<Instant, std::vector<Instant>, std::greater<>> mEnds;
+  std::vector<Instant> mArrived;
+  std::vector<double> mCalmMs;
+  std::vector<double> mRefusalMs;
+  double mCalmOffered = 0;
+  double mServed = 0;
+  double mBusyMs = 0;
+};
+
+void Report(benchmark::State& aState,
+            const char* aName,
+            const std::vector<Outcome>& aOutcomes,
+            double Outcome::*aField)
+{
+  std::vector<double> values;
+  for (const Outcome& outcome : aOutcomes) {
+    values.push_back(outcome.*aField);
+  }
+  std::sort(values.begin(), values.end());
+  const std::string name = aName;
+  aState.counters[name] = values[values.size() / 2];
+  aState.counters[name + "_min"] = values.front();
+  aState.counters[name + "_max"] = values.back();
+}
+
+template<typename Queue>
+void Overload(benchmark::State& aState)
+{
+  const double flood = aState.range(0) != 0 ? kFloodPerMs : kCalmPerMs;
+  std::vector<Outcome> outcomes;
+  for (auto _ : aState) {
+    outcomes.clear();
+    for (const std::uint64_t seed : kSeeds) {
+      outcomes.push_back(Simulation<Queue>(seed, flood).Run());
+    }
+  }
+  Report(aState, "calm_served", outcomes, &Outcome::mCalmServed);
+  Report(aState, "flood_part", outcomes, &Outcome::mFloodPart);
+  Report(aState, "calm_p50_ms", outcomes, &Outcome::mCalmP50Ms);
+  Report(aState, "calm_p99_ms", outcomes, &Outcome::mCalmP99Ms);
+  Report(aState, "refusal_p99_ms", outcomes, &Outcome::mRefusalP99Ms);
+  Report(aState, "utilization", outcomes, &Outcome::mUtilization);
+}
+
+BENCHMARK_TEMPLATE(Overload, FairQueue)
+  ->ArgName("flood")
+  ->Arg(0)
+  ->Arg(1)
+  ->Iterations(1)
+  ->Unit(benchmark::kMillisecond);
+BENCHMARK_TEMPLATE(Overload, FifoQueue)
+  ->ArgName("flood")
+  ->Arg(0)
+  ->Arg(1)
+  ->Iterations(1)
+  ->Unit(benchmark::kMillisecond);
+
+} // namespace
+} // namespace foxtailbarrow
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/src/core/admission/DrainRate.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow {
+
+/// Learns the mean time between two requests that leave a queue, counting only
+/// the times at which others were waiting: then it is the time that the backend
+/// servers need for one.
+class DrainRate
+{
+public:
+  /// A request leaves at `aNow`; `aBacklog`: others stay behind.
+  void OnLeave(Instant aNow, bool aBacklog);
+
+  /// kDefaultInterval until two have left from a backlog.
+  Duration Interval() const { return mInterval; }
+
+  static constexpr Duration kDefaultInterval = std::chrono::milliseconds(1);
+
+private:
+  Duration mInterval = kDefaultInterval;
+  Instant mLast{};
+  bool mHadBacklog = false;
+};
+
+} // namespace foxtailbarrow
--- a/src/core/admission/TokenBucket.cpp
+++ b/src/core/admission/TokenBucket.cpp
@@ -11,7 +11,8 @@
 constexpr std::int64_t kNanosPerMicro = 1000;
 /// Longer intervals would overflow with a large burst; one token a day.
 constexpr double kMaxInterval = 86'400e9;
-constexpr std::int64_t kMaxTolerance = std::int64_t{ 1 } << 62;
+/// 73 years: beyond it, the sum with a time would overflow.
+constexpr double kMaxTolerance = 0x1p61;
 
 /// Nanoseconds a token, rounded up so that the rate is never exceeded.
 std::int64_t IntervalOf(const BucketLimit& aLimit)
@@ -24,8 +25,7 @@
 {
   const auto tokens = static_cast<double>(aLimit.mBurst - 1);
   const double tolerance = static_cast<double>(aInterval) * tokens;
-  return static_cast<std::int64_t>(
-    std::min(tolerance, static_cast<double>(kMaxTolerance / 2)));
+  return static_cast<std::int64_t>(std::min(tolerance, kMaxTolerance));
 }
 
 } // namespace
