--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -114,6 +114,7 @@
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("verdict", aMessage.mVerdict);
+  aVisitor.Optional("promisedBefore", aMessage.mPromisedBefore);
 }
 
 template<typename Visitor, Is<JobChanged> Message>
