Refuse on arrival what would only be refused later

DrainRate also rounded its mean to whole microseconds at every step, so that a mean within 32 us of the truth stayed where it was.

Change: a customer's own rate of late, once 64 of its requests have left a backlog, goes before its weight; a request is queued only when it would start in time with half the wait to spare; DrainRate keeps a fraction.

--- a/bench/admission/Overload.cpp
+++ b/bench/admission/Overload.cpp
@@ -23,6 +23,7 @@
 constexpr Duration kDeadline = std::chrono::milliseconds(500);
 constexpr Duration kRun = std::chrono::seconds(60);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(5);
+constexpr double kLateMs = 5.0;
 constexpr std::array<std::uint64_t, 5> kSeeds = { 1, 2, 3, 4, 5 };
 
 struct Outcome
@@ -32,6 +33,7 @@
   double mCalmP50Ms = 0;  ///< From arrival to answer.
   double mCalmP99Ms = 0;
   double mRefusalP99Ms = 0; ///< From arrival to being given up.
+  double mRefusedLate = 0;  ///< Part of the refusals, after 5 ms.
   double mUtilization = 0;
 };
 
@@ -155,6 +157,13 @@
     outcome.mCalmP50Ms = Quantile(mCalmMs, 0.5);
     outcome.mCalmP99Ms = Quantile(mCalmMs, 0.99);
     outcome.mRefusalP99Ms = Quantile(mRefusalMs, 0.99);
+    outcome.mRefusedLate = mRefusalMs.empty()
+                             ? 0
+                             : static_cast<double>(std::count_if(
+                                 mRefusalMs.begin(),
+                                 mRefusalMs.end(),
+                                 [](double aMs) { return aMs > kLateMs; })) /
+                                 static_cast<double>(mRefusalMs.size());
     outcome.mUtilization =
       mBusyMs / kSlots / (static_cast<double>(kRun.count()) / 1000);
     return outcome;
@@ -212,6 +221,7 @@
   Report(aState, "calm_p50_ms", outcomes, &Outcome::mCalmP50Ms);
   Report(aState, "calm_p99_ms", outcomes, &Outcome::mCalmP99Ms);
   Report(aState, "refusal_p99_ms", outcomes, &Outcome::mRefusalP99Ms);
+  Report(aState, "refused_late", outcomes, &Outcome::mRefusedLate);
   Report(aState, "utilization", outcomes, &Outcome::mUtilization);
 }
 
--- a/src/core/admission/DrainRate.cpp
+++ b/src/core/admission/DrainRate.cpp
@@ -7,22 +7,26 @@
 
 namespace {
 
-/// A new interval counts for a 64th: several slots end at irregular times.
-constexpr double kSmoothing = 1.0 / 64;
-constexpr Duration kMinInterval{ 1 };
+constexpr double kMinMicros = 1.0;
 
 } // namespace
 
 void DrainRate::OnLeave(Instant aNow, bool aBacklog)
 {
   if (mHadBacklog) {
-    const auto mean = static_cast<double>(mInterval.count());
+    // A plain mean at first, then one of about the last kSettledSamples.
+    mSamples = std::min(mSamples + 1, kSettledSamples);
     const auto newest = static_cast<double>((aNow - mLast).count());
-    const double next = mean + (newest - mean) * kSmoothing;
-    mInterval = std::max(kMinInterval, Duration(std::llround(next)));
+    const double step = (newest - mMeanMicros) / mSamples;
+    mMeanMicros = std::max(kMinMicros, mMeanMicros + step);
   }
   mLast = aNow;
   mHadBacklog = aBacklog;
 }
 
+Duration DrainRate::Interval() const
+{
+  return mSamples == 0 ? kDefaultInterval : Duration(std::llround(mMeanMicros));
+}
+
 } // namespace foxtailbarrow
--- a/src/core/admission/DrainRate.h
+++ b/src/core/admission/DrainRate.h
@@ -14,13 +14,18 @@
   void OnLeave(Instant aNow, bool aBacklog);
 
   /// kDefaultInterval until two have left from a backlog.
-  Duration Interval() const { return mInterval; }
+  Duration Interval() const;
+
+  /// Enough have left for the mean to mean something.
+  bool Settled() const { return mSamples == kSettledSamples; }
 
   static constexpr Duration kDefaultInterval = std::chrono::milliseconds(1);
+  static constexpr int kSettledSamples = 64;
 
 private:
-  Duration mInterval = kDefaultInterval;
+  double mMeanMicros = 0;
   Instant mLast{};
+  int mSamples = 0; ///< Up to kSettledSamples.
   bool mHadBacklog = false;
 };
 
--- a/src/core/admission/FairBand.cpp
+++ b/src/core/admission/FairBand.cpp
@@ -24,7 +24,7 @@
   ++mSize;
 }
 
-QueuedRequest FairBand::Pop()
+QueuedRequest FairBand::Pop(Instant aNow)
 {
   const auto [tag, customer] = *mOrder.begin();
   mOrder.erase(mOrder.begin());
@@ -32,6 +32,7 @@
   QueuedRequest request = std::move(flow.mRequests.front());
   flow.mRequests.pop_front();
   --mSize;
+  flow.mRate.OnLeave(aNow, !flow.mRequests.empty());
   mVirtualNow = tag;
   flow.mTag = tag + 1 / flow.mWeight;
   mOrder.emplace(flow.mTag, customer);
@@ -71,10 +72,22 @@
   return request;
 }
 
-Duration FairBand::WaitAt(std::size_t aPosition,
-                          double aWeight,
-                          double aWeights,
+Duration FairBand::WaitAt(const Flow& aFlow,
+                          std::size_t aPosition,
                           Duration aInterval) const
+{
+  // What the customer got of late says more than its weight, since others come
+  // and go.
+  if (aFlow.mRate.Settled()) {
+    return aFlow.mRate.Interval() * static_cast<Duration::rep>(aPosition + 1);
+  }
+  return WaitByWeights(aPosition, aFlow.mWeight, mWeights, aInterval);
+}
+
+Duration FairBand::WaitByWeights(std::size_t aPosition,
+                                 double aWeight,
+                                 double aWeights,
+                                 Duration aInterval) const
 {
   const double turns =
     std::min(static_cast<double>(aPosition + 1) * aWeights / aWeight,
@@ -91,9 +104,9 @@
     return Duration::zero();
   }
   if (const Flow* flow = Find(aCustomer)) {
-    return WaitAt(flow->mRequests.size(), flow->mWeight, mWeights, aInterval);
+    return WaitAt(*flow, flow->mRequests.size(), aInterval);
   }
-  return WaitAt(0, aWeight, mWeights + aWeight, aInterval);
+  return WaitByWeights(0, aWeight, mWeights + aWeight, aInterval);
 }
 
 bool FairBand::IsOverPart(const CustomerId& aCustomer,
@@ -118,10 +131,8 @@
     for (QueuedRequest& request : flow.mRequests) {
       // The first of a flow may start with the next slot.
       const Duration wait =
-        ahead +
-        (kept.empty()
-           ? Duration::zero()
-           : WaitAt(kept.size() - 1, flow.mWeight, mWeights, aInterval));
+        ahead + (kept.empty() ? Duration::zero()
+                              : WaitAt(flow, kept.size() - 1, aInterval));
       if (request.mDeadline <= aNow || wait >= request.mDeadline - aNow) {
         taken.emplace_back(std::move(request), wait);
       } else {
--- a/src/core/admission/FairBand.h
+++ b/src/core/admission/FairBand.h
@@ -8,6 +8,7 @@
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 
+#include "src/core/admission/DrainRate.h"
 #include "src/core/admission/QueuedRequest.h"
 
 namespace foxtailbarrow {
@@ -22,7 +23,7 @@
   void Push(QueuedRequest aRequest);
 
   /// The band must not be empty.
-  QueuedRequest Pop();
+  QueuedRequest Pop(Instant aNow);
 
   /// Takes the newest request of the customer with the longest queue for its
   /// weight. The band must not be empty.
@@ -51,12 +52,17 @@
     std::deque<QueuedRequest> mRequests;
     double mWeight = 1;
     double mTag = 0; ///< Virtual time at which the first one is due.
+    DrainRate mRate; ///< Of this customer alone, since its queue was empty.
   };
 
-  Duration WaitAt(std::size_t aPosition,
-                  double aWeight,
-                  double aWeights,
+  /// Of a request with `aPosition` others of its customer before it.
+  Duration WaitAt(const Flow& aFlow,
+                  std::size_t aPosition,
                   Duration aInterval) const;
+  Duration WaitByWeights(std::size_t aPosition,
+                         double aWeight,
+                         double aWeights,
+                         Duration aInterval) const;
   const Flow* Find(const CustomerId& aCustomer) const;
   void Close(const CustomerId& aCustomer);
 
--- a/src/core/admission/FairQueue.cpp
+++ b/src/core/admission/FairQueue.cpp
@@ -9,6 +9,15 @@
 
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
 
+/// A request is only queued when it would start in time even if the wait were
+/// half as long again as estimated: the estimate is from the last few dozen
+/// starts, and a refusal on arrival is worth more to the caller than one after
+/// a wait.
+bool StartsInTime(Duration aWait, Duration aRemaining)
+{
+  return aWait + aWait / 2 < aRemaining;
+}
+
 QueueRefusal GiveUp(const QueuedRequest& aRequest,
                     Reason aReason,
                     Duration aWait)
@@ -49,7 +58,8 @@
 std::vector<QueueRefusal> FairQueue::Offer(Instant aNow, QueuedRequest aRequest)
 {
   const Duration wait = ExpectedWait(aRequest);
-  if (aRequest.mDeadline <= aNow || wait >= aRequest.mDeadline - aNow) {
+  if (aRequest.mDeadline <= aNow ||
+      !StartsInTime(wait, aRequest.mDeadline - aNow)) {
     return { GiveUp(aRequest, Reason::DeadlineTooShort, wait) };
   }
   if (Size() < mSettings.mCapacity) {
@@ -84,7 +94,7 @@
   QueuePop pop;
   while (Size() > 0 && !pop.mNext) {
     QueuedRequest request =
-      mCritical.Size() > 0 ? mCritical.Pop() : mBatch.Pop();
+      mCritical.Size() > 0 ? mCritical.Pop(aNow) : mBatch.Pop(aNow);
     if (request.mDeadline <= aNow) {
       pop.mRefused.push_back(
         GiveUp(request, Reason::DeadlineTooShort, ExpectedWait(request)));
