--- a/src/core/message/Json.cpp
+++ b/src/core/message/Json.cpp
@@ -22,13 +22,23 @@
   return builder;
 }
 
-std::string Format(const Json::Value& aValue, const char* aIndentation)
+/// Building the settings costs as much as reading a small message, so those of
+/// the usual depth are kept.
+std::unique_ptr<Json::CharReader> ReaderFor(int aMaxDepth)
+{
+  static const Json::CharReaderBuilder sUsual = StrictReader(kUsualMaxDepth);
+  return std::unique_ptr<Json::CharReader>(
+    aMaxDepth == kUsualMaxDepth ? sUsual.newCharReader()
+                                : StrictReader(aMaxDepth).newCharReader());
+}
+
+Json::StreamWriterBuilder WriterSettings(const char* aIndentation)
 {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = aIndentation;
   builder["emitUTF8"] = true;
   builder["precision"] = kDoubleDigits;
-  return Json::writeString(builder, aValue);
+  return builder;
 }
 
 absl::Status Refuse(const std::string& aWhy)
@@ -63,8 +73,7 @@
   if (!IsUtf8(aText)) {
     return Refuse("found bytes that are not UTF-8");
   }
-  const std::unique_ptr<Json::CharReader> reader(
-    StrictReader(aLimits.mMaxDepth).newCharReader());
+  const std::unique_ptr<Json::CharReader> reader = ReaderFor(aLimits.mMaxDepth);
   Json::Value value;
   std::string errors;
   // The library throws where the nesting passes its limit.
@@ -82,12 +91,14 @@
 
 std::string FormatJson(const Json::Value& aValue)
 {
-  return Format(aValue, "");
+  static const Json::StreamWriterBuilder sSettings = WriterSettings("");
+  return Json::writeString(sSettings, aValue);
 }
 
 std::string FormatJsonIndented(const Json::Value& aValue)
 {
-  return Format(aValue, "  ");
+  static const Json::StreamWriterBuilder sSettings = WriterSettings("  ");
+  return Json::writeString(sSettings, aValue);
 }
 
 } // namespace foxtailbarrow
--- a/src/core/message/Json.h
+++ b/src/core/message/Json.h
@@ -9,11 +9,13 @@
 
 namespace foxtailbarrow {
 
+inline constexpr int kUsualMaxDepth = 32;
+
 /// Bounds of a JSON text that ParseJson() accepts.
 struct JsonLimits
 {
   std::size_t mMaxBytes = std::size_t{ 4 } * 1024 * 1024;
-  int mMaxDepth = 32; ///< Nested arrays and objects.
+  int mMaxDepth = kUsualMaxDepth; ///< Nested arrays and objects.
 };
 
 /// Reads one JSON object or array. Strict: no trailing text, no duplicate keys,
--- a/src/core/message/detail/ObjectReader.cpp
+++ b/src/core/message/detail/ObjectReader.cpp
@@ -2,12 +2,13 @@
 
 namespace foxtailbarrow::detail {
 
-bool ObjectReader::Present(const char* aName)
+const Json::Value* ObjectReader::Find(std::string_view aName)
 {
-  mKnown.emplace_back(aName);
-  const bool present = mObject.isMember(aName);
-  mPresent += present ? 1 : 0;
-  return present;
+  mKnown.push_back(aName);
+  const Json::Value* value =
+    mObject.find(aName.data(), aName.data() + aName.size());
+  mPresent += value == nullptr ? 0 : 1;
+  return value;
 }
 
 void ObjectReader::Finish()
--- a/src/core/message/detail/ObjectReader.h
+++ b/src/core/message/detail/ObjectReader.h
@@ -10,12 +10,16 @@
 #include <type_traits>
 #include <vector>
 
+#include "absl/container/inlined_vector.h"
 #include <json/value.h>
 
 #include "src/core/message/detail/Scalars.h"
 
 namespace foxtailbarrow::detail {
 
+/// Most messages have no more, so that reading one allocates nothing for names.
+inline constexpr std::size_t kUsualFields = 16;
+
 /// Fills the fields of one message from a JSON object: the reading visitor of
 /// the Fields() tables. Collects problems instead of stopping at the first.
 class ObjectReader
@@ -36,12 +40,12 @@
                 T& aField,
                 const Rule& aRule = DefaultRule<T>::kValue)
   {
-    if (!Present(aName)) {
-      mProblems.push_back(
-        { FieldPath(mPath, aName).Text(), "nothing", "a value, required" });
+    if (const Json::Value* value = Find(aName)) {
+      Read(*value, FieldPath(mPath, aName), aField, aRule);
       return;
     }
-    Read(mObject[aName], FieldPath(mPath, aName), aField, aRule);
+    mProblems.push_back(
+      { FieldPath(mPath, aName).Text(), "nothing", "a value, required" });
   }
 
   /// Reads the field where it is there, else leaves the default.
@@ -50,8 +54,8 @@
                 T& aField,
                 const Rule& aRule = DefaultRule<T>::kValue)
   {
-    if (Present(aName)) {
-      Read(mObject[aName], FieldPath(mPath, aName), aField, aRule);
+    if (const Json::Value* value = Find(aName)) {
+      Read(*value, FieldPath(mPath, aName), aField, aRule);
     }
   }
 
@@ -70,7 +74,8 @@
   }
 
 private:
-  bool Present(const char* aName);
+  /// Null where the object has no such field.
+  const Json::Value* Find(std::string_view aName);
 
   template<typename T>
   requires(std::signed_integral<T>) void Read(const Json::Value& aValue,
@@ -158,16 +163,20 @@
                                         T& aTarget,
                                         NoRule)
   {
-    std::string allowed = "one of";
-    for (std::underlying_type_t<T> i = 0;; ++i) {
-      const std::string_view text = ToString(static_cast<T>(i));
-      if (text == "unknown") {
-        break;
-      }
-      if (aValue.isString() && aValue.asString() == text) {
+    constexpr std::string_view kAfterLast = "unknown";
+    std::string_view text;
+    for (std::underlying_type_t<T> i = 0;
+         (text = ToString(static_cast<T>(i))) != kAfterLast;
+         ++i) {
+      if (IsText(aValue, text)) {
         aTarget = static_cast<T>(i);
         return;
       }
+    }
+    std::string allowed = "one of";
+    for (std::underlying_type_t<T> i = 0;
+         (text = ToString(static_cast<T>(i))) != kAfterLast;
+         ++i) {
       allowed += " " + std::string(text);
     }
     Complain(aValue, aPath, std::move(allowed), mProblems);
@@ -225,7 +234,7 @@
   const Json::Value& mObject;
   const FieldPath& mPath;
   FieldProblems& mProblems;
-  std::vector<std::string_view> mKnown;
+  absl::InlinedVector<std::string_view, kUsualFields> mKnown;
   std::size_t mPresent = 0;
 };
 
--- a/src/core/message/detail/Scalars.cpp
+++ b/src/core/message/detail/Scalars.cpp
@@ -85,6 +85,15 @@
   aProblems.push_back({ aPath.Text(), Shown(aValue), std::move(aAllowed) });
 }
 
+bool IsText(const Json::Value& aValue, std::string_view aText)
+{
+  const char* begin = nullptr;
+  const char* end = nullptr;
+  return aValue.isString() && aValue.getString(&begin, &end) &&
+         std::string_view(begin, static_cast<std::size_t>(end - begin)) ==
+           aText;
+}
+
 bool ReadSigned(const Json::Value& aValue,
                 const FieldPath& aPath,
                 NumberRule<std::int64_t> aRule,
--- a/src/core/message/detail/Scalars.h
+++ b/src/core/message/detail/Scalars.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <json/value.h>
 
@@ -19,6 +20,9 @@
               std::string aAllowed,
               FieldProblems& aProblems);
 
+/// True when the value is this text.
+bool IsText(const Json::Value& aValue, std::string_view aText);
+
 bool ReadSigned(const Json::Value& aValue,
                 const FieldPath& aPath,
                 NumberRule<std::int64_t> aRule,
