--- /dev/null
+++ b/src/core/admission/DrainRate.cpp
@@ -0,0 +1,32 @@
+#include "src/core/admission/DrainRate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace foxtailbarrow {
+
+namespace {
+
+constexpr double kMinMicros = 1.0;
+
+} // namespace
+
+void DrainRate::OnLeave(Instant aNow, bool aBacklog)
+{
+  if (mHadBacklog) {
+    // A plain mean at first, then one of about the last kSettledSamples.
+    mSamples = std::min(mSamples + 1, kSettledSamples);
+    const auto newest = static_cast<double>((aNow - mLast).count());
+    const double step = (newest - mMeanMicros) / mSamples;
+    mMeanMicros = std::max(kMinMicros, mMeanMicros + step);
+  }
+  mLast = aNow;
+  mHadBacklog = aBacklog;
+}
+
+Duration DrainRate::Interval() const
+{
+  return mSamples == 0 ? kDefaultInterval : Duration(std::llround(mMeanMicros));
+}
+
+} // namespace foxtailbarrow
