Learn which batch tasks hurt the service, and step against them

Cause: batch work beside a service slows its tail, which tasks do so differs by class and load, and usage arrives late. Change: src/core/colocation: latency windows by load level, placement history, a filter for the harm of each class, steps with hysteresis, cool-down and back-off; baselines none, blind and static beside it.

--- /dev/null
+++ b/src/core/colocation/ColocationAct.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <variant>
+
+#include "foxtailbarrow/Worker.h"
+
+namespace foxtailbarrow {
+
+/// Limit the task to this fraction of its processors.
+struct ThrottleBatch
+{
+  TaskKey mKey;
+  double mFraction = 1.0;
+};
+
+/// Checkpoint the task and give its place up, for the service's latency.
+struct EvictBatch
+{
+  TaskKey mKey;
+};
+
+using ColocationAct = std::variant<ThrottleBatch, EvictBatch>;
+
+} // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/colocation/ColocationPolicy.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "foxtailbarrow/Time.h"
+#include "src/core/colocation/ColocationAct.h"
+#include "src/core/colocation/ColocationGuard.h"
+#include "src/core/colocation/LatencyRecorder.h"
+#include "src/core/colocation/PlacementHistory.h"
+
+namespace foxtailbarrow {
+
+/// Baseline: no batch work beside a service.
+struct NoColocation
+{};
+
+/// Baseline: batch work as capacity allows, whatever it does to the service.
+struct BlindColocation
+{};
+
+/// Baseline: throttles every task to half, then evicts the largest, while the
+/// service's p95 is above a fixed latency.
+struct StaticThreshold
+{
+  Duration mLatency = std::chrono::milliseconds(50);
+  int mBadWindows = 3;
+  int mBad = 0;
+  bool mThrottled = false;
+  std::vector<ColocatedTask> mTasks;
+  std::vector<ColocationAct> mPending;
+};
+
+/// The policies, behind one set of functions.
+using ColocationPolicy =
+  std::variant<NoColocation, BlindColocation, StaticThreshold, ColocationGuard>;
+
+/// Whether batch tasks may be placed at all.
+bool AdmitsTasks(const ColocationPolicy& aPolicy);
+
+void SetTasks(ColocationPolicy& aPolicy,
+              std::vector<ColocatedTask> aTasks,
+              Instant aNow);
+
+void UsageSeen(ColocationPolicy& aPolicy,
+               const TaskKey& aKey,
+               double aUsed,
+               Instant aTakenAt);
+
+void LatenciesSeen(ColocationPolicy& aPolicy, const LatencyWindow& aWindow);
+
+/// The steps due now.
+std::vector<ColocationAct> Advance(ColocationPolicy& aPolicy, Instant aNow);
+
+} // namespace foxtailbarrow
