Guard the service's latency in the agent

Change: the agent records service latencies by load level, hands late usage to ColocationGuard and carries out its steps (metrics, state dump 'colocation', one log line for each step).

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -32,15 +32,29 @@
   , mClient(aRuntime)
   , mWorker(mClient, mSettings.mWorker, mSettings.mWorkerTimeout)
   , mForwarder(mSettings, mClient, mMetrics, MonotonicNow())
-  , mTasks(mSettings,
-           mIncarnation,
-           aRuntime,
-           mWorker,
-           mMetrics,
-           [this] {
-             Update();
-             mHeartbeats.SendNow();
-           })
+  , mTasks(
+      mSettings,
+      mIncarnation,
+      aRuntime,
+      mWorker,
+      mMetrics,
+      [this] {
+        Update();
+        mHeartbeats.SendNow();
+      },
+      [this](const TaskKey& aKey, double aUsed, Instant aTakenAt) {
+        mColocation.UsageSeen(aKey, aUsed, aTakenAt);
+      })
+  , mColocation(aRuntime,
+                mMetrics,
+                { [this] { return mTasks.ColocatedTasks(); },
+                  [this] { return mTasks.LatencyWeight(); },
+                  [this](const TaskKey& aKey, double aFraction) {
+                    mTasks.Throttle(aKey, aFraction);
+                  },
+                  [this](const TaskKey& aKey, Reason aReason) {
+                    mTasks.Evict(aKey, aReason);
+                  } })
   , mHeartbeats(
       mSettings,
       aRuntime,
@@ -58,6 +72,9 @@
     mHeartbeats.SendNow();
   })
 {
+  mForwarder.SetOnServed([this](Duration aHeld, std::int32_t aInUse) {
+    mColocation.Served(aHeld, aInUse, mSettings.mSlots.mSlots);
+  });
   AddMethods();
   AddStateSources();
   AddGauges();
@@ -80,6 +97,7 @@
   agent->mEndpoint = agent->mServer->ListeningEndpoint();
   agent->mTasks.Start();
   agent->mProbe.Start();
+  agent->mColocation.Start();
   agent->mHeartbeats.Start();
   return agent;
 }
@@ -116,6 +134,7 @@
   mState.Add("agent", [this] { return IdentityJson(); });
   mState.Add("ledger", [this] { return mTasks.LedgerJson(); });
   mState.Add("tasks", [this] { return mTasks.TasksJson(); });
+  mState.Add("colocation", [this] { return mColocation.StateJson(); });
   mState.Add("heartbeats", [this] { return mHeartbeats.StateJson(); });
 }
 
@@ -254,6 +273,7 @@
   mServer.reset();
   mHeartbeats.Stop();
   mProbe.Stop();
+  mColocation.Stop();
   mTasks.Stop();
 }
 
--- a/apps/agent/Agent.h
+++ b/apps/agent/Agent.h
@@ -9,6 +9,7 @@
 
 #include "apps/agent/AgentSettings.h"
 #include "apps/agent/BackendProbe.h"
+#include "apps/agent/ColocationControl.h"
 #include "apps/agent/Forwarder.h"
 #include "apps/agent/HeartbeatSender.h"
 #include "apps/agent/TaskControl.h"
@@ -80,6 +81,7 @@
   RpcWorker mWorker;
   Forwarder mForwarder;
   TaskControl mTasks;
+  ColocationControl mColocation;
   HeartbeatSender mHeartbeats;
   BackendProbe mProbe;
   net::RpcDispatcher mDispatcher;
--- a/apps/agent/TaskControl.cpp
+++ b/apps/agent/TaskControl.cpp
@@ -1,5 +1,6 @@
 #include "apps/agent/TaskControl.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -43,10 +44,12 @@
                          net::FiberRuntime& aRuntime,
                          Worker& aWorker,
                          Metrics& aMetrics,
-                         OnNews aOnNews)
+                         OnNews aOnNews,
+                         OnUsage aOnUsage)
   : mSettings(aSettings)
   , mWorker(aWorker)
   , mOnNews(std::move(aOnNews))
+  , mOnUsage(std::move(aOnUsage))
   , mLedger(aSettings.mServiceReserve)
   , mTable({},
            aIncarnation,
@@ -156,6 +159,60 @@
   mLedger.RemoveContract(aCustomer);
 }
 
+std::vector<ColocatedTask> TaskControl::ColocatedTasks() const
+{
+  const std::lock_guard lock(mMutex);
+  const auto whole = static_cast<double>(
+    std::max<std::int64_t>(1, mLedger.Capacity().mMillicores));
+  std::vector<ColocatedTask> tasks;
+  for (const auto& [key, task] : mTable.Tasks()) {
+    if (!task.mStarted || task.Ended()) {
+      continue;
+    }
+    const Contract* const contract = mLedger.ContractOf(task.mStatus.mCustomer);
+    ColocatedTask one;
+    one.mKey = key;
+    one.mClass = task.mStatus.mCustomer.Value() + "/" + task.mStart.mProgram;
+    one.mEvictable = task.mStatus.mKind == JobKind::Batch;
+    one.mEvictionWeight =
+      contract == nullptr ? 1.0 : contract->mWeights.mEvictions;
+    one.mReserved =
+      static_cast<double>(task.mStatus.mReserved.mMillicores) / whole;
+    tasks.push_back(std::move(one));
+  }
+  return tasks;
+}
+
+double TaskControl::LatencyWeight() const
+{
+  const std::lock_guard lock(mMutex);
+  double weight = 0.0;
+  for (const auto& [customer, contract] : mLedger.Contracts()) {
+    if (contract.mService == mSettings.mService) {
+      weight = std::max(weight, contract.mWeights.mTailLatency);
+    }
+  }
+  return weight > 0.0 ? weight : 1.0;
+}
+
+void TaskControl::Throttle(const TaskKey& aKey, double aFraction)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mTable.Throttle(aKey, aFraction);
+  }
+  mCallPoke.Now();
+}
+
+void TaskControl::Evict(const TaskKey& aKey, Reason aReason)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mTable.Evict(aKey, aReason);
+  }
+  mCallPoke.Now();
+}
+
 void TaskControl::Drain()
 {
   {
@@ -233,6 +290,7 @@
     mWorkerErrors.Increment();
     return;
   }
+  ReportUsage(*view, askedAt);
   std::size_t endedBefore = 0;
   std::size_t endedAfter = 0;
   {
@@ -249,6 +307,19 @@
   }
 }
 
+void TaskControl::ReportUsage(const WorkerView& aView, Instant aAskedAt)
+{
+  if (aView.mCapacity.mMillicores <= 0) {
+    return;
+  }
+  const auto whole = static_cast<double>(aView.mCapacity.mMillicores);
+  for (const UsageSample& sample : aView.mUsage) {
+    mOnUsage(sample.mKey,
+             static_cast<double>(sample.mUsed.mMillicores) / whole,
+             aAskedAt - sample.mAge);
+  }
+}
+
 void TaskControl::Renew()
 {
   std::vector<CallRenew> renewals;
--- a/apps/agent/TaskControl.h
+++ b/apps/agent/TaskControl.h
@@ -14,6 +14,7 @@
 #include "foxtailbarrow/Worker.h"
 #include "src/core/agent/CapacityLedger.h"
 #include "src/core/agent/TaskTable.h"
+#include "src/core/colocation/PlacementHistory.h"
 #include "src/net/FiberRuntime.h"
 #include "src/telemetry/Metrics.h"
 
@@ -29,12 +30,17 @@
   /// Called when something happened that owners should hear of at once.
   using OnNews = std::function<void()>;
 
+  /// Called with each usage sample: the part of the worker's processors.
+  using OnUsage =
+    std::function<void(const TaskKey&, double aUsed, Instant aTakenAt)>;
+
   TaskControl(const AgentSettings& aSettings,
               Incarnation aIncarnation,
               net::FiberRuntime& aRuntime,
               Worker& aWorker,
               Metrics& aMetrics,
-              OnNews aOnNews);
+              OnNews aOnNews,
+              OnUsage aOnUsage);
 
   void Start();
 
@@ -52,6 +58,15 @@
   void ApplyContract(const Contract& aContract);
   void RemoveContract(const CustomerId& aCustomer);
 
+  /// The started tasks, for colocation.
+  std::vector<ColocatedTask> ColocatedTasks() const;
+
+  /// The greatest weight of tail latency among the service's contracts.
+  double LatencyWeight() const;
+
+  void Throttle(const TaskKey& aKey, double aFraction);
+  void Evict(const TaskKey& aKey, Reason aReason);
+
   /// Checkpoints everything and refuses new assignments.
   void Drain();
 
@@ -70,6 +85,7 @@
 private:
   void MakeCalls();
   void Look();
+  void ReportUsage(const WorkerView& aView, Instant aAskedAt);
   void Renew();
   void Perform(const WorkerCall& aCall, Instant aDecidedAt);
   void PerformOne(const CallStart& aCall);
@@ -84,6 +100,7 @@
   const AgentSettings& mSettings;
   Worker& mWorker;
   const OnNews mOnNews;
+  const OnUsage mOnUsage;
   mutable std::mutex mMutex; ///< Guards mLedger and mTable; never held in I/O.
   CapacityLedger mLedger;
   TaskTable mTable;
--- a/src/core/agent/CapacityLedger.cpp
+++ b/src/core/agent/CapacityLedger.cpp
@@ -68,11 +68,11 @@
   if (!mReady || IsNegative(aAmount)) {
     return Reason::WaitingForCapacity;
   }
-  const auto contract = mContracts.find(aCustomer);
-  if (contract == mContracts.end()) {
+  const Contract* const contract = ContractOf(aCustomer);
+  if (contract == nullptr) {
     return Reason::NoContract;
   }
-  const std::int64_t share = ShareOf(contract->second, mCapacity);
+  const std::int64_t share = ShareOf(*contract, mCapacity);
   if (aAmount.mMillicores > share - ReservedBy(aCustomer).mMillicores) {
     return Reason::WaitingForQuota;
   }
@@ -118,6 +118,12 @@
   mContracts.erase(aCustomer);
 }
 
+const Contract* CapacityLedger::ContractOf(const CustomerId& aCustomer) const
+{
+  const auto contract = mContracts.find(aCustomer);
+  return contract == mContracts.end() ? nullptr : &contract->second;
+}
+
 Resources CapacityLedger::Free() const
 {
   const Resources left = mCapacity - Reserved();
--- a/src/core/agent/CapacityLedger.h
+++ b/src/core/agent/CapacityLedger.h
@@ -53,6 +53,13 @@
   void ApplyContract(const Contract& aContract);
   void RemoveContract(const CustomerId& aCustomer);
 
+  /// The contract held; nullptr where there is none.
+  const Contract* ContractOf(const CustomerId& aCustomer) const;
+  const absl::flat_hash_map<CustomerId, Contract>& Contracts() const
+  {
+    return mContracts;
+  }
+
   const Resources& Capacity() const { return mCapacity; }
   const Resources& Service() const { return mService; }
   Resources Reserved() const { return mService + mTasks; }
