Follow the configuration by deltas, take the owner's share with assignments

Cause: an agent only holds the contracts of its service and of its tasks' customers, so that it refused the first task of any other customer with no-contract. Change: Assign.mSharePerWorker (additive, optional in the codec, default 1) is the limit where no contract is held; ConfigurationFollower replaces the agent's own rule. Replies without mConfigurationAsOf, of an entry that does not give deltas yet, only add contracts.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "foxtailbarrow/MethodNames.h"
+#include "src/core/contract/ConfigurationDelta.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
 
@@ -55,18 +56,21 @@
                   [this](const TaskKey& aKey, Reason aReason) {
                     mTasks.Evict(aKey, aReason);
                   } })
-  , mHeartbeats(
-      mSettings,
-      aRuntime,
-      mClient,
-      mMetrics,
-      { [this](Heartbeat& aHeartbeat) { FillHeartbeat(aHeartbeat); },
-        [this](std::uint64_t aSequence, Instant aNow) {
-          mTasks.HeartbeatSent(aSequence, aNow);
-        },
-        [this](std::uint64_t aSequence, const HeartbeatReply& aReply) {
-          ApplyReply(aSequence, aReply);
-        } })
+  , mHeartbeats(mSettings,
+                aRuntime,
+                mClient,
+                mMetrics,
+                { [this](Heartbeat& aHeartbeat) { FillHeartbeat(aHeartbeat); },
+                  [this](const EntryId& aEntry) {
+                    const std::lock_guard lock(mConfigurationMutex);
+                    return mConfiguration.CursorFor(aEntry);
+                  },
+                  [this](std::uint64_t aSequence, Instant aNow) {
+                    mTasks.HeartbeatSent(aSequence, aNow);
+                  },
+                  [this](const Heartbeat& aSent, const HeartbeatReply& aReply) {
+                    ApplyReply(aSent, aReply);
+                  } })
   , mProbe(mSettings, aRuntime, mClient, [this](bool) {
     Update();
     mHeartbeats.SendNow();
@@ -148,7 +152,7 @@
   });
   mMetrics.SampledGauge(
     "agent_configuration_revision", "Newest configuration applied", [this] {
-      return static_cast<double>(mConfiguration.load());
+      return static_cast<double>(AppliedConfiguration());
     });
 }
 
@@ -163,7 +167,7 @@
   object["failureDomain"] = mSettings.mFailureDomain.Value();
   object["state"] = std::string(ToString(State()));
   object["backendServerUp"] = mProbe.IsUp();
-  object["configuration"] = Json::Int64{ mConfiguration.load() };
+  object["configuration"] = Json::Int64{ AppliedConfiguration() };
   object["slots"] = load.mSlots;
   object["slotsInUse"] = load.mInUse;
   object["waiting"] = load.mWaiting;
@@ -218,34 +222,42 @@
   aHeartbeat.mLoad.mSlots = load.mSlots;
   aHeartbeat.mLoad.mSlotsInUse = load.mInUse;
   aHeartbeat.mLoad.mWaiting = load.mWaiting;
-  aHeartbeat.mConfiguration = mConfiguration;
   mTasks.Fill(aHeartbeat);
 }
 
-void Agent::ApplyReply(std::uint64_t aSequence, const HeartbeatReply& aReply)
+void Agent::ApplyReply(const Heartbeat& aSent, const HeartbeatReply& aReply)
 {
-  ApplyConfiguration(aReply);
-  mTasks.ApplyReply(aSequence, aReply);
+  ApplyConfiguration(aSent, aReply);
+  mTasks.ApplyReply(aSent.mSequence, aReply);
 }
 
-void Agent::ApplyConfiguration(const HeartbeatReply& aReply)
+void Agent::ApplyConfiguration(const Heartbeat& aSent,
+                               const HeartbeatReply& aReply)
 {
-  const std::lock_guard lock(mConfigurationMutex);
-  const Revision applied = mConfiguration;
-  // What this agent holds is complete up to `applied`, so that an older
-  // revision in a late answer can only be one that was replaced or removed.
-  if (aReply.mConfiguration <= applied) {
+  if (aReply.mConfigurationAsOf == 0) {
+    // An entry of an earlier build, which names contracts without a digest. The
+    // ledger takes none that is older than what it holds.
+    for (const Contract& contract : aReply.mContracts) {
+      mTasks.ApplyContract(contract);
+    }
     return;
   }
-  for (const CustomerId& customer : aReply.mRemoved) {
-    mTasks.RemoveContract(customer);
-  }
-  for (const Contract& contract : aReply.mContracts) {
-    if (contract.mRevision > applied) {
-      mTasks.ApplyContract(contract);
+  const std::lock_guard lock(mConfigurationMutex);
+  const std::vector<CustomerId> changed =
+    mConfiguration.Apply(aReply.mEntry, TakeDelta(aReply), FilterFor(aSent));
+  for (const CustomerId& customer : changed) {
+    if (const Contract* const contract = mConfiguration.Find(customer)) {
+      mTasks.ApplyContract(*contract);
+    } else {
+      mTasks.RemoveContract(customer);
     }
   }
-  mConfiguration = aReply.mConfiguration;
+}
+
+Revision Agent::AppliedConfiguration() const
+{
+  const std::lock_guard lock(mConfigurationMutex);
+  return mConfiguration.Through();
 }
 
 void Agent::Drain()
--- a/apps/agent/Agent.h
+++ b/apps/agent/Agent.h
@@ -14,6 +14,7 @@
 #include "apps/agent/HeartbeatSender.h"
 #include "apps/agent/TaskControl.h"
 #include "foxtailbarrow/Messages.h"
+#include "src/core/contract/ConfigurationFollower.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/HttpClient.h"
 #include "src/net/HttpServer.h"
@@ -66,9 +67,10 @@
   void AddStateSources();
   void AddGauges();
   void Update();
+  Revision AppliedConfiguration() const;
   void FillHeartbeat(Heartbeat& aHeartbeat);
-  void ApplyReply(std::uint64_t aSequence, const HeartbeatReply& aReply);
-  void ApplyConfiguration(const HeartbeatReply& aReply);
+  void ApplyReply(const Heartbeat& aSent, const HeartbeatReply& aReply);
+  void ApplyConfiguration(const Heartbeat& aSent, const HeartbeatReply& aReply);
   absl::Status Health() const;
   Json::Value IdentityJson() const;
 
@@ -88,8 +90,8 @@
   std::atomic<bool> mDraining{ false };
   std::atomic<std::uint64_t> mDrainSequence{ 0 };
   std::atomic<ServingState> mServing{ ServingState::Starting };
-  std::mutex mConfigurationMutex; ///< Orders replies' configurations.
-  std::atomic<Revision> mConfiguration{ 0 };
+  mutable std::mutex mConfigurationMutex; ///< Guards mConfiguration.
+  ConfigurationFollower mConfiguration;
   Endpoint mEndpoint; ///< Where mServer listens.
   std::unique_ptr<net::HttpServer> mServer;
 };
--- a/apps/agent/HeartbeatSender.cpp
+++ b/apps/agent/HeartbeatSender.cpp
@@ -112,15 +112,19 @@
   Heartbeat heartbeat;
   mHooks.mFill(heartbeat);
   heartbeat.mSequence = sequence;
-  const Json::Value body = ToJson(heartbeat);
-  const std::size_t bytes = FormatJson(body).size();
   for (const Endpoint& entry : targets) {
-    mFibers.Spawn([this, entry, sequence, body, bytes] {
-      SendOne(entry, sequence, body, bytes);
-    });
+    heartbeat.mConfiguration = mHooks.mCursor(IdOf(entry));
+    mFibers.Spawn([this, entry, heartbeat] { SendOne(entry, heartbeat); });
   }
 }
 
+EntryId HeartbeatSender::IdOf(const Endpoint& aEntry) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto peer = mPeers.find(aEntry);
+  return peer == mPeers.end() ? EntryId() : peer->second.mEntry;
+}
+
 std::vector<Endpoint> HeartbeatSender::Targets(Instant aNow)
 {
   const std::lock_guard lock(mMutex);
@@ -150,14 +154,13 @@
 }
 
 void HeartbeatSender::SendOne(const Endpoint& aEntry,
-                              std::uint64_t aSequence,
-                              const Json::Value& aBody,
-                              std::size_t aBytes)
+                              const Heartbeat& aHeartbeat)
 {
   mSent.Increment();
+  const Json::Value body = ToJson(aHeartbeat);
   const Duration timeout = std::max(kLeastTimeout, 2 * mSettings.mHeartbeat);
   const absl::StatusOr<Json::Value> result =
-    mRpc.Call(aEntry, kHeartbeatMethod, aBody, timeout);
+    mRpc.Call(aEntry, kHeartbeatMethod, body, timeout);
   const absl::StatusOr<HeartbeatReply> reply =
     result.ok() ? FromJson<HeartbeatReply>(*result) : result.status();
   if (!reply.ok()) {
@@ -168,8 +171,10 @@
     NoteSilence(aEntry);
     return;
   }
-  mHooks.mOnReply(aSequence, *reply);
-  NoteAnswer(aEntry, aSequence, *reply, aBytes + FormatJson(*result).size());
+  mHooks.mOnReply(aHeartbeat, *reply);
+  const std::size_t bytes =
+    FormatJson(body).size() + FormatJson(*result).size();
+  NoteAnswer(aEntry, aHeartbeat.mSequence, *reply, bytes);
 }
 
 void HeartbeatSender::NoteAnswer(const Endpoint& aEntry,
@@ -184,6 +189,7 @@
     LogChange("entry-answers", { { "entry", aEntry } });
   }
   peer.mBusy = false;
+  peer.mEntry = aReply.mEntry;
   peer.mAnsweredSequence = std::max(peer.mAnsweredSequence, aSequence);
   peer.mAnsweredAt = mLastAnswer = MonotonicNow();
   if (!aReply.mEntries.empty()) {
--- a/apps/agent/HeartbeatSender.h
+++ b/apps/agent/HeartbeatSender.h
@@ -34,11 +34,14 @@
 public:
   struct Hooks
   {
-    /// Fills everything but the sequence.
+    /// Fills everything but the sequence and the configuration.
     std::function<void(Heartbeat&)> mFill;
+    /// What to state as the configuration to this entry; empty = not known yet.
+    std::function<Revision(const EntryId&)> mCursor;
     /// Called before a round is sent, with the time that leases count from.
     std::function<void(std::uint64_t, Instant)> mOnSend;
-    std::function<void(std::uint64_t, const HeartbeatReply&)> mOnReply;
+    /// With the heartbeat that the reply answers.
+    std::function<void(const Heartbeat&, const HeartbeatReply&)> mOnReply;
   };
 
   HeartbeatSender(const AgentSettings& aSettings,
@@ -71,6 +74,7 @@
 private:
   struct Peer
   {
+    EntryId mEntry;     ///< Empty before its first answer.
     bool mBusy = false; ///< A heartbeat is under way.
     bool mAnswers = false;
     Instant mAnsweredAt{};
@@ -81,10 +85,8 @@
   Duration Pause() const;
   std::vector<Endpoint> Targets(Instant aNow);
   void UpdateEntries(Instant aNow);
-  void SendOne(const Endpoint& aEntry,
-               std::uint64_t aSequence,
-               const Json::Value& aBody,
-               std::size_t aBytes);
+  void SendOne(const Endpoint& aEntry, const Heartbeat& aHeartbeat);
+  EntryId IdOf(const Endpoint& aEntry) const;
   void NoteAnswer(const Endpoint& aEntry,
                   std::uint64_t aSequence,
                   const HeartbeatReply& aReply,
--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -129,6 +129,10 @@
   /// the job may have been given to another agent. Sequence 0 = not stated.
   Incarnation mIncarnation = 0;
   std::uint64_t mSequence = 0;
+  /// Of the worker's processors that the customer may use, 0..1, by its
+  /// contract as the owner knows it. Counts where the agent holds no contract
+  /// of the customer.
+  double mSharePerWorker = 1.0;
 
   bool operator==(const Assign&) const = default;
 };
--- a/src/core/agent/CapacityLedger.cpp
+++ b/src/core/agent/CapacityLedger.cpp
@@ -13,10 +13,10 @@
          aAmount.mAccelerators < 0;
 }
 
-/// The customer's part of the worker's processors, rounded down.
-std::int64_t ShareOf(const Contract& aContract, const Resources& aCapacity)
+/// That part of the worker's processors, rounded down.
+std::int64_t ShareOf(double aShare, const Resources& aCapacity)
 {
-  const double share = std::clamp(aContract.mBatch.mSharePerWorker, 0.0, 1.0);
+  const double share = std::clamp(aShare, 0.0, 1.0);
   return static_cast<std::int64_t>(
     std::floor(share * static_cast<double>(aCapacity.mMillicores)));
 }
@@ -50,12 +50,13 @@
 
 Reason CapacityLedger::Reserve(const TaskKey& aKey,
                                const CustomerId& aCustomer,
-                               const Resources& aAmount)
+                               const Resources& aAmount,
+                               double aShare)
 {
   if (mByTask.contains(aKey)) {
     return Reason::None;
   }
-  const Reason reason = Check(aCustomer, aAmount);
+  const Reason reason = Check(aCustomer, aAmount, aShare);
   if (reason == Reason::None) {
     Add(aKey, aCustomer, aAmount);
   }
@@ -63,16 +64,15 @@
 }
 
 Reason CapacityLedger::Check(const CustomerId& aCustomer,
-                             const Resources& aAmount) const
+                             const Resources& aAmount,
+                             double aShare) const
 {
   if (!mReady || IsNegative(aAmount)) {
     return Reason::WaitingForCapacity;
   }
   const Contract* const contract = ContractOf(aCustomer);
-  if (contract == nullptr) {
-    return Reason::NoContract;
-  }
-  const std::int64_t share = ShareOf(*contract, mCapacity);
+  const std::int64_t share = ShareOf(
+    contract == nullptr ? aShare : contract->mBatch.mSharePerWorker, mCapacity);
   if (aAmount.mMillicores > share - ReservedBy(aCustomer).mMillicores) {
     return Reason::WaitingForQuota;
   }
--- a/src/core/agent/CapacityLedger.h
+++ b/src/core/agent/CapacityLedger.h
@@ -35,12 +35,17 @@
   bool Ready() const { return mReady; }
 
   /// None when granted. A key that is held already is granted again.
+  /// `aShare`: of the worker's processors, where no contract of the customer is
+  /// held; contracts reach an agent only for its service and its tasks.
   Reason Reserve(const TaskKey& aKey,
                  const CustomerId& aCustomer,
-                 const Resources& aAmount);
+                 const Resources& aAmount,
+                 double aShare);
 
   /// As Reserve(), without an effect.
-  Reason Check(const CustomerId& aCustomer, const Resources& aAmount) const;
+  Reason Check(const CustomerId& aCustomer,
+               const Resources& aAmount,
+               double aShare) const;
 
   void Release(const TaskKey& aKey);
 
--- a/src/core/agent/TaskTable.cpp
+++ b/src/core/agent/TaskTable.cpp
@@ -117,7 +117,8 @@
     return Reason::CapacityTaken;
   }
   const TaskStart& start = aAssign.mTask;
-  return mLedger.Reserve(start.mKey, start.mCustomer, start.mResources);
+  return mLedger.Reserve(
+    start.mKey, start.mCustomer, start.mResources, aAssign.mSharePerWorker);
 }
 
 absl::StatusOr<TaskStatus> TaskTable::Control(
--- a/tests/agent/FakeEntry.h
+++ b/tests/agent/FakeEntry.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "foxtailbarrow/Messages.h"
+#include "src/core/contract/ConfigurationSource.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/HttpServer.h"
 #include "src/net/Rpc.h"
@@ -36,6 +37,7 @@
   mutable std::mutex mMutex; ///< Guards what follows.
   std::optional<Heartbeat> mNewest;
   std::vector<TaskStatus> mEnds;
+  ConfigurationSource mContracts;
   net::RpcDispatcher mDispatcher;
   std::unique_ptr<net::HttpServer> mServer;
 };
