--- a/tests/agent/SlotGateTest.cpp
+++ b/tests/agent/SlotGateTest.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <deque>
+#include <semaphore>
 #include <thread>
 #include <vector>
 
@@ -146,21 +147,18 @@
     --held;
   };
   const auto work = [&] {
+    std::binary_semaphore given(0);
     for (int i = 0; i < kRounds; ++i) {
-      std::atomic<bool> given{ gate.TryTake() };
-      if (!given) {
+      if (!gate.TryTake()) {
         const SlotAdmission admission = gate.Wait(
-          kNow, kNow + std::chrono::hours(1), [&given] { given = true; });
+          kNow, kNow + std::chrono::hours(1), [&given] { given.release(); });
         if (std::holds_alternative<SlotRefused>(admission)) {
           continue;
         }
-        if (std::holds_alternative<SlotGranted>(admission)) {
-          given = true;
+        if (std::holds_alternative<SlotQueued>(admission)) {
+          given.acquire();
         }
       }
-      while (!given) {
-        std::this_thread::yield();
-      }
       use();
       gate.Release(Duration(1));
     }
