--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -8,6 +8,7 @@
 #include "src/core/contract/ConfigurationDelta.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
 
 namespace foxtailbarrow {
 
@@ -144,6 +145,7 @@
 
 void Agent::AddGauges()
 {
+  AddProcessMetrics(mMetrics);
   mMetrics.SampledGauge("agent_slots_in_use", "Slots in use", [this] {
     return static_cast<double>(mForwarder.Load().mInUse);
   });
@@ -234,14 +236,6 @@
 void Agent::ApplyConfiguration(const Heartbeat& aSent,
                                const HeartbeatReply& aReply)
 {
-  if (aReply.mConfigurationAsOf == 0) {
-    // An entry of an earlier build, which names contracts without a digest. The
-    // ledger takes none that is older than what it holds.
-    for (const Contract& contract : aReply.mContracts) {
-      mTasks.ApplyContract(contract);
-    }
-    return;
-  }
   const std::lock_guard lock(mConfigurationMutex);
   const std::vector<CustomerId> changed =
     mConfiguration.Apply(aReply.mEntry, TakeDelta(aReply), FilterFor(aSent));
--- a/apps/agent/Forwarder.cpp
+++ b/apps/agent/Forwarder.cpp
@@ -142,7 +142,7 @@
 Forwarder::Outcome Forwarder::RunKeyed(net::HttpRequest& aRequest,
                                        const ForwardedRequest& aForwarded)
 {
-  const Attempt attempt =
+  const KeyedAttempt attempt =
     mKeys.Begin(*aForwarded.mKey, Fingerprint(aRequest), MonotonicNow());
   if (const auto* const replay = std::get_if<AttemptReplay>(&attempt)) {
     return { Verdict::Ran, FromStored(*replay->mAnswer) };
--- a/src/core/agent/IdempotencyRegister.cpp
+++ b/src/core/agent/IdempotencyRegister.cpp
@@ -9,9 +9,9 @@
 {
 }
 
-Attempt IdempotencyRegister::Begin(const IdempotencyKey& aKey,
-                                   std::uint64_t aFingerprint,
-                                   Instant aNow)
+KeyedAttempt IdempotencyRegister::Begin(const IdempotencyKey& aKey,
+                                        std::uint64_t aFingerprint,
+                                        Instant aNow)
 {
   const std::lock_guard lock(mMutex);
   Trim(aNow);
--- a/src/core/agent/IdempotencyRegister.h
+++ b/src/core/agent/IdempotencyRegister.h
@@ -72,11 +72,11 @@
   bool mPromisedBefore = false; ///< NotRun, as an earlier answer said already.
 };
 
-using Attempt = std::variant<AttemptAllowed,
-                             AttemptDuplicate,
-                             AttemptMismatch,
-                             AttemptPromised,
-                             AttemptReplay>;
+using KeyedAttempt = std::variant<AttemptAllowed,
+                                  AttemptDuplicate,
+                                  AttemptMismatch,
+                                  AttemptPromised,
+                                  AttemptReplay>;
 
 /// Lets one attempt under an idempotency key run on this agent.
 ///
@@ -92,9 +92,9 @@
   explicit IdempotencyRegister(IdempotencyLimits aLimits);
 
   /// `aFingerprint`: hash of the request's method, target and body.
-  Attempt Begin(const IdempotencyKey& aKey,
-                std::uint64_t aFingerprint,
-                Instant aNow);
+  KeyedAttempt Begin(const IdempotencyKey& aKey,
+                     std::uint64_t aFingerprint,
+                     Instant aNow);
 
   /// Ends an allowed attempt. `aAnswer` is kept when it is short enough.
   void Finish(const IdempotencyKey& aKey,
--- a/src/core/colocation/ColocationPolicy.cpp
+++ b/src/core/colocation/ColocationPolicy.cpp
@@ -13,7 +13,7 @@
 Duration TailOf(const LatencyWindow& aWindow)
 {
   Duration tail{};
-  for (const LatencyHistogram& level : aWindow.mLevels) {
+  for (const ServiceHistogram& level : aWindow.mLevels) {
     tail = std::max(tail, level.Quantile(kQuantile));
   }
   return tail;
--- a/src/core/colocation/InterferenceModel.cpp
+++ b/src/core/colocation/InterferenceModel.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-double InterferenceModel::ExcessAt(const LatencyHistogram& aLatencies,
+double InterferenceModel::ExcessAt(const ServiceHistogram& aLatencies,
                                    std::size_t aLevel) const
 {
   const double calm = mCalmMicros[aLevel];
@@ -49,7 +49,7 @@
   double sum = 0.0;
   double count = 0.0;
   for (std::size_t level = 0; level < kLoadLevels; ++level) {
-    const LatencyHistogram& latencies = aWindow.mLevels[level];
+    const ServiceHistogram& latencies = aWindow.mLevels[level];
     if (latencies.Count() < kLeastRequests || mCalmMicros[level] <= 0.0) {
       continue;
     }
@@ -75,7 +75,7 @@
                               const Placement& aPlacement)
 {
   for (std::size_t level = 0; level < kLoadLevels; ++level) {
-    const LatencyHistogram& latencies = aWindow.mLevels[level];
+    const ServiceHistogram& latencies = aWindow.mLevels[level];
     if (latencies.Count() < kLeastRequests) {
       continue;
     }
@@ -84,7 +84,7 @@
   }
 }
 
-void InterferenceModel::LearnCalm(const LatencyHistogram& aLatencies,
+void InterferenceModel::LearnCalm(const ServiceHistogram& aLatencies,
                                   std::size_t aLevel,
                                   const Placement& aPlacement)
 {
--- a/src/core/colocation/InterferenceModel.h
+++ b/src/core/colocation/InterferenceModel.h
@@ -59,9 +59,9 @@
     std::array<std::uint32_t, kLoadLevels> mWindows{};
   };
 
-  double ExcessAt(const LatencyHistogram& aLatencies, std::size_t aLevel) const;
+  double ExcessAt(const ServiceHistogram& aLatencies, std::size_t aLevel) const;
   double FirstCalm(std::size_t aLevel, double aMicros) const;
-  void LearnCalm(const LatencyHistogram& aLatencies,
+  void LearnCalm(const ServiceHistogram& aLatencies,
                  std::size_t aLevel,
                  const Placement& aPlacement);
   void LearnHarm(double aExcess,
--- a/src/core/colocation/LatencyRecorder.h
+++ b/src/core/colocation/LatencyRecorder.h
@@ -6,8 +6,8 @@
 #include <cstdint>
 
 #include "foxtailbarrow/Time.h"
-#include "src/core/colocation/LatencyHistogram.h"
 #include "src/core/colocation/LoadLevel.h"
+#include "src/core/colocation/ServiceHistogram.h"
 
 namespace foxtailbarrow {
 
@@ -16,7 +16,7 @@
 {
   Instant mBegin{};
   Instant mEnd{};
-  std::array<LatencyHistogram, kLoadLevels> mLevels;
+  std::array<ServiceHistogram, kLoadLevels> mLevels;
 };
 
 /// Collects latencies on the path of requests: one relaxed increment each.
@@ -26,7 +26,7 @@
 public:
   void Add(Duration aTime, std::size_t aLevel)
   {
-    mCounts[aLevel][LatencyHistogram::BucketOf(aTime)].fetch_add(
+    mCounts[aLevel][ServiceHistogram::BucketOf(aTime)].fetch_add(
       1, std::memory_order_relaxed);
   }
 
@@ -37,7 +37,7 @@
     window.mBegin = mTaken == Instant{} ? aNow : mTaken;
     window.mEnd = mTaken = aNow;
     for (std::size_t level = 0; level < kLoadLevels; ++level) {
-      for (std::size_t i = 0; i < LatencyHistogram::kBuckets; ++i) {
+      for (std::size_t i = 0; i < ServiceHistogram::kBuckets; ++i) {
         if (mCounts[level][i].load(std::memory_order_relaxed) != 0) {
           window.mLevels[level].Add(i, mCounts[level][i].exchange(0));
         }
@@ -48,7 +48,7 @@
 
 private:
   using Counts =
-    std::array<std::atomic<std::uint32_t>, LatencyHistogram::kBuckets>;
+    std::array<std::atomic<std::uint32_t>, ServiceHistogram::kBuckets>;
 
   std::array<Counts, kLoadLevels> mCounts{};
   Instant mTaken{};
--- a/src/core/colocation/LatencyHistogram.cpp
+++ b/src/core/colocation/ServiceHistogram.cpp
@@ -1,4 +1,4 @@
-#include "src/core/colocation/LatencyHistogram.h"
+#include "src/core/colocation/ServiceHistogram.h"
 
 #include <algorithm>
 #include <bit>
@@ -12,7 +12,7 @@
 
 } // namespace
 
-std::size_t LatencyHistogram::BucketOf(Duration aTime)
+std::size_t ServiceHistogram::BucketOf(Duration aTime)
 {
   const auto micros =
     static_cast<std::uint64_t>(std::max<std::int64_t>(1, aTime.count()));
@@ -22,7 +22,7 @@
   return std::min<std::size_t>(power * kPerDoubling + part, kBuckets - 1);
 }
 
-Duration LatencyHistogram::BoundOf(std::size_t aBucket)
+Duration ServiceHistogram::BoundOf(std::size_t aBucket)
 {
   const std::uint64_t power = aBucket / kPerDoubling;
   const std::uint64_t part = aBucket % kPerDoubling + 1;
@@ -31,13 +31,13 @@
     base + base * static_cast<double>(part) / kPerDoubling));
 }
 
-void LatencyHistogram::Add(std::size_t aBucket, std::uint64_t aCount)
+void ServiceHistogram::Add(std::size_t aBucket, std::uint64_t aCount)
 {
   mCounts[aBucket] += aCount;
   mCount += aCount;
 }
 
-Duration LatencyHistogram::Quantile(double aPart) const
+Duration ServiceHistogram::Quantile(double aPart) const
 {
   const auto rank =
     static_cast<std::uint64_t>(std::ceil(aPart * static_cast<double>(mCount)));
--- a/src/core/colocation/LatencyHistogram.h
+++ b/src/core/colocation/ServiceHistogram.h
@@ -10,7 +10,7 @@
 
 /// Counts of durations in logarithmic buckets, 8 to a doubling, from 1 us to
 /// about 2 minutes: quantiles are exact to 9%.
-class LatencyHistogram
+class ServiceHistogram
 {
 public:
   static constexpr std::size_t kBuckets = 216;
--- a/tests/colocation/ColocationGuardTest.cpp
+++ b/tests/colocation/ColocationGuardTest.cpp
@@ -94,7 +94,7 @@
     }
     LatencyWindow window{ At(aSecond), At(aSecond + 1), {} };
     const auto micros = static_cast<std::int64_t>(kCalmMs * slowdown * 1000);
-    window.mLevels[1].Add(LatencyHistogram::BucketOf(Duration(micros)), 100);
+    window.mLevels[1].Add(ServiceHistogram::BucketOf(Duration(micros)), 100);
     mGuard.LatenciesSeen(window);
   }
 
@@ -227,8 +227,8 @@
 
 TEST_P(HistogramBound, IsAtMostAnEighthAbove)
 {
-  LatencyHistogram histogram;
-  histogram.Add(LatencyHistogram::BucketOf(Duration(GetParam())));
+  ServiceHistogram histogram;
+  histogram.Add(ServiceHistogram::BucketOf(Duration(GetParam())));
   const Duration bound = histogram.Quantile(1.0);
   EXPECT_GE(bound, Duration(GetParam()));
   EXPECT_LE(bound.count(), GetParam() + GetParam() / 8 + 1);
