--- a/src/core/colocation/ColocationGuard.cpp
+++ b/src/core/colocation/ColocationGuard.cpp
@@ -61,9 +61,9 @@
   }
 }
 
-void ColocationGuard::LatenciesSeen(LatencyWindow aWindow)
+void ColocationGuard::LatenciesSeen(const LatencyWindow& aWindow)
 {
-  mWindows.push_back(std::move(aWindow));
+  mWindows.push_back(aWindow);
   if (mWindows.size() > kMaxWindows) {
     mWindows.pop_front();
   }
--- a/src/core/colocation/ColocationGuard.h
+++ b/src/core/colocation/ColocationGuard.h
@@ -57,7 +57,7 @@
   /// `aUsed`: part of the worker's processors.
   void UsageSeen(const TaskKey& aKey, double aUsed, Instant aTakenAt);
 
-  void LatenciesSeen(LatencyWindow aWindow);
+  void LatenciesSeen(const LatencyWindow& aWindow);
 
   /// The steps to take now.
   std::vector<ColocationAct> Advance(Instant aNow);
--- a/src/core/colocation/PlacementHistory.cpp
+++ b/src/core/colocation/PlacementHistory.cpp
@@ -1,6 +1,7 @@
 #include "src/core/colocation/PlacementHistory.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace foxtailbarrow {
@@ -65,11 +66,11 @@
 
 const Placement* PlacementHistory::Over(Instant aBegin, Instant aEnd) const
 {
-  for (auto it = mPlacements.rbegin(); it != mPlacements.rend(); ++it) {
-    if (it->mFrom <= aBegin) {
-      return &*it;
+  for (const Placement& placement : std::ranges::reverse_view(mPlacements)) {
+    if (placement.mFrom <= aBegin) {
+      return &placement;
     }
-    if (it->mFrom < aEnd) {
+    if (placement.mFrom < aEnd) {
       return nullptr;
     }
   }
