--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include "foxtailbarrow/MethodNames.h"
+#include "src/core/contract/ConfigurationDelta.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
 
 namespace foxtailbarrow {
 
@@ -32,32 +34,52 @@
   , mClient(aRuntime)
   , mWorker(mClient, mSettings.mWorker, mSettings.mWorkerTimeout)
   , mForwarder(mSettings, mClient, mMetrics, MonotonicNow())
-  , mTasks(mSettings,
-           mIncarnation,
-           aRuntime,
-           mWorker,
-           mMetrics,
-           [this] {
-             Update();
-             mHeartbeats.SendNow();
-           })
-  , mHeartbeats(
+  , mTasks(
       mSettings,
+      mIncarnation,
       aRuntime,
-      mClient,
+      mWorker,
       mMetrics,
-      { [this](Heartbeat& aHeartbeat) { FillHeartbeat(aHeartbeat); },
-        [this](std::uint64_t aSequence, Instant aNow) {
-          mTasks.HeartbeatSent(aSequence, aNow);
-        },
-        [this](std::uint64_t aSequence, const HeartbeatReply& aReply) {
-          ApplyReply(aSequence, aReply);
-        } })
+      [this] {
+        Update();
+        mHeartbeats.SendNow();
+      },
+      [this](const TaskKey& aKey, double aUsed, Instant aTakenAt) {
+        mColocation.UsageSeen(aKey, aUsed, aTakenAt);
+      })
+  , mColocation(aRuntime,
+                mMetrics,
+                { [this] { return mTasks.ColocatedTasks(); },
+                  [this] { return mTasks.LatencyWeight(); },
+                  [this](const TaskKey& aKey, double aFraction) {
+                    mTasks.Throttle(aKey, aFraction);
+                  },
+                  [this](const TaskKey& aKey, Reason aReason) {
+                    mTasks.Evict(aKey, aReason);
+                  } })
+  , mHeartbeats(mSettings,
+                aRuntime,
+                mClient,
+                mMetrics,
+                { [this](Heartbeat& aHeartbeat) { FillHeartbeat(aHeartbeat); },
+                  [this](const EntryId& aEntry) {
+                    const std::lock_guard lock(mConfigurationMutex);
+                    return mConfiguration.CursorFor(aEntry);
+                  },
+                  [this](std::uint64_t aSequence, Instant aNow) {
+                    mTasks.HeartbeatSent(aSequence, aNow);
+                  },
+                  [this](const Heartbeat& aSent, const HeartbeatReply& aReply) {
+                    ApplyReply(aSent, aReply);
+                  } })
   , mProbe(mSettings, aRuntime, mClient, [this](bool) {
     Update();
     mHeartbeats.SendNow();
   })
 {
+  mForwarder.SetOnServed([this](Duration aHeld, std::int32_t aInUse) {
+    mColocation.Served(aHeld, aInUse, mSettings.mSlots.mSlots);
+  });
   AddMethods();
   AddStateSources();
   AddGauges();
@@ -80,6 +102,7 @@
   agent->mEndpoint = agent->mServer->ListeningEndpoint();
   agent->mTasks.Start();
   agent->mProbe.Start();
+  agent->mColocation.Start();
   agent->mHeartbeats.Start();
   return agent;
 }
@@ -116,11 +139,13 @@
   mState.Add("agent", [this] { return IdentityJson(); });
   mState.Add("ledger", [this] { return mTasks.LedgerJson(); });
   mState.Add("tasks", [this] { return mTasks.TasksJson(); });
+  mState.Add("colocation", [this] { return mColocation.StateJson(); });
   mState.Add("heartbeats", [this] { return mHeartbeats.StateJson(); });
 }
 
 void Agent::AddGauges()
 {
+  AddProcessMetrics(mMetrics);
   mMetrics.SampledGauge("agent_slots_in_use", "Slots in use", [this] {
     return static_cast<double>(mForwarder.Load().mInUse);
   });
@@ -129,7 +154,7 @@
   });
   mMetrics.SampledGauge(
     "agent_configuration_revision", "Newest configuration applied", [this] {
-      return static_cast<double>(mConfiguration.load());
+      return static_cast<double>(AppliedConfiguration());
     });
 }
 
@@ -144,7 +169,7 @@
   object["failureDomain"] = mSettings.mFailureDomain.Value();
   object["state"] = std::string(ToString(State()));
   object["backendServerUp"] = mProbe.IsUp();
-  object["configuration"] = Json::Int64{ mConfiguration.load() };
+  object["configuration"] = Json::Int64{ AppliedConfiguration() };
   object["slots"] = load.mSlots;
   object["slotsInUse"] = load.mInUse;
   object["waiting"] = load.mWaiting;
@@ -199,34 +224,34 @@
   aHeartbeat.mLoad.mSlots = load.mSlots;
   aHeartbeat.mLoad.mSlotsInUse = load.mInUse;
   aHeartbeat.mLoad.mWaiting = load.mWaiting;
-  aHeartbeat.mConfiguration = mConfiguration;
   mTasks.Fill(aHeartbeat);
 }
 
-void Agent::ApplyReply(std::uint64_t aSequence, const HeartbeatReply& aReply)
+void Agent::ApplyReply(const Heartbeat& aSent, const HeartbeatReply& aReply)
 {
-  ApplyConfiguration(aReply);
-  mTasks.ApplyReply(aSequence, aReply);
+  ApplyConfiguration(aSent, aReply);
+  mTasks.ApplyReply(aSent.mSequence, aReply);
 }
 
-void Agent::ApplyConfiguration(const HeartbeatReply& aReply)
+void Agent::ApplyConfiguration(const Heartbeat& aSent,
+                               const HeartbeatReply& aReply)
 {
   const std::lock_guard lock(mConfigurationMutex);
-  const Revision applied = mConfiguration;
-  // What this agent holds is complete up to `applied`, so that an older
-  // revision in a late answer can only be one that was replaced or removed.
-  if (aReply.mConfiguration <= applied) {
-    return;
-  }
-  for (const CustomerId& customer : aReply.mRemoved) {
-    mTasks.RemoveContract(customer);
-  }
-  for (const Contract& contract : aReply.mContracts) {
-    if (contract.mRevision > applied) {
-      mTasks.ApplyContract(contract);
+  const std::vector<CustomerId> changed =
+    mConfiguration.Apply(aReply.mEntry, TakeDelta(aReply), FilterFor(aSent));
+  for (const CustomerId& customer : changed) {
+    if (const Contract* const contract = mConfiguration.Find(customer)) {
+      mTasks.ApplyContract(*contract);
+    } else {
+      mTasks.RemoveContract(customer);
     }
   }
-  mConfiguration = aReply.mConfiguration;
+}
+
+Revision Agent::AppliedConfiguration() const
+{
+  const std::lock_guard lock(mConfigurationMutex);
+  return mConfiguration.Through();
 }
 
 void Agent::Drain()
@@ -254,6 +279,7 @@
   mServer.reset();
   mHeartbeats.Stop();
   mProbe.Stop();
+  mColocation.Stop();
   mTasks.Stop();
 }
 
--- a/src/core/agent/CapacityLedger.h
+++ b/src/core/agent/CapacityLedger.h
@@ -35,12 +35,17 @@
   bool Ready() const { return mReady; }
 
   /// None when granted. A key that is held already is granted again.
+  /// `aShare`: of the worker's processors, where no contract of the customer is
+  /// held; contracts reach an agent only for its service and its tasks.
   Reason Reserve(const TaskKey& aKey,
                  const CustomerId& aCustomer,
-                 const Resources& aAmount);
+                 const Resources& aAmount,
+                 double aShare);
 
   /// As Reserve(), without an effect.
-  Reason Check(const CustomerId& aCustomer, const Resources& aAmount) const;
+  Reason Check(const CustomerId& aCustomer,
+               const Resources& aAmount,
+               double aShare) const;
 
   void Release(const TaskKey& aKey);
 
@@ -53,6 +58,13 @@
   void ApplyContract(const Contract& aContract);
   void RemoveContract(const CustomerId& aCustomer);
 
+  /// The contract held; nullptr where there is none.
+  const Contract* ContractOf(const CustomerId& aCustomer) const;
+  const absl::flat_hash_map<CustomerId, Contract>& Contracts() const
+  {
+    return mContracts;
+  }
+
   const Resources& Capacity() const { return mCapacity; }
   const Resources& Service() const { return mService; }
   Resources Reserved() const { return mService + mTasks; }
