--- a/src/core/trace/DeploymentShape.h
+++ b/src/core/trace/DeploymentShape.h
@@ -10,6 +10,7 @@
 #include "foxtailbarrow/Job.h"
 #include "foxtailbarrow/Resources.h"
 #include "src/core/trace/StatedOutcomes.h"
+#include "src/core/trace/TraceEvents.h"
 
 namespace foxtailbarrow {
 
@@ -63,6 +64,7 @@
   std::int64_t mDurationMs = 0;
   double mRushFactor = 1.0; ///< Load at the top of the rush, mid-trace.
   std::vector<CustomerShape> mCustomers;
+  std::vector<TraceContract> mChanges; ///< Contracts changed on the way.
   StatedOutcomes mOutcomes;
 };
 
--- a/src/core/trace/QoimaShape.cpp
+++ b/src/core/trace/QoimaShape.cpp
@@ -1,10 +1,13 @@
 #include "src/core/trace/DeploymentShape.h"
 
+#include <utility>
+
 namespace foxtailbarrow {
 
 namespace {
 
 constexpr std::int64_t kDurationMs = 22'000;
+constexpr std::int64_t kWiderAtMs = 7'000;
 constexpr std::int64_t kFollowersEndMs = 19'000;
 
 Contract MakeContract(const char* aCustomer, const char* aTeam)
@@ -97,6 +100,15 @@
   return shape;
 }
 
+/// The operator raises the largest customer's limits while its load rises.
+TraceContract WiderForTheRush(Contract aContract)
+{
+  aContract.mMaxConcurrency *= 2;
+  aContract.mRequestsPerSecond *= 2;
+  aContract.mBurst *= 2;
+  return { kWiderAtMs, std::move(aContract) };
+}
+
 } // namespace
 
 DeploymentShape QoimaShape()
@@ -121,6 +133,7 @@
       { CatalogueScans(10), ImpossibleScan() } },
   };
   shape.mCustomers.front().mContract.mUrgentAllowed = true;
+  shape.mChanges = { WiderForTheRush(shape.mCustomers.front().mContract) };
   return shape;
 }
 
--- a/src/core/trace/TraceGenerator.cpp
+++ b/src/core/trace/TraceGenerator.cpp
@@ -43,6 +43,8 @@
         AddJobs(customer.mContract.mCustomer, job);
       }
     }
+    mTrace.mEvents.insert(
+      mTrace.mEvents.end(), mShape.mChanges.begin(), mShape.mChanges.end());
     std::ranges::stable_sort(mTrace.mEvents, {}, AtMs);
     return std::move(mTrace);
   }
--- a/src/core/trace/TrasowkaShape.cpp
+++ b/src/core/trace/TrasowkaShape.cpp
@@ -1,10 +1,13 @@
 #include "src/core/trace/DeploymentShape.h"
 
+#include <utility>
+
 namespace foxtailbarrow {
 
 namespace {
 
 constexpr std::int64_t kDurationMs = 22'000;
+constexpr std::int64_t kWiderAtMs = 7'000;
 constexpr std::int64_t kWatchersEndMs = 19'000;
 constexpr Range kAnyTimeMs{ 500, 16'000 };
 
@@ -90,6 +93,15 @@
   return shape;
 }
 
+/// The operator raises the largest customer's limits while its load rises.
+TraceContract WiderForTheRush(Contract aContract)
+{
+  aContract.mMaxConcurrency *= 2;
+  aContract.mRequestsPerSecond *= 2;
+  aContract.mBurst *= 2;
+  return { kWiderAtMs, std::move(aContract) };
+}
+
 } // namespace
 
 DeploymentShape TrasowkaShape()
@@ -118,6 +130,7 @@
       { RouteWatchers(6) } },
   };
   shape.mCustomers.front().mContract.mUrgentAllowed = true;
+  shape.mChanges = { WiderForTheRush(shape.mCustomers.front().mContract) };
   return shape;
 }
 
