--- a/apps/replay/Main.cpp
+++ b/apps/replay/Main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -11,13 +12,13 @@
 #include "apps/replay/ReplaySettings.h"
 #include "src/core/trace/OutcomeCheck.h"
 #include "src/platform/store/EtcdStore.h"
+#include "src/telemetry/Settings.h"
 
 using namespace foxtailbarrow;
 
 namespace {
 
 constexpr int kExitMissed = 1;
-constexpr int kExitBadTrace = 2;
 constexpr int kExitNotCarriedOut = 3;
 
 int Complain(int aExitCode, const absl::Status& aStatus)
@@ -42,6 +43,13 @@
   return trace;
 }
 
+bool HasContracts(const Trace& aTrace)
+{
+  return std::ranges::any_of(aTrace.mEvents, [](const TraceEvent& aEvent) {
+    return std::holds_alternative<TraceContract>(aEvent);
+  });
+}
+
 int PrintOutcomes(const Trace& aTrace, const ReplayTotals& aTotals)
 {
   const std::vector<OutcomeRow> rows =
@@ -62,7 +70,14 @@
   {
     const absl::StatusOr<Trace> trace = ReadTrace(aSettings.mTrace);
     if (!trace.ok()) {
-      return Complain(kExitBadTrace, trace.status());
+      return Complain(kExitUsage, trace.status());
+    }
+    if (HasContracts(*trace) && aSettings.mStore.empty()) {
+      return Complain(kExitUsage,
+                      absl::InvalidArgumentError(
+                        "--store (FOXTAILBARROW_STORE): missing; allowed: "
+                        "addresses of the store, since the trace has "
+                        "contracts"));
     }
     net::FiberRuntime runtime(aSettings.mThreads);
     std::optional<EtcdStore> store;
--- a/apps/replay/ReplayRun.cpp
+++ b/apps/replay/ReplayRun.cpp
@@ -152,10 +152,6 @@
 
 absl::Status ReplayRun::ApplyContract(const TraceContract& aLine)
 {
-  if (mStore == nullptr) {
-    return absl::InvalidArgumentError(
-      "the trace has contracts, but --store is not given");
-  }
   const ContractOutcome outcome =
     ContractBook(*mStore).Apply(aLine.mContract, std::nullopt);
   if (!std::holds_alternative<ContractWritten>(outcome) &&
--- a/apps/replay/ReplayRun.h
+++ b/apps/replay/ReplayRun.h
@@ -20,7 +20,7 @@
 class ReplayRun
 {
 public:
-  /// `aStore` may be null when the trace has no contract lines.
+  /// `aStore` may be null when the trace has no contract lines, and only then.
   ReplayRun(net::FiberRuntime& aRuntime,
             const RunSettings& aSettings,
             const Trace& aTrace,
