State the least share of requests that must be answered

Cause: a system that passed on errors, or told may have run, for every request met every stated outcome. Change: minAnswered, required in the header; both traces state 99.5%.

--- a/src/core/trace/OutcomeCheck.cpp
+++ b/src/core/trace/OutcomeCheck.cpp
@@ -64,11 +64,36 @@
                      : static_cast<double>(aPart) / static_cast<double>(aWhole);
 }
 
+std::string CountAndShare(std::int64_t aCount, double aShare)
+{
+  return absl::StrFormat("%d (%.2f%%)", aCount, 100.0 * aShare);
+}
+
+OutcomeRow ShareAtLeast(std::string aName,
+                        std::int64_t aCount,
+                        double aShare,
+                        double aLimit)
+{
+  return { std::move(aName),
+           CountAndShare(aCount, aShare),
+           absl::StrFormat(">= %.2f%%", 100.0 * aLimit),
+           aShare >= aLimit };
+}
+
+OutcomeRow AnsweredRow(const StatedOutcomes& aStated,
+                       const ReplayTotals& aTotals)
+{
+  const double share =
+    aTotals.mRequests == 0 ? 1.0 : Share(aTotals.mAnswered, aTotals.mRequests);
+  return ShareAtLeast(
+    "requests answered", aTotals.mAnswered, share, aStated.mMinAnswered);
+}
+
 OutcomeRow NotRunRow(const StatedOutcomes& aStated, const ReplayTotals& aTotals)
 {
   const double share = Share(aTotals.mNotRun, aTotals.mRequests);
   return { "requests told not run",
-           absl::StrFormat("%d (%.2f%%)", aTotals.mNotRun, 100.0 * share),
+           CountAndShare(aTotals.mNotRun, share),
            absl::StrFormat("<= %.2f%%", 100.0 * aStated.mMaxNotRunShare),
            share <= aStated.mMaxNotRunShare };
 }
@@ -78,10 +103,10 @@
   const std::int64_t submitted = aTotals.mJobs + aTotals.mJobsRefused;
   const double share =
     submitted == 0 ? 1.0 : Share(aTotals.mJobsAsStated, submitted);
-  return { "jobs ended as stated",
-           absl::StrFormat("%d (%.2f%%)", aTotals.mJobsAsStated, 100.0 * share),
-           absl::StrFormat(">= %.2f%%", 100.0 * aStated.mMinJobsAsStated),
-           share >= aStated.mMinJobsAsStated };
+  return ShareAtLeast("jobs ended as stated",
+                      aTotals.mJobsAsStated,
+                      share,
+                      aStated.mMinJobsAsStated);
 }
 
 } // namespace
@@ -91,7 +116,7 @@
 {
   std::vector<OutcomeRow> rows = {
     Told("requests", aTotals.mRequests),
-    Told("requests answered", aTotals.mAnswered),
+    AnsweredRow(aStated, aTotals),
     NotRunRow(aStated, aTotals),
     Told("requests told may have run", aTotals.mMayHaveRun),
     Told("requests failed by backend servers", aTotals.mErrors),
--- a/src/core/trace/QoimaShape.cpp
+++ b/src/core/trace/QoimaShape.cpp
@@ -117,7 +117,7 @@
   shape.mName = "qoima";
   shape.mDurationMs = kDurationMs;
   shape.mRushFactor = 2.5;
-  shape.mOutcomes = { 250.0, 0.005, 0.98, 2, 20'000 };
+  shape.mOutcomes = { 250.0, 0.995, 0.005, 0.98, 2, 20'000 };
   shape.mCustomers = {
     { MakeContract("bank-alatau", "banks"),
       15.0,
--- a/src/core/trace/StatedOutcomes.h
+++ b/src/core/trace/StatedOutcomes.h
@@ -10,6 +10,7 @@
 struct StatedOutcomes
 {
   double mMaxP99Ms = 0.0;        ///< Latency from due time to whole answer.
+  double mMinAnswered = 1.0;     ///< Requests with a whole answer, 0..1.
   double mMaxNotRunShare = 0.0;  ///< Requests told "not run" at last, 0..1.
   double mMinJobsAsStated = 1.0; ///< Jobs that end as their lines say, 0..1.
   std::int64_t mMaxEvictions = 0;
--- a/src/core/trace/TrasowkaShape.cpp
+++ b/src/core/trace/TrasowkaShape.cpp
@@ -110,7 +110,7 @@
   shape.mName = "trasowka";
   shape.mDurationMs = kDurationMs;
   shape.mRushFactor = 4.0;
-  shape.mOutcomes = { 150.0, 0.005, 0.98, 8, 20'000 };
+  shape.mOutcomes = { 150.0, 0.995, 0.005, 0.98, 8, 20'000 };
   shape.mCustomers = {
     { MakeContract("hydro-krakow", "plumbers"),
       15.0,
--- a/src/core/trace/detail/TraceFields.h
+++ b/src/core/trace/detail/TraceFields.h
@@ -27,6 +27,7 @@
   aVisitor.Required("maxP99Ms",
                     aMessage.mMaxP99Ms,
                     NumberRule<double>{ 0, double{ kMaxTraceMs } });
+  aVisitor.Required("minAnswered", aMessage.mMinAnswered, kTraceShare);
   aVisitor.Required("maxNotRunShare", aMessage.mMaxNotRunShare, kTraceShare);
   aVisitor.Required("minJobsAsStated", aMessage.mMinJobsAsStated, kTraceShare);
   aVisitor.Required("maxEvictions",
--- a/tests/trace/OutcomeCheckTest.cpp
+++ b/tests/trace/OutcomeCheckTest.cpp
@@ -6,7 +6,7 @@
 namespace foxtailbarrow {
 namespace {
 
-const StatedOutcomes kStated{ 100.0, 0.01, 0.95, 3, 1'000 };
+const StatedOutcomes kStated{ 100.0, 0.99, 0.01, 0.95, 3, 1'000 };
 
 ReplayTotals GoodTotals()
 {
@@ -79,6 +79,7 @@
 const Miss kMisses[] = {
   { "latency p99 (ms)",
     [](ReplayTotals& aTotals) { aTotals.mP99 += Duration(1); } },
+  { "requests answered", [](ReplayTotals& aTotals) { --aTotals.mAnswered; } },
   { "requests told not run", [](ReplayTotals& aTotals) { ++aTotals.mNotRun; } },
   { "requests unanswered",
     [](ReplayTotals& aTotals) { ++aTotals.mUnanswered; } },
--- a/tests/trace/TraceTest.cpp
+++ b/tests/trace/TraceTest.cpp
@@ -12,7 +12,7 @@
 
 const std::string kHeader =
   R"({"header":{"format":1,"deployment":"d","seed":0,"durationMs":1000,)"
-  R"("outcomes":{"maxP99Ms":5,"maxNotRunShare":0,"minJobsAsStated":1,)"
+  R"("outcomes":{"maxP99Ms":5,"minAnswered":1,"maxNotRunShare":0,"minJobsAsStated":1,)"
   R"("maxEvictions":0,"jobsDeadlineMs":10}}})"
   "\n";
 const std::string kRequest =
