--- a/src/core/trace/OutcomeCheck.cpp
+++ b/src/core/trace/OutcomeCheck.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_format.h"
 
 namespace foxtailbarrow {
@@ -88,7 +89,7 @@
 std::vector<OutcomeRow> CheckOutcomes(const StatedOutcomes& aStated,
                                       const ReplayTotals& aTotals)
 {
-  return {
+  std::vector<OutcomeRow> rows = {
     Told("requests", aTotals.mRequests),
     Told("requests answered", aTotals.mAnswered),
     NotRunRow(aStated, aTotals),
@@ -112,6 +113,10 @@
     NeverAudited("doubled jobs", aTotals.mDoubledJobs, aTotals),
     NeverAudited("workers over-committed", aTotals.mOvercommitted, aTotals),
   };
+  for (const auto& [reason, count] : aTotals.mRefusals) {
+    rows.push_back(Told("attempts refused: " + reason, count));
+  }
+  return rows;
 }
 
 bool AllMet(std::span<const OutcomeRow> aRows)
@@ -136,6 +141,8 @@
                           row.mMeasured,
                           row.mStated,
                           verdict);
+    absl::StripTrailingAsciiWhitespace(&text);
+    text += '\n';
   }
   return text;
 }
