Prove in virtual time that no task runs in two places

Found by LongAfterItsPromise: a successor asked for promises only the entries that the store still listed, so that voters without the store could never promise and every such tenure went to the hold. Voters are now recorded with their addresses and asked whether listed or not.

--- a/src/core/ownership/EntryRoster.cpp
+++ b/src/core/ownership/EntryRoster.cpp
@@ -65,4 +65,20 @@
   return &*found;
 }
 
+Endpoint EntryRoster::AddressOf(const Voter& aVoter) const
+{
+  const LiveEntry* const live = Find(aVoter.mEntry);
+  return live == nullptr ? aVoter.mEndpoint : live->mRecord.mEndpoint;
+}
+
+Voters EntryRoster::AsVoters() const
+{
+  Voters voters;
+  voters.reserve(mLive.size());
+  for (const LiveEntry& live : mLive) {
+    voters.push_back({ live.mRecord.mEntry, live.mRecord.mEndpoint });
+  }
+  return voters;
+}
+
 } // namespace foxtailbarrow
--- a/src/core/ownership/EntryRoster.h
+++ b/src/core/ownership/EntryRoster.h
@@ -61,6 +61,12 @@
   /// nullptr when not live. Valid until the next Confirm().
   const LiveEntry* Find(const EntryId& aEntry) const;
 
+  /// Where the voter listens now, as far as known.
+  Endpoint AddressOf(const Voter& aVoter) const;
+
+  /// The live entries as voters.
+  Voters AsVoters() const;
+
   const EntryId& Self() const { return mSelf; }
 
 private:
--- a/src/core/ownership/Records.cpp
+++ b/src/core/ownership/Records.cpp
@@ -43,14 +43,22 @@
   return aArray.isArray();
 }
 
-bool AllStrings(const Json::Value& aArray)
+std::optional<Voters> DecodeVoters(const Json::Value& aObject)
 {
-  for (const Json::Value& item : aArray) {
-    if (!item.isString()) {
-      return false;
+  if (!aObject.isObject()) {
+    return std::nullopt;
+  }
+  Voters voters;
+  for (const std::string& name : aObject.getMemberNames()) {
+    const Json::Value& address = aObject[name];
+    const auto endpoint =
+      address.isString() ? ParseEndpoint(address.asString()) : std::nullopt;
+    if (!endpoint) {
+      return std::nullopt;
     }
+    voters.push_back({ EntryId(name), *endpoint });
   }
-  return aArray.isArray();
+  return voters;
 }
 
 } // namespace
@@ -83,9 +91,9 @@
   Json::Value value(Json::objectValue);
   value["entry"] = aRecord.mEntry.Value();
   value["incarnation"] = Json::UInt64(aRecord.mIncarnation);
-  Json::Value& voters = value["voters"] = Json::arrayValue;
-  for (const EntryId& voter : aRecord.mVoters) {
-    voters.append(voter.Value());
+  Json::Value& voters = value["voters"] = Json::objectValue;
+  for (const Voter& voter : aRecord.mVoters) {
+    voters[voter.mEntry.Value()] = ToString(voter.mEndpoint);
   }
   return Write(value);
 }
@@ -130,16 +138,16 @@
 {
   const auto value = ReadObject(aText);
   if (!value || !(*value)["entry"].isString() ||
-      !(*value)["incarnation"].isUInt64() || !AllStrings((*value)["voters"])) {
+      !(*value)["incarnation"].isUInt64()) {
     return std::nullopt;
   }
-  TenureRecord record{ EntryId((*value)["entry"].asString()),
-                       (*value)["incarnation"].asUInt64(),
-                       {} };
-  for (const Json::Value& voter : (*value)["voters"]) {
-    record.mVoters.emplace_back(voter.asString());
+  auto voters = DecodeVoters((*value)["voters"]);
+  if (!voters) {
+    return std::nullopt;
   }
-  return record;
+  return TenureRecord{ EntryId((*value)["entry"].asString()),
+                       (*value)["incarnation"].asUInt64(),
+                       std::move(*voters) };
 }
 
 } // namespace foxtailbarrow
--- a/src/core/ownership/Records.h
+++ b/src/core/ownership/Records.h
@@ -39,6 +39,19 @@
   bool operator==(const ShardRecord&) const = default;
 };
 
+/// An entry that attests and promises a tenure, with its address, since it may
+/// be asked when the store does not list it.
+struct Voter
+{
+  EntryId mEntry;
+  Endpoint mEndpoint;
+
+  bool operator==(const Voter&) const = default;
+};
+
+/// Sorted by id, each entry once.
+using Voters = std::vector<Voter>;
+
 /// One unbroken membership of an entry under one store lease. Key:
 /// `/foxtailbarrow/tenures/<lease>`, attached to no lease. While it exists,
 /// task leases granted under the tenure may still run.
@@ -46,7 +59,7 @@
 {
   EntryId mEntry;
   Incarnation mIncarnation = 0;
-  std::vector<EntryId> mVoters; ///< Sorted; includes the entry itself.
+  Voters mVoters; ///< Includes the entry itself.
 
   bool operator==(const TenureRecord&) const = default;
 };
--- a/src/core/ownership/StoreSession.cpp
+++ b/src/core/ownership/StoreSession.cpp
@@ -1,9 +1,11 @@
 #include "src/core/ownership/StoreSession.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "src/core/ownership/StoreKeys.h"
+#include "src/core/ownership/VoterList.h"
 
 namespace foxtailbarrow {
 
@@ -109,17 +111,14 @@
                             OwnershipActions& aOut)
 {
   const std::vector<LiveEntry> live = DecodeLive(aListing);
-  // Members of the last roster stay, so that the first entry back after an
-  // outage is not the only voter of its own tenure.
-  mVoters = { mSelf.mEntry };
-  for (const LiveEntry& entry : mRoster.Live()) {
-    mVoters.push_back(entry.mRecord.mEntry);
-  }
+  Voters listed = { { mSelf.mEntry, mSelf.mEndpoint } };
   for (const LiveEntry& entry : live) {
-    mVoters.push_back(entry.mRecord.mEntry);
+    listed.push_back({ entry.mRecord.mEntry, entry.mRecord.mEndpoint });
   }
-  std::ranges::sort(mVoters);
-  mVoters.erase(std::unique(mVoters.begin(), mVoters.end()), mVoters.end());
+  // Members of the last roster stay, so that the first entry back after an
+  // outage is not the only voter of its own tenure.
+  const std::array<Voters, 2> lists = { std::move(listed), mRoster.AsVoters() };
+  mVoters = Union(lists);
 
   const LiveEntry* const old = FindIn(live, mSelf.mEntry);
   const TenureRecord tenure{ mSelf.mEntry, mSelf.mIncarnation, mVoters };
--- a/src/core/ownership/StoreSession.h
+++ b/src/core/ownership/StoreSession.h
@@ -53,7 +53,7 @@
   Revision RecordRevision() const { return mRecordRevision; }
 
   /// Voters written with the tenure at its registration.
-  const std::vector<EntryId>& FirstVoters() const { return mVoters; }
+  const Voters& FirstVoters() const { return mVoters; }
 
 private:
   enum class Step : std::uint8_t
@@ -95,7 +95,7 @@
   Instant mNextRound{};
   std::optional<StoreLease> mTenure;
   Revision mRecordRevision = 0;
-  std::vector<EntryId> mVoters;
+  Voters mVoters;
 };
 
 } // namespace foxtailbarrow
--- a/src/core/ownership/TenureChores.cpp
+++ b/src/core/ownership/TenureChores.cpp
@@ -35,7 +35,7 @@
 
 void TenureChores::OnRound(Instant aNow)
 {
-  if (std::vector<EntryId> roster = RosterIds(); roster != mLastRoster) {
+  if (Voters roster = mSession.Roster().AsVoters(); roster != mLastRoster) {
     mLastRoster = std::move(roster);
     mRosterSince = aNow;
   }
@@ -220,15 +220,6 @@
   }
 }
 
-std::vector<EntryId> TenureChores::RosterIds() const
-{
-  std::vector<EntryId> ids;
-  for (const LiveEntry& entry : mSession.Roster().Live()) {
-    ids.push_back(entry.mRecord.mEntry);
-  }
-  return ids;
-}
-
 bool TenureChores::IsLive(StoreLease aTenure) const
 {
   return std::ranges::any_of(mSession.Roster().Live(),
--- a/src/core/ownership/TenureChores.h
+++ b/src/core/ownership/TenureChores.h
@@ -51,7 +51,7 @@
   struct WritingVoters
   {
     StoreLease mTenure = 0;
-    std::vector<EntryId> mVoters;
+    Voters mVoters;
   };
   struct Deleting
   {
@@ -65,7 +65,6 @@
   bool AskDelete(Instant aNow, OwnershipActions& aOut);
   void Sweep(const absl::flat_hash_map<StoreLease, TenureRecord>& aRecords,
              Instant aNow);
-  std::vector<EntryId> RosterIds() const;
   bool IsLive(StoreLease aTenure) const;
 
   void OnDone(const ReadingEnded& aWork,
@@ -88,9 +87,9 @@
   CallId mCall = 0;
   Instant mNextRead{};
   Instant mNextSweep{};
-  std::vector<EntryId> mVoters; ///< As the record says, if mRevision is known.
+  Voters mVoters; ///< As the record says, if mRevision is known.
   std::optional<Revision> mRevision;
-  std::vector<EntryId> mLastRoster;
+  Voters mLastRoster;
   Instant mRosterSince{};
   absl::flat_hash_set<StoreLease> mSuspects; ///< Not live at the last sweep.
 };
--- a/src/core/ownership/TenureCloser.cpp
+++ b/src/core/ownership/TenureCloser.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/core/ownership/VoterList.h"
+
 namespace foxtailbarrow {
 
 TenureCloser::TenureCloser(const OwnershipSettings& aSettings, EntryId aSelf)
@@ -66,18 +68,9 @@
   absl::erase_if(mSent, [this, aNow](const auto& aSent) {
     return aSent.second + mSettings.mPromiseWindow < aNow;
   });
-  std::vector<EntryId> voters;
-  for (const StoreLease tenure : tenures) {
-    const std::vector<EntryId>& some = *mOpen.at(tenure).mVoters;
-    voters.insert(voters.end(), some.begin(), some.end());
-  }
-  std::ranges::sort(voters);
-  voters.erase(std::unique(voters.begin(), voters.end()), voters.end());
-  for (const EntryId& voter : voters) {
-    if (const LiveEntry* const entry = aRoster.Find(voter); entry != nullptr) {
-      aOut.push_back(SendPromise{
-        voter, entry->mRecord.mEndpoint, { mSelf, tenures, mSequence } });
-    }
+  for (const Voter& voter : VotersOf(tenures)) {
+    aOut.push_back(SendPromise{
+      voter.mEntry, aRoster.AddressOf(voter), { mSelf, tenures, mSequence } });
   }
 }
 
@@ -95,13 +88,7 @@
     Ended& ended = found->second;
     Instant& date = ended.mPromised[aReply.mVoter];
     date = std::max(date, sent->second);
-    const auto fresh =
-      std::ranges::count_if(*ended.mVoters, [&](const EntryId& aVoter) {
-        const auto promised = ended.mPromised.find(aVoter);
-        return promised != ended.mPromised.end() &&
-               promised->second + mSettings.mPromiseWindow > aNow;
-      });
-    if (static_cast<std::size_t>(fresh) >= ended.mVoters->size() / 2 + 1) {
+    if (HasMajority(ended, aNow)) {
       Settle(ended, aNow);
     }
   }
@@ -150,6 +137,17 @@
   }
 }
 
+bool TenureCloser::HasMajority(const Ended& aEnded, Instant aNow) const
+{
+  const auto isFresh = [&](const Voter& aVoter) {
+    const auto promised = aEnded.mPromised.find(aVoter.mEntry);
+    return promised != aEnded.mPromised.end() &&
+           promised->second + mSettings.mPromiseWindow > aNow;
+  };
+  const auto fresh = std::ranges::count_if(*aEnded.mVoters, isFresh);
+  return static_cast<std::size_t>(fresh) >= MajorityOf(*aEnded.mVoters);
+}
+
 void TenureCloser::Settle(Ended& aEnded, Instant aNow) const
 {
   if (!aEnded.mCloses) {
@@ -157,6 +155,15 @@
   }
 }
 
+Voters TenureCloser::VotersOf(std::span<const StoreLease> aTenures) const
+{
+  std::vector<Voters> lists;
+  for (const StoreLease tenure : aTenures) {
+    lists.push_back(*mOpen.at(tenure).mVoters);
+  }
+  return Union(lists);
+}
+
 std::vector<StoreLease> TenureCloser::Unpromised() const
 {
   std::vector<StoreLease> tenures;
--- a/src/core/ownership/TenureCloser.h
+++ b/src/core/ownership/TenureCloser.h
@@ -62,13 +62,15 @@
   struct Ended
   {
     Instant mHoldEnds{};
-    std::optional<std::vector<EntryId>> mVoters;
+    std::optional<Voters> mVoters;
     std::optional<Instant> mCloses;
     absl::flat_hash_map<EntryId, Instant> mPromised; ///< By sending.
   };
 
   void Settle(Ended& aOpen, Instant aNow) const;
   std::vector<StoreLease> Unpromised() const;
+  Voters VotersOf(std::span<const StoreLease> aTenures) const;
+  bool HasMajority(const Ended& aEnded, Instant aNow) const;
 
   OwnershipSettings mSettings;
   EntryId mSelf;
--- a/src/core/ownership/TenureStretch.cpp
+++ b/src/core/ownership/TenureStretch.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/core/ownership/VoterList.h"
+
 namespace foxtailbarrow {
 
 TenureStretch::TenureStretch(const OwnershipSettings& aSettings, EntryId aSelf)
@@ -11,7 +13,7 @@
 {
 }
 
-void TenureStretch::Begin(StoreLease aTenure, std::vector<EntryId> aVoters)
+void TenureStretch::Begin(StoreLease aTenure, Voters aVoters)
 {
   End();
   mTenure = aTenure;
@@ -34,12 +36,12 @@
   mGap = false;
 }
 
-void TenureStretch::VotersPossible(std::vector<EntryId> aVoters)
+void TenureStretch::VotersPossible(Voters aVoters)
 {
   mVoterSets.push_back(std::move(aVoters));
 }
 
-void TenureStretch::VotersKnown(std::vector<EntryId> aVoters)
+void TenureStretch::VotersKnown(Voters aVoters)
 {
   mVoterSets = { std::move(aVoters) };
 }
@@ -67,17 +69,11 @@
     return aSent.second + mSettings.mAttestationValidity < aNow;
   });
   mSent[mSequence] = aNow;
-  std::vector<EntryId> voters;
-  for (const std::vector<EntryId>& set : mVoterSets) {
-    voters.insert(voters.end(), set.begin(), set.end());
-  }
-  std::ranges::sort(voters);
-  voters.erase(std::unique(voters.begin(), voters.end()), voters.end());
-  for (const EntryId& voter : voters) {
-    const LiveEntry* const entry = aRoster.Find(voter);
-    if (entry != nullptr && voter != mSelf) {
-      aOut.push_back(SendAttest{
-        voter, entry->mRecord.mEndpoint, { mSelf, *mTenure, mSequence } });
+  for (const Voter& voter : Union(mVoterSets)) {
+    if (voter.mEntry != mSelf) {
+      aOut.push_back(SendAttest{ voter.mEntry,
+                                 aRoster.AddressOf(voter),
+                                 { mSelf, *mTenure, mSequence } });
     }
   }
 }
@@ -120,7 +116,7 @@
 std::optional<Instant> TenureStretch::StretchedUntil(Instant aNow) const
 {
   Instant until = *mConfirmed + mSettings.mStretchLimit;
-  for (const std::vector<EntryId>& voters : mVoterSets) {
+  for (const Voters& voters : mVoterSets) {
     const auto date = MajorityDate(voters, aNow);
     if (!date) {
       return std::nullopt;
@@ -130,20 +126,19 @@
   return until;
 }
 
-std::optional<Instant> TenureStretch::MajorityDate(
-  std::span<const EntryId> aVoters,
-  Instant aNow) const
+std::optional<Instant> TenureStretch::MajorityDate(const Voters& aVoters,
+                                                   Instant aNow) const
 {
   std::vector<Instant> dates;
-  for (const EntryId& voter : aVoters) {
-    if (voter == mSelf) {
+  for (const Voter& voter : aVoters) {
+    if (voter.mEntry == mSelf) {
       dates.push_back(aNow);
-    } else if (const auto found = mAttested.find(voter);
+    } else if (const auto found = mAttested.find(voter.mEntry);
                found != mAttested.end()) {
       dates.push_back(found->second);
     }
   }
-  const std::size_t majority = aVoters.size() / 2 + 1;
+  const std::size_t majority = MajorityOf(aVoters);
   if (dates.size() < majority) {
     return std::nullopt;
   }
--- a/src/core/ownership/TenureStretch.h
+++ b/src/core/ownership/TenureStretch.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <optional>
-#include <span>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -27,7 +26,7 @@
   TenureStretch(const OwnershipSettings& aSettings, EntryId aSelf);
 
   /// A tenure began; `aVoters` is what its record in the store says.
-  void Begin(StoreLease aTenure, std::vector<EntryId> aVoters);
+  void Begin(StoreLease aTenure, Voters aVoters);
   void End();
 
   /// A round of the store that began at `aStarted` succeeded.
@@ -35,10 +34,10 @@
 
   /// The record may now say `aVoters`: majorities of all that it may say are
   /// needed until VotersKnown().
-  void VotersPossible(std::vector<EntryId> aVoters);
+  void VotersPossible(Voters aVoters);
 
   /// The record certainly says `aVoters` and no older write is under way.
-  void VotersKnown(std::vector<EntryId> aVoters);
+  void VotersKnown(Voters aVoters);
 
   /// Asks the voters when the store is late. `aRoster` gives the addresses.
   void Advance(const EntryRoster& aRoster,
@@ -60,7 +59,7 @@
   bool Stretched(Instant aNow) const;
 
 private:
-  std::optional<Instant> MajorityDate(std::span<const EntryId> aVoters,
+  std::optional<Instant> MajorityDate(const Voters& aVoters,
                                       Instant aNow) const;
   std::optional<Instant> StretchedUntil(Instant aNow) const;
   void Send(const EntryRoster& aRoster, Instant aNow, OwnershipActions& aOut);
@@ -68,7 +67,7 @@
   OwnershipSettings mSettings;
   EntryId mSelf;
   std::optional<StoreLease> mTenure;
-  std::vector<std::vector<EntryId>> mVoterSets;
+  std::vector<Voters> mVoterSets;
   std::optional<Instant> mConfirmed;
   bool mGap = true;
   std::uint64_t mSequence = 0;
--- a/tests/ownership/Fleet.cpp
+++ b/tests/ownership/Fleet.cpp
@@ -121,12 +121,13 @@
   if (Chance(mWeather.mLost)) {
     return;
   }
-  At(mNow + Delay(), [this, &aNode, life = aNode.mLife, finish, aCall] {
+  // A pause of the caller between deciding and sending holds the call back.
+  Deliver(aNode, Delay(), [this, &aNode, finish, aCall] {
     if (mWeather.mStoreDown || !aNode.mReachesStore) {
       return;
     }
     const StoreResult result = mStore.Apply(aCall, mNow);
-    if (!Chance(mWeather.mLostReplies) && aNode.mLife == life) {
+    if (!Chance(mWeather.mLostReplies)) {
       Deliver(aNode, Delay(), [finish, result] { finish(result); });
     }
   });
@@ -135,16 +136,19 @@
 void Fleet::Send(Node& aFrom, Node& aTo, Task aTask)
 {
   ++mMessages;
-  if (aFrom.mSide == aTo.mSide && !Chance(mWeather.mLost)) {
-    Deliver(aTo, Delay(), std::move(aTask));
-  }
+  // A pause of the sender between deciding and sending holds it back.
+  Deliver(aFrom, Delay(), [this, &aFrom, &aTo, task = std::move(aTask)] {
+    if ((aFrom.mSides & aTo.mSides) != 0 && !Chance(mWeather.mLost)) {
+      Deliver(aTo, Delay(), task);
+    }
+  });
 }
 
 Duration Fleet::Delay()
 {
   std::exponential_distribution<double> spread(1.0);
   const Duration late = Chance(mWeather.mStraggling)
-                          ? Duration(mRandom() % Duration(3s).count())
+                          ? Duration(mRandom() % Duration(15s).count())
                           : 0us;
   return late + std::chrono::duration_cast<Duration>(mWeather.mDelay *
                                                      spread(mRandom));
--- a/tests/ownership/Fleet.h
+++ b/tests/ownership/Fleet.h
@@ -15,6 +15,8 @@
 
 using namespace std::chrono_literals;
 
+inline constexpr unsigned kMainSide = 1;
+
 /// A process with a clock of its own, which can be paused, killed or cut off.
 struct Node
 {
@@ -22,7 +24,7 @@
   double mRate = 1.0; ///< Of its clock.
   bool mUp = true;
   int mLife = 0; ///< Raised at every start; older deliveries are void.
-  int mSide = 0; ///< Only nodes of one side reach each other.
+  unsigned mSides = kMainSide; ///< Nodes with a common bit reach each other.
   bool mReachesStore = true;
   Duration mPausedUntil{}; ///< True time.
 
@@ -38,7 +40,7 @@
   Duration mDelay = 2ms;     ///< Mean, one way.
   double mLostReplies = 0.0; ///< Of the store, after the effect.
   double mLost = 0.0;        ///< Of messages and calls, before the effect.
-  double mStraggling = 0.0;  ///< Arrive up to 3 s late.
+  double mStraggling = 0.0;  ///< Arrive up to 15 s late.
   bool mStoreDown = false;
 };
 
