--- a/include/foxtailbarrow/Messages.h
+++ b/include/foxtailbarrow/Messages.h
@@ -181,12 +181,14 @@
   /// agent from then on, for as long as the agent remembers keys.
   CustomerId mCustomer;
   std::string mIdempotencyKey;
+
   bool operator==(const Revoke&) const = default;
 };
 
 struct RevokeReply
 {
   Verdict mVerdict = Verdict::MayHaveRun;
+  bool mPromisedBefore = false; ///< NotRun, as an earlier answer said already.
 
   bool operator==(const RevokeReply&) const = default;
 };
