Ask for the right before an assignment leaves; leave silent jobs to their owner until cleared

And a new owner counted silent jobs as lapsed after lease and margin, though attestations may let the former owner extend for longer. Change: JobDriver asks MayExtend before SendAssign; ShardCleared carries ownership's EarlierLeasesOver to the scheduler, which never lapses an inherited job before it.

--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -87,9 +87,14 @@
   mStore = std::make_unique<CountingStore>(*mPlainStore);
   mContext = std::make_unique<ControlContext>(
     ControlContext{ mSettings.mId, mControlRuntime, *mStore, mRpc, mMetrics });
-  mJobs = std::make_unique<JobDriver>(*mContext, [this](ShardId aShard) {
-    return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
-  });
+  mJobs = std::make_unique<JobDriver>(
+    *mContext,
+    [this](ShardId aShard) {
+      return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
+    },
+    [this](ShardId aShard) {
+      return mOwnership->Logic().MayReassign(aShard, MonotonicNow());
+    });
   const EntryRecord self{
     mSettings.mId, IncarnationNow(), ControlEndpoint(), 0
   };
--- a/apps/entry/JobDriver.cpp
+++ b/apps/entry/JobDriver.cpp
@@ -64,9 +64,12 @@
 
 } // namespace
 
-JobDriver::JobDriver(ControlContext& aContext, MayExtend aMayExtend)
+JobDriver::JobDriver(ControlContext& aContext,
+                     ShardQuestion aMayExtend,
+                     ShardQuestion aMayReassign)
   : mContext(aContext)
   , mMayExtend(std::move(aMayExtend))
+  , mMayReassign(std::move(aMayReassign))
   , mWriter(aContext.mStore,
             { .mLinger = kCommitLinger },
             [&aContext](std::function<void()> aBody) {
@@ -121,7 +124,7 @@
       boost::this_fiber::sleep_for(kListRetry);
       continue;
     }
-    ShardAcquired event{ aShard, aGeneration, {} };
+    ShardAcquired event{ aShard, aGeneration, {}, mMayReassign(aShard) };
     for (const StoreEntry& entry : listing->mEntries) {
       if (auto job = StoredJobOf(entry)) {
         event.mJobs.push_back(*std::move(job));
@@ -183,7 +186,10 @@
   return true;
 }
 
-void JobDriver::ClearShard(ShardId) {}
+void JobDriver::ClearShard(ShardId aShard)
+{
+  Handle(ShardCleared{ aShard });
+}
 
 TaskReplies JobDriver::OnHeartbeat(const Heartbeat& aHeartbeat)
 {
@@ -228,6 +234,17 @@
 
 void JobDriver::Run(const SendAssign& aAction)
 {
+  // After a pause the right may have lapsed since the assignment was decided,
+  // and another owner may have given the job away.
+  if (!mMayExtend(aAction.mAssign.mShard)) {
+    mContext.mRuntime.Spawn([this, key = aAction.mAssign.mTask.mKey] {
+      Handle(AssignDone{ key,
+                         WithVerdict(absl::FailedPreconditionError(
+                                       "ownership is not proved"),
+                                     Verdict::NotRun) });
+    });
+    return;
+  }
   mContext.mRuntime.Spawn([this, aAction] {
     AssignDone done{ aAction.mAssign.mTask.mKey, AssignReply{} };
     done.mReply = net::CallTyped<AssignReply>(mContext.mRpc,
--- a/apps/entry/JobDriver.h
+++ b/apps/entry/JobDriver.h
@@ -28,10 +28,13 @@
 class JobDriver
 {
 public:
-  /// True while task leases of the shard may be extended.
-  using MayExtend = std::function<bool(ShardId)>;
+  using ShardQuestion = std::function<bool(ShardId)>;
 
-  JobDriver(ControlContext& aContext, MayExtend aMayExtend);
+  /// `aMayExtend`: may task leases of the shard be extended now?
+  /// `aMayReassign`: is no lease of an earlier owner left?
+  JobDriver(ControlContext& aContext,
+            ShardQuestion aMayExtend,
+            ShardQuestion aMayReassign);
 
   /// Starts the ticking fiber and the one that lists held shards again.
   void Start();
@@ -69,7 +72,8 @@
   void Run(const ReadJob& aAction);
 
   ControlContext& mContext;
-  MayExtend mMayExtend;
+  ShardQuestion mMayExtend;
+  ShardQuestion mMayReassign;
   BatchWriter mWriter;
   JobScheduler mLogic;
   absl::BitGen mRandom;
--- a/src/core/job/JobEntry.h
+++ b/src/core/job/JobEntry.h
@@ -59,6 +59,7 @@
   bool mCancelWanted = false;
 
   Whereabouts mWhereabouts = Whereabouts::Unconfirmed;
+  bool mInherited = false; ///< Not assigned by this process since it took over.
   AssignmentLease mLease;
   std::unique_ptr<TaskStatus> mEnd; ///< Reported, not yet recorded.
   bool mJudged = false;             ///< mEnd was counted for or against.
--- a/src/core/job/JobEvent.h
+++ b/src/core/job/JobEvent.h
@@ -25,6 +25,15 @@
   ShardId mShard = 0;
   Generation mGeneration = 0;
   std::vector<StoredJob> mJobs;
+  /// False when an earlier owner may still be extending task leases, which
+  /// ShardCleared ends; true when none did so after this event.
+  bool mCleared = true;
+};
+
+/// No task lease that an earlier owner of the shard granted is left.
+struct ShardCleared
+{
+  ShardId mShard = 0;
 };
 
 /// Ownership ended or can no longer be proved.
@@ -126,6 +135,7 @@
 {};
 
 using JobEvent = std::variant<ShardAcquired,
+                              ShardCleared,
                               ShardLost,
                               JobRead,
                               JobMissing,
--- a/src/core/job/JobScheduler.cpp
+++ b/src/core/job/JobScheduler.cpp
@@ -40,7 +40,7 @@
 void JobScheduler::On(const ShardAcquired& aEvent, Turn& aTurn)
 {
   On(ShardLost{ aEvent.mShard }, aTurn);
-  mShards[aEvent.mShard] = { aEvent.mGeneration, aTurn.mNow };
+  mShards[aEvent.mShard] = { aEvent.mGeneration, aTurn.mNow, aEvent.mCleared };
   for (const StoredJob& job : aEvent.mJobs) {
     if (!IsFinal(job.mRecord.mState)) {
       Adopt(mTable.Insert(aEvent.mShard, job), aTurn);
@@ -48,6 +48,20 @@
   }
 }
 
+void JobScheduler::On(const ShardCleared& aEvent, Turn& aTurn)
+{
+  const auto shard = mShards.find(aEvent.mShard);
+  if (shard == mShards.end() || shard->second.mCleared) {
+    return;
+  }
+  shard->second.mCleared = true;
+  for (const JobId& job : mTable.JobsOf(aEvent.mShard)) {
+    if (JobEntry* entry = mTable.Find(job); entry->mInherited) {
+      Advance(*entry, aTurn);
+    }
+  }
+}
+
 void JobScheduler::On(const ShardLost& aEvent, Turn&)
 {
   if (mShards.erase(aEvent.mShard) == 0) {
--- a/src/core/job/JobScheduler.h
+++ b/src/core/job/JobScheduler.h
@@ -78,6 +78,7 @@
   {
     Generation mGeneration = 0;
     Instant mAcquiredAt{};
+    bool mCleared = true; ///< No earlier owner extends leases any more.
   };
 
   enum class Placement : std::uint8_t
@@ -90,6 +91,7 @@
 
   // Events.
   void On(const ShardAcquired& aEvent, Turn& aTurn);
+  void On(const ShardCleared& aEvent, Turn& aTurn);
   void On(const ShardLost& aEvent, Turn& aTurn);
   void On(const JobRead& aEvent, Turn& aTurn);
   void On(const JobMissing& aEvent, Turn& aTurn);
--- a/src/core/job/JobSchedulerAdvance.cpp
+++ b/src/core/job/JobSchedulerAdvance.cpp
@@ -109,6 +109,9 @@
 
 Instant JobScheduler::LapsedAt(const JobEntry& aEntry) const
 {
+  if (aEntry.mInherited && !mShards.at(aEntry.mShard).mCleared) {
+    return Instant::max();
+  }
   const auto slot = mBooks.Workers().SlotOf(*aEntry.Record().mAgent);
   return slot ? mBounds.LapsedAt(*slot, aEntry.mLease)
               : mBounds.LapsedUnheard(aEntry.mLease);
--- a/src/core/job/JobSchedulerCommit.cpp
+++ b/src/core/job/JobSchedulerCommit.cpp
@@ -17,6 +17,7 @@
   aEntry.mAnswerDue = false;
   aEntry.mAnswerLost = false;
   aEntry.mWhereabouts = Whereabouts::Unconfirmed;
+  aEntry.mInherited = aEntry.IsAssigned();
   if (aEntry.IsAssigned()) {
     // Whoever assigned it did so before now, on a lease that it held.
     aEntry.mLease = { aTurn.mNow + mSettings.mTaskLease, Instant{} };
@@ -200,6 +201,7 @@
   if (done.mPlaces) {
     ++mCounters.mPlaced;
     aEntry.mWhereabouts = Whereabouts::Unsent;
+    aEntry.mInherited = false;
     aEntry.mLease = {};
     aEntry.mWaitingSince = Instant{};
     aEntry.mResendAt = Instant{};
--- a/tests/job/JobSchedulerTest.cpp
+++ b/tests/job/JobSchedulerTest.cpp
@@ -295,6 +295,24 @@
   EXPECT_EQ(commits.front().mRecord.mState, JobState::Assigned);
 }
 
+TEST_F(JobSchedulerTest, LeavesASilentJobToItsFormerOwnerUntilCleared)
+{
+  JobRecord inherited = TestRecord();
+  inherited.mState = JobState::Assigned;
+  inherited.mEpoch = 4;
+  inherited.mAgent = AgentId("agent-lost");
+  Tell(ShardAcquired{ kShard, kGeneration + 1, { { inherited, 9 } }, false });
+  mNow += 1h;
+  EXPECT_TRUE(Only<CommitRecord>(Tell(Tick{})).empty());
+  Beat({});
+  auto commits = Only<CommitRecord>(Tell(ShardCleared{ kShard }));
+  for (const auto& commit : Only<CommitRecord>(Tell(Tick{}))) {
+    commits.push_back(commit);
+  }
+  ASSERT_FALSE(commits.empty());
+  EXPECT_GE(commits.front().mRecord.mEpoch, 4U);
+}
+
 TEST_F(JobSchedulerTest, DisownsATaskOfAnEarlierEpoch)
 {
   Start();
