--- a/src/core/ownership/VoterList.cpp
+++ b/src/core/ownership/VoterList.cpp
@@ -16,8 +16,10 @@
     all.insert(all.end(), list.begin(), list.end());
   }
   std::ranges::stable_sort(all, {}, &Voter::mEntry);
-  const auto rest = std::ranges::unique(all, {}, &Voter::mEntry);
-  all.erase(rest.begin(), rest.end());
+  const auto sameEntry = [](const Voter& aLeft, const Voter& aRight) {
+    return aLeft.mEntry == aRight.mEntry;
+  };
+  all.erase(std::unique(all.begin(), all.end(), sameEntry), all.end());
   return all;
 }
 
--- a/tests/ownership/TaskFleet.cpp
+++ b/tests/ownership/TaskFleet.cpp
@@ -102,7 +102,7 @@
     }
     Job& job = found->second;
     const Run& run = aRuns[shard];
-    job.mNews[aAgent] = { now, run.mSeen, run.mRunning, run.mFence };
+    job.mNews[aAgent] = { now, aSent, run.mSeen, run.mRunning, run.mFence };
     job.mExtended[aAgent] = now;
     Send(EntryNode(aEntry),
          AgentNode(aAgent),
@@ -134,14 +134,20 @@
 void TaskFleet::OnAssign(std::size_t aAgent,
                          ShardId aShard,
                          Generation aGeneration,
-                         Epoch aEpoch)
+                         Epoch aEpoch,
+                         Instant aSent)
 {
   Run& run = mAgents[aAgent].mRuns[aShard];
   const Instant now = mAgents[aAgent].mNode.Local(Now());
-  if (aGeneration != run.mFence || aEpoch <= run.mSeen ||
-      now + 2 * kWorkerLease > run.mLeaseEnds) {
+  // Dated by the heartbeat that it names: one that was long on its way must
+  // not start under a newer extension.
+  const Instant ends = aSent + mSettings.mTaskLease;
+  if (aGeneration < run.mFence || aEpoch <= run.mSeen ||
+      now + 2 * kWorkerLease > ends) {
     return;
   }
+  run.mFence = aGeneration;
+  run.mLeaseEnds = std::max(run.mLeaseEnds, ends);
   run.mSeen = aEpoch;
   run.mRunning = true;
   ++mStarts[aShard];
@@ -241,14 +247,17 @@
     const bool ended =
       heard && !news->second.mRunning && news->second.mSeen >= aJob.mEpoch;
     if (heard && news->second.mSeen < aJob.mEpoch) {
-      Send(
-        EntryNode(aEntry),
-        AgentNode(aJob.mAgent),
-        [=,
-         this,
-         agent = aJob.mAgent,
-         generation = aJob.mGeneration,
-         epoch = aJob.mEpoch] { OnAssign(agent, aShard, generation, epoch); });
+      aJob.mExtended[aJob.mAgent] = now;
+      Send(EntryNode(aEntry),
+           AgentNode(aJob.mAgent),
+           [this,
+            aShard,
+            agent = aJob.mAgent,
+            generation = aJob.mGeneration,
+            epoch = aJob.mEpoch,
+            sent = news->second.mSent] {
+             OnAssign(agent, aShard, generation, epoch, sent);
+           });
     }
     if (!ended && (heard || !MayMove(aEntry, aShard, aJob))) {
       return;
--- a/tests/ownership/TaskFleet.h
+++ b/tests/ownership/TaskFleet.h
@@ -61,6 +61,7 @@
   struct News
   {
     Instant mAt{};
+    Instant mSent{}; ///< By the agent's clock.
     Epoch mSeen = 0;
     bool mRunning = false;
     Generation mFence = 0;
@@ -95,7 +96,8 @@
   void OnAssign(std::size_t aAgent,
                 ShardId aShard,
                 Generation aGeneration,
-                Epoch aEpoch);
+                Epoch aEpoch,
+                Instant aSent);
   void Renew(std::size_t aAgent);
   void RunAt(std::size_t aAgent, ShardId aShard);
 
