Name the rows of the store's test tables

Cause: GoogleTest printed rows as bytes of memory, so that names of tests held addresses and differed from run to run. Change: NamedCase.h prints a row by its name; the three tables without names got them. No case or check is changed.

--- a/standins/store/Gateway.cpp
+++ b/standins/store/Gateway.cpp
@@ -138,7 +138,7 @@
   }
   const Revision from =
     request->mStart == 0 ? mStore.LatestRevision() : request->mStart - 1;
-  const absl::Status ended =
+  absl::Status ended =
     mStore.WatchRange(request->mRange,
                       from,
                       kWatchCheck,
--- a/tests/store/BatchCommitterTest.cpp
+++ b/tests/store/BatchCommitterTest.cpp
@@ -7,6 +7,7 @@
 #include "foxtailbarrow/Verdict.h"
 #include "src/platform/store/BatchCommitter.h"
 #include "src/platform/store/MemoryStore.h"
+#include "tests/store/NamedCase.h"
 
 namespace foxtailbarrow {
 namespace {
@@ -39,6 +40,7 @@
 
 struct BisectCase
 {
+  const char* mName;
   std::size_t mWrites;
   std::set<std::size_t> mBad;
   std::uint64_t mMostCommits;
@@ -51,7 +53,7 @@
 
 TEST_P(CommitterBisect, AppliesAllButTheBadOnes)
 {
-  const auto& [writes, bad, mostCommits] = GetParam();
+  const auto& [name, writes, bad, mostCommits] = GetParam();
   std::vector<RecordWrite> records;
   for (std::size_t index = 0; index < writes; ++index) {
     const std::string key = "/" + std::to_string(index);
@@ -75,13 +77,14 @@
 INSTANTIATE_TEST_SUITE_P(
   Batches,
   CommitterBisect,
-  testing::Values(BisectCase{ 1, {}, 1 },
-                  BisectCase{ 1, { 0 }, 1 },
-                  BisectCase{ 128, {}, 1 },
-                  BisectCase{ 128, { 0 }, 15 },
-                  BisectCase{ 128, { 127 }, 15 },
-                  BisectCase{ 127, { 3, 99 }, 28 },
-                  BisectCase{ 5, { 0, 1, 2, 3, 4 }, 9 }));
+  testing::Values(BisectCase{ "One", 1, {}, 1 },
+                  BisectCase{ "OneBad", 1, { 0 }, 1 },
+                  BisectCase{ "Whole", 128, {}, 1 },
+                  BisectCase{ "FirstBad", 128, { 0 }, 15 },
+                  BisectCase{ "LastBad", 128, { 127 }, 15 },
+                  BisectCase{ "TwoBad", 127, { 3, 99 }, 28 },
+                  BisectCase{ "AllBad", 5, { 0, 1, 2, 3, 4 }, 9 }),
+  kNameOfCase);
 
 TEST_F(Committer, FailsAllRecordsUnderABrokenGuardWithoutBisecting)
 {
--- a/tests/store/BatchWriterTest.cpp
+++ b/tests/store/BatchWriterTest.cpp
@@ -9,6 +9,7 @@
 #include "foxtailbarrow/Verdict.h"
 #include "src/platform/store/BatchWriter.h"
 #include "src/platform/store/MemoryStore.h"
+#include "tests/store/NamedCase.h"
 #include "tests/store/UnreliableStore.h"
 
 namespace foxtailbarrow {
@@ -93,7 +94,7 @@
                   GatherCase{ "ManyGuards", 128, 10, 128, 2 },
                   GatherCase{ "LargeValues", 4, 600 * 1024, 0, 4 },
                   GatherCase{ "LargestValues", 2, 1024 * 1024, 0, 2 }),
-  [](const auto& aInfo) { return aInfo.param.mName; });
+  kNameOfCase);
 
 TEST(BatchWriter, AppliesWritesToOneKeyInOrder)
 {
--- a/tests/store/EtcdStoreTest.cpp
+++ b/tests/store/EtcdStoreTest.cpp
@@ -8,6 +8,7 @@
 #include "src/platform/store/CountingStore.h"
 #include "src/platform/store/EtcdCodec.h"
 #include "src/platform/store/EtcdStore.h"
+#include "tests/store/NamedCase.h"
 
 namespace foxtailbarrow {
 namespace {
@@ -109,7 +110,7 @@
     ReplyCase{ "Failed", 500, "", Code::kInternal, kMayHaveRun },
     ReplyCase{ "NotJson", 200, "hello", Code::kInternal, kMayHaveRun },
     ReplyCase{ "Types", 200, kWrongTypes, Code::kInternal, kMayHaveRun }),
-  [](const auto& aInfo) { return aInfo.param.mName; });
+  kNameOfCase);
 
 class EtcdEndpoints : public testing::Test
 {
@@ -172,6 +173,7 @@
 
 struct LineCase
 {
+  const char* mName;
   const char* mLine;
   Code mCode;
   std::size_t mEvents;
@@ -200,14 +202,18 @@
   Lines,
   WatchLine,
   testing::Values(
-    LineCase{ R"({"result":{"created":true}})", Code::kOk, 0 },
-    LineCase{ kTwoEvents, Code::kOk, 2 },
-    LineCase{ kCompacted, Code::kOutOfRange, 0 },
-    LineCase{ R"({"result":{"canceled":true}})", Code::kUnavailable, 0 },
-    LineCase{ R"({"error":{"code":14}})", Code::kUnavailable, 0 },
-    LineCase{ "}{", Code::kInternal, 0 },
-    LineCase{ kMove, Code::kInternal, 0 },
-    LineCase{ kNoKey, Code::kInternal, 0 }));
+    LineCase{ "Created", R"({"result":{"created":true}})", Code::kOk, 0 },
+    LineCase{ "TwoEvents", kTwoEvents, Code::kOk, 2 },
+    LineCase{ "Compacted", kCompacted, Code::kOutOfRange, 0 },
+    LineCase{ "Canceled",
+              R"({"result":{"canceled":true}})",
+              Code::kUnavailable,
+              0 },
+    LineCase{ "Error", R"({"error":{"code":14}})", Code::kUnavailable, 0 },
+    LineCase{ "Garbage", "}{", Code::kInternal, 0 },
+    LineCase{ "Move", kMove, Code::kInternal, 0 },
+    LineCase{ "NoKey", kNoKey, Code::kInternal, 0 }),
+  kNameOfCase);
 
 } // namespace
 } // namespace foxtailbarrow
--- a/tests/store/GatewayTest.cpp
+++ b/tests/store/GatewayTest.cpp
@@ -5,6 +5,7 @@
 #include "src/net/HttpClient.h"
 #include "src/platform/store/GatewayJson.h"
 #include "standins/store/Gateway.h"
+#include "tests/store/NamedCase.h"
 
 namespace foxtailbarrow {
 namespace {
@@ -113,7 +114,7 @@
     BadRequest{ "NoFault", kFaults, R"({"outrage":true})" },
     BadRequest{ "FaultType", kFaults, R"({"outage":"yes"})" },
     BadRequest{ "Negative", kFaults, R"({"delayMs":-1})" }),
-  [](const auto& aInfo) { return aInfo.param.mName; });
+  kNameOfCase);
 
 class GatewaySwitches
   : public GatewayFixture
--- a/tests/store/KeyValueTableTest.cpp
+++ b/tests/store/KeyValueTableTest.cpp
@@ -2,6 +2,7 @@
 
 #include "src/platform/store/FaultGate.h"
 #include "src/platform/store/KeyValueTable.h"
+#include "tests/store/NamedCase.h"
 
 namespace foxtailbarrow {
 namespace {
@@ -10,6 +11,7 @@
 
 struct PrefixCase
 {
+  const char* mName;
   std::string mPrefix;
   std::string mKey;
   bool mContained;
@@ -20,20 +22,22 @@
 
 TEST_P(KeyRangePrefix, ContainsWhatStartsWithIt)
 {
-  const auto& [prefix, key, contained] = GetParam();
+  const auto& [name, prefix, key, contained] = GetParam();
   EXPECT_EQ(KeyRange::Prefix(prefix).Contains(key), contained);
 }
 
-INSTANTIATE_TEST_SUITE_P(Prefixes,
-                         KeyRangePrefix,
-                         testing::Values(PrefixCase{ "/a", "/a", true },
-                                         PrefixCase{ "/a", "/a\xff", true },
-                                         PrefixCase{ "/a", "/b", false },
-                                         PrefixCase{ "/a", "/A", false },
-                                         PrefixCase{ "", "anything", true },
-                                         PrefixCase{ "a\xff", "a\xff", true },
-                                         PrefixCase{ "a\xff", "b", false },
-                                         PrefixCase{ "\xff", "\xff!", true }));
+INSTANTIATE_TEST_SUITE_P(
+  Prefixes,
+  KeyRangePrefix,
+  testing::Values(PrefixCase{ "Itself", "/a", "/a", true },
+                  PrefixCase{ "LastChild", "/a", "/a\xff", true },
+                  PrefixCase{ "Next", "/a", "/b", false },
+                  PrefixCase{ "OtherCase", "/a", "/A", false },
+                  PrefixCase{ "Empty", "", "anything", true },
+                  PrefixCase{ "LastByte", "a\xff", "a\xff", true },
+                  PrefixCase{ "AfterLastByte", "a\xff", "b", false },
+                  PrefixCase{ "OnlyLastByte", "\xff", "\xff!", true }),
+  kNameOfCase);
 
 class Table : public testing::Test
 {
--- a/tests/store/StoreConformanceTest.cpp
+++ b/tests/store/StoreConformanceTest.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "foxtailbarrow/Verdict.h"
+#include "tests/store/NamedCase.h"
 #include "tests/store/StoreHarness.h"
 
 namespace foxtailbarrow {
@@ -295,17 +296,12 @@
   });
 }
 
-std::string NameOf(const testing::TestParamInfo<StoreCase>& aInfo)
-{
-  return aInfo.param.mName;
-}
-
 INSTANTIATE_TEST_SUITE_P(Stores,
                          StoreConformance,
                          testing::Values(StoreCase{ "Memory",
                                                     MakeMemoryHarness },
                                          StoreCase{ "Etcd", MakeEtcdHarness }),
-                         NameOf);
+                         kNameOfCase);
 
 } // namespace
 } // namespace foxtailbarrow
--- a/tests/store/WatchFeedTest.cpp
+++ b/tests/store/WatchFeedTest.cpp
@@ -7,6 +7,7 @@
 
 #include "src/platform/store/MemoryStore.h"
 #include "src/platform/store/WatchFeed.h"
+#include "tests/store/NamedCase.h"
 #include "tests/store/StoreHarness.h"
 
 namespace foxtailbarrow {
@@ -75,7 +76,7 @@
                { kFirst,
                  { false, 0, { { "/a", std::nullopt, 7 } }, { { 7 } } },
                  { true, 7, { { "/b", "1", 2 } }, { {} } } } }),
-  [](const auto& aInfo) { return aInfo.param.mName; });
+  kNameOfCase);
 
 class FeedOverAStore : public testing::Test
 {
