--- a/src/core/agent/IdempotencyRegister.h
+++ b/src/core/agent/IdempotencyRegister.h
@@ -35,9 +35,9 @@
 
 struct IdempotencyLimits
 {
-  std::size_t mMaxKeys = 65'536;            ///< Of ended attempts.
-  std::size_t mMaxAnswerBytes = 16 * 1024;  ///< Larger answers are not kept.
-  std::size_t mMaxBytes = 16 * 1024 * 1024; ///< Of all answers together.
+  std::size_t mMaxKeys = 65'536;        ///< Of ended attempts.
+  std::size_t mMaxAnswerBytes = 16'384; ///< Larger answers are not kept.
+  std::size_t mMaxBytes = 16'777'216;   ///< Of all answers together.
   Duration mKeptFor = std::chrono::minutes(10); ///< From the attempt's end.
 };
 
@@ -55,14 +55,28 @@
 struct AttemptMismatch
 {};
 
+/// Revoke() promised that no attempt under this key runs here.
+struct AttemptPromised
+{};
+
 /// An earlier attempt's answer.
 struct AttemptReplay
 {
   std::shared_ptr<const StoredAnswer> mAnswer;
 };
 
-using Attempt = std::
-  variant<AttemptAllowed, AttemptDuplicate, AttemptMismatch, AttemptReplay>;
+/// Answer of IdempotencyRegister::Revoke().
+struct KeyPromise
+{
+  Verdict mVerdict = Verdict::MayHaveRun;
+  bool mPromisedBefore = false; ///< NotRun, as an earlier answer said already.
+};
+
+using Attempt = std::variant<AttemptAllowed,
+                             AttemptDuplicate,
+                             AttemptMismatch,
+                             AttemptPromised,
+                             AttemptReplay>;
 
 /// Lets one attempt under an idempotency key run on this agent.
 ///
@@ -88,6 +102,10 @@
               std::optional<StoredAnswer> aAnswer,
               Instant aNow);
 
+  /// Whether an attempt under the key runs, ran or may have run here. Where the
+  /// answer is NotRun, none runs from now on, for `mKeptFor`.
+  KeyPromise Revoke(const IdempotencyKey& aKey, Instant aNow);
+
   std::size_t Size() const;
 
 private:
@@ -95,6 +113,7 @@
   {
     std::uint64_t mFingerprint = 0;
     bool mInProgress = true;
+    bool mPromised = false;
     Verdict mVerdict = Verdict::MayHaveRun;
     std::shared_ptr<const StoredAnswer> mAnswer;
   };
