--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "apps/entry/EntryProcess.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <thread>
@@ -19,6 +20,9 @@
 
 constexpr unsigned kControlThreads = 1;
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+/// While the store is away the shards cannot be given back; their next owners
+/// then wait out this entry's tenure.
+constexpr Duration kLeaveTimeout = std::chrono::seconds(5);
 
 Incarnation IncarnationNow()
 {
@@ -243,8 +247,12 @@
     mShareDriver->Release();
     mOwnership->Drain();
   });
-  while (MonotonicNow() < end &&
-         (mCallers->RequestsInProgress() > 0 || !mLeft)) {
+  const Instant leaveEnd = std::min(end, MonotonicNow() + kLeaveTimeout);
+  const auto waits = [&](Instant aNow) {
+    return mCallers->RequestsInProgress() > 0 ? aNow < end
+                                              : !mLeft && aNow < leaveEnd;
+  };
+  while (waits(MonotonicNow())) {
     std::this_thread::sleep_for(kDrainPoll);
   }
 }
