Refuse no keyed request in a young fleet

telemetry's demo saw keyed requests refused as busy from 5 to 17 s after all agents had come up, with 3 of 88 slots in use. In a fleet younger than the window an agent met in a key's order may have held the key before a later one came, so several have to be asked, and beyond 3 the request was refused; in the first 5 s all were newcomers and nothing was picked at all. The bound of 3 was meant for full and ejected agents, where each adds messages to an overload.

Now two bounds: 3 before the agent that takes the key, 24 after it (ln(n) on average in a fleet that came up within the window). Agents that serve within 2 s of the service's first one take keys at once, as already those within 2 s of the entry's first heartbeat did; the gap this leaves is the one documented for an entry that starts.

--- a/src/core/membership/AgentDirectory.cpp
+++ b/src/core/membership/AgentDirectory.cpp
@@ -168,10 +168,12 @@
   if (aRecord.mRoutable != nullptr) {
     return;
   }
-  std::erase_if(ServiceOf(aRecord.mService).mFormer,
-                [&](const FormerAgent& aFormer) {
-                  return aFormer.mAgent->mGauges == aRecord.mGauges;
-                });
+  Service& service = ServiceOf(aRecord.mService);
+  service.mStartedAt = std::min(service.mStartedAt, aNow);
+  const bool isFirstView = service.mStartedAt > aNow - mSettings.mFirstView;
+  std::erase_if(service.mFormer, [&](const FormerAgent& aFormer) {
+    return aFormer.mAgent->mGauges == aRecord.mGauges;
+  });
   aRecord.mRoutable = std::make_shared<RoutableAgent>(
     RoutableAgent{ aRecord.mAgent,
                    aRecord.mIncarnation,
@@ -180,10 +182,10 @@
                    aRecord.mRack,
                    aRecord.mFailureDomain,
                    aNow,
-                   IsFirstView(aNow) ? Instant::min() : aNow,
+                   isFirstView ? Instant::min() : aNow,
                    StableHash(aRecord.mAgent.Value()),
                    aRecord.mGauges,
-                   ServiceOf(aRecord.mService).mHealth });
+                   service.mHealth });
 }
 
 bool AgentDirectory::IsFirstView(Instant aNow) const
--- a/src/core/membership/AgentDirectory.h
+++ b/src/core/membership/AgentDirectory.h
@@ -101,6 +101,7 @@
   {
     absl::btree_set<AgentRecord*, InTableOrder> mAgents;
     std::vector<FormerAgent> mFormer;
+    Instant mStartedAt = Instant::max(); ///< Its first serving agent.
     std::shared_ptr<ServiceHealth> mHealth;
   };
 
--- a/src/core/membership/DirectorySettings.h
+++ b/src/core/membership/DirectorySettings.h
@@ -21,8 +21,9 @@
   /// ServiceTable::mFormer.
   Duration mKeyWindow = KeyedSettings().mWindow;
 
-  /// Agents heard of first within this time of the first heartbeat were there
-  /// before this entry.
+  /// Agents that serve within this time of the service's first one, as this
+  /// entry sees it, take keys at once: they were there before this entry, or
+  /// the service is new.
   Duration mFirstView = std::chrono::seconds(2);
 
   /// Longest time between two calls of Advance() that counts as the agents'
--- a/src/core/routing/KeyedPick.cpp
+++ b/src/core/routing/KeyedPick.cpp
@@ -54,7 +54,10 @@
     if (place.mCandidate && isServing) {
       heldSince = agent.mKnownSince;
     }
-    if (place.mAskFirst.size() > mSettings.mMaxAsked) {
+    const std::size_t most =
+      place.mCandidate ? mSettings.mMaxAskedBefore + mSettings.mMaxAskedAfter
+                       : mSettings.mMaxAskedBefore;
+    if (place.mAskFirst.size() > most) {
       return {};
     }
   }
--- a/src/core/routing/KeyedPick.h
+++ b/src/core/routing/KeyedPick.h
@@ -48,7 +48,8 @@
 /// Survives: agents that start, drain, restart or die, and entries whose tables
 /// differ by less than half the join delay. Does not survive: an agent that one
 /// entry reaches and another has not heard for longer than the time until Gone
-/// plus the window; an entry that starts within the window of a change.
+/// plus the window; an entry, or a service, that starts within the window of a
+/// change.
 class KeyedPick
 {
 public:
--- a/src/core/routing/KeyedSettings.h
+++ b/src/core/routing/KeyedSettings.h
@@ -18,8 +18,15 @@
   /// the time in which all entries hear of it.
   Duration mJoinDelay = std::chrono::seconds(5);
 
-  /// Agents asked for one request; beyond it the request is refused.
-  std::size_t mMaxAsked = 3;
+  /// Agents before the one that takes the key that are asked for one request:
+  /// full, ejected, draining or suspect ones. Beyond it the request is refused,
+  /// so that an overload does not multiply messages.
+  std::size_t mMaxAskedBefore = 3;
+
+  /// Agents after it that are asked, since they may have held its place within
+  /// the window. In a fleet whose n agents all started within it, ln(n) on
+  /// average.
+  std::size_t mMaxAskedAfter = 24;
 };
 
 } // namespace foxtailbarrow
--- a/tests/routing/KeyedPickTest.cpp
+++ b/tests/routing/KeyedPickTest.cpp
@@ -1,4 +1,5 @@
 #include <map>
+#include <ostream>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -95,6 +96,52 @@
   EXPECT_EQ(HomeOf("key", kWarm + seconds(31)), home);
 }
 
+/// A fleet whose agents come one after another, to an entry that runs already.
+struct YoungFleetCase
+{
+  const char* mName;
+  milliseconds mBetweenAgents;
+};
+
+void PrintTo(const YoungFleetCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.mName;
+}
+
+class YoungFleet : public testing::TestWithParam<YoungFleetCase>
+{};
+
+TEST_P(YoungFleet, RefusesNoKeyWhileNobodyLeaves)
+{
+  AgentDirectory directory;
+  Heartbeat other = HeartbeatOf(99);
+  other.mService = ServiceId("other");
+  directory.Apply(other, kStart);
+  for (int i = 0; i < 11; ++i) {
+    directory.Apply(HeartbeatOf(i), kWarm + i * GetParam().mBetweenAgents);
+  }
+  const Router router(FailureDomainId("domain-0"));
+  std::mt19937_64 random(1);
+  const Instant last = kWarm + 10 * GetParam().mBetweenAgents;
+  for (Duration age{}; age < seconds(40); age += milliseconds(500)) {
+    for (int i = 0; i < 50; ++i) {
+      const auto choice = router.Pick(directory.Table(),
+                                      KeyedRequest("key-" + std::to_string(i)),
+                                      last + age,
+                                      random);
+      EXPECT_TRUE(std::holds_alternative<Picked>(choice)) << age.count();
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  All,
+  YoungFleet,
+  testing::Values(YoungFleetCase{ "AtOnce", milliseconds(0) },
+                  YoungFleetCase{ "InASecond", milliseconds(85) },
+                  YoungFleetCase{ "Slowly", milliseconds(2500) }),
+  [](const auto& aInfo) { return aInfo.param.mName; });
+
 /// Agents with their keys, and entries with tables of different ages, around
 /// the real directory and router. An attempt follows KeyedPick's rule.
 class KeyedFleet
