--- a/src/core/colocation/PlacementHistory.cpp
+++ b/src/core/colocation/PlacementHistory.cpp
@@ -1,7 +1,7 @@
 #include "src/core/colocation/PlacementHistory.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 #include <utility>
 
 namespace foxtailbarrow {
@@ -66,15 +66,18 @@
 
 const Placement* PlacementHistory::Over(Instant aBegin, Instant aEnd) const
 {
-  for (const Placement& placement : std::ranges::reverse_view(mPlacements)) {
-    if (placement.mFrom <= aBegin) {
-      return &placement;
-    }
-    if (placement.mFrom < aEnd) {
-      return nullptr;
-    }
+  const auto after =
+    std::lower_bound(mPlacements.begin(),
+                     mPlacements.end(),
+                     aEnd,
+                     [](const Placement& aPlacement, Instant aTime) {
+                       return aPlacement.mFrom < aTime;
+                     });
+  if (after == mPlacements.begin()) {
+    return nullptr;
   }
-  return nullptr;
+  const Placement& last = *std::prev(after);
+  return last.mFrom <= aBegin ? &last : nullptr;
 }
 
 const Placement* PlacementHistory::Newest() const
