--- a/apps/entry/JobDriver.cpp
+++ b/apps/entry/JobDriver.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include "absl/container/flat_hash_set.h"
+
 #include "apps/entry/JobKeys.h"
 #include "src/core/message/Codec.h"
 #include "src/core/ownership/StoreKeys.h"
@@ -205,9 +207,15 @@
   if (!extension) {
     return replies;
   }
+  // An assignment lives on the heartbeat that it names until it is listed, so
+  // that shards without a listed task need no lease in the reply.
+  absl::flat_hash_set<ShardId> listed;
+  for (const TaskReport& task : aHeartbeat.mTasks) {
+    listed.insert(task.mShard);
+  }
   Duration longest{};
   for (const ShardLease& lease : extension->mLeases) {
-    if (mMayExtend(lease.mShard)) {
+    if (listed.contains(lease.mShard) && mMayExtend(lease.mShard)) {
       replies.mLeases.push_back(lease);
       longest = std::max(longest, lease.mTtl);
     }
@@ -238,10 +246,10 @@
   // and another owner may have given the job away.
   if (!mMayExtend(aAction.mAssign.mShard)) {
     mContext.mRuntime.Spawn([this, key = aAction.mAssign.mTask.mKey] {
-      Handle(AssignDone{ key,
-                         WithVerdict(absl::FailedPreconditionError(
-                                       "ownership is not proved"),
-                                     Verdict::NotRun) });
+      Handle(AssignDone{
+        key,
+        WithVerdict(absl::FailedPreconditionError("ownership is not proved"),
+                    Verdict::NotRun) });
     });
     return;
   }
