--- a/src/core/message/detail/MessageFields.h
+++ b/src/core/message/detail/MessageFields.h
@@ -74,9 +74,8 @@
   aVisitor.Optional("urgent", aMessage.mUrgent);
   aVisitor.Optional("incarnation", aMessage.mIncarnation);
   aVisitor.Optional("sequence", aMessage.mSequence);
-  aVisitor.Optional("sharePerWorker",
-                    aMessage.mSharePerWorker,
-                    NumberRule<double>{ 0, 1 });
+  aVisitor.Optional(
+    "sharePerWorker", aMessage.mSharePerWorker, NumberRule<double>{ 0, 1 });
 }
 
 template<typename Visitor, Is<AssignReply> Message>
