Bound the memory of reported jobs that the store does not hold

Cause: every such id stayed until the shard was lost. Change: forgotten beyond 10,000; the price is another read. Checked: job-tests 21 passed, placement-tests 17 passed.

--- a/src/core/job/JobSchedulerCommit.cpp
+++ b/src/core/job/JobSchedulerCommit.cpp
@@ -93,6 +93,11 @@
     return;
   }
   Drop(aEvent.mJob);
+  // Forgetting only costs another read.
+  constexpr std::size_t kMaxMissing = 10'000;
+  if (mMissing.size() >= kMaxMissing) {
+    mMissing.clear();
+  }
   mMissing[aEvent.mJob] = aEvent.mShard;
 }
 
