Let a customer use no more copies than its contract pays for

Ruled out: a seat in the store for each copy (6,100 leases), refusing the backend server itself (the operator starts it). Change: LimitCopies makes, for a customer with fewer copies than serve, a part of the service with the first by id; requests of that customer are routed there.

--- a/apps/entry/AgentDesk.cpp
+++ b/apps/entry/AgentDesk.cpp
@@ -22,6 +22,7 @@
 AgentDesk::AgentDesk(ControlContext& aContext, Snapshot<RoutingTable>& aTable)
   : mContext(aContext)
   , mTable(aTable)
+  , mWhole(std::make_shared<const RoutingTable>())
   , mHeartbeats(aContext.mMetrics.Counter("heartbeats_total",
                                           "Heartbeats received from agents"))
 {
@@ -68,13 +69,19 @@
   return reply;
 }
 
+void AgentDesk::SetAllowances(std::vector<CopyAllowance> aAllowances)
+{
+  mAllowances = std::move(aAllowances);
+  mTable.Publish(LimitCopies(mWhole, mAllowances));
+}
+
 void AgentDesk::EvaluateHealth(Instant aNow)
 {
   if (aNow - mEvaluatedAt < kEvaluateInterval) {
     return;
   }
   mEvaluatedAt = aNow;
-  for (const EjectionEvent& event : mDetector.Evaluate(*mTable.Load(), aNow)) {
+  for (const EjectionEvent& event : mDetector.Evaluate(*mWhole, aNow)) {
     LogChange(
       "agent-health",
       { { "agent", event.mAgent }, { "reason", ToString(event.mReason) } });
@@ -90,7 +97,8 @@
                 { "to", ToString(event.mTo) } });
   }
   if (mDirectory.Changed()) {
-    mTable.Publish(mDirectory.Table());
+    mWhole = mDirectory.Table();
+    mTable.Publish(LimitCopies(mWhole, mAllowances));
   }
 }
 
--- a/apps/entry/AgentDesk.h
+++ b/apps/entry/AgentDesk.h
@@ -8,6 +8,7 @@
 #include "apps/entry/JobDriver.h"
 #include "src/core/base/Snapshot.h"
 #include "src/core/membership/AgentDirectory.h"
+#include "src/core/routing/CopyLimit.h"
 #include "src/core/routing/OutlierDetector.h"
 #include "src/core/routing/RoutingTable.h"
 #include "src/net/Rpc.h"
@@ -30,6 +31,10 @@
   /// Registers `agent.heartbeat`.
   void AddMethods(net::RpcDispatcher& aDispatcher);
 
+  /// The contracts changed: requests of each customer use no more copies than
+  /// its contract allows.
+  void SetAllowances(std::vector<CopyAllowance> aAllowances);
+
   /// Starts the fiber that notices silent agents.
   void Start();
 
@@ -44,6 +49,9 @@
   ControlContext& mContext;
   Snapshot<RoutingTable>& mTable;
   AgentDirectory mDirectory;
+  /// Without the limits of copies, as the detector judges it.
+  std::shared_ptr<const RoutingTable> mWhole;
+  std::vector<CopyAllowance> mAllowances;
   OutlierDetector mDetector;
   Instant mEvaluatedAt{};
   std::vector<Contributor> mContributors;
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -31,6 +31,17 @@
     std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+std::vector<CopyAllowance> AllowancesOf(const ContractTable& aTable)
+{
+  std::vector<CopyAllowance> allowances;
+  allowances.reserve(aTable.mCustomers.size());
+  for (const auto& [customer, state] : aTable.mCustomers) {
+    allowances.push_back(
+      { customer, state.mContract->mService, state.mContract->mMaxCopies });
+  }
+  return allowances;
+}
+
 OwnershipSettings OwnershipSettingsOf(const EntrySettings& aSettings)
 {
   OwnershipSettings settings;
@@ -126,6 +137,7 @@
   mFeed = std::make_unique<ContractFeed>(
     *mContext, mContracts, [this](const ContractFeed::Change& aChange) {
       mJobs->Handle(ContractsChanged{ aChange.mChanged, aChange.mRemoved });
+      mAgents->SetAllowances(AllowancesOf(*mContracts.Load()));
     });
   mAgents = std::make_unique<AgentDesk>(*mContext, mRouting);
   mJobPages = std::make_unique<JobPages>(
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -154,7 +154,7 @@
                                 "entry is used up" });
   }
   const AdmissionEnd end(*aCustomer.mAdmission);
-  Progress progress{ aRequest, aCaller, aCustomer.mContract->mService, {} };
+  Progress progress{ aRequest, aCaller, ServiceOf(*aCustomer.mContract), {} };
   return Route(progress);
 }
 
@@ -186,6 +186,20 @@
   }
 }
 
+/// The customer's own part of the service where its contract allows fewer
+/// copies than serve.
+ServiceId RequestProxy::ServiceOf(const Contract& aContract) const
+{
+  const auto table = mRouting.Load();
+  const ServiceTable* whole = table->Find(aContract.mService);
+  if (whole == nullptr || static_cast<std::int64_t>(whole->mServing.size() +
+                                                    whole->mSuspect.size()) <=
+                            aContract.mMaxCopies) {
+    return aContract.mService;
+  }
+  return LimitedService(aContract.mService, aContract.mCustomer);
+}
+
 Choice RequestProxy::Pick(const Progress& aProgress) const
 {
   const CallerRequest& caller = aProgress.mCaller;
--- a/apps/entry/RequestProxy.h
+++ b/apps/entry/RequestProxy.h
@@ -10,6 +10,7 @@
 #include "src/core/admission/ShareBasis.h"
 #include "src/core/base/Snapshot.h"
 #include "src/core/retry/RetryPolicy.h"
+#include "src/core/routing/CopyLimit.h"
 #include "src/core/routing/OutlierDetector.h"
 #include "src/core/routing/Router.h"
 #include "src/net/HttpClient.h"
@@ -54,6 +55,7 @@
                              const CallerRequest& aCaller,
                              const CustomerState& aCustomer);
   net::HttpResponse Route(Progress& aProgress);
+  ServiceId ServiceOf(const Contract& aContract) const;
   Choice Pick(const Progress& aProgress) const;
   std::optional<Refusal> AskFirst(const Progress& aProgress, Picked& aPicked);
   Attempt Send(Progress& aProgress, Picked aPicked);
