--- /dev/null
+++ b/apps/agent/TaskControlWorker.cpp
@@ -0,0 +1,162 @@
+#include <utility>
+#include <variant>
+
+#include "apps/agent/TaskControl.h"
+#include "src/telemetry/Log.h"
+
+/// The part of TaskControl that faces the worker.
+namespace foxtailbarrow {
+
+namespace {
+
+/// A call that was decided longer ago is decided anew: the process may have
+/// been frozen, and a lease may have lapsed.
+constexpr Duration kStaleDecision = std::chrono::milliseconds(250);
+
+} // namespace
+
+void TaskControl::MakeCalls()
+{
+  const Instant now = MonotonicNow();
+  std::vector<WorkerCall> calls;
+  {
+    const std::lock_guard lock(mMutex);
+    calls = mTable.Due(now);
+  }
+  for (WorkerCall& call : calls) {
+    mFibers.Spawn([this, call = std::move(call), now] { Perform(call, now); });
+  }
+}
+
+void TaskControl::Look()
+{
+  const Instant askedAt = MonotonicNow();
+  const absl::StatusOr<WorkerView> view = mWorker.View();
+  if (!view.ok()) {
+    mWorkerErrors.Increment();
+    return;
+  }
+  ReportUsage(*view, askedAt);
+  std::size_t endedBefore = 0;
+  std::size_t endedAfter = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    endedBefore = mTable.EndedTasks();
+    mTable.Observe(*view, askedAt, MonotonicNow());
+    endedAfter = mTable.EndedTasks();
+  }
+  if (!mReady.exchange(true)) {
+    LogChange("ledger-rebuilt", { { "tasks", view->mTasks.size() } });
+    mOnNews();
+  } else if (endedAfter > endedBefore) {
+    mOnNews();
+  }
+}
+
+void TaskControl::ReportUsage(const WorkerView& aView, Instant aAskedAt)
+{
+  if (aView.mCapacity.mMillicores <= 0) {
+    return;
+  }
+  const auto whole = static_cast<double>(aView.mCapacity.mMillicores);
+  for (const UsageSample& sample : aView.mUsage) {
+    mOnUsage(sample.mKey,
+             static_cast<double>(sample.mUsed.mMillicores) / whole,
+             aAskedAt - sample.mAge);
+  }
+}
+
+void TaskControl::Renew()
+{
+  std::vector<CallRenew> renewals;
+  {
+    const std::lock_guard lock(mMutex);
+    renewals = mTable.Renewals(MonotonicNow());
+  }
+  for (const CallRenew& renewal : renewals) {
+    PerformOne(renewal);
+  }
+}
+
+void TaskControl::Perform(const WorkerCall& aCall, Instant aDecidedAt)
+{
+  if (MonotonicNow() - aDecidedAt > kStaleDecision) {
+    GiveBack(aCall);
+    return;
+  }
+  std::visit([this](const auto& aOne) { PerformOne(aOne); }, aCall);
+  mCallPoke.Now();
+}
+
+void TaskControl::PerformOne(const CallStart& aCall)
+{
+  const absl::Status result = mWorker.Start(aCall.mStart);
+  const std::lock_guard lock(mMutex);
+  mTable.StartDone(aCall.mStart.mKey, result, MonotonicNow());
+}
+
+void TaskControl::PerformOne(const CallStop& aCall)
+{
+  const absl::Status result = mWorker.Stop(aCall.mKey);
+  {
+    const std::lock_guard lock(mMutex);
+    mTable.StopDone(aCall.mKey, result, MonotonicNow());
+  }
+  mViewPoke.Now();
+}
+
+void TaskControl::PerformOne(const CallCheckpoint& aCall)
+{
+  const absl::StatusOr<std::string> result = mWorker.Checkpoint(aCall.mKey);
+  {
+    const std::lock_guard lock(mMutex);
+    mTable.CheckpointDone(aCall.mKey, result, MonotonicNow());
+  }
+  if (result.ok()) {
+    mOnNews();
+  } else {
+    mViewPoke.Now();
+  }
+}
+
+void TaskControl::PerformOne(const CallThrottle& aCall)
+{
+  const absl::Status result = mWorker.Throttle(aCall.mKey, aCall.mFraction);
+  const std::lock_guard lock(mMutex);
+  mTable.ThrottleDone(aCall.mKey, aCall.mFraction, result, MonotonicNow());
+}
+
+void TaskControl::PerformOne(const CallAcknowledge& aCall)
+{
+  const absl::Status result = mWorker.Acknowledge(aCall.mKeys);
+  const std::lock_guard lock(mMutex);
+  mTable.AcknowledgeDone(aCall.mKeys, result, MonotonicNow());
+}
+
+void TaskControl::PerformOne(const CallRenew& aCall)
+{
+  if (!mWorker.Renew(aCall.mKeys, aCall.mLease).ok()) {
+    mWorkerErrors.Increment();
+  }
+}
+
+void TaskControl::GiveBack(const WorkerCall& aCall)
+{
+  const absl::Status late =
+    WithVerdict(absl::AbortedError("decided too long ago"), Verdict::NotRun);
+  const Instant now = MonotonicNow();
+  const std::lock_guard lock(mMutex);
+  if (const auto* const start = std::get_if<CallStart>(&aCall)) {
+    mTable.StartDone(start->mStart.mKey, late, now);
+  } else if (const auto* const stop = std::get_if<CallStop>(&aCall)) {
+    mTable.StopDone(stop->mKey, late, now);
+  } else if (const auto* const write = std::get_if<CallCheckpoint>(&aCall)) {
+    mTable.CheckpointDone(write->mKey, late, now);
+  } else if (const auto* const slow = std::get_if<CallThrottle>(&aCall)) {
+    mTable.ThrottleDone(slow->mKey, slow->mFraction, late, now);
+  } else if (const auto* const known = std::get_if<CallAcknowledge>(&aCall)) {
+    mTable.AcknowledgeDone(known->mKeys, late, now);
+  }
+}
+
+} // namespace foxtailbarrow
