--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -11,6 +11,7 @@
 #include "src/platform/store/CountingStore.h"
 #include "src/platform/store/EtcdStore.h"
 #include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
 
 namespace foxtailbarrow::entry {
 
@@ -86,9 +87,14 @@
   mStore = std::make_unique<CountingStore>(*mPlainStore);
   mContext = std::make_unique<ControlContext>(
     ControlContext{ mSettings.mId, mControlRuntime, *mStore, mRpc, mMetrics });
-  mJobs = std::make_unique<JobDriver>(*mContext, [this](ShardId aShard) {
-    return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
-  });
+  mJobs = std::make_unique<JobDriver>(
+    *mContext,
+    [this](ShardId aShard) {
+      return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
+    },
+    [this](ShardId aShard) {
+      return mOwnership->Logic().MayReassign(aShard, MonotonicNow());
+    });
   const EntryRecord self{
     mSettings.mId, IncarnationNow(), ControlEndpoint(), 0
   };
@@ -135,6 +141,7 @@
     mMetrics);
   mAdmin =
     std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
+  AddProcessMetrics(mMetrics);
   AddContributors();
   AddMethods();
   AddStatePages();
@@ -221,6 +228,9 @@
   if (mFeed->AsOf() == 0) {
     return absl::UnavailableError("no configuration read yet");
   }
+  if (mAgents->Directory().IsFirstView(MonotonicNow())) {
+    return absl::UnavailableError("agents are not known yet");
+  }
   return absl::OkStatus();
 }
 
--- a/src/core/job/JobSchedulerAdvance.cpp
+++ b/src/core/job/JobSchedulerAdvance.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "src/core/job/JobScheduler.h"
 #include "src/core/job/JobTransitions.h"
@@ -8,6 +9,8 @@
 
 void JobScheduler::Advance(JobEntry& aEntry, Turn& aTurn)
 {
+  // Whatever else is due takes the job off the queue.
+  const ReadyQueue::Ticket ticket = std::exchange(aEntry.mTicket, 0);
   if (WaitsForStore(aEntry, aTurn)) {
     return;
   }
@@ -23,7 +26,7 @@
   if (aEntry.IsAssigned() && AdvanceAssigned(aEntry, aTurn)) {
     return;
   }
-  AdvanceIdle(aEntry, aTurn);
+  AdvanceIdle(aEntry, ticket, aTurn);
 }
 
 bool JobScheduler::WaitsForStore(JobEntry& aEntry, Turn& aTurn)
@@ -45,6 +48,10 @@
 
 void JobScheduler::AdvanceEnd(JobEntry& aEntry, Turn& aTurn)
 {
+  if (!aEntry.mJudged) {
+    Judge(aEntry, aTurn);
+    aEntry.mJudged = true;
+  }
   JobRecord record = aEntry.Record();
   record.mCancelRequested = aEntry.CancelPending();
   if (aEntry.mEnd->mState == TaskState::Failed) {
@@ -87,7 +94,10 @@
       Commit(aEntry, std::move(marked), aTurn);
       return true;
     }
-    SendOwedStop(aEntry, aTurn);
+    SendOwedControl(aEntry, TaskAction::Stop, Reason::CancelRequested, aTurn);
+    wake = std::min(wake, aEntry.mResendAt);
+  } else if (aEntry.mEvictReason != Reason::None) {
+    SendOwedControl(aEntry, TaskAction::Evict, aEntry.mEvictReason, aTurn);
     wake = std::min(wake, aEntry.mResendAt);
   } else if (aEntry.mAnswerLost) {
     SendOwedAssign(aEntry, aTurn);
@@ -99,6 +109,9 @@
 
 Instant JobScheduler::LapsedAt(const JobEntry& aEntry) const
 {
+  if (aEntry.mInherited && !mShards.at(aEntry.mShard).mCleared) {
+    return Instant::max();
+  }
   const auto slot = mBooks.Workers().SlotOf(*aEntry.Record().mAgent);
   return slot ? mBounds.LapsedAt(*slot, aEntry.mLease)
               : mBounds.LapsedUnheard(aEntry.mLease);
@@ -113,8 +126,10 @@
   Note(aEntry, aReason, aTurn);
 }
 
-/// The job runs nowhere.
-void JobScheduler::AdvanceIdle(JobEntry& aEntry, Turn& aTurn)
+/// The job runs nowhere. It keeps the place in the queue that it had.
+void JobScheduler::AdvanceIdle(JobEntry& aEntry,
+                               ReadyQueue::Ticket aTicket,
+                               Turn& aTurn)
 {
   if (aEntry.CancelPending()) {
     Commit(aEntry, Cancelled(aEntry.Record()), aTurn);
@@ -131,7 +146,8 @@
   if (aEntry.mWaitingSince == Instant{}) {
     aEntry.mWaitingSince = aTurn.mNow;
   }
-  if (aEntry.mTicket == 0) {
+  aEntry.mTicket = aTicket;
+  if (aTicket == 0) {
     const JobSpec& spec = aEntry.Spec();
     aEntry.mTicket = mReady.Push(spec.mCustomer, spec.mPriority, spec.mId);
   }
@@ -140,8 +156,8 @@
 void JobScheduler::AdvanceParked(JobEntry& aEntry, Turn& aTurn)
 {
   const JobSpec& spec = aEntry.Spec();
-  const bool fits = mBooks.Workers().FitsSomewhereEmpty(spec.mDeclared) &&
-                    mBooks.Quotas().CanEverRun(spec.mCustomer, spec.mDeclared);
+  const bool fits = mBooks.Workers().FitsSomewhereEmpty(SizeOf(aEntry)) &&
+                    mBooks.Quotas().CanEverRun(spec.mCustomer, SizeOf(aEntry));
   if (fits) {
     Commit(aEntry, Requeued(aEntry.Record(), Reason::None), aTurn);
     return;
--- a/src/core/job/JobSchedulerCommit.cpp
+++ b/src/core/job/JobSchedulerCommit.cpp
@@ -11,9 +11,13 @@
 {
   mBooks.Release(aEntry);
   aEntry.mEnd.reset();
+  aEntry.mJudged = false;
+  aEntry.mEvictReason = Reason::None;
+  aEntry.mHeldFor.reset();
   aEntry.mAnswerDue = false;
   aEntry.mAnswerLost = false;
   aEntry.mWhereabouts = Whereabouts::Unconfirmed;
+  aEntry.mInherited = aEntry.IsAssigned();
   if (aEntry.IsAssigned()) {
     // Whoever assigned it did so before now, on a lease that it held.
     aEntry.mLease = { aTurn.mNow + mSettings.mTaskLease, Instant{} };
@@ -134,7 +138,7 @@
                                          generation,
                                          pending.mNext,
                                          aEntry.mStored.mRevision });
-  aEntry.mCommit = std::move(pending);
+  aEntry.mCommit = std::make_unique<PendingCommit>(std::move(pending));
   mCommits.emplace(token, aEntry.Spec().mId);
   ++mCounters.mCommits;
 }
@@ -179,6 +183,7 @@
   mCommits.erase(aEntry.mCommit->mToken);
   if (aEntry.mCommit->mPlaces) {
     mBooks.Release(aEntry);
+    aEntry.mHeldFor.reset();
   }
   aEntry.mCommit.reset();
 }
@@ -196,11 +201,16 @@
   if (done.mPlaces) {
     ++mCounters.mPlaced;
     aEntry.mWhereabouts = Whereabouts::Unsent;
+    aEntry.mInherited = false;
     aEntry.mLease = {};
     aEntry.mWaitingSince = Instant{};
     aEntry.mResendAt = Instant{};
     aEntry.mAnswerDue = false;
     aEntry.mAnswerLost = false;
+    aEntry.mPeak = {};
+    aEntry.mStartedAt = Instant{};
+    aEntry.mEvictReason = Reason::None;
+    aEntry.mHeldFor.reset();
   } else if (aEntry.IsAssigned()) {
     aEntry.mResendAt = Instant{}; // A stop is due now.
   } else {
@@ -209,6 +219,7 @@
   }
   if (done.mEnded) {
     aEntry.mEnd.reset();
+    aEntry.mJudged = false;
     aTurn.mActions.push_back(
       AcknowledgeTasks{ *aEntry.Record().mAgent, { *done.mEnded } });
   }
