--- a/apps/entry/ContractFeed.cpp
+++ b/apps/entry/ContractFeed.cpp
@@ -44,6 +44,9 @@
     return;
   }
   Take(mSource.ApplyListing(*listing));
+  if (mTable.Load()->mAsOf == 0) {
+    Publish(); // The store may hold none.
+  }
   const absl::Status ended =
     mContext.mStore.Watch(kContractPrefix,
                           listing->mRevision,
@@ -82,6 +85,7 @@
   const auto view = mSource.View();
   const auto former = mTable.Load();
   auto table = std::make_shared<ContractTable>();
+  table->mAsOf = mSource.AsOf();
   for (const auto& record : view->ByRevision()) {
     if (record->mContract == nullptr) {
       continue;
--- a/apps/entry/ContractTable.h
+++ b/apps/entry/ContractTable.h
@@ -21,6 +21,8 @@
 /// the admission counts.
 struct ContractTable
 {
+  /// Revision of the store at which it was complete; 0 = not read yet.
+  Revision mAsOf = 0;
   absl::flat_hash_map<CustomerId, CustomerState> mCustomers;
 
   /// Null when the customer has no contract.
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -158,6 +158,8 @@
   mAdmin =
     std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
   AddProcessMetrics(mMetrics);
+  AddStoreMetrics();
+  AddJobMetrics();
   AddContributors();
   AddMethods();
   AddStatePages();
@@ -169,6 +171,50 @@
   mReady = true;
 }
 
+void EntryProcess::AddStoreMetrics()
+{
+  for (std::size_t kind = 0; kind < kStoreCallKinds; ++kind) {
+    const auto call = static_cast<StoreCall>(kind);
+    mMetrics.SampledGauge("store_calls",
+                          "Calls to the platform's store since the start",
+                          [this, call] {
+                            return static_cast<double>(
+                              mStore->Counts().Count(call));
+                          },
+                          { { "kind", std::string(ToString(call)) } });
+  }
+}
+
+void EntryProcess::AddJobMetrics()
+{
+  using Counter = std::uint64_t JobCounters::*;
+  constexpr std::pair<const char*, Counter> kCounters[] = {
+    { "placed", &JobCounters::mPlaced },
+    { "granted", &JobCounters::mGranted },
+    { "refused", &JobCounters::mRefused },
+    { "lapsed", &JobCounters::mLapsed },
+    { "finished", &JobCounters::mFinished },
+    { "failed", &JobCounters::mFailed },
+    { "failed-attempts", &JobCounters::mFailedAttempts },
+    { "cancelled", &JobCounters::mCancelled },
+    { "evicted", &JobCounters::mEvicted },
+    { "parked", &JobCounters::mParked },
+    { "disowned", &JobCounters::mDisowned },
+    { "commits", &JobCounters::mCommits },
+    { "conflicts", &JobCounters::mConflicts },
+    { "lost-commits", &JobCounters::mLostCommits },
+  };
+  for (const auto& [what, counter] : kCounters) {
+    mMetrics.SampledGauge(
+      "job_events",
+      "What became of jobs and their records since the start",
+      [this, counter = counter] {
+        return static_cast<double>(mJobs->Logic().Counters().*counter);
+      },
+      { { "what", what } });
+  }
+}
+
 void EntryProcess::AddContributors()
 {
   mAgents->AddContributor(
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -15,6 +15,7 @@
 #include "apps/entry/RequestProxy.h"
 #include "apps/entry/ShareDriver.h"
 #include "src/net/HttpServer.h"
+#include "src/platform/store/CountingStore.h"
 #include "src/telemetry/AdminPages.h"
 #include "src/telemetry/Metrics.h"
 #include "src/telemetry/StateDump.h"
@@ -41,6 +42,8 @@
 
 private:
   void MakeParts();
+  void AddStoreMetrics();
+  void AddJobMetrics();
   void AddContributors();
   void AddMethods();
   void AddStatePages();
@@ -61,7 +64,7 @@
   net::RpcClient mRpc;
   net::RpcDispatcher mDispatcher;
   std::unique_ptr<Store> mPlainStore;
-  std::unique_ptr<Store> mStore;
+  std::unique_ptr<CountingStore> mStore;
   std::unique_ptr<ControlContext> mContext;
   std::unique_ptr<JobDriver> mJobs;
   std::unique_ptr<OwnershipDriver> mOwnership;
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr unsigned kFirstServerError = 500;
+constexpr Duration kStartingRetryAfter = std::chrono::seconds(2);
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnprocessable = 422;
 
@@ -74,6 +75,21 @@
           aAttempt.mResponse->mStatus == kUnprocessable);
 }
 
+Refusal NoContract(const ContractTable& aContracts)
+{
+  Refusal refusal;
+  refusal.mReason = Reason::NoContract;
+  if (aContracts.mAsOf == 0) {
+    refusal.mStatus = 503;
+    refusal.mRetryAfter = kStartingRetryAfter;
+    refusal.mMessage = "the entry has not read the contracts yet";
+    return refusal;
+  }
+  refusal.mStatus = 403;
+  refusal.mMessage = "no contract of this customer is in force";
+  return refusal;
+}
+
 Refusal RefusalOf(const GiveUp& aGiveUp)
 {
   const bool notRun = aGiveUp.mVerdict == Verdict::NotRun;
@@ -126,12 +142,9 @@
   const auto& caller = std::get<CallerRequest>(read);
   const auto contracts = mContracts.Load();
   const CustomerState* customer = contracts->Find(caller.mCustomer);
-  net::HttpResponse response =
-    customer != nullptr
-      ? Admitted(aRequest, caller, *customer)
-      : Refuse({ .mStatus = 403,
-                 .mReason = Reason::NoContract,
-                 .mMessage = "no contract of this customer is in force" });
+  net::HttpResponse response = customer != nullptr
+                                 ? Admitted(aRequest, caller, *customer)
+                                 : Refuse(NoContract(*contracts));
   response.mHeaders.Set(kRequestIdHeader, caller.mId.Value());
   return response;
 }
--- a/src/core/job/JobSchedulerAgents.cpp
+++ b/src/core/job/JobSchedulerAgents.cpp
@@ -152,6 +152,9 @@
   assign.mTask.mCheckpoint = aEntry.Record().mCheckpoint;
   assign.mTask.mLease = mSettings.mTaskLease;
   assign.mUrgent = spec.mPriority == JobPriority::Urgent;
+  if (const Contract* contract = mBooks.Quotas().Find(spec.mCustomer)) {
+    assign.mSharePerWorker = contract->mBatch.mSharePerWorker;
+  }
   assign.mIncarnation = basis.mIncarnation;
   assign.mSequence = basis.mSequence;
   aTurn.mActions.push_back(
