--- a/apps/entry/JobHints.cpp
+++ b/apps/entry/JobHints.cpp
@@ -48,7 +48,7 @@
   mContext.mRuntime.Spawn([this, aHint] { Deliver(aHint); });
 }
 
-void JobHints::Deliver(JobChanged aHint)
+void JobHints::Deliver(const JobChanged& aHint)
 {
   while (!TryDeliver(aHint)) {
     if (MonotonicNow() > mPending[aHint.mJob]) {
--- a/apps/entry/JobHints.h
+++ b/apps/entry/JobHints.h
@@ -29,7 +29,7 @@
   std::size_t Pending() const { return mPending.size(); }
 
 private:
-  void Deliver(JobChanged aHint);
+  void Deliver(const JobChanged& aHint);
   bool TryDeliver(const JobChanged& aHint);
 
   ControlContext& mContext;
--- a/apps/entry/JobSubmission.cpp
+++ b/apps/entry/JobSubmission.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxSubmissionBytes = 64 * 1024;
+constexpr std::size_t kMaxSubmissionBytes = std::size_t{ 64 } * 1024;
 
 std::string Hex(std::uint64_t aHigh, std::uint64_t aLow)
 {
--- a/include/foxtailbarrow/Endpoint.h
+++ b/include/foxtailbarrow/Endpoint.h
@@ -14,6 +14,7 @@
   std::string mAddress; ///< IPv4 number, for example "127.0.0.1".
   std::uint16_t mPort = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false positive of clang-tidy 14.
   auto operator<=>(const Endpoint&) const = default;
 
   template<typename H>
--- a/src/net/TypedRpc.h
+++ b/src/net/TypedRpc.h
@@ -18,7 +18,9 @@
 /// or an absl::StatusOr of one. Bad params never reach the handler: the caller
 /// is told that nothing ran.
 template<typename Request, typename Handler>
-void AddTyped(RpcDispatcher& aDispatcher, std::string aName, Handler aHandler)
+void AddTyped(RpcDispatcher& aDispatcher,
+              std::string_view aName,
+              Handler aHandler)
 {
   aDispatcher.Add(std::move(aName),
                   [handler = std::move(aHandler)](
