Keep the promise alive while it is set; judge silence by learned intervals

Cause: an entry ended by SIGSEGV in boost's condition_variable_any::notify_all under rolling restarts with a slow store: RunOn's promise lay on the caller's stack, and the caller, on another thread, went on and destroyed it while set_value() still worked on it. Ruled out: SIGPIPE, an exception (nothing on standard error), SlotWait of the agent (it is shared already). Change: the other fiber owns the promise.

--- a/apps/entry/AgentDesk.cpp
+++ b/apps/entry/AgentDesk.cpp
@@ -1,5 +1,6 @@
 #include "apps/entry/AgentDesk.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
@@ -75,6 +76,17 @@
   mTable.Publish(LimitCopies(mWhole, mAllowances));
 }
 
+Duration AgentDesk::LongestInterval() const
+{
+  Duration longest{};
+  for (const AgentRecord* record : mDirectory.Agents()) {
+    if (record->mPhase == AgentPhase::Serving) {
+      longest = std::max(longest, record->mInterval);
+    }
+  }
+  return longest;
+}
+
 void AgentDesk::EvaluateHealth(Instant aNow)
 {
   if (aNow - mEvaluatedAt < kEvaluateInterval) {
--- a/apps/entry/AgentDesk.h
+++ b/apps/entry/AgentDesk.h
@@ -35,6 +35,9 @@
   /// its contract allows.
   void SetAllowances(std::vector<CopyAllowance> aAllowances);
 
+  /// Longest interval at which a serving agent sends heartbeats, as learned.
+  Duration LongestInterval() const;
+
   /// Starts the fiber that notices silent agents.
   void Start();
 
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include <boost/fiber/operations.hpp>
+
 #include "apps/entry/Answers.h"
 #include "apps/entry/RunOn.h"
 #include "apps/entry/StateViews.h"
@@ -19,6 +21,7 @@
 namespace {
 
 constexpr unsigned kControlThreads = 1;
+constexpr Duration kIntervalPoll = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 /// While the store is away the shards cannot be given back; their next owners
 /// then wait out this entry's tenure.
@@ -168,6 +171,12 @@
   mOwnership->Start();
   mShareDriver->Start();
   mJobs->Start();
+  mControlRuntime.Spawn([this] {
+    while (true) {
+      mJobs->ExpectInterval(mAgents->LongestInterval());
+      boost::this_fiber::sleep_for(kIntervalPoll);
+    }
+  });
   mReady = true;
 }
 
--- a/apps/entry/JobDriver.h
+++ b/apps/entry/JobDriver.h
@@ -55,6 +55,9 @@
   /// Gives the heartbeat to the scheduler and returns what its reply carries.
   TaskReplies OnHeartbeat(const Heartbeat& aHeartbeat);
 
+  /// See JobScheduler::ExpectInterval().
+  void ExpectInterval(Duration aInterval) { mLogic.ExpectInterval(aInterval); }
+
   const JobScheduler& Logic() const { return mLogic; }
 
 private:
--- a/apps/entry/RunOn.h
+++ b/apps/entry/RunOn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <utility>
 
 #include <boost/fiber/future/promise.hpp>
@@ -10,14 +11,18 @@
 
 /// Runs `aBody` in a fiber of another runtime and suspends the calling fiber
 /// until its result is there.
+///
+/// The other fiber owns the promise: it still works on the shared state when
+/// the caller, on another thread, already goes on.
 template<typename Body>
 auto RunOn(net::FiberRuntime& aRuntime, Body aBody)
 {
   using Result = decltype(aBody());
-  boost::fibers::promise<Result> promise;
-  auto future = promise.get_future();
-  aRuntime.Spawn(
-    [&promise, &aBody] { promise.set_value(std::as_const(aBody)()); });
+  auto promise = std::make_shared<boost::fibers::promise<Result>>();
+  auto future = promise->get_future();
+  aRuntime.Spawn([promise = std::move(promise), &aBody] {
+    promise->set_value(std::as_const(aBody)());
+  });
   return future.get();
 }
 
--- a/src/core/job/JobScheduler.cpp
+++ b/src/core/job/JobScheduler.cpp
@@ -9,12 +9,26 @@
 
 namespace foxtailbarrow {
 
+namespace {
+
+/// Heartbeats that a worker may miss before nothing is placed on it.
+constexpr int kSuspectIntervals = 4;
+
+} // namespace
+
 JobScheduler::JobScheduler(const JobSchedulerSettings& aSettings)
   : mSettings(aSettings)
+  , mSuspectAfter(aSettings.mSuspectAfter)
   , mBounds(aSettings.mTaskLease, aSettings.mLeaseMargin)
 {
 }
 
+void JobScheduler::ExpectInterval(Duration aInterval)
+{
+  mSuspectAfter =
+    std::max(mSettings.mSuspectAfter, aInterval * kSuspectIntervals);
+}
+
 JobScheduler::Actions JobScheduler::Handle(const JobEvent& aEvent,
                                            Instant aNow,
                                            absl::BitGenRef aRandom)
@@ -104,7 +118,7 @@
 
 void JobScheduler::On(const Tick&, Turn& aTurn)
 {
-  mBooks.Workers().Sweep(aTurn.mNow, mSettings.mSuspectAfter);
+  mBooks.Workers().Sweep(aTurn.mNow, mSuspectAfter);
   for (const WorkerSlot slot : mJudge.Readmitted(aTurn.mNow)) {
     mBooks.Workers().SetQuarantined(slot, false);
   }
--- a/src/core/job/JobScheduler.h
+++ b/src/core/job/JobScheduler.h
@@ -51,6 +51,10 @@
   /// `aNow` must not go back from one call to the next.
   Actions Handle(const JobEvent& aEvent, Instant aNow, absl::BitGenRef aRandom);
 
+  /// The interval at which agents now send heartbeats: a worker counts as
+  /// suspect after several, never earlier than the setting says.
+  void ExpectInterval(Duration aInterval);
+
   /// The record as last known to be stored; nullptr for jobs of other owners
   /// and for those that ended a while ago.
   const JobRecord* Find(const JobId& aJob) const;
@@ -184,6 +188,7 @@
                    Turn& aTurn) const;
 
   JobSchedulerSettings mSettings;
+  Duration mSuspectAfter;
   absl::flat_hash_map<ShardId, OwnedShard> mShards;
   JobTable mTable;
   JobBooks mBooks;
--- a/src/core/job/JobSchedulerAgents.cpp
+++ b/src/core/job/JobSchedulerAgents.cpp
@@ -129,7 +129,7 @@
   // one runs on the machine that this one replaced.
   const bool sameAgent = first || basis.mIncarnation == aEntry.mSentTo;
   const bool fresh = basis.mValid && basis.mReceived >= shard.mAcquiredAt &&
-                     aTurn.mNow < basis.mReceived + mSettings.mSuspectAfter;
+                     aTurn.mNow < basis.mReceived + mSuspectAfter;
   if (!sameAgent || !fresh) {
     aEntry.mResendAt = aTurn.mNow + mSettings.mResendAfter / 10;
     mTable.Wake(aEntry, aEntry.mResendAt);
--- a/src/net/TypedRpc.h
+++ b/src/net/TypedRpc.h
@@ -22,7 +22,7 @@
               std::string_view aName,
               Handler aHandler)
 {
-  aDispatcher.Add(std::move(aName),
+  aDispatcher.Add(std::string(aName),
                   [handler = std::move(aHandler)](
                     const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
                     absl::StatusOr<Request> request =
--- a/tests/job/JobSchedulerTest.cpp
+++ b/tests/job/JobSchedulerTest.cpp
@@ -313,6 +313,29 @@
   EXPECT_GE(commits.front().mRecord.mEpoch, 4U);
 }
 
+struct SilenceCase
+{
+  Duration mInterval;
+  bool mPlaced;
+};
+
+class JobSchedulerSilence
+  : public JobSchedulerTest
+  , public testing::WithParamInterface<SilenceCase>
+{};
+
+TEST_P(JobSchedulerSilence, IsJudgedByTheIntervalOfHeartbeats)
+{
+  mScheduler.ExpectInterval(GetParam().mInterval);
+  mNow += 10s;
+  EXPECT_EQ(!Only<CommitRecord>(Tell(Tick{})).empty(), GetParam().mPlaced);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         JobSchedulerSilence,
+                         testing::Values(SilenceCase{ 1s, false },
+                                         SilenceCase{ 4s, true }));
+
 TEST_F(JobSchedulerTest, DisownsATaskOfAnEarlierEpoch)
 {
   Start();
