--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -9,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "apps/entry/Answers.h"
+#include "apps/entry/EntryMetrics.h"
 #include "apps/entry/RunOn.h"
 #include "apps/entry/StateViews.h"
 #include "src/platform/store/CountingStore.h"
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr unsigned kControlThreads = 1;
+constexpr int kExitSuperseded = 1;
 constexpr Duration kIntervalPoll = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 /// While the store is away the shards cannot be given back; their next owners
@@ -105,21 +107,32 @@
   mStore = std::make_unique<CountingStore>(*mPlainStore);
   mContext = std::make_unique<ControlContext>(
     ControlContext{ mSettings.mId, mControlRuntime, *mStore, mRpc, mMetrics });
-  mJobs = std::make_unique<JobDriver>(
-    *mContext,
-    [this](ShardId aShard) {
-      return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
-    },
-    [this](ShardId aShard) {
-      return mOwnership->Logic().MayReassign(aShard, MonotonicNow());
-    });
   const EntryRecord self{
     mSettings.mId, IncarnationNow(), ControlEndpoint(), 0
   };
+  MakeOwnership(self);
+  MakeShares({ self.mEntry, self.mIncarnation });
+  MakeJobs();
+  mAgents = std::make_unique<AgentDesk>(*mContext, mRouting);
+  MakeRequestPath();
+  mAdmin =
+    std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
+  AddProcessMetrics(mMetrics);
+  AddStoreMetrics(mMetrics, mStore->Counts());
+  AddJobMetrics(mMetrics, mJobs->Logic());
+  AddContributors();
+  AddMethods();
+  AddStatePages();
+  StartParts();
+  mReady = true;
+}
+
+void EntryProcess::MakeOwnership(const EntryRecord& aSelf)
+{
   mOwnership = std::make_unique<OwnershipDriver>(
     *mContext,
     OwnershipSettingsOf(mSettings),
-    self,
+    aSelf,
     OwnershipDriver::Callbacks{
       .mGained =
         [this](ShardId aShard, Generation aGeneration) {
@@ -127,28 +140,43 @@
         },
       .mGivenUp = [this](ShardId aShard) { mJobs->DropShard(aShard); },
       .mCleared = [this](ShardId aShard) { mJobs->ClearShard(aShard); },
-      .mSuperseded = [] { std::quick_exit(1); },
+      .mSuperseded = [] { std::quick_exit(kExitSuperseded); },
       .mDrained = [this] { mLeft = true; } });
-  ShareSettings shares;
-  shares.mSlots = static_cast<std::int32_t>(mSettings.mShareSlots);
-  mShareDriver =
-    std::make_unique<ShareDriver>(*mContext,
-                                  shares,
-                                  ShareOwner{ self.mEntry, self.mIncarnation },
-                                  mOwnership->Logic(),
-                                  mShares);
-  mFeed = std::make_unique<ContractFeed>(
-    *mContext, mContracts, [this](const ContractFeed::Change& aChange) {
-      mJobs->Handle(ContractsChanged{ aChange.mChanged, aChange.mRemoved });
-      mAgents->SetAllowances(AllowancesOf(*mContracts.Load()));
+}
+
+void EntryProcess::MakeShares(const ShareOwner& aSelf)
+{
+  ShareSettings settings;
+  settings.mSlots = static_cast<std::int32_t>(mSettings.mShareSlots);
+  mShareDriver = std::make_unique<ShareDriver>(
+    *mContext, settings, aSelf, mOwnership->Logic(), mShares);
+}
+
+void EntryProcess::MakeJobs()
+{
+  mJobs = std::make_unique<JobDriver>(
+    *mContext,
+    [this](ShardId aShard) {
+      return mOwnership->Logic().MayExtend(aShard, MonotonicNow());
+    },
+    [this](ShardId aShard) {
+      return mOwnership->Logic().MayReassign(aShard, MonotonicNow());
     });
-  mAgents = std::make_unique<AgentDesk>(*mContext, mRouting);
   mJobPages = std::make_unique<JobPages>(
     *mContext,
     *mOwnership,
     *mJobs,
     mSettings.mShards,
     [this](const CustomerId& aCustomer) { return mFeed->Has(aCustomer); });
+}
+
+void EntryProcess::MakeRequestPath()
+{
+  mFeed = std::make_unique<ContractFeed>(
+    *mContext, mContracts, [this](const ContractFeed::Change& aChange) {
+      mJobs->Handle(ContractsChanged{ aChange.mChanged, aChange.mRemoved });
+      mAgents->SetAllowances(AllowancesOf(*mContracts.Load()));
+    });
   mProxy = std::make_unique<RequestProxy>(
     mRouting,
     mContracts,
@@ -158,14 +186,10 @@
     DeadlineLimits{ mSettings.mDefaultDeadline, mSettings.mMaxDeadline },
     mRequestClient,
     mMetrics);
-  mAdmin =
-    std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
-  AddProcessMetrics(mMetrics);
-  AddStoreMetrics();
-  AddJobMetrics();
-  AddContributors();
-  AddMethods();
-  AddStatePages();
+}
+
+void EntryProcess::StartParts()
+{
   mFeed->Start();
   mAgents->Start();
   mOwnership->Start();
@@ -177,51 +201,6 @@
       boost::this_fiber::sleep_for(kIntervalPoll);
     }
   });
-  mReady = true;
-}
-
-void EntryProcess::AddStoreMetrics()
-{
-  for (std::size_t kind = 0; kind < kStoreCallKinds; ++kind) {
-    const auto call = static_cast<StoreCall>(kind);
-    mMetrics.SampledGauge("store_calls",
-                          "Calls to the platform's store since the start",
-                          [this, call] {
-                            return static_cast<double>(
-                              mStore->Counts().Count(call));
-                          },
-                          { { "kind", std::string(ToString(call)) } });
-  }
-}
-
-void EntryProcess::AddJobMetrics()
-{
-  using Counter = std::uint64_t JobCounters::*;
-  constexpr std::pair<const char*, Counter> kCounters[] = {
-    { "placed", &JobCounters::mPlaced },
-    { "granted", &JobCounters::mGranted },
-    { "refused", &JobCounters::mRefused },
-    { "lapsed", &JobCounters::mLapsed },
-    { "finished", &JobCounters::mFinished },
-    { "failed", &JobCounters::mFailed },
-    { "failed-attempts", &JobCounters::mFailedAttempts },
-    { "cancelled", &JobCounters::mCancelled },
-    { "evicted", &JobCounters::mEvicted },
-    { "parked", &JobCounters::mParked },
-    { "disowned", &JobCounters::mDisowned },
-    { "commits", &JobCounters::mCommits },
-    { "conflicts", &JobCounters::mConflicts },
-    { "lost-commits", &JobCounters::mLostCommits },
-  };
-  for (const auto& [what, counter] : kCounters) {
-    mMetrics.SampledGauge(
-      "job_events",
-      "What became of jobs and their records since the start",
-      [this, counter = counter] {
-        return static_cast<double>(mJobs->Logic().Counters().*counter);
-      },
-      { { "what", what } });
-  }
 }
 
 void EntryProcess::AddContributors()
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -42,8 +42,11 @@
 
 private:
   void MakeParts();
-  void AddStoreMetrics();
-  void AddJobMetrics();
+  void MakeOwnership(const EntryRecord& aSelf);
+  void MakeShares(const ShareOwner& aSelf);
+  void MakeJobs();
+  void MakeRequestPath();
+  void StartParts();
   void AddContributors();
   void AddMethods();
   void AddStatePages();
