--- a/apps/entry/JobPages.cpp
+++ b/apps/entry/JobPages.cpp
@@ -22,8 +22,6 @@
 
 constexpr std::string_view kJobsTarget = "/foxtailbarrow/v1/jobs";
 constexpr std::string_view kExplainSuffix = "/explain";
-constexpr char kExplainMethod[] = "entry.explainJob";
-constexpr char kListMethod[] = "entry.listJobs";
 constexpr Duration kPeerTimeout = std::chrono::seconds(2);
 constexpr Duration kStoreRetryAfter = std::chrono::seconds(2);
 
@@ -95,14 +93,14 @@
                          Verdict::NotRun);
     });
   aDispatcher.Add(
-    kExplainMethod,
+    kExplainJobMethod,
     [this](const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
       if (!aParams["job"].isString()) {
         return absl::InvalidArgumentError("job: allowed text");
       }
       return ExplainHere(JobId(aParams["job"].asString()));
     });
-  aDispatcher.Add(kListMethod,
+  aDispatcher.Add(kListJobsMethod,
                   [this](const Json::Value&) -> absl::StatusOr<Json::Value> {
                     Json::Value result(Json::objectValue);
                     result["jobs"] = ListHere();
@@ -200,7 +198,7 @@
     Json::Value params(Json::objectValue);
     params["job"] = aJob.Value();
     const auto reply =
-      mContext.mRpc.Call(*owner, kExplainMethod, params, kPeerTimeout);
+      mContext.mRpc.Call(*owner, kExplainJobMethod, params, kPeerTimeout);
     if (!reply.ok()) {
       return StoreAway(Verdict::NotRun);
     }
@@ -232,7 +230,7 @@
       continue;
     }
     const auto reply = mContext.mRpc.Call(peer.mRecord.mEndpoint,
-                                          kListMethod,
+                                          kListJobsMethod,
                                           Json::Value(Json::objectValue),
                                           kPeerTimeout);
     if (reply.ok()) {
--- a/apps/entry/OwnershipDriver.cpp
+++ b/apps/entry/OwnershipDriver.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "apps/entry/StoreCalls.h"
+#include "foxtailbarrow/MethodNames.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/message/Codec.h"
 #include "src/net/TypedRpc.h"
@@ -33,11 +34,11 @@
 void OwnershipDriver::AddMethods(net::RpcDispatcher& aDispatcher)
 {
   net::AddTyped<AttestRequest>(
-    aDispatcher, "entry.attest", [this](const AttestRequest& aRequest) {
+    aDispatcher, kAttestMethod, [this](const AttestRequest& aRequest) {
       return mLogic.OnAttest(aRequest, MonotonicNow());
     });
   net::AddTyped<PromiseRequest>(
-    aDispatcher, "entry.promise", [this](const PromiseRequest& aRequest) {
+    aDispatcher, kPromiseMethod, [this](const PromiseRequest& aRequest) {
       return mLogic.OnPromise(aRequest);
     });
 }
@@ -93,26 +94,24 @@
 
 void OwnershipDriver::Run(const SendAttest& aAction)
 {
-  mContext.mRuntime.Spawn([this, aAction] {
-    const auto reply = net::CallTyped<AttestReply>(mContext.mRpc,
-                                                   aAction.mEndpoint,
-                                                   "entry.attest",
-                                                   aAction.mRequest,
-                                                   kPeerTimeout);
-    if (reply.ok()) {
-      Handle(*reply);
-    }
-  });
+  Ask<AttestReply>(aAction, kAttestMethod);
 }
 
 void OwnershipDriver::Run(const SendPromise& aAction)
 {
-  mContext.mRuntime.Spawn([this, aAction] {
-    const auto reply = net::CallTyped<PromiseReply>(mContext.mRpc,
-                                                    aAction.mEndpoint,
-                                                    "entry.promise",
-                                                    aAction.mRequest,
-                                                    kPeerTimeout);
+  Ask<PromiseReply>(aAction, kPromiseMethod);
+}
+
+/// Sends the action's question; only an answer is an event.
+template<typename Reply, typename Action>
+void OwnershipDriver::Ask(const Action& aAction, const char* aMethod)
+{
+  mContext.mRuntime.Spawn([this, aAction, aMethod] {
+    const auto reply = net::CallTyped<Reply>(mContext.mRpc,
+                                             aAction.mEndpoint,
+                                             aMethod,
+                                             aAction.mRequest,
+                                             kPeerTimeout);
     if (reply.ok()) {
       Handle(*reply);
     }
--- a/apps/entry/OwnershipDriver.h
+++ b/apps/entry/OwnershipDriver.h
@@ -51,6 +51,9 @@
   void Run(const Superseded& aAction);
   void Run(const Drained& aAction);
 
+  template<typename Reply, typename Action>
+  void Ask(const Action& aAction, const char* aMethod);
+
   ControlContext& mContext;
   ShardOwnership mLogic;
   Callbacks mCallbacks;
--- a/include/foxtailbarrow/MethodNames.h
+++ b/include/foxtailbarrow/MethodNames.h
@@ -6,6 +6,12 @@
 // At an entry.
 inline constexpr char kHeartbeatMethod[] = "agent.heartbeat";
 inline constexpr char kJobChangedMethod[] = "entry.jobChanged";
+inline constexpr char kExplainJobMethod[] = "entry.explainJob";
+inline constexpr char kListJobsMethod[] = "entry.listJobs";
+
+// At an entry, of other entries; see Ownership.h.
+inline constexpr char kAttestMethod[] = "entry.attest";
+inline constexpr char kPromiseMethod[] = "entry.promise";
 
 // At an agent.
 inline constexpr char kAssignMethod[] = "agent.assign";
