--- a/apps/entry/AgentDesk.cpp
+++ b/apps/entry/AgentDesk.cpp
@@ -1,5 +1,6 @@
 #include "apps/entry/AgentDesk.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
@@ -22,6 +23,7 @@
 AgentDesk::AgentDesk(ControlContext& aContext, Snapshot<RoutingTable>& aTable)
   : mContext(aContext)
   , mTable(aTable)
+  , mWhole(std::make_shared<const RoutingTable>())
   , mHeartbeats(aContext.mMetrics.Counter("heartbeats_total",
                                           "Heartbeats received from agents"))
 {
@@ -68,13 +70,30 @@
   return reply;
 }
 
+void AgentDesk::SetAllowances(std::vector<CopyAllowance> aAllowances)
+{
+  mAllowances = std::move(aAllowances);
+  mTable.Publish(LimitCopies(mWhole, mAllowances));
+}
+
+Duration AgentDesk::LongestInterval() const
+{
+  Duration longest{};
+  for (const AgentRecord* record : mDirectory.Agents()) {
+    if (record->mPhase == AgentPhase::Serving) {
+      longest = std::max(longest, record->mInterval);
+    }
+  }
+  return longest;
+}
+
 void AgentDesk::EvaluateHealth(Instant aNow)
 {
   if (aNow - mEvaluatedAt < kEvaluateInterval) {
     return;
   }
   mEvaluatedAt = aNow;
-  for (const EjectionEvent& event : mDetector.Evaluate(*mTable.Load(), aNow)) {
+  for (const EjectionEvent& event : mDetector.Evaluate(*mWhole, aNow)) {
     LogChange(
       "agent-health",
       { { "agent", event.mAgent }, { "reason", ToString(event.mReason) } });
@@ -90,7 +109,8 @@
                 { "to", ToString(event.mTo) } });
   }
   if (mDirectory.Changed()) {
-    mTable.Publish(mDirectory.Table());
+    mWhole = mDirectory.Table();
+    mTable.Publish(LimitCopies(mWhole, mAllowances));
   }
 }
 
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include <boost/fiber/operations.hpp>
+
 #include "apps/entry/Answers.h"
 #include "apps/entry/RunOn.h"
 #include "apps/entry/StateViews.h"
@@ -19,6 +21,7 @@
 namespace {
 
 constexpr unsigned kControlThreads = 1;
+constexpr Duration kIntervalPoll = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 /// While the store is away the shards cannot be given back; their next owners
 /// then wait out this entry's tenure.
@@ -31,6 +34,17 @@
     std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+std::vector<CopyAllowance> AllowancesOf(const ContractTable& aTable)
+{
+  std::vector<CopyAllowance> allowances;
+  allowances.reserve(aTable.mCustomers.size());
+  for (const auto& [customer, state] : aTable.mCustomers) {
+    allowances.push_back(
+      { customer, state.mContract->mService, state.mContract->mMaxCopies });
+  }
+  return allowances;
+}
+
 OwnershipSettings OwnershipSettingsOf(const EntrySettings& aSettings)
 {
   OwnershipSettings settings;
@@ -126,6 +140,7 @@
   mFeed = std::make_unique<ContractFeed>(
     *mContext, mContracts, [this](const ContractFeed::Change& aChange) {
       mJobs->Handle(ContractsChanged{ aChange.mChanged, aChange.mRemoved });
+      mAgents->SetAllowances(AllowancesOf(*mContracts.Load()));
     });
   mAgents = std::make_unique<AgentDesk>(*mContext, mRouting);
   mJobPages = std::make_unique<JobPages>(
@@ -146,6 +161,8 @@
   mAdmin =
     std::make_unique<AdminPages>(mMetrics, mState, [this] { return Health(); });
   AddProcessMetrics(mMetrics);
+  AddStoreMetrics();
+  AddJobMetrics();
   AddContributors();
   AddMethods();
   AddStatePages();
@@ -154,9 +171,59 @@
   mOwnership->Start();
   mShareDriver->Start();
   mJobs->Start();
+  mControlRuntime.Spawn([this] {
+    while (true) {
+      mJobs->ExpectInterval(mAgents->LongestInterval());
+      boost::this_fiber::sleep_for(kIntervalPoll);
+    }
+  });
   mReady = true;
 }
 
+void EntryProcess::AddStoreMetrics()
+{
+  for (std::size_t kind = 0; kind < kStoreCallKinds; ++kind) {
+    const auto call = static_cast<StoreCall>(kind);
+    mMetrics.SampledGauge("store_calls",
+                          "Calls to the platform's store since the start",
+                          [this, call] {
+                            return static_cast<double>(
+                              mStore->Counts().Count(call));
+                          },
+                          { { "kind", std::string(ToString(call)) } });
+  }
+}
+
+void EntryProcess::AddJobMetrics()
+{
+  using Counter = std::uint64_t JobCounters::*;
+  constexpr std::pair<const char*, Counter> kCounters[] = {
+    { "placed", &JobCounters::mPlaced },
+    { "granted", &JobCounters::mGranted },
+    { "refused", &JobCounters::mRefused },
+    { "lapsed", &JobCounters::mLapsed },
+    { "finished", &JobCounters::mFinished },
+    { "failed", &JobCounters::mFailed },
+    { "failed-attempts", &JobCounters::mFailedAttempts },
+    { "cancelled", &JobCounters::mCancelled },
+    { "evicted", &JobCounters::mEvicted },
+    { "parked", &JobCounters::mParked },
+    { "disowned", &JobCounters::mDisowned },
+    { "commits", &JobCounters::mCommits },
+    { "conflicts", &JobCounters::mConflicts },
+    { "lost-commits", &JobCounters::mLostCommits },
+  };
+  for (const auto& [what, counter] : kCounters) {
+    mMetrics.SampledGauge(
+      "job_events",
+      "What became of jobs and their records since the start",
+      [this, counter = counter] {
+        return static_cast<double>(mJobs->Logic().Counters().*counter);
+      },
+      { { "what", what } });
+  }
+}
+
 void EntryProcess::AddContributors()
 {
   mAgents->AddContributor(
--- a/apps/entry/RequestProxy.cpp
+++ b/apps/entry/RequestProxy.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr unsigned kFirstServerError = 500;
+constexpr Duration kStartingRetryAfter = std::chrono::seconds(2);
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnprocessable = 422;
 
@@ -74,6 +75,21 @@
           aAttempt.mResponse->mStatus == kUnprocessable);
 }
 
+Refusal NoContract(const ContractTable& aContracts)
+{
+  Refusal refusal;
+  refusal.mReason = Reason::NoContract;
+  if (aContracts.mAsOf == 0) {
+    refusal.mStatus = 503;
+    refusal.mRetryAfter = kStartingRetryAfter;
+    refusal.mMessage = "the entry has not read the contracts yet";
+    return refusal;
+  }
+  refusal.mStatus = 403;
+  refusal.mMessage = "no contract of this customer is in force";
+  return refusal;
+}
+
 Refusal RefusalOf(const GiveUp& aGiveUp)
 {
   const bool notRun = aGiveUp.mVerdict == Verdict::NotRun;
@@ -126,12 +142,9 @@
   const auto& caller = std::get<CallerRequest>(read);
   const auto contracts = mContracts.Load();
   const CustomerState* customer = contracts->Find(caller.mCustomer);
-  net::HttpResponse response =
-    customer != nullptr
-      ? Admitted(aRequest, caller, *customer)
-      : Refuse({ .mStatus = 403,
-                 .mReason = Reason::NoContract,
-                 .mMessage = "no contract of this customer is in force" });
+  net::HttpResponse response = customer != nullptr
+                                 ? Admitted(aRequest, caller, *customer)
+                                 : Refuse(NoContract(*contracts));
   response.mHeaders.Set(kRequestIdHeader, caller.mId.Value());
   return response;
 }
@@ -154,7 +167,7 @@
                                 "entry is used up" });
   }
   const AdmissionEnd end(*aCustomer.mAdmission);
-  Progress progress{ aRequest, aCaller, aCustomer.mContract->mService, {} };
+  Progress progress{ aRequest, aCaller, ServiceOf(*aCustomer.mContract), {} };
   return Route(progress);
 }
 
@@ -186,6 +199,20 @@
   }
 }
 
+/// The customer's own part of the service where its contract allows fewer
+/// copies than serve.
+ServiceId RequestProxy::ServiceOf(const Contract& aContract) const
+{
+  const auto table = mRouting.Load();
+  const ServiceTable* whole = table->Find(aContract.mService);
+  if (whole == nullptr || static_cast<std::int64_t>(whole->mServing.size() +
+                                                    whole->mSuspect.size()) <=
+                            aContract.mMaxCopies) {
+    return aContract.mService;
+  }
+  return LimitedService(aContract.mService, aContract.mCustomer);
+}
+
 Choice RequestProxy::Pick(const Progress& aProgress) const
 {
   const CallerRequest& caller = aProgress.mCaller;
--- a/src/core/job/JobSchedulerAgents.cpp
+++ b/src/core/job/JobSchedulerAgents.cpp
@@ -129,7 +129,7 @@
   // one runs on the machine that this one replaced.
   const bool sameAgent = first || basis.mIncarnation == aEntry.mSentTo;
   const bool fresh = basis.mValid && basis.mReceived >= shard.mAcquiredAt &&
-                     aTurn.mNow < basis.mReceived + mSettings.mSuspectAfter;
+                     aTurn.mNow < basis.mReceived + mSuspectAfter;
   if (!sameAgent || !fresh) {
     aEntry.mResendAt = aTurn.mNow + mSettings.mResendAfter / 10;
     mTable.Wake(aEntry, aEntry.mResendAt);
@@ -152,6 +152,9 @@
   assign.mTask.mCheckpoint = aEntry.Record().mCheckpoint;
   assign.mTask.mLease = mSettings.mTaskLease;
   assign.mUrgent = spec.mPriority == JobPriority::Urgent;
+  if (const Contract* contract = mBooks.Quotas().Find(spec.mCustomer)) {
+    assign.mSharePerWorker = contract->mBatch.mSharePerWorker;
+  }
   assign.mIncarnation = basis.mIncarnation;
   assign.mSequence = basis.mSequence;
   aTurn.mActions.push_back(
