Delete records of ended jobs after a keeping time

Ruled out: a lease on the record (thousands of leases), a time in the record (clocks of several processes would be compared).

--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -161,7 +161,8 @@
     },
     [this](ShardId aShard) {
       return mOwnership->Logic().MayReassign(aShard, MonotonicNow());
-    });
+    },
+    mSettings.mKeepEnded);
   mJobPages = std::make_unique<JobPages>(
     *mContext,
     *mOwnership,
--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -9,6 +9,7 @@
 constexpr std::int64_t kMaxThreads = 64;
 constexpr std::int64_t kMaxShards = 4096;
 constexpr std::int64_t kMaxShareSlots = 1024;
+constexpr Duration kMaxKeepEnded = std::chrono::hours(24 * 30);
 
 } // namespace
 
@@ -51,6 +52,10 @@
                            aSettings.mMaxDeadline,
                            { milliseconds(10), hours(1) },
                            "longest deadline that a caller may state");
+  settings.AddMilliseconds("--keep-ended-ms",
+                           aSettings.mKeepEnded,
+                           { std::chrono::seconds(1), kMaxKeepEnded },
+                           "how long records of ended jobs stay at least");
   settings.AddMilliseconds("--drain-timeout-ms",
                            aSettings.mDrainTimeout,
                            { milliseconds(0), hours(1) },
--- a/apps/entry/JobDriver.cpp
+++ b/apps/entry/JobDriver.cpp
@@ -68,7 +68,8 @@
 
 JobDriver::JobDriver(ControlContext& aContext,
                      ShardQuestion aMayExtend,
-                     ShardQuestion aMayReassign)
+                     ShardQuestion aMayReassign,
+                     Duration aKeepEnded)
   : mContext(aContext)
   , mMayExtend(std::move(aMayExtend))
   , mMayReassign(std::move(aMayReassign))
@@ -77,6 +78,10 @@
             [&aContext](std::function<void()> aBody) {
               aContext.mRuntime.Spawn(std::move(aBody));
             })
+  , mEnded(aKeepEnded)
+  , mDeleted(aContext.mMetrics.Counter(
+      "job_records_deleted_total",
+      "Records of ended jobs deleted after their keeping time"))
 {
 }
 
@@ -166,16 +171,44 @@
     if (known != nullptr && known->mStored.mRevision >= entry.mModRevision) {
       continue;
     }
-    if (auto stored = StoredJobOf(entry);
-        stored && !IsFinal(stored->mRecord.mState)) {
-      Handle(JobRead{ aShard, *std::move(stored) });
+    if (auto stored = StoredJobOf(entry)) {
+      TakeListed(aShard, *std::move(stored));
     }
   }
 }
 
+void JobDriver::TakeListed(ShardId aShard, StoredJob aStored)
+{
+  if (!IsFinal(aStored.mRecord.mState)) {
+    Handle(JobRead{ aShard, std::move(aStored) });
+    return;
+  }
+  const JobId& job = aStored.mRecord.mSpec.mId;
+  if (mEnded.Seen(aShard, job, aStored.mRevision, MonotonicNow())) {
+    DeleteEnded(aShard, aStored);
+  }
+}
+
+void JobDriver::DeleteEnded(ShardId aShard, const StoredJob& aStored)
+{
+  const JobId job = aStored.mRecord.mSpec.mId;
+  mEnded.Forget(aShard, job);
+  const RecordWrite deletion{
+    .mWrite = { JobKey(aShard, job), std::nullopt, 0 },
+    .mExpected = aStored.mRevision,
+    .mGuard = StoreCompare{ ShardKey(aShard), mHeld[aShard] }
+  };
+  mContext.mRuntime.Spawn([this, aShard, deletion] {
+    if (mWriter.Write(aShard, deletion).ok()) {
+      mDeleted.Increment();
+    }
+  });
+}
+
 void JobDriver::DropShard(ShardId aShard)
 {
   mHeld.erase(aShard);
+  mEnded.ForgetShard(aShard);
   Handle(ShardLost{ aShard });
 }
 
--- a/apps/entry/JobDriver.h
+++ b/apps/entry/JobDriver.h
@@ -10,6 +10,7 @@
 #include "absl/random/random.h"
 
 #include "apps/entry/ControlContext.h"
+#include "src/core/job/EndedRecords.h"
 #include "src/core/job/JobScheduler.h"
 #include "src/platform/store/BatchWriter.h"
 
@@ -32,9 +33,11 @@
 
   /// `aMayExtend`: may task leases of the shard be extended now?
   /// `aMayReassign`: is no lease of an earlier owner left?
+  /// `aKeepEnded`: how long records of ended jobs stay at least.
   JobDriver(ControlContext& aContext,
             ShardQuestion aMayExtend,
-            ShardQuestion aMayReassign);
+            ShardQuestion aMayReassign,
+            Duration aKeepEnded);
 
   /// Starts the ticking fiber and the one that lists held shards again.
   void Start();
@@ -64,6 +67,8 @@
   void ListShard(ShardId aShard, Generation aGeneration);
   void ListAgain();
   void ReadChanged(ShardId aShard, const StoreListing& aListing);
+  void TakeListed(ShardId aShard, StoredJob aStored);
+  void DeleteEnded(ShardId aShard, const StoredJob& aStored);
   TaskReplies& PendingFor(const AgentId& aAgent);
 
   void Run(const CommitRecord& aAction);
@@ -79,11 +84,13 @@
   ShardQuestion mMayReassign;
   BatchWriter mWriter;
   JobScheduler mLogic;
+  EndedRecords mEnded;
   absl::BitGen mRandom;
   /// Shards held, with the generation under which each is being listed.
   absl::btree_map<ShardId, Generation> mHeld;
   ShardId mListedAgain = 0;
   absl::flat_hash_map<AgentId, TaskReplies> mPending;
+  prometheus::Counter& mDeleted;
   /// Set by the scheduler while it handles a heartbeat.
   std::optional<ExtendLeases> mExtension;
 };
