Write each JSON answer and the doubled contract once

Cause: four places built a JSON response by the same lines, and both shapes of traces doubled a contract by the same lines (duplicates).

--- a/apps/entry/Answers.cpp
+++ b/apps/entry/Answers.cpp
@@ -3,14 +3,12 @@
 #include <string>
 
 #include "foxtailbarrow/RequestHeaders.h"
-#include "src/core/message/Json.h"
+#include "src/net/JsonResponse.h"
 
 namespace foxtailbarrow::entry {
 
 namespace {
 
-constexpr std::string_view kJsonType = "application/json";
-
 std::int64_t WholeSeconds(Duration aDuration)
 {
   return std::chrono::ceil<std::chrono::seconds>(aDuration).count();
@@ -18,22 +16,13 @@
 
 } // namespace
 
-net::HttpResponse JsonAnswer(unsigned aStatus, const Json::Value& aBody)
-{
-  net::HttpResponse response;
-  response.mStatus = aStatus;
-  response.mHeaders.Set("Content-Type", kJsonType);
-  response.mBody = FormatJson(aBody);
-  return response;
-}
-
 net::HttpResponse AnswerOf(const Refusal& aRefusal)
 {
   Json::Value body(Json::objectValue);
   body["error"] = std::string(aRefusal.mMessage);
   body["reason"] = std::string(ToString(aRefusal.mReason));
   body["verdict"] = std::string(ToString(aRefusal.mVerdict));
-  net::HttpResponse response = JsonAnswer(aRefusal.mStatus, body);
+  net::HttpResponse response = net::JsonResponse(aRefusal.mStatus, body);
   response.mHeaders.Set(net::kVerdictHeader, ToString(aRefusal.mVerdict));
   response.mHeaders.Set(kReasonHeader, ToString(aRefusal.mReason));
   if (aRefusal.mRetryAfter) {
--- a/apps/entry/Answers.h
+++ b/apps/entry/Answers.h
@@ -3,8 +3,6 @@
 #include <optional>
 #include <string_view>
 
-#include <json/value.h>
-
 #include "foxtailbarrow/Reason.h"
 #include "foxtailbarrow/Time.h"
 #include "foxtailbarrow/Verdict.h"
@@ -26,6 +24,4 @@
 /// The final answer for a refusal: headers and a JSON body say the same.
 net::HttpResponse AnswerOf(const Refusal& aRefusal);
 
-net::HttpResponse JsonAnswer(unsigned aStatus, const Json::Value& aBody);
-
 } // namespace foxtailbarrow::entry
--- a/apps/entry/JobPages.cpp
+++ b/apps/entry/JobPages.cpp
@@ -14,6 +14,7 @@
 #include "foxtailbarrow/RequestHeaders.h"
 #include "src/core/job/ShardOf.h"
 #include "src/core/message/Codec.h"
+#include "src/net/JsonResponse.h"
 #include "src/net/TypedRpc.h"
 
 namespace foxtailbarrow::entry {
@@ -171,7 +172,7 @@
                       .mMessage = "the idempotency key names another job" });
   }
   TellOwner(spec->mId);
-  return JsonAnswer(202, SummaryOf(std::get<Submitted>(result).mRecord));
+  return net::JsonResponse(202, SummaryOf(std::get<Submitted>(result).mRecord));
 }
 
 net::HttpResponse JobPages::Show(const JobId& aJob)
@@ -185,7 +186,7 @@
   if (!record.ok()) {
     return StoreAway(Verdict::NotRun);
   }
-  return JsonAnswer(200, SummaryOf(*record));
+  return net::JsonResponse(200, SummaryOf(*record));
 }
 
 net::HttpResponse JobPages::Explain(const JobId& aJob)
@@ -204,7 +205,8 @@
     }
     view = *reply;
   }
-  return view.isNull() || view.empty() ? Show(aJob) : JsonAnswer(200, view);
+  return view.isNull() || view.empty() ? Show(aJob)
+                                       : net::JsonResponse(200, view);
 }
 
 net::HttpResponse JobPages::List(std::string_view aQuery)
@@ -239,7 +241,7 @@
       body["unreachable"].append(peer.mRecord.mEntry.Value());
     }
   }
-  return JsonAnswer(200, body);
+  return net::JsonResponse(200, body);
 }
 
 net::HttpResponse JobPages::Cancel(const JobId& aJob)
@@ -260,7 +262,7 @@
   Json::Value body(Json::objectValue);
   body["id"] = aJob.Value();
   body["cancelRequested"] = true;
-  return JsonAnswer(202, body);
+  return net::JsonResponse(202, body);
 }
 
 ShardId JobPages::ShardFor(const JobId& aJob) const
--- a/src/core/trace/DeploymentShape.cpp
+++ b/src/core/trace/DeploymentShape.cpp
@@ -1,5 +1,7 @@
 #include "src/core/trace/DeploymentShape.h"
 
+#include <utility>
+
 namespace foxtailbarrow {
 
 std::optional<DeploymentShape> FindDeploymentShape(std::string_view aName)
@@ -13,4 +15,12 @@
   return std::nullopt;
 }
 
+TraceContract Doubled(Contract aContract, std::int64_t aAtMs)
+{
+  aContract.mMaxConcurrency *= 2;
+  aContract.mRequestsPerSecond *= 2;
+  aContract.mBurst *= 2;
+  return { aAtMs, std::move(aContract) };
+}
+
 } // namespace foxtailbarrow
--- a/src/core/trace/DeploymentShape.h
+++ b/src/core/trace/DeploymentShape.h
@@ -68,6 +68,9 @@
   StatedOutcomes mOutcomes;
 };
 
+/// The operator doubles a customer's limits at this time of the trace.
+TraceContract Doubled(Contract aContract, std::int64_t aAtMs);
+
 /// The mileage ledger: end-of-day trip syncs, deduction reports, watchers.
 DeploymentShape TrasowkaShape();
 
--- a/src/core/trace/QoimaShape.cpp
+++ b/src/core/trace/QoimaShape.cpp
@@ -100,15 +100,6 @@
   return shape;
 }
 
-/// The operator raises the largest customer's limits while its load rises.
-TraceContract WiderForTheRush(Contract aContract)
-{
-  aContract.mMaxConcurrency *= 2;
-  aContract.mRequestsPerSecond *= 2;
-  aContract.mBurst *= 2;
-  return { kWiderAtMs, std::move(aContract) };
-}
-
 } // namespace
 
 DeploymentShape QoimaShape()
@@ -133,7 +124,7 @@
       { CatalogueScans(10), ImpossibleScan() } },
   };
   shape.mCustomers.front().mContract.mUrgentAllowed = true;
-  shape.mChanges = { WiderForTheRush(shape.mCustomers.front().mContract) };
+  shape.mChanges = { Doubled(shape.mCustomers.front().mContract, kWiderAtMs) };
   return shape;
 }
 
--- a/src/core/trace/TrasowkaShape.cpp
+++ b/src/core/trace/TrasowkaShape.cpp
@@ -93,15 +93,6 @@
   return shape;
 }
 
-/// The operator raises the largest customer's limits while its load rises.
-TraceContract WiderForTheRush(Contract aContract)
-{
-  aContract.mMaxConcurrency *= 2;
-  aContract.mRequestsPerSecond *= 2;
-  aContract.mBurst *= 2;
-  return { kWiderAtMs, std::move(aContract) };
-}
-
 } // namespace
 
 DeploymentShape TrasowkaShape()
@@ -130,7 +121,7 @@
       { RouteWatchers(6) } },
   };
   shape.mCustomers.front().mContract.mUrgentAllowed = true;
-  shape.mChanges = { WiderForTheRush(shape.mCustomers.front().mContract) };
+  shape.mChanges = { Doubled(shape.mCustomers.front().mContract, kWiderAtMs) };
   return shape;
 }
 
--- a/standins/backend/BackendService.cpp
+++ b/standins/backend/BackendService.cpp
@@ -7,6 +7,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "src/core/message/Json.h"
+#include "src/net/JsonResponse.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -22,15 +23,6 @@
 /// HttpServer closes the connection without an answer.
 constexpr unsigned kNoAnswer = 0;
 
-net::HttpResponse Answer(unsigned aStatus, const Json::Value& aBody)
-{
-  net::HttpResponse response;
-  response.mStatus = aStatus;
-  response.mHeaders.Set("Content-Type", "application/json");
-  response.mBody = FormatJson(aBody);
-  return response;
-}
-
 std::string Header(const net::HttpRequest& aRequest, std::string_view aName)
 {
   return std::string(aRequest.mHeaders.Find(aName).value_or(""));
@@ -63,18 +55,18 @@
 net::HttpResponse BackendService::Handle(const net::HttpRequest& aRequest)
 {
   if (aRequest.mTarget == "/standin/executions") {
-    return Answer(200, ExecutionsJson());
+    return net::JsonResponse(200, ExecutionsJson());
   }
   if (aRequest.mTarget == "/standin/executions/ids") {
-    return Answer(200, IdsJson());
+    return net::JsonResponse(200, IdsJson());
   }
   if (aRequest.mTarget == "/standin/faults") {
     return SetFaults(aRequest);
   }
   if (aRequest.mTarget == "/healthz") {
     const bool isLeaving = mDraining || Faults().mDraining;
-    return Answer(isLeaving ? kUnavailable : 200,
-                  isLeaving ? "draining" : "ok");
+    return net::JsonResponse(isLeaving ? kUnavailable : 200,
+                             isLeaving ? "draining" : "ok");
   }
   return Serve(aRequest);
 }
@@ -97,12 +89,12 @@
   }
   Leave();
   if (IsEvery(count, faults.mCutEvery)) {
-    return Answer(kNoAnswer, {});
+    return net::JsonResponse(kNoAnswer, {});
   }
   if (IsEvery(count, faults.mFailEvery)) {
-    return Answer(kInternalError, "fault switched on");
+    return net::JsonResponse(kInternalError, "fault switched on");
   }
-  return Answer(200, Echo(aRequest));
+  return net::JsonResponse(200, Echo(aRequest));
 }
 
 void BackendService::Enter()
@@ -138,12 +130,13 @@
   const auto faults =
     value.ok() ? BackendFaultsFromJson(*value) : value.status();
   if (!faults.ok()) {
-    return Answer(kBadRequest, std::string(faults.status().message()));
+    return net::JsonResponse(kBadRequest,
+                             std::string(faults.status().message()));
   }
   const std::lock_guard lock(mFaultMutex);
   mFaults = *faults;
   mAnyFault = true;
-  return Answer(200, Json::Value(Json::objectValue));
+  return net::JsonResponse(200, Json::Value(Json::objectValue));
 }
 
 Json::Value BackendService::ExecutionsJson() const
--- a/standins/worker/WorkerService.cpp
+++ b/standins/worker/WorkerService.cpp
@@ -7,6 +7,8 @@
 #include "src/core/message/Codec.h"
 #include "src/platform/worker/WorkerMessages.h"
 
+#include "src/net/JsonResponse.h"
+
 namespace foxtailbarrow::standin {
 
 namespace {
@@ -17,15 +19,6 @@
 /// HttpServer closes the connection without an answer.
 constexpr unsigned kNoAnswer = 0;
 
-net::HttpResponse Answer(unsigned aStatus, const Json::Value& aBody)
-{
-  net::HttpResponse response;
-  response.mStatus = aStatus;
-  response.mHeaders.Set("Content-Type", "application/json");
-  response.mBody = FormatJson(aBody);
-  return response;
-}
-
 absl::StatusOr<Json::Value> Done(const absl::Status& aStatus)
 {
   if (!aStatus.ok()) {
@@ -111,12 +104,12 @@
     return SetFaults(aRequest);
   }
   if (aRequest.mTarget == "/standin/events") {
-    return Answer(200, EventsJson());
+    return net::JsonResponse(200, EventsJson());
   }
   if (aRequest.mTarget == "/standin/counts") {
-    return Answer(200, CountsJson());
+    return net::JsonResponse(200, CountsJson());
   }
-  return Answer(kNotFound, "unknown target");
+  return net::JsonResponse(kNotFound, "unknown target");
 }
 
 net::HttpResponse WorkerService::HandleRpc(const net::HttpRequest& aRequest)
@@ -144,12 +137,13 @@
   const auto faults =
     value.ok() ? WorkerFaultsFromJson(*value) : value.status();
   if (!faults.ok()) {
-    return Answer(kBadRequest, std::string(faults.status().message()));
+    return net::JsonResponse(kBadRequest,
+                             std::string(faults.status().message()));
   }
   const std::lock_guard lock(mMutex);
   mFaults = *faults;
   mRunner.FailAll(mFaults.mFailAll);
-  return Answer(200, Json::Value(Json::objectValue));
+  return net::JsonResponse(200, Json::Value(Json::objectValue));
 }
 
 void WorkerService::Tick()
