--- a/apps/agent/BackendProbe.h
+++ b/apps/agent/BackendProbe.h
@@ -4,8 +4,8 @@
 #include <functional>
 
 #include "apps/agent/AgentSettings.h"
-#include "apps/agent/FiberGroup.h"
-#include "apps/agent/Poke.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/Poke.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/HttpClient.h"
 
--- a/apps/agent/ColocationControl.h
+++ b/apps/agent/ColocationControl.h
@@ -6,8 +6,8 @@
 
 #include <json/value.h>
 
-#include "apps/agent/FiberGroup.h"
-#include "apps/agent/Poke.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/Poke.h"
 #include "foxtailbarrow/Reason.h"
 #include "src/core/colocation/ColocationGuard.h"
 #include "src/core/colocation/LatencyRecorder.h"
--- a/apps/agent/HeartbeatSender.h
+++ b/apps/agent/HeartbeatSender.h
@@ -11,8 +11,8 @@
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
-#include "apps/agent/FiberGroup.h"
-#include "apps/agent/Poke.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/Poke.h"
 #include "foxtailbarrow/Messages.h"
 #include "src/core/membership/HeartbeatSchedule.h"
 #include "src/net/FiberRuntime.h"
--- a/apps/agent/TaskControl.h
+++ b/apps/agent/TaskControl.h
@@ -8,8 +8,8 @@
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
-#include "apps/agent/FiberGroup.h"
-#include "apps/agent/Poke.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/Poke.h"
 #include "foxtailbarrow/Messages.h"
 #include "foxtailbarrow/Worker.h"
 #include "src/core/agent/CapacityLedger.h"
--- /dev/null
+++ b/apps/scheduler/CellOwner.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "absl/status/status.h"
+
+#include "foxtailbarrow/Store.h"
+#include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/OwnerTerm.h"
+#include "src/net/FiberRuntime.h"
+#include "src/net/Poke.h"
+#include "src/net/Rpc.h"
+
+namespace foxtailbarrow::scheduler {
+
+/// Figures of an owner's work, for the metrics.
+struct OwnerFigures
+{
+  std::uint64_t mReports = 0;
+  std::uint64_t mOrders = 0;
+  std::uint64_t mStarts = 0;
+  std::uint64_t mRecords = 0;
+};
+
+/// The owner of the cell for one term: loads what the store and the agents
+/// know, lets CellScheduler decide, sends its orders, records its progress.
+/// Lives until End(); its fibers hold it. All of it runs on one thread.
+class CellOwner : public std::enable_shared_from_this<CellOwner>
+{
+public:
+  struct Parts
+  {
+    net::FiberRuntime& mRuntime;
+    Store& mStore;
+    net::RpcClient& mRpc;
+    Endpoint mSelf;
+    Duration mKeepEnded;
+    std::function<void()> mOnSuperseded;
+  };
+
+  CellOwner(Parts aParts,
+            cell::OwnerTerm aTerm,
+            cell::CellSettings aSettings,
+            const std::vector<cell::QueuePolicy>& aQueues);
+
+  /// Reads the store, then starts the fibers. An error ends the term.
+  absl::Status Load();
+  void End();
+  bool Active() const { return mLoaded && !mEnded; }
+
+  cell::ReportReply OnReport(const cell::ReportRequest& aReport);
+  void OnRecordChanged(const cell::StoredJob& aJob);
+  void SetQueues(const std::vector<cell::QueuePolicy>& aQueues);
+  /// The store has shown the cell's record unchanged.
+  void Confirm(Instant aSentAt) { mTerm.Confirm(aSentAt); }
+
+  const cell::OwnerTerm& Term() const { return mTerm; }
+  const cell::CellScheduler& Logic() const { return mLogic; }
+  const OwnerFigures& Figures() const { return mFigures; }
+
+private:
+  /// The owner's side of one agent.
+  struct Desk
+  {
+    Endpoint mEndpoint;
+    Poke mPoke;
+    Instant mHeardAt{};
+    bool mRecorded = false; ///< In the store, for the next owner.
+    bool mListed = false;   ///< Known from an earlier owner.
+  };
+
+  void Spawn(void (CellOwner::*aBody)());
+  void RunJobWatch();
+  void RunSchedule();
+  void RunRecords();
+  void RunCleanup();
+  void RunDesk(const AgentId& aAgent, Desk& aDesk);
+
+  absl::Status LoadJobs();
+  absl::Status LoadAgents();
+  void TakeJobEvent(const StoreEvent& aEvent);
+  Desk& DeskOf(const AgentId& aAgent, const Endpoint& aEndpoint);
+  bool Attached(const AgentId& aAgent) const;
+  bool RecordAgent(const AgentId& aAgent, Desk& aDesk);
+  void ForgetAgent(const AgentId& aAgent);
+  Duration AttachRound(const AgentId& aAgent, Desk& aDesk);
+  Duration OrderRound(const AgentId& aAgent, Desk& aDesk);
+  void Detach(const AgentId& aAgent);
+
+  bool RecordBatch();
+  void TakeConflict(const std::vector<cell::UnrecordedProgress>& aBatch,
+                    const StoreTransactionResult& aResult);
+  StoreCompare CellUnchanged() const;
+  cell::CellClock Clock() const;
+  cell::Session NextSession();
+
+  Parts mParts;
+  cell::OwnerTerm mTerm;
+  cell::CellSettings mSettings;
+  cell::CellScheduler mLogic;
+  std::map<AgentId, std::unique_ptr<Desk>> mDesks;
+  std::int64_t mSessions = 0;
+  Revision mJobsFrom = 0;
+  Poke mSchedulePoke;
+  Poke mRecordPoke;
+  OwnerFigures mFigures;
+  bool mLoaded = false;
+  bool mEnded = false;
+};
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/Election.cpp
@@ -0,0 +1,289 @@
+#include "apps/scheduler/Election.h"
+
+#include <chrono>
+#include <utility>
+
+#include "absl/status/statusor.h"
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/core/message/Codec.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::scheduler {
+
+using namespace cell;
+
+namespace {
+
+/// Of the owner's key: a dead owner is replaced after it.
+constexpr Duration kOwnerTtl = std::chrono::milliseconds(2000);
+/// Several renewals and confirmations fit into the shortest of both times.
+constexpr Duration kKeepInterval = std::chrono::milliseconds(450);
+constexpr Duration kKeepRetry = std::chrono::milliseconds(150);
+constexpr Duration kRetry = std::chrono::milliseconds(150);
+/// Tokens are JSON integers.
+constexpr std::int64_t kMaxToken = (std::int64_t{ 1 } << 52) - 1;
+
+} // namespace
+
+Election::Election(const SchedulerSettings& aSettings,
+                   CellSettings aCellSettings,
+                   Store& aStore,
+                   MakeOwner aMakeOwner)
+  : mSettings(aSettings)
+  , mCellSettings(aCellSettings)
+  , mStore(aStore)
+  , mMakeOwner(std::move(aMakeOwner))
+{
+}
+
+std::shared_ptr<CellOwner> Election::Owner() const
+{
+  return mOwner && mOwner->Active() ? mOwner : nullptr;
+}
+
+std::optional<Endpoint> Election::OwnerAt() const
+{
+  return mOwner ? std::optional(mSettings.mPeers) : mOwnerAt;
+}
+
+Duration Election::Round()
+{
+  if (mResigned) {
+    return kKeepInterval;
+  }
+  if (mOwner) {
+    return Keep();
+  }
+  return Follow();
+}
+
+void Election::SeeOwner(const OwnerRecord& aRecord)
+{
+  mSeenAt = MonotonicNow();
+  if (aRecord.mGeneration > mGeneration) {
+    LogChange("owner-seen",
+              { { "owner", aRecord.mScheduler },
+                { "endpoint", aRecord.mEndpoint },
+                { "generation", aRecord.mGeneration } });
+  }
+  if (aRecord.mGeneration >= mGeneration) {
+    mGeneration = aRecord.mGeneration;
+    mOwnerAt = aRecord.mEndpoint;
+  }
+}
+
+Duration Election::Follow()
+{
+  const auto entry = mStore.Read(kOwnerKey);
+  if (mResigned) {
+    return kRetry;
+  }
+  if (!entry.ok()) {
+    return absl::IsNotFound(entry.status()) ? TryTake() : kRetry;
+  }
+  if (const auto record = FromJsonText<OwnerRecord>(entry->mValue);
+      record.ok()) {
+    SeeOwner(*record);
+  } else {
+    LogError("owner-record-unreadable",
+             { { "error", record.status().ToString() } });
+  }
+  bool gone = false;
+  const absl::Status ended = mStore.Watch(
+    kOwnerKey,
+    entry->mModRevision,
+    [this, &gone](const std::vector<StoreEvent>& aEvents) {
+      mSeenAt = MonotonicNow();
+      for (const StoreEvent& event : aEvents) {
+        gone = !event.mValue;
+      }
+      return aEvents.empty() && !mResigned;
+    });
+  return gone || ended.ok() ? Duration(1) : kRetry;
+}
+
+std::string Election::OwnerText(Generation aGeneration,
+                                std::int64_t aToken) const
+{
+  return ToJsonText(
+    OwnerRecord{ mSettings.mId, mSettings.mPeers, aGeneration, aToken });
+}
+
+Duration Election::TryTake()
+{
+  const auto cell = mStore.Read(kCellKey);
+  if (!cell.ok() && !absl::IsNotFound(cell.status())) {
+    return kRetry;
+  }
+  CellRecord record;
+  Revision revision = 0;
+  if (cell.ok()) {
+    const auto parsed = FromJsonText<CellRecord>(cell->mValue);
+    if (!parsed.ok()) {
+      LogError("cell-record-unreadable",
+               { { "error", parsed.status().ToString() } });
+      return kRetry;
+    }
+    record = *parsed;
+    revision = cell->mModRevision;
+  }
+  record.mGeneration = std::max(record.mGeneration, mGeneration) + 1;
+  record.mScheduler = mSettings.mId;
+  record.mToken =
+    std::uniform_int_distribution<std::int64_t>(1, kMaxToken)(mRandom);
+  const auto lease = mStore.GrantLease(kOwnerTtl);
+  if (!lease.ok() || mResigned) {
+    return kRetry;
+  }
+  const Instant sentAt = MonotonicNow();
+  const auto won = Propose(record, revision, *lease);
+  if (!won.ok()) {
+    LogWarning("election-unsettled", { { "error", won.status().ToString() } });
+    return kRetry;
+  }
+  if (!*won) {
+    return Duration(1); // Another scheduler was faster.
+  }
+  Begin(record, **won, *lease, sentAt);
+  return kKeepInterval;
+}
+
+/// The cell record's new revision, or nothing when another one won.
+absl::StatusOr<std::optional<Revision>> Election::Propose(
+  const CellRecord& aRecord,
+  Revision aCellRevision,
+  StoreLease aLease)
+{
+  StoreTransaction transaction;
+  transaction.mCompares = { { std::string(kOwnerKey), 0 },
+                            { std::string(kCellKey), aCellRevision } };
+  transaction.mWrites = {
+    { std::string(kOwnerKey),
+      OwnerText(aRecord.mGeneration, aRecord.mToken),
+      aLease },
+    { std::string(kCellKey), ToJsonText(aRecord) }
+  };
+  const auto result = mStore.Commit(transaction);
+  if (result.ok()) {
+    return result->mApplied ? std::optional(result->mRevision) : std::nullopt;
+  }
+  if (VerdictOf(result.status()) == Verdict::NotRun) {
+    return result.status();
+  }
+  return ReadOutcome(aRecord);
+}
+
+/// After a lost reply: the token in the cell's record tells who won.
+absl::StatusOr<std::optional<Revision>> Election::ReadOutcome(
+  const CellRecord& aRecord)
+{
+  const auto cell = mStore.Read(kCellKey);
+  if (!cell.ok()) {
+    return cell.status();
+  }
+  const auto found = FromJsonText<CellRecord>(cell->mValue);
+  if (!found.ok()) {
+    return found.status();
+  }
+  return found->mToken == aRecord.mToken ? std::optional(cell->mModRevision)
+                                         : std::nullopt;
+}
+
+void Election::Begin(const CellRecord& aRecord,
+                     Revision aCellRevision,
+                     StoreLease aLease,
+                     Instant aSentAt)
+{
+  mLease = aLease;
+  mToken = aRecord.mToken;
+  mGeneration = aRecord.mGeneration;
+  mSeenAt = MonotonicNow();
+  LogChange("election-won",
+            { { "generation", mGeneration }, { "revision", aCellRevision } });
+  mOwner = mMakeOwner(
+    OwnerTerm(aRecord.mGeneration, aCellRevision, aSentAt, mCellSettings));
+  if (const absl::Status status = mOwner->Load(); !status.ok()) {
+    LogWarning("cell-load-failed", { { "error", status.ToString() } });
+    Superseded();
+    if (const absl::Status ended = mStore.RevokeLease(aLease); !ended.ok()) {
+      LogWarning("lease-kept", { { "error", ended.ToString() } });
+    }
+  }
+}
+
+Duration Election::Keep()
+{
+  const std::shared_ptr<CellOwner> owner = mOwner;
+  KeepLease();
+  const Instant sentAt = MonotonicNow();
+  const auto cell = mStore.Read(kCellKey);
+  if (owner != mOwner) {
+    return Duration(1);
+  }
+  if (!cell.ok()) {
+    return kKeepRetry;
+  }
+  if (cell->mModRevision != owner->Term().CellRevision()) {
+    LogWarning("cell-superseded", { { "generation", mGeneration } });
+    Superseded();
+    return Duration(1);
+  }
+  owner->Confirm(sentAt);
+  mSeenAt = MonotonicNow();
+  return kKeepInterval;
+}
+
+void Election::KeepLease()
+{
+  const auto ttl = mStore.KeepAlive(mLease);
+  if (!ttl.ok() && absl::IsNotFound(ttl.status()) && mOwner) {
+    RestoreOwnerKey();
+  }
+}
+
+/// The lease ran out, in an outage say, and nobody has taken the cell yet: the
+/// term goes on under a new lease.
+void Election::RestoreOwnerKey()
+{
+  const std::shared_ptr<CellOwner> owner = mOwner;
+  const auto lease = mStore.GrantLease(kOwnerTtl);
+  if (!lease.ok() || owner != mOwner) {
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.mCompares = { { std::string(kOwnerKey), 0 },
+                            { std::string(kCellKey),
+                              owner->Term().CellRevision() } };
+  transaction.mWrites = { { std::string(kOwnerKey),
+                            OwnerText(mGeneration, mToken),
+                            *lease } };
+  const auto result = mStore.Commit(transaction);
+  if (result.ok() && result->mApplied) {
+    mLease = *lease;
+    LogChange("owner-key-restored", { { "generation", mGeneration } });
+  }
+}
+
+void Election::Superseded()
+{
+  if (const auto owner = std::exchange(mOwner, nullptr)) {
+    owner->End();
+  }
+  mOwnerAt.reset();
+  mPoke.Now();
+}
+
+void Election::Resign()
+{
+  mResigned = true;
+  if (!mOwner) {
+    return;
+  }
+  Superseded();
+  if (const absl::Status status = mStore.RevokeLease(mLease); !status.ok()) {
+    LogWarning("lease-kept", { { "error", status.ToString() } });
+  }
+}
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/JobDesk.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "apps/scheduler/Election.h"
+#include "foxtailbarrow/Store.h"
+#include "src/core/cell/CellConfiguration.h"
+#include "src/core/cell/JobRequest.h"
+#include "src/net/FiberRuntime.h"
+#include "src/net/Rpc.h"
+
+namespace foxtailbarrow::scheduler {
+
+/// Answers callers' requests about jobs. An accepted job and an accepted
+/// cancellation are in the store before the answer; a refusal that says "not
+/// run" is given only when no write of the request may still take effect.
+class JobDesk
+{
+public:
+  JobDesk(net::FiberRuntime& aRuntime,
+          Store& aStore,
+          net::RpcClient& aRpc,
+          const Election& aElection);
+
+  cell::JobAnswer Answer(const cell::JobRequest& aRequest);
+
+private:
+  cell::JobAnswer Handle(const cell::SubmitJob& aSubmit, Instant aDeadline);
+  cell::JobAnswer Handle(const cell::ReadJob& aRead, Instant aDeadline);
+  cell::JobAnswer Handle(const cell::CancelJob& aCancel, Instant aDeadline);
+  cell::JobAnswer Handle(const cell::CountWaitingJobs& aCount,
+                         Instant aDeadline);
+
+  std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
+  cell::JobAnswer ReadFromStore(const JobId& aJob);
+  void TellOwner(const cell::StoredJob& aJob);
+
+  net::FiberRuntime& mRuntime;
+  Store& mStore;
+  net::RpcClient& mRpc;
+  const Election& mElection;
+};
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/Scheduler.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/status.h"
+
+#include "apps/scheduler/ConfigurationWatch.h"
+#include "apps/scheduler/Election.h"
+#include "apps/scheduler/JobDesk.h"
+#include "apps/scheduler/SchedulerSettings.h"
+#include "platform/KvStore.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/HttpServer.h"
+#include "src/net/Rpc.h"
+#include "src/platform/store/CountingStore.h"
+#include "src/telemetry/AdminPages.h"
+
+namespace foxtailbarrow::scheduler {
+
+/// The process on a VM behind the balancer: answers callers, and owns the cell
+/// when it is its turn.
+class Scheduler
+{
+public:
+  Scheduler(SchedulerSettings aSettings, net::FiberRuntime& aRuntime);
+  ~Scheduler();
+
+  absl::Status Start();
+  /// Gives the cell up, answers what has come in, and returns within the
+  /// drain timeout. Not to be called by a thread of the runtime.
+  void Drain();
+
+private:
+  net::HttpResponse ServeCaller(const net::HttpRequest& aRequest);
+  net::HttpResponse ServeReady(const net::HttpRequest& aRequest);
+  net::HttpResponse ServePeer(const net::HttpRequest& aRequest);
+  net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
+  absl::Status Readiness() const;
+  absl::Status Listen(const Endpoint& aEndpoint,
+                      net::HttpServer::Handler aHandler,
+                      std::unique_ptr<net::HttpServer>& aServer);
+  absl::Status ListenAll();
+  void AddMethods();
+  void AddViews();
+  cell::JobAnswer Refuse(const absl::Status& aStatus) const;
+  std::shared_ptr<CellOwner> MakeOwner(const cell::OwnerTerm& aTerm);
+
+  const SchedulerSettings mSettings;
+  const cell::CellSettings mCellSettings;
+  net::FiberRuntime& mRuntime;
+  platform::KvStore mPlainStore;
+  CountingStore mStore;
+  net::HttpClient mClient;
+  net::RpcClient mRpc;
+  net::RpcDispatcher mDispatcher;
+  ConfigurationWatch mConfiguration;
+  Election mElection;
+  JobDesk mJobs;
+  Metrics mMetrics;
+  StateDump mState;
+  AdminPages mAdmin;
+  prometheus::Histogram& mAnswerTime;
+  bool mDraining = false;
+  mutable bool mWasReady = false;
+  Poke mConfigurationPoke;
+  std::unique_ptr<net::HttpServer> mCallers;
+  std::unique_ptr<net::HttpServer> mReady;
+  std::unique_ptr<net::HttpServer> mPeers;
+  std::unique_ptr<net::HttpServer> mControl;
+  std::unique_ptr<net::HttpServer> mAdminServer;
+  FiberGroup mFibers;
+};
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -0,0 +1,62 @@
+#include "apps/scheduler/SchedulerSettings.h"
+
+#include "src/telemetry/Settings.h"
+
+namespace foxtailbarrow::scheduler {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+void AddAddresses(Settings& aSettings, SchedulerSettings& aValues)
+{
+  aSettings.AddListen("--listen", aValues.mListen, "Address for callers")
+    .Required();
+  aSettings.AddListen("--ready", aValues.mReady, "Address of the ready check")
+    .Required();
+  aSettings
+    .AddListen(
+      "--peers", aValues.mPeers, "Address for agents and other schedulers")
+    .Required();
+  aSettings.AddListen(
+    "--control", aValues.mControl, "Further address for agents");
+  aSettings.AddListen(
+    "--metrics", aValues.mMetrics, "Address for metrics and state");
+  aSettings.AddEndpoint("--store", aValues.mStore, "The platform's store")
+    .Required();
+}
+
+void AddTimes(Settings& aSettings, SchedulerSettings& aValues)
+{
+  aSettings.AddMilliseconds("--max-hold-ms",
+                            aValues.mMaxHold,
+                            { milliseconds(1000), hours(1) },
+                            "Longest lease that workers accept");
+  aSettings.AddMilliseconds("--keep-ended-ms",
+                            aValues.mKeepEnded,
+                            { milliseconds(0), hours(24 * 30) },
+                            "Time for which ended jobs can be read");
+  aSettings.AddMilliseconds("--drain-timeout-ms",
+                            aValues.mDrainTimeout,
+                            { milliseconds(0), hours(1) },
+                            "Longest time from SIGTERM to the end");
+}
+
+} // namespace
+
+std::optional<int> ParseSchedulerSettings(int argc,
+                                          const char* const* argv,
+                                          SchedulerSettings& aSettings)
+{
+  Settings settings("foxtailbarrow-scheduler",
+                    "Takes jobs and decides what runs where in one cell");
+  settings.AddId("--id", aSettings.mId, "Name of this scheduler, unique")
+    .Required();
+  AddAddresses(settings, aSettings);
+  AddTimes(settings, aSettings);
+  settings.AddLogLevel(aSettings.mLogLevel);
+  return settings.Parse(argc, argv);
+}
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/SchedulerSettings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Time.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::scheduler {
+
+/// Settings of a scheduler.
+struct SchedulerSettings
+{
+  EntryId mId;
+  Endpoint mListen;  ///< For callers.
+  Endpoint mReady;   ///< Tells the balancer whether callers may come.
+  Endpoint mPeers;   ///< For agents and other schedulers.
+  Endpoint mControl; ///< As mPeers, where the platform's seed lists point.
+  Endpoint mMetrics;
+  Endpoint mStore;
+  /// The platform ends all leases of a worker by then.
+  Duration mMaxHold = std::chrono::milliseconds(6000);
+  /// Time for which ended jobs can be read.
+  Duration mKeepEnded = std::chrono::seconds(120);
+  /// After SIGTERM; shorter than the platform's time until SIGKILL.
+  Duration mDrainTimeout = std::chrono::milliseconds(4500);
+  LogLevel mLogLevel = LogLevel::Info;
+};
+
+/// Exit code when the program is to end now.
+std::optional<int> ParseSchedulerSettings(int argc,
+                                          const char* const* argv,
+                                          SchedulerSettings& aSettings);
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/taskagent/OwnerLink.cpp
@@ -0,0 +1,174 @@
+#include "apps/taskagent/OwnerLink.h"
+
+#include <chrono>
+#include <utility>
+
+#include "src/core/cell/CellRecords.h"
+#include "src/core/message/Codec.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::taskagent {
+
+using namespace cell;
+
+namespace {
+
+/// Between reports without news. Several fit into the shortest lease.
+constexpr Duration kInterval = std::chrono::milliseconds(400);
+constexpr Duration kReportTimeout = std::chrono::milliseconds(700);
+/// Without an owner or a session, until the next try.
+constexpr Duration kRetry = std::chrono::milliseconds(150);
+constexpr Duration kSeedTimeout = std::chrono::milliseconds(400);
+/// Silence of the owner after which it is looked for elsewhere.
+constexpr Duration kLostAfter = std::chrono::milliseconds(900);
+
+} // namespace
+
+OwnerLink::OwnerLink(const TaskAgentSettings& aSettings,
+                     WorkerControl& aWorker,
+                     Store& aStore,
+                     net::RpcClient& aRpc)
+  : mSettings(aSettings)
+  , mWorker(aWorker)
+  , mStore(aStore)
+  , mRpc(aRpc)
+{
+}
+
+Duration OwnerLink::Round()
+{
+  if (mWorker.Info().mIncarnation.Empty()) {
+    return kRetry;
+  }
+  if (mOwner) {
+    Report();
+  }
+  const Instant now = MonotonicNow();
+  if (!mOwner || now - mContactAt > kLostAfter) {
+    if (std::exchange(mInContact, false)) {
+      LogWarning("owner-lost", { { "generation", mGeneration } });
+    }
+    Find();
+    return kRetry;
+  }
+  return mWorker.CurrentSession() == 0 ? kRetry : kInterval;
+}
+
+void OwnerLink::Report()
+{
+  const Session session = mWorker.CurrentSession();
+  if (session != std::exchange(mReportedSession, session)) {
+    mSequence = 0;
+  }
+  WorkerSnapshot snapshot = mWorker.Snapshot();
+  ReportRequest report;
+  report.mAgent = mSettings.mId;
+  report.mEndpoint = mSettings.mListen;
+  report.mSession = session;
+  report.mSequence = ++mSequence;
+  report.mState = std::move(snapshot.mState);
+  report.mWorkerAnswers = snapshot.mAnswers;
+  report.mLeaseLeft = snapshot.mLeaseLeft;
+  report.mPacePercent = snapshot.mPacePercent;
+  const WorkerIncarnation incarnation = report.mState.mInfo.mIncarnation;
+  const Instant sentAt = MonotonicNow();
+  ++mReports;
+  const Endpoint owner = *mOwner;
+  const auto reply = CallTyped<ReportReply>(
+    mRpc, owner, kReportMethod, report, kReportTimeout);
+  if (!reply.ok()) {
+    return;
+  }
+  if (!reply->mOwner) {
+    if (reply->mOwnerAt.empty() ||
+        !TakeOwner(reply->mGeneration, reply->mOwnerAt.front())) {
+      mOwner.reset();
+    }
+    return;
+  }
+  if (reply->mGeneration < mGeneration) {
+    return; // An owner that has been replaced and does not know it yet.
+  }
+  mContactAt = MonotonicNow();
+  if (!std::exchange(mInContact, true)) {
+    LogChange("owner-found",
+              { { "owner", owner }, { "generation", reply->mGeneration } });
+  }
+  if (reply->mAttached && incarnation == mWorker.Info().mIncarnation) {
+    mWorker.TakeGrant(session, sentAt, reply->mGrant, reply->mAcknowledged);
+  }
+}
+
+void OwnerLink::Find()
+{
+  if (!FindByStore()) {
+    FindBySeeds();
+  }
+}
+
+bool OwnerLink::FindByStore()
+{
+  const auto entry = mStore.Read(kOwnerKey);
+  if (!entry.ok()) {
+    return false;
+  }
+  const auto record = FromJsonText<OwnerRecord>(entry->mValue);
+  if (!record.ok()) {
+    LogError("owner-record-unreadable",
+             { { "error", record.status().ToString() } });
+    return false;
+  }
+  return TakeOwner(record->mGeneration, record->mEndpoint);
+}
+
+bool OwnerLink::FindBySeeds()
+{
+  for (const Endpoint& seed : mSettings.mSeeds) {
+    const auto reply = CallTyped<FindOwnerReply>(
+      mRpc, seed, kFindOwnerMethod, FindOwner(), kSeedTimeout);
+    if (reply.ok() && !reply->mOwnerAt.empty() &&
+        TakeOwner(reply->mGeneration, reply->mOwnerAt.front())) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool OwnerLink::TakeOwner(Generation aGeneration, const Endpoint& aOwner)
+{
+  if (aGeneration < mGeneration) {
+    return false;
+  }
+  mGeneration = aGeneration;
+  mOwner = aOwner;
+  return true;
+}
+
+absl::StatusOr<AttachReply> OwnerLink::OnAttach(const AttachRequest& aRequest)
+{
+  AttachReply reply;
+  reply.mGeneration = mGeneration;
+  if (aRequest.mGeneration < mGeneration) {
+    return reply;
+  }
+  const auto state = mWorker.Attach(aRequest.mSession);
+  LogChange("attach",
+            { { "owner", aRequest.mOwner },
+              { "generation", aRequest.mGeneration },
+              { "session", aRequest.mSession },
+              { "outcome", state.ok() ? "ok" : state.status().ToString() } });
+  if (!state.ok()) {
+    return state.status();
+  }
+  TakeOwner(aRequest.mGeneration, aRequest.mOwner);
+  mContactAt = MonotonicNow();
+  mInContact = true;
+  reply.mAttached = true;
+  reply.mGeneration = mGeneration;
+  reply.mState = *state;
+  Poked(); // The first report brings the first grant.
+  return reply;
+}
+
+} // namespace foxtailbarrow::taskagent
--- /dev/null
+++ b/apps/taskagent/OwnerLink.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "apps/taskagent/TaskAgentSettings.h"
+#include "apps/taskagent/WorkerControl.h"
+#include "foxtailbarrow/Store.h"
+#include "src/core/cell/CellMessages.h"
+#include "src/net/Poke.h"
+#include "src/net/Rpc.h"
+
+namespace foxtailbarrow::taskagent {
+
+/// Keeps in touch with the cell's owner: reports to it on news and at
+/// intervals, and finds it anew by the store or by other schedulers when it
+/// does not answer.
+class OwnerLink
+{
+public:
+  OwnerLink(const TaskAgentSettings& aSettings,
+            WorkerControl& aWorker,
+            Store& aStore,
+            net::RpcClient& aRpc);
+
+  /// Something is to be reported now.
+  void Poked() { mPoke.Now(); }
+  Poke& RoundPoke() { return mPoke; }
+
+  /// One report, or one search for the owner. Returns the pause until the next.
+  Duration Round();
+
+  /// `agent.attach`.
+  absl::StatusOr<cell::AttachReply> OnAttach(const cell::AttachRequest& aRequest);
+
+  cell::Generation KnownGeneration() const { return mGeneration; }
+  Instant LastContact() const { return mContactAt; }
+  std::uint64_t Reports() const { return mReports; }
+
+private:
+  void Report();
+  void Find();
+  bool FindByStore();
+  bool FindBySeeds();
+  bool TakeOwner(cell::Generation aGeneration, const Endpoint& aOwner);
+
+  const TaskAgentSettings& mSettings;
+  WorkerControl& mWorker;
+  Store& mStore;
+  net::RpcClient& mRpc;
+  Poke mPoke;
+  std::optional<Endpoint> mOwner;
+  cell::Generation mGeneration = 0;
+  cell::Session mReportedSession = 0;
+  std::int64_t mSequence = 0;
+  Instant mContactAt{};
+  bool mInContact = false;
+  std::uint64_t mReports = 0;
+};
+
+} // namespace foxtailbarrow::taskagent
--- /dev/null
+++ b/apps/taskagent/TaskAgent.cpp
@@ -0,0 +1,173 @@
+#include "apps/taskagent/TaskAgent.h"
+
+#include <utility>
+
+#include "src/core/message/Codec.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
+
+namespace foxtailbarrow::taskagent {
+
+using namespace cell;
+
+namespace {
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+
+net::HttpResponse Refusal(unsigned aStatus)
+{
+  net::HttpResponse response;
+  response.mStatus = aStatus;
+  response.mHeaders.Append(net::kVerdictHeader, ToString(Verdict::NotRun));
+  return response;
+}
+
+} // namespace
+
+TaskAgent::TaskAgent(TaskAgentSettings aSettings, net::FiberRuntime& aRuntime)
+  : mSettings(std::move(aSettings))
+  , mRuntime(aRuntime)
+  , mStore(aRuntime, { .mEndpoint = mSettings.mStore })
+  , mWorkerClient(aRuntime, mSettings.mWorker)
+  , mClient(aRuntime)
+  , mRpc(mClient)
+  , mWorker(mWorkerClient, [this] { mOwner.Poked(); })
+  , mOwner(mSettings, mWorker, mStore, mRpc)
+  , mAdmin(mMetrics, mState, [] { return absl::OkStatus(); })
+  , mFibers(aRuntime)
+{
+}
+
+TaskAgent::~TaskAgent()
+{
+  mWorkerServer.reset();
+  mOwnerServer.reset();
+  mAdminServer.reset();
+  mFibers.Stop();
+}
+
+absl::Status TaskAgent::Start()
+{
+  AddMethods();
+  AddViews();
+  const auto listen = [this](const Endpoint& aEndpoint,
+                             net::HttpServer::Handler aHandler,
+                             std::unique_ptr<net::HttpServer>& aServer) {
+    auto server =
+      net::HttpServer::Start(mRuntime, aEndpoint, std::move(aHandler));
+    if (server.ok()) {
+      aServer = *std::move(server);
+      return absl::OkStatus();
+    }
+    return server.status();
+  };
+  absl::Status status = listen(
+    mSettings.mControl,
+    [this](net::HttpRequest& aRequest) { return ServeWorker(aRequest); },
+    mWorkerServer);
+  if (status.ok()) {
+    status = listen(
+      mSettings.mListen,
+      [this](net::HttpRequest& aRequest) { return ServeOwner(aRequest); },
+      mOwnerServer);
+  }
+  if (status.ok() && mSettings.mMetrics.mPort != 0) {
+    status = listen(
+      mSettings.mMetrics,
+      [this](net::HttpRequest& aRequest) { return ServeAdmin(aRequest); },
+      mAdminServer);
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  mFibers.Repeat(mLookPoke, [this] { return mWorker.Look(); });
+  mFibers.Repeat(mOwner.RoundPoke(), [this] { return mOwner.Round(); });
+  return absl::OkStatus();
+}
+
+void TaskAgent::AddMethods()
+{
+  net::AddTyped<AttachRequest>(
+    mDispatcher, kAttachMethod, [this](const AttachRequest& aRequest) {
+      return mOwner.OnAttach(aRequest);
+    });
+  net::AddTyped<OrderRequest>(
+    mDispatcher, kOrderMethod, [this](const OrderRequest& aRequest) {
+      return mWorker.CarryOut(aRequest);
+    });
+}
+
+void TaskAgent::AddViews()
+{
+  AddProcessMetrics(mMetrics);
+  mMetrics.SampledGauge("owner_reports", "Reports sent to the owner.", [this] {
+    return static_cast<double>(mOwner.Reports());
+  });
+  mMetrics.SampledGauge("tasks_running", "Tasks on the worker.", [this] {
+    return static_cast<double>(mWorker.Snapshot().mState.mRunning.size());
+  });
+  mMetrics.SampledGauge("log_lines_dropped", "Lines above the bounds.", [] {
+    return static_cast<double>(DroppedLogLines());
+  });
+  mState.Add("worker", [this] {
+    ReportRequest view;
+    view.mAgent = mSettings.mId;
+    view.mEndpoint = mSettings.mListen;
+    view.mState = mWorker.Snapshot().mState;
+    return ToJson(view);
+  });
+}
+
+net::HttpResponse TaskAgent::ServeWorker(const net::HttpRequest& aRequest)
+{
+  auto message = platform::ParseWorkerMessage(aRequest);
+  if (!message.ok()) {
+    return Refusal(absl::IsNotFound(message.status()) ? kNotFound
+                                                      : kBadRequest);
+  }
+  std::visit([this](const auto& aMessage) { Take(aMessage); }, *message);
+  return platform::AcknowledgeWorker();
+}
+
+void TaskAgent::Take(const platform::WorkerHeartbeat& aHeartbeat)
+{
+  const bool same =
+    aHeartbeat.mInfo.mIncarnation == mWorker.Info().mIncarnation;
+  if (same && aHeartbeat.mSequence <= mHeartbeatSequence) {
+    return; // Overtaken by a newer one.
+  }
+  mHeartbeatSequence = aHeartbeat.mSequence;
+  if (mWorker.TakeInfo(aHeartbeat.mInfo)) {
+    mOwner.Poked();
+  }
+}
+
+void TaskAgent::Take(const platform::WorkerGone& aGone)
+{
+  if (aGone.mIncarnation != mWorker.Info().mIncarnation) {
+    return;
+  }
+  LogChange("worker-gone", { { "incarnation", aGone.mIncarnation } });
+  WorkerInfo info = mWorker.Info();
+  info.mDraining = true;
+  info.mDrainLeft = Duration::zero();
+  if (mWorker.TakeInfo(info)) {
+    mOwner.Poked();
+  }
+}
+
+net::HttpResponse TaskAgent::ServeOwner(const net::HttpRequest& aRequest)
+{
+  return aRequest.mTarget == net::kRpcTarget ? mDispatcher.Handle(aRequest)
+                                             : Refusal(kNotFound);
+}
+
+net::HttpResponse TaskAgent::ServeAdmin(const net::HttpRequest& aRequest)
+{
+  auto page = mAdmin.Answer(aRequest);
+  return page ? *std::move(page) : Refusal(kNotFound);
+}
+
+} // namespace foxtailbarrow::taskagent
--- /dev/null
+++ b/apps/taskagent/TaskAgent.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/status.h"
+
+#include "apps/taskagent/OwnerLink.h"
+#include "apps/taskagent/TaskAgentSettings.h"
+#include "apps/taskagent/WorkerControl.h"
+#include "platform/KvStore.h"
+#include "platform/WorkerClient.h"
+#include "platform/WorkerHeartbeat.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/HttpServer.h"
+#include "src/net/Rpc.h"
+#include "src/telemetry/AdminPages.h"
+
+namespace foxtailbarrow::taskagent {
+
+/// The process beside one worker: takes its heartbeats, gives it the owner's
+/// orders, reports to the owner.
+class TaskAgent
+{
+public:
+  TaskAgent(TaskAgentSettings aSettings, net::FiberRuntime& aRuntime);
+  ~TaskAgent();
+
+  absl::Status Start();
+
+private:
+  net::HttpResponse ServeWorker(const net::HttpRequest& aRequest);
+  net::HttpResponse ServeOwner(const net::HttpRequest& aRequest);
+  net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
+  void Take(const platform::WorkerHeartbeat& aHeartbeat);
+  void Take(const platform::WorkerGone& aGone);
+  void AddMethods();
+  void AddViews();
+
+  const TaskAgentSettings mSettings;
+  net::FiberRuntime& mRuntime;
+  platform::KvStore mStore;
+  platform::WorkerClient mWorkerClient;
+  net::HttpClient mClient;
+  net::RpcClient mRpc;
+  net::RpcDispatcher mDispatcher;
+  WorkerControl mWorker;
+  OwnerLink mOwner;
+  Metrics mMetrics;
+  StateDump mState;
+  AdminPages mAdmin;
+  std::int64_t mHeartbeatSequence = 0;
+  std::unique_ptr<net::HttpServer> mWorkerServer;
+  std::unique_ptr<net::HttpServer> mOwnerServer;
+  std::unique_ptr<net::HttpServer> mAdminServer;
+  Poke mLookPoke;
+  FiberGroup mFibers;
+};
+
+} // namespace foxtailbarrow::taskagent
--- /dev/null
+++ b/apps/taskagent/TaskAgentSettings.cpp
@@ -0,0 +1,35 @@
+#include "apps/taskagent/TaskAgentSettings.h"
+
+#include "src/telemetry/Settings.h"
+
+namespace foxtailbarrow::taskagent {
+
+std::optional<int> ParseTaskAgentSettings(int argc,
+                                          const char* const* argv,
+                                          TaskAgentSettings& aSettings)
+{
+  Settings settings("foxtailbarrow-taskagent",
+                    "Runs the tasks of one worker for the cell's owner");
+  settings
+    .AddId("--id", aSettings.mId, "Name of this agent, unique in the cell")
+    .Required();
+  settings
+    .AddListen("--listen", aSettings.mListen, "Address for the cell's owner")
+    .Required();
+  settings
+    .AddListen("--control", aSettings.mControl, "Address for the worker")
+    .Required();
+  settings
+    .AddEndpoint("--worker", aSettings.mWorker, "The worker on this machine")
+    .Required();
+  settings.AddEndpoint("--store", aSettings.mStore, "The platform's store")
+    .Required();
+  settings.AddListen(
+    "--metrics", aSettings.mMetrics, "Address for metrics and state");
+  settings.AddEndpoints(
+    "--seeds", aSettings.mSeeds, "Schedulers to ask for the owner");
+  settings.AddLogLevel(aSettings.mLogLevel);
+  return settings.Parse(argc, argv);
+}
+
+} // namespace foxtailbarrow::taskagent
--- /dev/null
+++ b/apps/taskagent/WorkerControl.cpp
@@ -0,0 +1,316 @@
+#include "apps/taskagent/WorkerControl.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include "absl/status/status.h"
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::taskagent {
+
+using cell::StartOutcome;
+
+namespace {
+
+/// Of a start or stop at a healthy worker: milliseconds. Beyond this it is
+/// settled instead of waited for.
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(500);
+/// Of a look without a wait.
+constexpr Duration kLookTimeout = std::chrono::milliseconds(500);
+/// How long a look waits for an end. Bounds the age of leases and figures.
+constexpr Duration kLookWait = std::chrono::milliseconds(400);
+/// How long an order is settled before the session is given up.
+constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
+constexpr Duration kSettlePause = std::chrono::milliseconds(20);
+/// Between looks that the worker answers at once although they may wait.
+constexpr Duration kShortestRound = std::chrono::milliseconds(25);
+constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
+/// Without an answer for so long, the worker counts as silent.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
+constexpr int kStopTries = 3;
+/// Fences of a session: the session's number and those after it.
+constexpr cell::Fence kFencesOfSession = 255;
+
+StartOutcome OutcomeOf(const absl::Status& aStatus)
+{
+  return absl::IsUnavailable(aStatus) || absl::IsAborted(aStatus)
+           ? StartOutcome::Unwell
+           : StartOutcome::NotStarted;
+}
+
+} // namespace
+
+WorkerControl::WorkerControl(cell::TaskWorker& aWorker,
+                             std::function<void()> aOnNews)
+  : mWorker(aWorker)
+  , mOnNews(std::move(aOnNews))
+{
+}
+
+bool WorkerControl::TakeInfo(const cell::WorkerInfo& aInfo)
+{
+  if (aInfo == mInfo) {
+    return false;
+  }
+  if (aInfo.mIncarnation != mInfo.mIncarnation) {
+    LogChange("worker-incarnation",
+              { { "incarnation", aInfo.mIncarnation },
+                { "before", mInfo.mIncarnation } });
+    mWorker.Expect(aInfo.mIncarnation);
+    mBook.Reset();
+    mLease.ForgetWorker();
+    mGovernor = cell::PaceGovernor();
+    mAnswers = true;
+    mAnsweredAt = MonotonicNow();
+  }
+  if (aInfo.mDraining != mInfo.mDraining) {
+    LogChange("worker-draining", { { "incarnation", aInfo.mIncarnation },
+                                   { "draining", aInfo.mDraining ? 1 : 0 } });
+  }
+  mInfo = aInfo;
+  return true;
+}
+
+absl::StatusOr<cell::WorkerState> WorkerControl::Attach(cell::Session aSession)
+{
+  if (mInfo.mIncarnation.Empty()) {
+    return absl::UnavailableError("the worker has not told about itself yet");
+  }
+  if (aSession <= mSession) {
+    return absl::FailedPreconditionError("an older session");
+  }
+  mSession = aSession;
+  mFence = aSession;
+  const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
+  if (!Settle(aSession) || incarnation != mInfo.mIncarnation) {
+    return absl::UnavailableError("the worker does not answer");
+  }
+  return Snapshot().mState;
+}
+
+bool WorkerControl::Settle(cell::Session aSession)
+{
+  const std::lock_guard lock(mSettling);
+  const Instant end = MonotonicNow() + kSettleTime;
+  while (MonotonicNow() < end && aSession == mSession &&
+         mFence < aSession + kFencesOfSession) {
+    ++mFence;
+    if (LookOnce(Duration::zero(), false).ok()) {
+      return aSession == mSession;
+    }
+    boost::this_fiber::sleep_for(kSettlePause);
+  }
+  return false;
+}
+
+cell::OrderReply WorkerControl::CarryOut(const cell::OrderRequest& aOrders)
+{
+  cell::OrderReply reply;
+  if (!InForce(aOrders)) {
+    return reply;
+  }
+  for (const cell::TaskTraits& traits : aOrders.mTraits) {
+    mGovernor.NoteTraits(traits);
+  }
+  bool settled = true;
+  std::vector<boost::fibers::fiber> calls;
+  for (const cell::StopOrder& order : aOrders.mStops) {
+    calls.emplace_back(
+      [this, &aOrders, &order, &settled] {
+        settled = Stop(aOrders, order) && settled;
+      });
+  }
+  reply.mStarts.resize(aOrders.mStarts.size());
+  for (std::size_t i = 0; i < aOrders.mStarts.size(); ++i) {
+    const cell::StartOrder& order = aOrders.mStarts[i];
+    cell::StartResult& result = reply.mStarts[i];
+    result.mTask = order.mTask;
+    result.mRun = order.mRun;
+    calls.emplace_back([this, &aOrders, &order, &result, &settled] {
+      result.mOutcome = Start(aOrders, order, settled);
+    });
+  }
+  for (boost::fibers::fiber& call : calls) {
+    call.join();
+  }
+  reply.mAccepted = settled && InForce(aOrders);
+  return reply;
+}
+
+bool WorkerControl::InForce(const cell::OrderRequest& aOrders) const
+{
+  return aOrders.mSession == mSession &&
+         aOrders.mIncarnation == mInfo.mIncarnation;
+}
+
+StartOutcome WorkerControl::Start(const cell::OrderRequest& aOrders,
+                                  const cell::StartOrder& aOrder,
+                                  bool& aSettled)
+{
+  if (!InForce(aOrders)) {
+    return StartOutcome::NotStarted;
+  }
+  const auto leaseEnd = mLease.LeaseEnd(MonotonicNow());
+  if (!leaseEnd) {
+    return StartOutcome::NoLease;
+  }
+  if (mInfo.mDraining) {
+    return StartOutcome::Unwell;
+  }
+  mGovernor.NoteTraits({ aOrder.mTask,
+                         aOrder.mLatencyTarget,
+                         aOrder.mLeftover,
+                         aOrder.mImage });
+  const auto reply = mWorker.Start({ aOrder.mTask,
+                                     aOrder.mRun,
+                                     aOrder.mPayload,
+                                     aOrder.mCheckpoint,
+                                     *leaseEnd,
+                                     mFence },
+                                   kOrderTimeout);
+  StartOutcome outcome = StartOutcome::NotStarted;
+  if (reply.ok()) {
+    outcome = reply->mOutcome;
+  } else if (VerdictOf(reply.status()) == Verdict::NotRun) {
+    outcome = OutcomeOf(reply.status());
+  } else if (!Settle(aOrders.mSession)) {
+    aSettled = false;
+  } else if (mBook.Knows(aOrder.mTask, aOrder.mRun)) {
+    outcome = StartOutcome::Started;
+  }
+  if (outcome == StartOutcome::Started) {
+    mBook.TakeStart(aOrder.mTask, aOrder.mRun, MonotonicNow());
+  }
+  LogChange("task-started",
+            { { "task", ToString(aOrder.mTask) },
+              { "run", aOrder.mRun },
+              { "outcome", ToString(outcome) },
+              { "settled", aSettled ? 1 : 0 },
+              { "error", reply.ok() ? "" : reply.status().ToString() } });
+  return outcome;
+}
+
+bool WorkerControl::Stop(const cell::OrderRequest& aOrders,
+                         const cell::StopOrder& aOrder)
+{
+  absl::Status status = absl::AbortedError("another session");
+  for (int attempt = 0; attempt < kStopTries && InForce(aOrders); ++attempt) {
+    status =
+      mWorker.Stop({ aOrder.mTask, aOrder.mRun, mFence }, kOrderTimeout);
+    if (status.ok()) {
+      break;
+    }
+  }
+  LogChange("task-stopped",
+            { { "task", ToString(aOrder.mTask) },
+              { "run", aOrder.mRun },
+              { "outcome", status.ok() ? "ok" : status.ToString() } });
+  return status.ok();
+}
+
+void WorkerControl::TakeGrant(cell::Session aSession,
+                              Instant aSentAt,
+                              Duration aGrant,
+                              std::int64_t aAcknowledged)
+{
+  if (aSession != mSession) {
+    return;
+  }
+  mLease.Extend(aSentAt, aGrant);
+  mBook.Acknowledge(aAcknowledged);
+}
+
+absl::StatusOr<cell::LookReply> WorkerControl::LookOnce(Duration aWait,
+                                                        bool aExtend)
+{
+  const Instant sentAt = MonotonicNow();
+  const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
+  const cell::Fence fence = mFence;
+  cell::LookCall call;
+  call.mFence = fence;
+  call.mAcknowledged = mBook.Acknowledged();
+  call.mWait = aWait;
+  if (aExtend) {
+    call.mLeaseEnd = mLease.LeaseEnd(sentAt);
+  }
+  auto reply = mWorker.Look(call, aWait + kLookTimeout);
+  const Instant now = MonotonicNow();
+  if (incarnation != mInfo.mIncarnation) {
+    return absl::AbortedError("the worker was replaced");
+  }
+  if (!reply.ok()) {
+    return reply;
+  }
+  mLease.SampleClock(reply->mClock, now);
+  mAnsweredAt = now;
+  if (!mAnswers) {
+    LogChange("worker-answers", { { "incarnation", incarnation } });
+  }
+  mAnswers = true;
+  // An answer to an older fence may be older than what is known.
+  if (fence == mFence && mBook.TakeLook(*reply, sentAt)) {
+    mOnNews();
+  }
+  return reply;
+}
+
+Duration WorkerControl::Look()
+{
+  if (mInfo.mIncarnation.Empty() || mSession == 0) {
+    return kAfterFailure;
+  }
+  const Instant sentAt = MonotonicNow();
+  // While the worker is silent, leases are not extended: the owner waits for
+  // the end of the last one.
+  const auto reply = LookOnce(kLookWait, mAnswers);
+  const Instant now = MonotonicNow();
+  if (!reply.ok()) {
+    if (mAnswers && now - mAnsweredAt > kSilentAfter) {
+      mAnswers = false;
+      LogWarning("worker-silent",
+                 { { "incarnation", mInfo.mIncarnation },
+                   { "error", reply.status().ToString() } });
+      mOnNews();
+    }
+    return kAfterFailure;
+  }
+  SetPaces();
+  return now - sentAt < kShortestRound ? kShortestRound : Duration(1);
+}
+
+void WorkerControl::SetPaces()
+{
+  const std::vector<cell::RunningTask> running = mBook.Running();
+  for (const cell::PaceChange& change :
+       mGovernor.Judge(running, MonotonicNow())) {
+    const absl::Status status = mWorker.Pace(
+      { change.mTask, change.mRun, change.mPercent, mFence }, kOrderTimeout);
+    LogChange("task-paced",
+              { { "task", ToString(change.mTask) },
+                { "run", change.mRun },
+                { "percent", change.mPercent },
+                { "outcome", status.ok() ? "ok" : status.ToString() } });
+    if (status.ok()) {
+      mGovernor.NotePaced(change);
+    }
+  }
+}
+
+WorkerSnapshot WorkerControl::Snapshot() const
+{
+  WorkerSnapshot snapshot;
+  snapshot.mState.mInfo = mInfo;
+  snapshot.mState.mRunning = mBook.Running();
+  snapshot.mState.mEnded = mBook.Ended();
+  snapshot.mAnswers = mAnswers;
+  snapshot.mLeaseLeft = mLease.LeaseLeft(MonotonicNow());
+  snapshot.mPacePercent = mGovernor.Percent();
+  return snapshot;
+}
+
+} // namespace foxtailbarrow::taskagent
--- /dev/null
+++ b/apps/taskagent/WorkerControl.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include <boost/fiber/mutex.hpp>
+
+#include "absl/status/statusor.h"
+
+#include "src/core/cell/CellMessages.h"
+#include "src/core/cell/LeaseGrant.h"
+#include "src/core/cell/PaceGovernor.h"
+#include "src/core/cell/TaskWorker.h"
+#include "src/core/cell/WorkerBook.h"
+
+namespace foxtailbarrow::taskagent {
+
+/// What the owner is told in a report.
+struct WorkerSnapshot
+{
+  cell::WorkerState mState;
+  bool mAnswers = false;
+  Duration mLeaseLeft{};
+  std::int32_t mPacePercent = 100;
+};
+
+/// Gives the orders of the cell's owner to the worker, and looks at it.
+///
+/// An order that got no answer may be carried out seconds later. It is settled
+/// by raising the fence and looking: what the look does not show then never
+/// starts. All methods run in fibers of one thread.
+class WorkerControl
+{
+public:
+  /// `aOnNews` is called when ends arrive that the owner does not know.
+  WorkerControl(cell::TaskWorker& aWorker, std::function<void()> aOnNews);
+
+  /// The worker told about itself. Returns true when something changed.
+  bool TakeInfo(const cell::WorkerInfo& aInfo);
+  const cell::WorkerInfo& Info() const { return mInfo; }
+
+  /// Ends all earlier sessions at the worker and returns what is there.
+  absl::StatusOr<cell::WorkerState> Attach(cell::Session aSession);
+
+  /// Carries out the orders of the session. Not accepted: another session or
+  /// incarnation, or the fate of an order could not be settled; the owner must
+  /// attach again.
+  cell::OrderReply CarryOut(const cell::OrderRequest& aOrders);
+
+  /// The owner's reply to a report that was sent at `aSentAt`.
+  void TakeGrant(cell::Session aSession,
+                 Instant aSentAt,
+                 Duration aGrant,
+                 std::int64_t aAcknowledged);
+
+  /// One look, with the wait for an end. Returns the pause until the next.
+  Duration Look();
+
+  WorkerSnapshot Snapshot() const;
+  cell::Session CurrentSession() const { return mSession; }
+
+private:
+  /// False when the orders' session is no longer in force: their fence is dead
+  /// at the worker, and what is sent under a newer one would be unknown to its
+  /// owner.
+  bool InForce(const cell::OrderRequest& aOrders) const;
+  cell::StartOutcome Start(const cell::OrderRequest& aOrders,
+                           const cell::StartOrder& aOrder,
+                           bool& aSettled);
+  bool Stop(const cell::OrderRequest& aOrders, const cell::StopOrder& aOrder);
+  /// Raises the fence and looks, until the worker answers or time runs out.
+  bool Settle(cell::Session aSession);
+  absl::StatusOr<cell::LookReply> LookOnce(Duration aWait, bool aExtend);
+  void SetPaces();
+
+  cell::TaskWorker& mWorker;
+  std::function<void()> mOnNews;
+  cell::WorkerInfo mInfo;
+  cell::WorkerBook mBook;
+  cell::LeaseGrant mLease;
+  cell::PaceGovernor mGovernor;
+  cell::Session mSession = 0;
+  cell::Fence mFence = 0;
+  Instant mAnsweredAt{};
+  bool mAnswers = false;
+  boost::fibers::mutex mSettling; ///< One settles at a time.
+};
+
+} // namespace foxtailbarrow::taskagent
--- a/include/foxtailbarrow/Store.h
+++ b/include/foxtailbarrow/Store.h
@@ -61,6 +61,9 @@
 {
   bool mApplied = false; ///< False when a compare failed.
   Revision mRevision = 0;
+  /// Where a compare failed and the store tells: the compared keys that exist,
+  /// as they are now.
+  std::vector<StoreEntry> mCurrent{};
 };
 
 /// A change seen by a watch. No value means: the key was deleted.
@@ -98,7 +101,8 @@
 
   /// Calls `aOnEvents` for every change under `aPrefix` after `aFrom`, in
   /// revision order, until it returns false or the connection breaks; then
-  /// returns the reason. The caller lists again and watches anew.
+  /// returns the reason. It may be called without events, as a sign that the
+  /// store was reached. The caller lists again and watches anew.
   virtual absl::Status Watch(
     std::string_view aPrefix,
     Revision aFrom,
--- /dev/null
+++ b/src/core/cell/CellConfiguration.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/QueuePolicy.h"
+
+namespace foxtailbarrow::cell {
+
+/// Maps requests to a queue by host name and path prefix.
+struct QueueRoute
+{
+  std::string mHost;
+  std::string mPathPrefix;
+  QueuePolicy mPolicy;
+  Duration mTimeout{}; ///< Of a caller's request.
+
+  bool operator==(const QueueRoute&) const = default;
+};
+
+/// What the operator has put in force. Versions rise.
+struct CellConfiguration
+{
+  std::int64_t mVersion = 0;
+  std::vector<QueueRoute> mRoutes;
+  std::size_t mMaxBodyBytes = 0; ///< 0 = no limit of the operator's.
+
+  bool operator==(const CellConfiguration&) const = default;
+};
+
+/// The route with this host and the longest prefix of the path; null if none.
+const QueueRoute* FindRoute(const CellConfiguration& aConfiguration,
+                            std::string_view aHost,
+                            std::string_view aPath);
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellMessages.cpp
@@ -0,0 +1,52 @@
+#include "src/core/cell/CellMessages.h"
+
+#include "src/core/base/EnumText.h"
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+constexpr EnumText<RunEnd, 6> kRunEnds({
+  { RunEnd::Done, "done" },
+  { RunEnd::Failed, "failed" },
+  { RunEnd::Stopped, "stopped" },
+  { RunEnd::Lapsed, "lapsed" },
+  { RunEnd::Broken, "broken" },
+  { RunEnd::Alone, "alone" },
+});
+
+constexpr EnumText<StartOutcome, 6> kStartOutcomes({
+  { StartOutcome::Started, "started" },
+  { StartOutcome::NoRoom, "no-room" },
+  { StartOutcome::OldRun, "old-run" },
+  { StartOutcome::Unwell, "unwell" },
+  { StartOutcome::NoLease, "no-lease" },
+  { StartOutcome::NotStarted, "not-started" },
+});
+
+constexpr EnumText<JobPhase, 5> kJobPhases({
+  { JobPhase::Queued, "queued" },
+  { JobPhase::Running, "running" },
+  { JobPhase::Completed, "completed" },
+  { JobPhase::Failed, "failed" },
+  { JobPhase::Cancelled, "cancelled" },
+});
+
+} // namespace
+
+std::string_view ToString(RunEnd aEnd)
+{
+  return kRunEnds.Text(aEnd);
+}
+
+std::string_view ToString(StartOutcome aOutcome)
+{
+  return kStartOutcomes.Text(aOutcome);
+}
+
+std::string_view ToString(JobPhase aPhase)
+{
+  return kJobPhases.Text(aPhase);
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellMessages.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/JobGraph.h"
+#include "src/core/cell/WorkerState.h"
+
+/// Requests and replies between schedulers and task agents (JSON-RPC).
+namespace foxtailbarrow::cell {
+
+/// Number of a scheduler's term as owner of the cell; rises with each owner.
+using Generation = std::int64_t;
+/// One agreement between an owner and an agent on what runs; rises over all
+/// agents and owners. Orders of an earlier session are dead at the worker.
+using Session = std::int64_t;
+
+/// What an agent needs to start a task.
+struct StartOrder
+{
+  TaskRef mTask;
+  RunNumber mRun = 0;
+  std::string mPayload;
+  std::string mCheckpoint;
+  Duration mLatencyTarget{}; ///< 0 = not a serving task.
+  bool mLeftover = false;    ///< May be slowed to protect serving tasks.
+  std::string mImage;
+};
+
+struct StopOrder
+{
+  TaskRef mTask;
+  RunNumber mRun = 0;
+};
+
+/// What an agent must know of a task that it did not start itself.
+struct TaskTraits
+{
+  TaskRef mTask;
+  Duration mLatencyTarget{};
+  bool mLeftover = false;
+  std::string mImage;
+};
+
+enum class StartOutcome : std::uint8_t
+{
+  Started,
+  NoRoom,     ///< The worker refused for lack of room.
+  OldRun,     ///< A run as high has ended or been stopped there.
+  Unwell,     ///< The worker is unhealthy, draining, or another incarnation.
+  NoLease,    ///< The agent's grant has run out.
+  NotStarted, ///< Certainly not started, for another reason.
+};
+
+std::string_view ToString(StartOutcome aOutcome);
+
+struct StartResult
+{
+  TaskRef mTask;
+  RunNumber mRun = 0;
+  StartOutcome mOutcome = StartOutcome::Started;
+};
+
+/// `agent.attach`: owner to agent. All orders of earlier sessions end.
+struct AttachRequest
+{
+  Generation mGeneration = 0;
+  Session mSession = 0;
+  Endpoint mOwner;
+};
+
+struct AttachReply
+{
+  bool mAttached = false; ///< False: a higher generation is known.
+  Generation mGeneration = 0;
+  WorkerState mState;
+};
+
+/// `agent.order`: owner to agent, one at a time.
+struct OrderRequest
+{
+  Session mSession = 0;
+  WorkerIncarnation mIncarnation; ///< The orders are for this one alone.
+  std::vector<StartOrder> mStarts;
+  std::vector<StopOrder> mStops;
+  std::vector<TaskTraits> mTraits;
+};
+
+struct OrderReply
+{
+  bool mAccepted = false; ///< False: another session; nothing was done.
+  std::vector<StartResult> mStarts;
+};
+
+/// `cell.report`: agent to owner, on news and at intervals.
+struct ReportRequest
+{
+  AgentId mAgent;
+  Endpoint mEndpoint;
+  Session mSession = 0; ///< 0 = asks to be attached.
+  std::int64_t mSequence = 0; ///< Rises within a session.
+  WorkerState mState;
+  /// The worker has answered lately. While it does not, its leases are not
+  /// extended.
+  bool mWorkerAnswers = true;
+  Duration mLeaseLeft{}; ///< Until the last lease that it may hold is over.
+  /// Share of full speed of the tasks that run on leftover processors.
+  std::int32_t mPacePercent = 100;
+};
+
+struct ReportReply
+{
+  bool mOwner = false;    ///< The answering process owns the cell.
+  bool mAttached = false; ///< The session is in force.
+  Generation mGeneration = 0;
+  std::vector<Endpoint> mOwnerAt; ///< Where the owner is; empty = unknown.
+  /// Leases may be held so much longer, from the sending of the request.
+  Duration mGrant{};
+  std::int64_t mAcknowledged = 0; ///< Ends up to this one are recorded.
+};
+
+/// `cell.find`: anyone to a scheduler.
+struct FindOwner
+{};
+
+struct FindOwnerReply
+{
+  Generation mGeneration = 0;
+  std::vector<Endpoint> mOwnerAt; ///< Empty = unknown.
+};
+
+enum class JobPhase : std::uint8_t
+{
+  Queued,
+  Running,
+  Completed,
+  Failed,
+  Cancelled,
+};
+
+std::string_view ToString(JobPhase aPhase);
+
+constexpr bool IsFinal(JobPhase aPhase)
+{
+  return aPhase == JobPhase::Completed || aPhase == JobPhase::Failed ||
+         aPhase == JobPhase::Cancelled;
+}
+
+/// `cell.query`: scheduler to owner.
+struct QueryJob
+{
+  JobId mJob;
+};
+
+struct QueryJobReply
+{
+  bool mOwner = false;
+  bool mKnown = false;
+  JobPhase mPhase = JobPhase::Queued;
+};
+
+/// `cell.waiting`: scheduler to owner.
+struct QueryWaiting
+{
+  QueueId mQueue;
+};
+
+struct QueryWaitingReply
+{
+  bool mOwner = false;
+  std::int64_t mWaiting = 0;
+};
+
+inline constexpr std::string_view kAttachMethod = "agent.attach";
+inline constexpr std::string_view kOrderMethod = "agent.order";
+inline constexpr std::string_view kReportMethod = "cell.report";
+inline constexpr std::string_view kFindOwnerMethod = "cell.find";
+inline constexpr std::string_view kQueryJobMethod = "cell.query";
+inline constexpr std::string_view kQueryWaitingMethod = "cell.waiting";
+inline constexpr std::string_view kRecordChangedMethod = "cell.changed";
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellRecords.cpp
@@ -0,0 +1,34 @@
+#include "src/core/cell/CellRecords.h"
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+std::string Join(std::string_view aPrefix, const std::string& aName)
+{
+  return std::string(aPrefix) + aName;
+}
+
+} // namespace
+
+std::string JobKey(const JobId& aJob)
+{
+  return Join(kJobPrefix, aJob.Value());
+}
+
+std::string ProgressKey(const JobId& aJob)
+{
+  return Join(kProgressPrefix, aJob.Value());
+}
+
+std::string AgentKey(const AgentId& aAgent)
+{
+  return Join(kAgentPrefix, aAgent.Value());
+}
+
+std::string_view KeyName(std::string_view aKey, std::string_view aPrefix)
+{
+  return aKey.substr(aPrefix.size());
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellRecords.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "src/core/cell/CellMessages.h"
+#include "src/core/cell/JobGraph.h"
+
+/// Records that the cell keeps in the store, and their keys.
+namespace foxtailbarrow::cell {
+
+/// `j/<id>`: written by the scheduler that accepted the job, once more when it
+/// is cancelled.
+struct StoredJob
+{
+  JobGraph mGraph;
+  std::int64_t mAcceptedUnixMs = 0;
+  bool mCancelled = false;
+
+  bool operator==(const StoredJob&) const = default;
+};
+
+/// `cell.changed`: a scheduler tells the owner what it has just written. A hint
+/// for speed: the owner's watch brings the same.
+struct RecordChanged
+{
+  StoredJob mJob;
+};
+
+struct RecordChangedReply
+{};
+
+/// Failed runs of a task. Numbers and not a count, so that an end which is seen
+/// again after a change of owner counts once.
+struct StoredFailures
+{
+  std::int32_t mIndex = 0;
+  std::vector<RunNumber> mRuns;
+
+  bool operator==(const StoredFailures&) const = default;
+};
+
+struct StoredCheckpoint
+{
+  std::int32_t mIndex = 0;
+  std::string mCheckpoint;
+
+  bool operator==(const StoredCheckpoint&) const = default;
+};
+
+/// What is recorded of the tasks of one step.
+struct StoredStep
+{
+  std::int32_t mOccurrence = 0;
+  std::int32_t mStep = 0;
+  std::string mDone; ///< A character a task: '1' = ended done, '0' = not.
+  std::vector<StoredFailures> mFailures;
+  std::vector<StoredCheckpoint> mCheckpoints;
+
+  bool operator==(const StoredStep&) const = default;
+};
+
+/// `p/<id>`: written by the owner before it acknowledges the ends that it
+/// covers. Steps without an end are left out.
+struct StoredProgress
+{
+  JobPhase mPhase = JobPhase::Queued;
+  std::int64_t mEndedUnixMs = 0; ///< 0 = not ended.
+  std::vector<StoredStep> mSteps;
+
+  bool operator==(const StoredProgress&) const = default;
+};
+
+/// `owner`, under a lease: who owns the cell now.
+struct OwnerRecord
+{
+  EntryId mScheduler;
+  Endpoint mEndpoint;
+  Generation mGeneration = 0;
+  std::int64_t mToken = 0; ///< Tells the owner's own writes from another's.
+};
+
+/// `cell`, under no lease: the newest generation. Every write of the owner
+/// depends on its revision.
+struct CellRecord
+{
+  Generation mGeneration = 0;
+  EntryId mScheduler;
+  std::int64_t mToken = 0;
+};
+
+/// `a/<id>`: an agent that may run tasks, written before its first one.
+struct AgentContact
+{
+  Endpoint mEndpoint;
+};
+
+inline constexpr std::string_view kOwnerKey = "foxtailbarrow/owner";
+inline constexpr std::string_view kCellKey = "foxtailbarrow/cell";
+inline constexpr std::string_view kJobPrefix = "foxtailbarrow/j/";
+inline constexpr std::string_view kProgressPrefix = "foxtailbarrow/p/";
+inline constexpr std::string_view kAgentPrefix = "foxtailbarrow/a/";
+
+std::string JobKey(const JobId& aJob);
+std::string ProgressKey(const JobId& aJob);
+std::string AgentKey(const AgentId& aAgent);
+
+/// The part of a key after its prefix.
+std::string_view KeyName(std::string_view aKey, std::string_view aPrefix);
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellScheduler.cpp
@@ -0,0 +1,260 @@
+#include "src/core/cell/CellScheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+Instant DeadlineOf(const JobEntry& aJob)
+{
+  const double chain =
+    static_cast<double>(LongestChain(aJob.Graph()).count()) *
+    aJob.mPolicy.mStretch;
+  return aJob.mAcceptedAt + Duration(static_cast<Duration::rep>(chain)) +
+         aJob.mPolicy.mAllowance;
+}
+
+bool HasRuns(const JobEntry& aJob)
+{
+  return std::ranges::any_of(
+    aJob.mOccurrences, [](const OccurrenceEntry& aOccurrence) {
+      return std::ranges::any_of(
+        aOccurrence.mSteps, [](const StepEntry& aStep) {
+          return std::ranges::any_of(aStep.mTasks, [](const TaskEntry& aTask) {
+            return !aTask.mRuns.empty();
+          });
+        });
+    });
+}
+
+} // namespace
+
+CellScheduler::CellScheduler(Generation aGeneration,
+                             CellSettings aSettings,
+                             DecisionSink aSink)
+  : mGeneration(aGeneration)
+  , mSettings(aSettings)
+  , mSink(std::move(aSink))
+{
+}
+
+void CellScheduler::SetQueues(const std::vector<QueuePolicy>& aQueues)
+{
+  mQueues.clear();
+  for (const QueuePolicy& queue : aQueues) {
+    mQueues.emplace(queue.mQueue, queue);
+  }
+  for (const JobId& id : mActive) {
+    JobEntry& job = mJobs.at(id);
+    if (const auto found = mQueues.find(job.Graph().mQueue);
+        found != mQueues.end()) {
+      job.mPolicy = found->second;
+      job.mDeadline = DeadlineOf(job);
+    }
+  }
+}
+
+void CellScheduler::AddJob(const StoredJob& aStored,
+                           const StoredProgress& aProgress,
+                           Revision aProgressRevision,
+                           const CellClock& aClock)
+{
+  const JobId& id = aStored.mGraph.mId;
+  if (mJobs.contains(id)) {
+    if (aStored.mCancelled) {
+      CancelJob(id, aClock);
+    }
+    return;
+  }
+  QueuePolicy policy;
+  if (const auto found = mQueues.find(aStored.mGraph.mQueue);
+      found != mQueues.end()) {
+    policy = found->second;
+  }
+  JobEntry& job =
+    mJobs.emplace(id, MakeJobEntry(aStored, aProgress, std::move(policy)))
+      .first->second;
+  const std::int64_t ageMs =
+    std::max<std::int64_t>(0, aClock.mUnixMs - aStored.mAcceptedUnixMs);
+  job.mAcceptedAt = aClock.mNow - std::chrono::milliseconds(ageMs);
+  job.mDeadline = DeadlineOf(job);
+  job.mInherited = aProgressRevision != 0;
+  job.mProgressRevision = aProgressRevision;
+  mSink({ .mEvent = "job-known",
+          .mJob = id,
+          .mReason = ToString(job.mPhase),
+          .mAgeMs = ageMs });
+  if (job.Final()) {
+    return;
+  }
+  mActive.insert(id);
+  if (aStored.mCancelled) {
+    CancelJob(id, aClock);
+  } else if (!job.mInherited) {
+    MarkChanged(job);
+  }
+}
+
+void CellScheduler::CancelJob(const JobId& aJob, const CellClock& aClock)
+{
+  const auto found = mJobs.find(aJob);
+  if (found == mJobs.end() || found->second.Final()) {
+    return;
+  }
+  found->second.mStored.mCancelled = true;
+  FinishJob(found->second, JobPhase::Cancelled, aClock);
+}
+
+void CellScheduler::DropJob(const JobId& aJob)
+{
+  mJobs.erase(aJob);
+  mActive.erase(aJob);
+  mUnrecorded.erase(aJob);
+}
+
+void CellScheduler::MarkChanged(JobEntry& aJob)
+{
+  ++aJob.mVersion;
+  mUnrecorded.insert(aJob.Graph().mId);
+}
+
+void CellScheduler::FinishJob(JobEntry& aJob,
+                              JobPhase aPhase,
+                              const CellClock& aClock)
+{
+  aJob.mPhase = aPhase;
+  aJob.mEndedUnixMs = aClock.mUnixMs;
+  mActive.erase(aJob.Graph().mId);
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aClock.mNow - aJob.mAcceptedAt);
+  mSink({ .mEvent = "job-end",
+          .mJob = aJob.Graph().mId,
+          .mReason = ToString(aPhase),
+          .mAgeMs = age.count() });
+  StopRuns(aJob, aClock);
+  MarkChanged(aJob);
+}
+
+void CellScheduler::StopRuns(JobEntry& aJob, const CellClock&)
+{
+  for (std::size_t number = 0; number < aJob.mOccurrences.size(); ++number) {
+    auto& steps = aJob.mOccurrences[number].mSteps;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+      for (std::size_t index = 0; index < steps[step].mTasks.size(); ++index) {
+        const TaskRef task{ aJob.Graph().mId,
+                            static_cast<std::int32_t>(number),
+                            static_cast<std::int32_t>(step),
+                            static_cast<std::int32_t>(index) };
+        for (TaskRun& run : steps[step].mTasks[index].mRuns) {
+          run.mPhase = RunPhase::Stopping;
+          OrderStop(mWorkers.at(run.mAgent), task, run.mNumber, "job-ended");
+        }
+      }
+    }
+  }
+}
+
+std::vector<UnrecordedProgress> CellScheduler::Unrecorded(
+  std::size_t aMost) const
+{
+  std::vector<UnrecordedProgress> unrecorded;
+  for (const JobId& id : mUnrecorded) {
+    if (unrecorded.size() == aMost) {
+      break;
+    }
+    const JobEntry& job = mJobs.at(id);
+    unrecorded.push_back(
+      { id, job.mVersion, ProgressOf(job), job.mProgressRevision });
+  }
+  return unrecorded;
+}
+
+void CellScheduler::NoteRecorded(const JobId& aJob,
+                                 std::uint64_t aVersion,
+                                 Revision aRevision)
+{
+  const auto found = mJobs.find(aJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  JobEntry& job = found->second;
+  job.mRecorded = std::max(job.mRecorded, aVersion);
+  job.mProgressRevision = aRevision;
+  if (job.mRecorded >= job.mVersion) {
+    mUnrecorded.erase(aJob);
+  }
+}
+
+void CellScheduler::NoteProgressRevision(const JobId& aJob, Revision aRevision)
+{
+  if (const auto found = mJobs.find(aJob); found != mJobs.end()) {
+    found->second.mProgressRevision = aRevision;
+  }
+}
+
+std::uint64_t CellScheduler::RecordedVersion(const JobId& aJob) const
+{
+  const auto found = mJobs.find(aJob);
+  return found == mJobs.end() ? std::numeric_limits<std::uint64_t>::max()
+                              : found->second.mRecorded;
+}
+
+std::int64_t CellScheduler::Acknowledged(const AgentId& aAgent)
+{
+  const auto found = mWorkers.find(aAgent);
+  if (found == mWorkers.end()) {
+    return 0;
+  }
+  return found->second.mEnds.Acknowledge(
+    [this](const JobId& aJob) { return RecordedVersion(aJob); });
+}
+
+std::optional<JobPhase> CellScheduler::PhaseOf(const JobId& aJob) const
+{
+  const auto found = mJobs.find(aJob);
+  if (found == mJobs.end()) {
+    return std::nullopt;
+  }
+  const JobEntry& job = found->second;
+  const bool ahead = job.mRecorded < job.mVersion;
+  if (ahead &&
+      (job.mPhase == JobPhase::Completed || job.mPhase == JobPhase::Failed)) {
+    return JobPhase::Running;
+  }
+  return job.mPhase;
+}
+
+std::int64_t CellScheduler::WaitingJobs(const QueueId& aQueue) const
+{
+  return std::ranges::count_if(mActive, [&](const JobId& aId) {
+    const JobEntry& job = mJobs.at(aId);
+    return job.Graph().mQueue == aQueue && job.mPhase == JobPhase::Queued;
+  });
+}
+
+std::vector<JobId> CellScheduler::EndedBefore(std::int64_t aUnixMs) const
+{
+  std::vector<JobId> ended;
+  for (const auto& [id, job] : mJobs) {
+    if (job.Final() && job.mRecorded >= job.mVersion && !HasRuns(job) &&
+        job.mEndedUnixMs < aUnixMs) {
+      ended.push_back(id);
+    }
+  }
+  return ended;
+}
+
+void CellScheduler::Tell(std::string_view aEvent,
+                         const TaskRef& aTask,
+                         const AgentId& aAgent,
+                         RunNumber aRun,
+                         std::string_view aReason,
+                         std::int64_t aAgeMs) const
+{
+  mSink({ aEvent, aTask.mJob, ToString(aTask), aAgent, aRun, aReason, aAgeMs });
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellScheduler.h
@@ -0,0 +1,248 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/CellDecision.h"
+#include "src/core/cell/CellMessages.h"
+#include "src/core/cell/CellSettings.h"
+#include "src/core/cell/JobEntry.h"
+#include "src/core/cell/WorkerChoice.h"
+#include "src/core/cell/WorkerEntry.h"
+
+namespace foxtailbarrow::cell {
+
+/// A change of a job's progress that the store does not have yet.
+struct UnrecordedProgress
+{
+  JobId mJob;
+  std::uint64_t mVersion = 0;
+  StoredProgress mProgress;
+  Revision mRevision = 0; ///< Of the record that it replaces; 0 = none.
+};
+
+/// Moments as both clocks show them: intervals are judged by the monotonic
+/// one, due times by the time of day.
+struct CellClock
+{
+  Instant mNow{};
+  std::int64_t mUnixMs = 0;
+};
+
+/// Decides what runs where in one cell, as its one owner: jobs, workers and
+/// their reports go in; orders for agents, progress to record and ends to
+/// acknowledge come out. Pure: no I/O, the clock is passed in.
+///
+/// Promises: a task without copies has one run at most that may be alive; a
+/// worker's reservations never pass its capacity; a step starts after the steps
+/// it waits for; an end is acknowledged after its job's progress is recorded.
+/// Survives lost and repeated reports, agents that restart, workers that crash,
+/// and its own replacement by an owner of a higher generation, which learns
+/// from the store and from the agents what was done and what runs.
+class CellScheduler
+{
+public:
+  CellScheduler(Generation aGeneration,
+                CellSettings aSettings,
+                DecisionSink aSink);
+
+  // Configuration.
+
+  /// Replaces the policies; a job of a queue that is gone keeps its last one.
+  void SetQueues(const std::vector<QueuePolicy>& aQueues);
+
+  // Jobs.
+
+  /// Takes a job from the store. Without a progress record (revision 0) no task
+  /// of it has ever started, since none starts before the record is written;
+  /// with one, an earlier owner may have started some. A job that is known
+  /// already only takes over a cancellation.
+  void AddJob(const StoredJob& aStored,
+              const StoredProgress& aProgress,
+              Revision aProgressRevision,
+              const CellClock& aClock);
+  void CancelJob(const JobId& aJob, const CellClock& aClock);
+  void DropJob(const JobId& aJob);
+
+  // Workers.
+
+  /// Agents that the previous owner had: until each has attached, or until
+  /// `aUntil`, inherited tasks that no agent reports may be running.
+  void ExpectAgents(const std::set<AgentId>& aAgents, Instant aUntil);
+
+  /// A session with the agent begins; its state is the whole truth about the
+  /// worker.
+  void AttachWorker(const AgentId& aAgent,
+                    const Endpoint& aEndpoint,
+                    Session aSession,
+                    const WorkerState& aState,
+                    const CellClock& aClock);
+
+  /// False when the report belongs to no session in force.
+  bool TakeReport(const ReportRequest& aReport, const CellClock& aClock);
+
+  /// The session broke; tasks may run until their leases are over.
+  void DetachWorker(const AgentId& aAgent, const CellClock& aClock);
+
+  void TakeStartResults(const AgentId& aAgent,
+                        Session aSession,
+                        const std::vector<StartResult>& aResults,
+                        const CellClock& aClock);
+
+  /// Notes that the agent may hold leases until `aUntil`.
+  void NoteGrant(const AgentId& aAgent, Instant aUntil);
+
+  // Output.
+
+  /// Ends what has lapsed and places what may run. Orders are then found by
+  /// TakeOrders().
+  void Schedule(const CellClock& aClock);
+
+  /// Agents with orders to carry out.
+  std::vector<AgentId> AgentsWithOrders() const;
+  /// Removes and returns the orders of an agent, in its session.
+  OrderRequest TakeOrders(const AgentId& aAgent);
+
+  /// At most `aMost` jobs whose progress must be recorded.
+  std::vector<UnrecordedProgress> Unrecorded(std::size_t aMost) const;
+  bool HasUnrecorded() const { return !mUnrecorded.empty(); }
+  void NoteRecorded(const JobId& aJob,
+                    std::uint64_t aVersion,
+                    Revision aRevision);
+  /// The store has another revision of the record than was thought.
+  void NoteProgressRevision(const JobId& aJob, Revision aRevision);
+
+  /// Ends of this agent's worker up to this number are recorded.
+  std::int64_t Acknowledged(const AgentId& aAgent);
+
+  // Views.
+
+  /// What a caller is told; nullopt for an unknown job. Never ahead of what is
+  /// recorded.
+  std::optional<JobPhase> PhaseOf(const JobId& aJob) const;
+  std::int64_t WaitingJobs(const QueueId& aQueue) const;
+  /// Jobs that ended and were recorded before `aUnixMs`.
+  std::vector<JobId> EndedBefore(std::int64_t aUnixMs) const;
+
+  const std::map<JobId, JobEntry>& Jobs() const { return mJobs; }
+  const WorkerTable& Workers() const { return mWorkers; }
+  Generation OwnGeneration() const { return mGeneration; }
+
+private:
+  struct Candidate;
+
+  // Jobs (CellScheduler.cpp).
+  void MarkChanged(JobEntry& aJob);
+  void StopRuns(JobEntry& aJob, const CellClock& aClock);
+  void FinishJob(JobEntry& aJob, JobPhase aPhase, const CellClock& aClock);
+  std::uint64_t RecordedVersion(const JobId& aJob) const;
+  void Tell(std::string_view aEvent,
+            const TaskRef& aTask,
+            const AgentId& aAgent,
+            RunNumber aRun,
+            std::string_view aReason,
+            std::int64_t aAgeMs = 0) const;
+
+  // Ends (CellSchedulerEnds.cpp).
+  void TakeEnds(WorkerEntry& aWorker,
+                const std::vector<EndedTask>& aEnded,
+                const CellClock& aClock);
+  std::uint64_t TakeEnd(WorkerEntry& aWorker,
+                        const EndedTask& aEnded,
+                        const CellClock& aClock);
+  bool CountsAsOurs(const JobEntry& aJob,
+                    const TaskEntry& aTask,
+                    const EndedTask& aEnded) const;
+  void ApplyEnd(JobEntry& aJob,
+                const EndedTask& aEnded,
+                const AgentId& aAgent,
+                const CellClock& aClock);
+  void MarkDone(JobEntry& aJob, const TaskRef& aTask, const CellClock& aClock);
+  void MarkTaskDone(JobEntry& aJob,
+                    const TaskRef& aTask,
+                    const CellClock& aClock);
+  void MarkFailed(JobEntry& aJob,
+                  const EndedTask& aEnded,
+                  const AgentId& aAgent,
+                  const CellClock& aClock);
+  std::size_t FailuresOf(JobEntry& aJob, const TaskRef& aTask) const;
+  void JudgeWorker(WorkerEntry& aWorker,
+                   const EndedTask& aEnded,
+                   const CellClock& aClock);
+
+  // Workers (CellSchedulerWorkers.cpp).
+  void AddRun(JobEntry& aJob,
+              const TaskRef& aTask,
+              WorkerEntry& aWorker,
+              TaskRun aRun);
+  void RemoveRun(JobEntry& aJob,
+                 const TaskRef& aTask,
+                 const AgentId& aAgent,
+                 RunNumber aRun,
+                 const CellClock& aClock);
+  void OrderStop(WorkerEntry& aWorker,
+                 const TaskRef& aTask,
+                 RunNumber aRun,
+                 std::string_view aReason);
+  void TakeInfo(WorkerEntry& aWorker,
+                const WorkerInfo& aInfo,
+                const CellClock& aClock);
+  void TakeRunning(WorkerEntry& aWorker,
+                   const std::vector<RunningTask>& aRunning,
+                   const CellClock& aClock);
+  void TakeRunningTask(WorkerEntry& aWorker,
+                       const RunningTask& aRunning,
+                       const CellClock& aClock);
+  bool Adopt(WorkerEntry& aWorker,
+             const RunningTask& aRunning,
+             const CellClock& aClock);
+  void DropAbsentRuns(WorkerEntry& aWorker,
+                      const std::vector<RunningTask>& aRunning,
+                      Duration aYoungest,
+                      const CellClock& aClock);
+  void LoseRuns(WorkerEntry& aWorker,
+                std::string_view aReason,
+                const CellClock& aClock);
+  void LoseLapsedWorkers(const CellClock& aClock);
+  void TakeSilence(WorkerEntry& aWorker,
+                   const ReportRequest& aReport,
+                   const CellClock& aClock);
+  void Evacuate(WorkerEntry& aWorker, const CellClock& aClock);
+
+  // Placing (CellSchedulerPlacing.cpp).
+  bool MayBeRunningUnseen(const JobEntry& aJob, Instant aNow) const;
+  std::vector<Candidate> Candidates(const CellClock& aClock);
+  void PlaceStep(const Candidate& aCandidate, const CellClock& aClock);
+  void PlaceTasks(JobEntry& aJob,
+                  const TaskRef& aFirst,
+                  const CellClock& aClock);
+  void PlaceGang(JobEntry& aJob,
+                 const TaskRef& aFirst,
+                 const CellClock& aClock);
+  bool PlaceTask(JobEntry& aJob,
+                 const TaskRef& aTask,
+                 RunNumber aRun,
+                 const CellClock& aClock);
+  RunNumber NextRun(const TaskEntry& aTask) const;
+  StartOrder OrderFor(const JobEntry& aJob,
+                      const TaskRef& aTask,
+                      RunNumber aRun) const;
+
+  Generation mGeneration;
+  CellSettings mSettings;
+  DecisionSink mSink;
+  std::map<QueueId, QueuePolicy> mQueues;
+  std::map<JobId, JobEntry> mJobs;
+  std::set<JobId> mActive; ///< Jobs that have not ended.
+  std::set<JobId> mUnrecorded;
+  WorkerTable mWorkers;
+  std::map<AgentId, OrderRequest> mOrders;
+  std::set<AgentId> mExpected; ///< Not attached yet since the takeover.
+  Instant mExpectedUntil{};
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -0,0 +1,235 @@
+#include <algorithm>
+#include <tuple>
+
+#include "src/core/cell/CellScheduler.h"
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+/// How much a job can still earn, best first.
+enum class Prospect : std::uint8_t
+{
+  OnTime,
+  Late,
+  Hopeless,
+};
+
+/// A job that ends later than this many times its allowed time earns nothing.
+constexpr int kHopelessFactor = 3;
+
+Prospect ProspectOf(const JobEntry& aJob, Instant aNow)
+{
+  const Instant earliest = aNow + LongestChain(aJob.Graph()) / 2;
+  if (earliest <= aJob.mDeadline) {
+    return Prospect::OnTime;
+  }
+  const Duration allowed = aJob.mDeadline - aJob.mAcceptedAt;
+  return aNow < aJob.mAcceptedAt + kHopelessFactor * allowed
+           ? Prospect::Late
+           : Prospect::Hopeless;
+}
+
+} // namespace
+
+/// A step with tasks to place, and its place in the queue.
+struct CellScheduler::Candidate
+{
+  bool mLeftover = false;
+  std::int32_t mPriority = 0;
+  Prospect mProspect = Prospect::OnTime;
+  Instant mDeadline{};
+  TaskRef mFirst; ///< Of the step; the index is 0.
+
+  auto Key() const
+  {
+    return std::tie(mLeftover, mPriority, mProspect, mDeadline, mFirst);
+  }
+};
+
+void CellScheduler::Schedule(const CellClock& aClock)
+{
+  LoseLapsedWorkers(aClock);
+  for (auto& [id, worker] : mWorkers) {
+    if (worker.mInfo.mDraining && worker.mLink == WorkerLink::Attached) {
+      Evacuate(worker, aClock);
+    }
+  }
+  std::vector<Candidate> candidates = Candidates(aClock);
+  std::ranges::sort(candidates, {}, [](const Candidate& aCandidate) {
+    return aCandidate.Key();
+  });
+  for (const Candidate& candidate : candidates) {
+    PlaceStep(candidate, aClock);
+  }
+}
+
+/// True when an agent that has not reported since the takeover may run a task
+/// of this job that we know nothing of.
+bool CellScheduler::MayBeRunningUnseen(const JobEntry& aJob,
+                                       Instant aNow) const
+{
+  return aJob.mInherited && !mExpected.empty() && aNow < mExpectedUntil;
+}
+
+std::vector<CellScheduler::Candidate> CellScheduler::Candidates(
+  const CellClock& aClock)
+{
+  std::vector<Candidate> candidates;
+  for (const JobId& id : mActive) {
+    JobEntry& job = mJobs.at(id);
+    // Before its record is there, a next owner would take it for not started.
+    if (job.mProgressRevision == 0 || MayBeRunningUnseen(job, aClock.mNow)) {
+      continue;
+    }
+    for (std::size_t number = 0; number < job.mOccurrences.size(); ++number) {
+      const OccurrenceEntry& occurrence = job.mOccurrences[number];
+      if (occurrence.mStepsLeft == 0 || aClock.mUnixMs < occurrence.mDueUnixMs) {
+        continue;
+      }
+      for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
+        const StepEntry& entry = occurrence.mSteps[step];
+        if (entry.mLeft == 0 || !Released(job.Graph(), occurrence, step) ||
+            std::ranges::none_of(entry.mTasks, &TaskEntry::Idle)) {
+          continue;
+        }
+        candidates.push_back({ job.Graph().mSteps[step].mLeftover,
+                               job.mPolicy.mPriority,
+                               ProspectOf(job, aClock.mNow),
+                               job.mDeadline,
+                               { id,
+                                 static_cast<std::int32_t>(number),
+                                 static_cast<std::int32_t>(step),
+                                 0 } });
+      }
+    }
+  }
+  return candidates;
+}
+
+void CellScheduler::PlaceStep(const Candidate& aCandidate,
+                              const CellClock& aClock)
+{
+  JobEntry& job = mJobs.at(aCandidate.mFirst.mJob);
+  if (job.Spec(aCandidate.mFirst).mGang) {
+    PlaceGang(job, aCandidate.mFirst, aClock);
+  } else {
+    PlaceTasks(job, aCandidate.mFirst, aClock);
+  }
+}
+
+void CellScheduler::PlaceTasks(JobEntry& aJob,
+                               const TaskRef& aFirst,
+                               const CellClock& aClock)
+{
+  TaskRef task = aFirst;
+  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
+    const TaskEntry& entry = *aJob.Find(task);
+    if (!entry.Idle() || entry.mNotBefore > aClock.mNow) {
+      continue;
+    }
+    if (!PlaceTask(aJob, task, NextRun(entry), aClock)) {
+      return; // The tasks of a step are alike: no other one fits either.
+    }
+  }
+}
+
+/// All members or none, under one run number.
+void CellScheduler::PlaceGang(JobEntry& aJob,
+                              const TaskRef& aFirst,
+                              const CellClock& aClock)
+{
+  const std::vector<TaskEntry>& members = aJob.StepOf(aFirst).mTasks;
+  RunNumber run = 0;
+  for (const TaskEntry& member : members) {
+    if (!member.Idle() || member.mNotBefore > aClock.mNow) {
+      return;
+    }
+    run = std::max(run, NextRun(member));
+  }
+  TaskRef task = aFirst;
+  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
+    if (!PlaceTask(aJob, task, run, aClock)) {
+      break;
+    }
+  }
+  if (task.mIndex == aJob.Spec(aFirst).mReplicas) {
+    return;
+  }
+  // Not all fit. Nothing was sent yet, so that what was placed is taken back.
+  while (task.mIndex-- > 0) {
+    const AgentId agent = aJob.Find(task)->mRuns.front().mAgent;
+    RemoveRun(aJob, task, agent, run, aClock);
+    std::erase_if(mOrders[agent].mStarts, [&](const StartOrder& aStart) {
+      return aStart.mTask == task;
+    });
+  }
+}
+
+bool CellScheduler::PlaceTask(JobEntry& aJob,
+                              const TaskRef& aTask,
+                              RunNumber aRun,
+                              const CellClock& aClock)
+{
+  const auto agent =
+    ChooseWorker(mWorkers, aJob, aTask, mSettings, aClock.mNow);
+  if (!agent) {
+    return false;
+  }
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aClock.mNow - aJob.mAcceptedAt);
+  Tell("task-start", aTask, *agent, aRun, "room", waited.count());
+  AddRun(aJob,
+         aTask,
+         mWorkers.at(*agent),
+         { .mAgent = *agent, .mNumber = aRun, .mOrderedAt = aClock.mNow });
+  mOrders[*agent].mStarts.push_back(OrderFor(aJob, aTask, aRun));
+  return true;
+}
+
+StartOrder CellScheduler::OrderFor(const JobEntry& aJob,
+                                   const TaskRef& aTask,
+                                   RunNumber aRun) const
+{
+  const StepSpec& spec = aJob.Spec(aTask);
+  const std::size_t step = static_cast<std::size_t>(aTask.mStep);
+  const TaskEntry& task =
+    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
+      .mSteps[step]
+      .mTasks[static_cast<std::size_t>(aTask.mIndex)];
+  return { .mTask = aTask,
+           .mRun = aRun,
+           .mPayload = aJob.Graph().mPayload,
+           .mCheckpoint = task.mCheckpoint,
+           .mLatencyTarget = spec.mLatencyTarget,
+           .mLeftover = spec.mLeftover,
+           .mImage = spec.mImage };
+}
+
+std::vector<AgentId> CellScheduler::AgentsWithOrders() const
+{
+  std::vector<AgentId> agents;
+  for (const auto& [agent, orders] : mOrders) {
+    if (!orders.mStarts.empty() || !orders.mStops.empty() ||
+        !orders.mTraits.empty()) {
+      agents.push_back(agent);
+    }
+  }
+  return agents;
+}
+
+OrderRequest CellScheduler::TakeOrders(const AgentId& aAgent)
+{
+  OrderRequest orders;
+  if (const auto found = mOrders.find(aAgent); found != mOrders.end()) {
+    orders = std::move(found->second);
+    mOrders.erase(found);
+  }
+  if (const auto worker = mWorkers.find(aAgent); worker != mWorkers.end()) {
+    orders.mSession = worker->second.mSession;
+    orders.mIncarnation = worker->second.mInfo.mIncarnation;
+  }
+  return orders;
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CellSettings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::cell {
+
+/// Times and weights of the owner's decisions.
+struct CellSettings
+{
+  /// Longest lease of a task beyond its agent's last word with the owner. A
+  /// lost worker's tasks restart after it; a shorter cut is survived.
+  Duration mHold = std::chrono::milliseconds(3500);
+  /// Longest time that an owner grants leases without a confirmation of its
+  /// ownership by the store. A store outage of this length is survived. A new
+  /// owner waits it out for workers that do not answer.
+  Duration mAuthority = std::chrono::milliseconds(5600);
+  /// Added to every waited lease: slow clocks of workers (2 %) and the time
+  /// that a worker takes to end what has lapsed.
+  Duration mLeaseMargin = std::chrono::milliseconds(350);
+  /// How long nothing is started on a worker that fails all it starts.
+  Duration mAvoid = std::chrono::seconds(3);
+  /// Failures in a row, of two jobs or more, after which a worker is avoided.
+  int mFailuresToAvoid = 3;
+  /// Before a start is tried again at a worker that refused it.
+  Duration mRefusalPause = std::chrono::milliseconds(100);
+  /// Before a draining worker leaves, tasks with checkpoints are stopped.
+  Duration mEvacuateBefore = std::chrono::milliseconds(900);
+  /// Demand of leftover tasks on a worker over what it has for them.
+  double mMaxLeftoverRatio = 1.25;
+  /// Share of its reservation that a standing task is taken to use.
+  double mStandingUse = 0.6;
+  /// Added to the ratio of a worker with serving tasks, which leftover tasks
+  /// would disturb.
+  double mServingPenalty = 0.4;
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/JobRequest.cpp
@@ -0,0 +1,25 @@
+#include "src/core/cell/JobRequest.h"
+
+#include "src/core/base/EnumText.h"
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+constexpr EnumText<RefusalCause, 6> kCauses({
+  { RefusalCause::NoSuchQueue, "no-such-queue" },
+  { RefusalCause::BadRequest, "bad-request" },
+  { RefusalCause::NotReady, "not-ready" },
+  { RefusalCause::StoreAway, "store-away" },
+  { RefusalCause::Unsupported, "unsupported" },
+  { RefusalCause::Unknown, "fate-unknown" },
+});
+
+} // namespace
+
+std::string_view ToString(RefusalCause aCause)
+{
+  return kCauses.Text(aCause);
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/OwnerTerm.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <algorithm>
+
+#include "foxtailbarrow/Contract.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/CellMessages.h"
+#include "src/core/cell/CellSettings.h"
+
+namespace foxtailbarrow::cell {
+
+/// How long the owner of a cell may grant leases.
+///
+/// A confirmation is a call that the store answered in a way that shows this
+/// owner's record unchanged. It is dated by its sending, so that a taker's
+/// transaction came later than that. Leases end within mAuthority of it, which
+/// is what a taker waits for where an agent does not answer.
+class OwnerTerm
+{
+public:
+  OwnerTerm(Generation aGeneration,
+            Revision aCellRevision,
+            Instant aConfirmedAt,
+            CellSettings aSettings)
+    : mGeneration(aGeneration)
+    , mCellRevision(aCellRevision)
+    , mConfirmedAt(aConfirmedAt)
+    , mSettings(aSettings)
+  {
+  }
+
+  Generation OwnGeneration() const { return mGeneration; }
+  /// Every write of the owner depends on this revision of the cell's record.
+  Revision CellRevision() const { return mCellRevision; }
+  Instant ConfirmedAt() const { return mConfirmedAt; }
+
+  void Confirm(Instant aSentAt)
+  {
+    mConfirmedAt = std::max(mConfirmedAt, aSentAt);
+  }
+
+  /// The lease that may be granted now; zero when the store has been silent for
+  /// too long.
+  Duration GrantAt(Instant aNow) const
+  {
+    const Duration left = mConfirmedAt + mSettings.mAuthority - aNow;
+    return std::clamp(left, Duration::zero(), mSettings.mHold);
+  }
+
+private:
+  Generation mGeneration;
+  Revision mCellRevision;
+  Instant mConfirmedAt;
+  CellSettings mSettings;
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/TaskEntry.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/TaskRef.h"
+
+namespace foxtailbarrow::cell {
+
+enum class RunPhase : std::uint8_t
+{
+  Ordered, ///< The agent has not answered yet: it may or may not run.
+  Running,
+  Stopping, ///< Holds its room until its end is listed.
+};
+
+/// One run of a task that may be there.
+struct TaskRun
+{
+  AgentId mAgent{};
+  RunNumber mNumber = 0;
+  RunPhase mPhase = RunPhase::Ordered;
+  Instant mOrderedAt{};
+  Instant mRunningSince{};
+  std::int32_t mPercent = 0;
+  Instant mPercentChangedAt{};
+};
+
+/// What the owner knows of one task.
+struct TaskEntry
+{
+  bool mDone = false;
+  std::vector<RunNumber> mFailedRuns;
+  std::string mCheckpoint;
+  std::vector<TaskRun> mRuns;
+  RunNumber mLastRun = 0;
+  Instant mNotBefore{}; ///< No start before; set after a refusal.
+  Instant mIdleSince{};
+  std::vector<AgentId> mFailedOn;
+
+  bool Idle() const { return !mDone && mRuns.empty(); }
+
+  TaskRun* FindRun(const AgentId& aAgent, RunNumber aNumber)
+  {
+    const auto found = std::ranges::find_if(mRuns, [&](const TaskRun& aRun) {
+      return aRun.mAgent == aAgent && aRun.mNumber == aNumber;
+    });
+    return found == mRuns.end() ? nullptr : &*found;
+  }
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/TaskRef.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "foxtailbarrow/Id.h"
+
+namespace foxtailbarrow::cell {
+
+/// Numbers the starts of a task; every start has a higher one than all before.
+using RunNumber = std::int64_t;
+
+/// Names one task of a job.
+struct TaskRef
+{
+  JobId mJob;
+  std::int32_t mOccurrence = 0;
+  std::int32_t mStep = 0;
+  std::int32_t mIndex = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false positive of clang-tidy 14.
+  auto operator<=>(const TaskRef&) const = default;
+
+  template<typename H>
+  friend H AbslHashValue(H aState, const TaskRef& aTask)
+  {
+    return H::combine(std::move(aState),
+                      aTask.mJob,
+                      aTask.mOccurrence,
+                      aTask.mStep,
+                      aTask.mIndex);
+  }
+};
+
+/// "job.occurrence.step.index", for logs and state.
+std::string ToString(const TaskRef& aTask);
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/WorkerBook.cpp
@@ -0,0 +1,76 @@
+#include "src/core/cell/WorkerBook.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow::cell {
+
+void WorkerBook::Reset()
+{
+  *this = WorkerBook();
+}
+
+void WorkerBook::TakeStart(const TaskRef& aTask,
+                           RunNumber aRun,
+                           Instant aAnsweredAt)
+{
+  if (!Knows(aTask, aRun)) {
+    mStarted[{ aTask, aRun }] = aAnsweredAt;
+  }
+}
+
+bool WorkerBook::TakeLook(const LookReply& aReply, Instant aSentAt)
+{
+  mLooked = aReply.mRunning;
+  std::int64_t newest = mSeen;
+  for (const EndedTask& ended : aReply.mEnded) {
+    if (ended.mNumber > mSeen) {
+      mEnded.push_back(ended);
+      newest = std::max(newest, ended.mNumber);
+    }
+  }
+  const bool fresh = newest > mSeen;
+  mSeen = newest;
+  std::erase_if(mStarted, [&](const auto& aStarted) {
+    return aStarted.second <= aSentAt ||
+           std::ranges::any_of(mLooked,
+                               [&](const RunningTask& aTask) {
+                                 return aTask.mTask == aStarted.first.first;
+                               }) ||
+           std::ranges::any_of(mEnded, [&](const EndedTask& aTask) {
+             return RunKey(aTask.mTask, aTask.mRun) == aStarted.first;
+           });
+  });
+  return fresh;
+}
+
+void WorkerBook::Acknowledge(std::int64_t aNumber)
+{
+  mAcknowledged = std::max(mAcknowledged, aNumber);
+  std::erase_if(mEnded, [this](const EndedTask& aTask) {
+    return aTask.mNumber <= mAcknowledged;
+  });
+}
+
+bool WorkerBook::Knows(const TaskRef& aTask, RunNumber aRun) const
+{
+  const auto same = [&](const auto& aEntry) {
+    return aEntry.mTask == aTask && aEntry.mRun == aRun;
+  };
+  return std::ranges::any_of(mLooked, same) ||
+         std::ranges::any_of(mEnded, same) ||
+         mStarted.contains({ aTask, aRun });
+}
+
+std::vector<RunningTask> WorkerBook::Running() const
+{
+  std::vector<RunningTask> running = mLooked;
+  for (const auto& [key, at] : mStarted) {
+    RunningTask task;
+    task.mTask = key.first;
+    task.mRun = key.second;
+    running.push_back(std::move(task));
+  }
+  return running;
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/WorkerBook.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/TaskWorker.h"
+#include "src/core/cell/WorkerState.h"
+
+namespace foxtailbarrow::cell {
+
+/// An agent's picture of its worker: the newest look, and what was started
+/// since it was sent. A look that was sent before a start was answered may lack
+/// the task, and does not remove it.
+class WorkerBook
+{
+public:
+  /// A worker of another incarnation runs nothing and numbers ends from 1.
+  void Reset();
+
+  void TakeStart(const TaskRef& aTask, RunNumber aRun, Instant aAnsweredAt);
+
+  /// Returns true when the look brought an end that was not known.
+  bool TakeLook(const LookReply& aReply, Instant aSentAt);
+
+  /// Ends up to this number need not be reported again.
+  void Acknowledge(std::int64_t aNumber);
+  std::int64_t Acknowledged() const { return mAcknowledged; }
+
+  /// True when the run is there or has ended there.
+  bool Knows(const TaskRef& aTask, RunNumber aRun) const;
+
+  std::vector<RunningTask> Running() const;
+  const std::vector<EndedTask>& Ended() const { return mEnded; }
+
+private:
+  using RunKey = std::pair<TaskRef, RunNumber>;
+
+  std::vector<RunningTask> mLooked;
+  std::map<RunKey, Instant> mStarted; ///< Not seen in a look yet.
+  std::vector<EndedTask> mEnded;
+  std::int64_t mSeen = 0;
+  std::int64_t mAcknowledged = 0;
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/WorkerEntry.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/CellMessages.h"
+#include "src/core/cell/EndLedger.h"
+
+namespace foxtailbarrow::cell {
+
+enum class WorkerLink : std::uint8_t
+{
+  Detached, ///< No session; its tasks may run until their leases are over.
+  Attached,
+  Lost, ///< Its leases are over: nothing of it runs.
+};
+
+/// What runs on a worker, by kind of use.
+struct WorkerUse
+{
+  Resources mReserved;              ///< Counted against the capacity.
+  std::int64_t mStanding = 0;       ///< Millicores of standing tasks.
+  std::int64_t mLeftover = 0;       ///< Millicores that leftover tasks want.
+  std::int32_t mServing = 0;        ///< Tasks with a latency target.
+};
+
+/// What the owner knows of one worker.
+struct WorkerEntry
+{
+  AgentId mId;
+  Endpoint mEndpoint;
+  WorkerLink mLink = WorkerLink::Detached;
+  Session mSession = 0;
+  std::int64_t mLastSequence = 0;
+  WorkerInfo mInfo;
+  WorkerUse mUse;
+  std::map<TaskRef, RunNumber> mRuns;
+  /// Runs that are there and that no job of ours accounts for; they are being
+  /// stopped, and nothing is started while there is any.
+  std::map<TaskRef, RunNumber> mForeign;
+  EndLedger mEnds;
+  Instant mGrantedUntil{}; ///< Latest end of a lease that was granted.
+  Instant mLeavesAt{};     ///< While it drains.
+  std::int32_t mPacePercent = 100;
+  bool mAnswers = true; ///< To its agent.
+  Instant mSilentLeaseEnd{}; ///< While it does not answer.
+
+  std::set<JobId> mFailingJobs; ///< Since the last task that ended done.
+  std::int32_t mFailuresInRow = 0;
+  Instant mAvoidUntil{}; ///< Nothing is started before, after failures.
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/WorkerState.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Resources.h"
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/TaskRef.h"
+
+namespace foxtailbarrow::cell {
+
+/// One life of a worker: a restarted worker has another incarnation and runs
+/// nothing.
+using WorkerIncarnation = Id<struct WorkerIncarnationTag>;
+
+/// What a worker says of itself.
+struct WorkerInfo
+{
+  WorkerIncarnation mIncarnation;
+  ServiceId mService;
+  FailureDomainId mFailureDomain;
+  RackId mRack;
+  std::vector<std::string> mLabels;
+  Resources mCapacity;
+  bool mDraining = false;
+  Duration mDrainLeft{}; ///< Least time until it leaves, while draining.
+
+  bool operator==(const WorkerInfo&) const = default;
+};
+
+/// A task as its worker runs it now.
+struct RunningTask
+{
+  TaskRef mTask;
+  RunNumber mRun = 0;
+  std::string mCheckpoint; ///< Newest saved; empty = none.
+  std::int32_t mPercent = 0; ///< Work done; 100 = at work, for standing tasks.
+  /// Tail latency in ms of a serving task, else millicores in use, over the
+  /// last half second.
+  std::int64_t mFigure = 0;
+
+  bool operator==(const RunningTask&) const = default;
+};
+
+/// How a run ended.
+enum class RunEnd : std::uint8_t
+{
+  Done,
+  Failed,  ///< By its own fault or the worker's.
+  Stopped, ///< On request.
+  Lapsed,  ///< Its lease ran out.
+  Broken,  ///< Another member of its gang ended.
+  Alone,   ///< Waited in vain for the other members of its gang.
+};
+
+std::string_view ToString(RunEnd aEnd);
+
+/// An end that the worker lists until it is acknowledged.
+struct EndedTask
+{
+  std::int64_t mNumber = 0; ///< Rises from 1 in each incarnation.
+  TaskRef mTask;
+  RunNumber mRun = 0;
+  RunEnd mEnd = RunEnd::Done;
+  std::string mCheckpoint; ///< Newest saved; empty = none.
+
+  bool operator==(const EndedTask&) const = default;
+};
+
+/// All that a worker knows at one moment.
+struct WorkerState
+{
+  WorkerInfo mInfo;
+  std::vector<RunningTask> mRunning;
+  std::vector<EndedTask> mEnded; ///< Not acknowledged yet, by number.
+
+  bool operator==(const WorkerState&) const = default;
+};
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/message/CellCodec.cpp
@@ -0,0 +1,25 @@
+#include "src/core/message/detail/CellFields.h"
+
+namespace foxtailbarrow {
+
+FOXTAILBARROW_DEFINE_CODEC(cell::StoredJob);
+FOXTAILBARROW_DEFINE_CODEC(cell::StoredProgress);
+FOXTAILBARROW_DEFINE_CODEC(cell::OwnerRecord);
+FOXTAILBARROW_DEFINE_CODEC(cell::CellRecord);
+FOXTAILBARROW_DEFINE_CODEC(cell::AgentContact);
+FOXTAILBARROW_DEFINE_CODEC(cell::AttachRequest);
+FOXTAILBARROW_DEFINE_CODEC(cell::AttachReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::OrderRequest);
+FOXTAILBARROW_DEFINE_CODEC(cell::OrderReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::ReportRequest);
+FOXTAILBARROW_DEFINE_CODEC(cell::ReportReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::FindOwner);
+FOXTAILBARROW_DEFINE_CODEC(cell::FindOwnerReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::QueryJob);
+FOXTAILBARROW_DEFINE_CODEC(cell::QueryJobReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::QueryWaiting);
+FOXTAILBARROW_DEFINE_CODEC(cell::QueryWaitingReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::RecordChanged);
+FOXTAILBARROW_DEFINE_CODEC(cell::RecordChangedReply);
+
+} // namespace foxtailbarrow
--- a/apps/agent/FiberGroup.cpp
+++ b/src/net/FiberGroup.cpp
@@ -1,4 +1,4 @@
-#include "apps/agent/FiberGroup.h"
+#include "src/net/FiberGroup.h"
 
 #include <chrono>
 #include <thread>
--- a/apps/agent/FiberGroup.h
+++ b/src/net/FiberGroup.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <vector>
 
-#include "apps/agent/Poke.h"
+#include "src/net/Poke.h"
 #include "src/net/FiberRuntime.h"
 
 namespace foxtailbarrow {
--- a/src/net/FiberRuntime.h
+++ b/src/net/FiberRuntime.h
@@ -50,4 +50,7 @@
 void BlockSignals();
 int WaitForSignal();
 
+/// As WaitForSignal(), and calls `aOnReload` for each SIGHUP meanwhile.
+int WaitForStop(const std::function<void()>& aOnReload);
+
 } // namespace foxtailbarrow::net
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -143,6 +143,7 @@
                                        mImpl->mLimits.mMaxBodyBytes,
                                        deadline);
   if (!received.ok()) {
+    mImpl->mPools[thread->Index()].Drop(aEndpoint);
     return received.status();
   }
   if (received->mReusable) {
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -34,7 +34,7 @@
   std::vector<HttpHeader> mHeaders;
 };
 
-/// Request with its whole body. Host, Content-Length, Connection and
+/// Request with its whole body. Content-Length, Connection and
 /// Transfer-Encoding are set by the server and client, not kept here.
 struct HttpRequest
 {
@@ -42,6 +42,7 @@
   std::string mTarget = "/";
   HttpHeaders mHeaders;
   std::string mBody;
+  std::string mHost{}; ///< As received; a client names its peer instead.
 };
 
 /// Status with which a handler makes the server close the connection without
--- a/src/net/Signals.cpp
+++ b/src/net/Signals.cpp
@@ -15,23 +15,45 @@
   return signals;
 }
 
+sigset_t StopAndReloadSignals()
+{
+  sigset_t signals = StopSignals();
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+int WaitFor(const sigset_t& aSignals)
+{
+  int received = 0;
+  while (sigwait(&aSignals, &received) != 0) {
+  }
+  return received;
+}
+
 } // namespace
 
 void BlockSignals()
 {
   // A write to a connection that the peer closed must be an error code.
   std::signal(SIGPIPE, SIG_IGN);
-  const sigset_t signals = StopSignals();
+  const sigset_t signals = StopAndReloadSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
 int WaitForSignal()
 {
-  const sigset_t signals = StopSignals();
-  int received = 0;
-  while (sigwait(&signals, &received) != 0) {
+  return WaitFor(StopSignals());
+}
+
+int WaitForStop(const std::function<void()>& aOnReload)
+{
+  for (;;) {
+    const int received = WaitFor(StopAndReloadSignals());
+    if (received != SIGHUP) {
+      return received;
+    }
+    aOnReload();
   }
-  return received;
 }
 
 } // namespace foxtailbarrow::net
--- a/src/net/TypedRpc.h
+++ b/src/net/TypedRpc.h
@@ -8,6 +8,7 @@
 
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Time.h"
+#include "foxtailbarrow/Verdict.h"
 #include "src/core/message/Codec.h"
 #include "src/net/Rpc.h"
 
--- a/src/net/detail/ConnectionPool.h
+++ b/src/net/detail/ConnectionPool.h
@@ -29,6 +29,10 @@
            const HttpClientLimits& aLimits,
            TimePoint aNow);
 
+  /// Closes those to one peer: after a failed call the others are likely as
+  /// dead, and each would cost another call its timeout.
+  void Drop(const Endpoint& aEndpoint) { mIdle.erase(aEndpoint); }
+
   void Clear() { mIdle.clear(); }
 
 private:
--- a/src/net/detail/MessageParser.h
+++ b/src/net/detail/MessageParser.h
@@ -76,6 +76,9 @@
           aError = http::error::bad_field;
         }
         mHasHost = true;
+        if constexpr (IsRequest) {
+          mMessage.mHost.assign(aValue.data(), aValue.size());
+        }
         return;
       case http::field::expect:
         mExpectsContinue = true;
--- /dev/null
+++ b/src/telemetry/BoundedOutput.cpp
@@ -0,0 +1,120 @@
+#include "src/telemetry/BoundedOutput.h"
+
+#include <cerrno>
+#include <chrono>
+
+#include <unistd.h>
+
+namespace foxtailbarrow {
+
+namespace {
+
+/// Lines of this long are written together: one wake-up and one system call
+/// for a burst instead of one a line.
+constexpr std::chrono::milliseconds kGather(20);
+/// How long the end of the process waits for the reader.
+constexpr std::chrono::milliseconds kEndWait(200);
+constexpr std::chrono::milliseconds kEndPoll(2);
+
+void WriteAll(int aDescriptor, std::string_view aText)
+{
+  while (!aText.empty()) {
+    const ssize_t written = ::write(aDescriptor, aText.data(), aText.size());
+    if (written > 0) {
+      aText.remove_prefix(static_cast<std::size_t>(written));
+    } else if (errno != EINTR) {
+      return; // The reader is gone: there is no one to tell.
+    }
+  }
+}
+
+} // namespace
+
+BoundedOutput::BoundedOutput(int aDescriptor, std::size_t aMaxBytes)
+  : mDescriptor(aDescriptor)
+  , mMaxBytes(aMaxBytes)
+  , mThread([this] { Run(); })
+{
+}
+
+BoundedOutput::~BoundedOutput()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mEnding = true;
+  }
+  mChanged.notify_one();
+  const auto end = std::chrono::steady_clock::now() + kEndWait;
+  while (!mEnded && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kEndPoll);
+  }
+  if (mEnded) {
+    mThread.join();
+    return;
+  }
+  // The thread waits for a reader. Only the end of the process destroys this
+  // object then, see Log.cpp, so that the thread ends with it.
+  mThread.detach();
+}
+
+void BoundedOutput::Write(std::string_view aLine)
+{
+  bool first = false;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mWaiting.size() + aLine.size() > mMaxBytes) {
+      ++mUntold;
+      mDropped.fetch_add(1);
+      return;
+    }
+    first = mWaiting.empty();
+    mWaiting.append(aLine);
+  }
+  if (first) {
+    mChanged.notify_one();
+  }
+}
+
+void BoundedOutput::Flush()
+{
+  const auto end = std::chrono::steady_clock::now() + kEndWait;
+  while (std::chrono::steady_clock::now() < end) {
+    {
+      const std::lock_guard lock(mMutex);
+      if (mWaiting.empty() && !mWriting) {
+        return;
+      }
+    }
+    std::this_thread::sleep_for(kEndPoll);
+  }
+}
+
+void BoundedOutput::Run()
+{
+  std::unique_lock lock(mMutex);
+  for (;;) {
+    mChanged.wait(lock, [this] { return mEnding || !mWaiting.empty(); });
+    if (!mEnding) {
+      mChanged.wait_for(lock, kGather, [this] { return mEnding; });
+    }
+    std::string text;
+    text.swap(mWaiting);
+    if (mUntold > 0) {
+      text += "level=WARN event=log-lines-dropped count=" +
+              std::to_string(mUntold) + "\n";
+      mUntold = 0;
+    }
+    const bool last = mEnding;
+    mWriting = true;
+    lock.unlock();
+    WriteAll(mDescriptor, text);
+    lock.lock();
+    mWriting = false;
+    if (last) {
+      break;
+    }
+  }
+  mEnded = true;
+}
+
+} // namespace foxtailbarrow
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -1,16 +1,22 @@
 #include "src/telemetry/Log.h"
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 
+#include <unistd.h>
+
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include "src/core/admission/TokenBucket.h"
 #include "src/core/base/EnumText.h"
+#include "src/telemetry/BoundedOutput.h"
 
 namespace foxtailbarrow {
 
@@ -56,6 +62,51 @@
   return *sLogger;
 }
 
+std::atomic<std::uint64_t> sDroppedByRate{ 0 };
+
+/// Never destroyed, as the logger.
+BoundedOutput& Output()
+{
+  static auto* sOutput = new BoundedOutput(STDOUT_FILENO);
+  return *sOutput;
+}
+
+/// Appender in front of BoundedOutput. Appenders are called under a lock.
+class BoundedAppender final : public log4cxx::AppenderSkeleton
+{
+public:
+  explicit BoundedAppender(const log4cxx::LayoutPtr& aLayout)
+  {
+    setLayout(aLayout);
+  }
+
+  // NOLINTBEGIN(readability-identifier-naming): names set by log4cxx.
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr& aEvent,
+              log4cxx::helpers::Pool& aPool) override
+  {
+    if (mBudget.TryTake(MonotonicNow(), kLineLimit)) {
+      sDroppedByRate.fetch_add(1);
+      return;
+    }
+    log4cxx::LogString line;
+    getLayout()->format(line, aEvent, aPool);
+    Output().Write(line);
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  static constexpr BucketLimit kLineLimit{
+    static_cast<double>(kMaxLogLinesPerSecond),
+    kMaxLogLinesPerSecond
+  };
+
+  TokenBucket mBudget;
+};
+
 constexpr std::string_view kPlainMarks = "-_.:/,+@%";
 
 bool IsPlainWord(std::string_view aText)
@@ -110,16 +161,31 @@
   return line;
 }
 
-void ConfigureLog(LogLevel aLevel)
+void ConfigureLog(LogLevel aLevel, LogTarget aTarget)
 {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-    layout, log4cxx::ConsoleAppender::getSystemErr());
+  log4cxx::AppenderPtr appender;
+  if (aTarget == LogTarget::StandardOutput) {
+    appender = std::make_shared<BoundedAppender>(layout);
+  } else {
+    appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemErr());
+  }
   Logger()->removeAllAppenders();
   Logger()->addAppender(appender);
   Logger()->setLevel(NativeLevel(aLevel));
 }
 
+void FlushLog()
+{
+  Output().Flush();
+}
+
+std::uint64_t DroppedLogLines()
+{
+  return sDroppedByRate.load() + Output().Dropped();
+}
+
 void LogChange(std::string_view aEvent, LogFields aFields)
 {
   Write(LogLevel::Info, aEvent, aFields);
--- a/src/telemetry/Log.h
+++ b/src/telemetry/Log.h
@@ -63,9 +63,27 @@
 
 using LogFields = std::initializer_list<LogField>;
 
-/// Sends lines of `aLevel` and above to standard error. Call once, before the
+enum class LogTarget : std::uint8_t
+{
+  StandardError,
+  /// Through BoundedOutput: never blocks, and drops and counts lines above the
+  /// bounds of its buffer and of kMaxLogLinesPerSecond.
+  StandardOutput,
+};
+
+/// Of one process; a second's worth more may come in a burst.
+inline constexpr std::int64_t kMaxLogLinesPerSecond = 1500;
+
+/// Sends lines of `aLevel` and above to the target. Call once, before the
 /// first line; lines before it are dropped.
-void ConfigureLog(LogLevel aLevel);
+void ConfigureLog(LogLevel aLevel,
+                  LogTarget aTarget = LogTarget::StandardError);
+
+/// Waits, for a bounded time, until the lines so far are written.
+void FlushLog();
+
+/// Lines that were dropped because of the bounds.
+std::uint64_t DroppedLogLines();
 
 /// A change of state at level Info, for example
 /// LogChange("agent-draining", { { "agent", id } }). Not for what happens with
