Wait for the leases of earlier owners; report past a dead owner

It fell silent because its agent's report waited for the old owner, whose late 'not the owner' made the agent forget the new one. Ruled out: lease arithmetic (the runs were adopted, not lapsed). Change: an attached worker's leases count as held for a whole hold; reports run in fibers of their own, and a reply concerns the owner that gave it only. Test: CellSchedulerTest.AnAdoptedRunOutlivesItsSessionByTheEarlierGrant.

--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -26,10 +26,12 @@
 } // namespace
 
 OwnerLink::OwnerLink(const TaskAgentSettings& aSettings,
+                     net::FiberRuntime& aRuntime,
                      WorkerControl& aWorker,
                      Store& aStore,
                      net::RpcClient& aRpc)
   : mSettings(aSettings)
+  , mRuntime(aRuntime)
   , mWorker(aWorker)
   , mStore(aStore)
   , mRpc(aRpc)
@@ -42,7 +44,7 @@
     return kRetry;
   }
   if (mOwner) {
-    Report();
+    StartReport();
   }
   const Instant now = MonotonicNow();
   if (!mOwner || now - mContactAt > kLostAfter) {
@@ -55,6 +57,25 @@
   return mWorker.CurrentSession() == 0 ? kRetry : kInterval;
 }
 
+void OwnerLink::StartReport()
+{
+  const Session session = mWorker.CurrentSession();
+  if (mReporting == session) {
+    return;
+  }
+  mReporting = session;
+  mNews = false;
+  mRuntime.Spawn([this, session] {
+    Report();
+    if (mReporting == session) {
+      mReporting.reset();
+      if (mNews) {
+        mPoke.Now();
+      }
+    }
+  });
+}
+
 void OwnerLink::Report()
 {
   const Session session = mWorker.CurrentSession();
@@ -71,32 +92,42 @@
   report.mWorkerAnswers = snapshot.mAnswers;
   report.mLeaseLeft = snapshot.mLeaseLeft;
   report.mPacePercent = snapshot.mPacePercent;
-  const WorkerIncarnation incarnation = report.mState.mInfo.mIncarnation;
   const Instant sentAt = MonotonicNow();
   ++mReports;
   const Endpoint owner = *mOwner;
   const auto reply = CallTyped<ReportReply>(
     mRpc, owner, kReportMethod, report, kReportTimeout);
-  if (!reply.ok()) {
-    return;
+  if (reply.ok()) {
+    TakeReply(*reply, owner, report, sentAt);
   }
-  if (!reply->mOwner) {
-    if (reply->mOwnerAt.empty() ||
-        !TakeOwner(reply->mGeneration, reply->mOwnerAt.front())) {
+}
+
+void OwnerLink::TakeReply(const ReportReply& aReply,
+                          const Endpoint& aOwner,
+                          const ReportRequest& aReport,
+                          Instant aSentAt)
+{
+  if (!aReply.mOwner) {
+    const bool moved =
+      !aReply.mOwnerAt.empty() &&
+      TakeOwner(aReply.mGeneration, aReply.mOwnerAt.front());
+    if (!moved && mOwner == aOwner) {
       mOwner.reset();
     }
     return;
   }
-  if (reply->mGeneration < mGeneration) {
+  if (aReply.mGeneration < mGeneration) {
     return; // An owner that has been replaced and does not know it yet.
   }
   mContactAt = MonotonicNow();
   if (!std::exchange(mInContact, true)) {
     LogChange("owner-found",
-              { { "owner", owner }, { "generation", reply->mGeneration } });
+              { { "owner", aOwner }, { "generation", aReply.mGeneration } });
   }
-  if (reply->mAttached && incarnation == mWorker.Info().mIncarnation) {
-    mWorker.TakeGrant(session, sentAt, reply->mGrant, reply->mAcknowledged);
+  if (aReply.mAttached && aReport.mState.mInfo.mIncarnation ==
+                            mWorker.Info().mIncarnation) {
+    mWorker.TakeGrant(
+      aReport.mSession, aSentAt, aReply.mGrant, aReply.mAcknowledged);
   }
 }
 
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -20,12 +20,17 @@
 {
 public:
   OwnerLink(const TaskAgentSettings& aSettings,
+            net::FiberRuntime& aRuntime,
             WorkerControl& aWorker,
             Store& aStore,
             net::RpcClient& aRpc);
 
   /// Something is to be reported now.
-  void Poked() { mPoke.Now(); }
+  void Poked()
+  {
+    mNews = true;
+    mPoke.Now();
+  }
   Poke& RoundPoke() { return mPoke; }
 
   /// One report, or one search for the owner. Returns the pause until the next.
@@ -39,13 +44,21 @@
   std::uint64_t Reports() const { return mReports; }
 
 private:
+  /// Reports in a fiber of its own, so that an owner that does not answer does
+  /// not delay the first report to the next one.
+  void StartReport();
   void Report();
+  void TakeReply(const cell::ReportReply& aReply,
+                 const Endpoint& aOwner,
+                 const cell::ReportRequest& aReport,
+                 Instant aSentAt);
   void Find();
   bool FindByStore();
   bool FindBySeeds();
   bool TakeOwner(cell::Generation aGeneration, const Endpoint& aOwner);
 
   const TaskAgentSettings& mSettings;
+  net::FiberRuntime& mRuntime;
   WorkerControl& mWorker;
   Store& mStore;
   net::RpcClient& mRpc;
@@ -53,6 +66,8 @@
   std::optional<Endpoint> mOwner;
   cell::Generation mGeneration = 0;
   cell::Session mReportedSession = 0;
+  std::optional<cell::Session> mReporting; ///< Session of a report on its way.
+  bool mNews = false; ///< Came while one was on its way.
   std::int64_t mSequence = 0;
   Instant mContactAt{};
   bool mInContact = false;
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -34,7 +34,7 @@
   , mClient(aRuntime)
   , mRpc(mClient)
   , mWorker(mWorkerClient, [this] { mOwner.Poked(); })
-  , mOwner(mSettings, mWorker, mStore, mRpc)
+  , mOwner(mSettings, aRuntime, mWorker, mStore, mRpc)
   , mAdmin(mMetrics, mState, [] { return absl::OkStatus(); })
   , mFibers(aRuntime)
 {
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -254,7 +254,15 @@
                          std::string_view aReason,
                          std::int64_t aAgeMs) const
 {
-  mSink({ aEvent, aTask.mJob, ToString(aTask), aAgent, aRun, aReason, aAgeMs });
+  // Without a task it is about the worker.
+  const bool task = !aTask.mJob.Empty();
+  mSink({ aEvent,
+          aTask.mJob,
+          task ? ToString(aTask) : std::string(),
+          aAgent,
+          aRun,
+          aReason,
+          aAgeMs });
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -38,6 +38,9 @@
   worker.mLastSequence = 0;
   worker.mForeign.clear();
   worker.mAnswers = true;
+  // Until the first report, leases are those that an earlier owner granted.
+  worker.mHeldUntil =
+    std::max(worker.mHeldUntil, aClock.mNow + mSettings.mHold);
   mOrders.erase(aAgent);
   Tell("worker-attached", {}, aAgent, aSession, "session");
   TakeInfo(worker, aState.mInfo, aClock);
@@ -110,8 +113,9 @@
 void CellScheduler::NoteGrant(const AgentId& aAgent, Instant aUntil)
 {
   if (const auto found = mWorkers.find(aAgent); found != mWorkers.end()) {
-    found->second.mGrantedUntil =
-      std::max(found->second.mGrantedUntil, aUntil);
+    WorkerEntry& worker = found->second;
+    worker.mGrantedUntil = std::max(worker.mGrantedUntil, aUntil);
+    worker.mHeldUntil = std::max(worker.mHeldUntil, aUntil);
   }
 }
 
@@ -365,7 +369,7 @@
 {
   for (auto& [id, worker] : mWorkers) {
     if (worker.mLink != WorkerLink::Detached ||
-        aClock.mNow < worker.mGrantedUntil + mSettings.mLeaseMargin) {
+        aClock.mNow < worker.mHeldUntil + mSettings.mLeaseMargin) {
       continue;
     }
     worker.mLink = WorkerLink::Lost;
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -42,7 +42,9 @@
   /// stopped, and nothing is started while there is any.
   std::map<TaskRef, RunNumber> mForeign;
   EndLedger mEnds;
-  Instant mGrantedUntil{}; ///< Latest end of a lease that was granted.
+  Instant mGrantedUntil{}; ///< End of the newest grant of this owner.
+  /// Latest end of a lease that this or an earlier owner may have granted.
+  Instant mHeldUntil{};
   Instant mLeavesAt{};     ///< While it drains.
   std::int32_t mPacePercent = 100;
   bool mAnswers = true; ///< To its agent.
--- /dev/null
+++ b/tests/cell/CellFixture.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "src/core/cell/CellScheduler.h"
+
+namespace foxtailbarrow::cell::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr Generation kGeneration = 3;
+inline constexpr RunNumber kEarlierRun = (RunNumber{ 2 } << 20) + 1;
+
+/// A scheduler with helpers that play the store and the agents.
+class CellFixture : public testing::Test
+{
+protected:
+  static QueuePolicy Policy(std::int32_t aAttempts = 3)
+  {
+    QueuePolicy policy;
+    policy.mQueue = QueueId("queue");
+    policy.mService = ServiceId("service");
+    policy.mAttempts = aAttempts;
+    policy.mAllowance = seconds(10);
+    return policy;
+  }
+
+  CellFixture()
+    : mScheduler(kGeneration, mSettings, [this](const CellDecision& aDecision) {
+      mEvents.emplace_back(aDecision.mEvent);
+    })
+  {
+    mScheduler.SetQueues({ Policy() });
+  }
+
+  static StepSpec Step(std::int32_t aReplicas, std::int64_t aMillicores = 1000)
+  {
+    StepSpec step;
+    step.mReplicas = aReplicas;
+    step.mDemand = { aMillicores, 1000, 0 };
+    step.mEstimate = seconds(1);
+    return step;
+  }
+
+  static JobGraph Graph(const std::string& aId, std::vector<StepSpec> aSteps)
+  {
+    JobGraph graph;
+    graph.mId = JobId(aId);
+    graph.mQueue = QueueId("queue");
+    graph.mPayload = "payload";
+    graph.mSteps = std::move(aSteps);
+    return graph;
+  }
+
+  CellClock Clock() const { return { mNow, mUnixMs }; }
+
+  void Pass(Duration aTime)
+  {
+    mNow += aTime;
+    mUnixMs +=
+      std::chrono::duration_cast<milliseconds>(aTime).count();
+  }
+
+  /// A new job whose progress record is written.
+  void AddRecorded(const JobGraph& aGraph)
+  {
+    mScheduler.AddJob({ aGraph, mUnixMs, false }, {}, 0, Clock());
+    Record();
+  }
+
+  /// A job of which an earlier owner may have started tasks.
+  void AddInherited(const JobGraph& aGraph, const StoredProgress& aProgress = {})
+  {
+    mScheduler.AddJob({ aGraph, mUnixMs, false }, aProgress, 7, Clock());
+  }
+
+  void Record()
+  {
+    for (const UnrecordedProgress& job : mScheduler.Unrecorded(100)) {
+      mScheduler.NoteRecorded(job.mJob, job.mVersion, ++mRevision);
+    }
+  }
+
+  static WorkerState State(const std::string& aIncarnation,
+                           std::vector<RunningTask> aRunning = {},
+                           std::vector<EndedTask> aEnded = {})
+  {
+    WorkerState state;
+    state.mInfo.mIncarnation = WorkerIncarnation(aIncarnation);
+    state.mInfo.mService = ServiceId("service");
+    state.mInfo.mRack = RackId("rack-1");
+    state.mInfo.mLabels = { "kind", "rack-1" };
+    state.mInfo.mCapacity = { 8000, 64'000, 0 };
+    state.mRunning = std::move(aRunning);
+    state.mEnded = std::move(aEnded);
+    return state;
+  }
+
+  void Attach(const std::string& aAgent, const WorkerState& aState)
+  {
+    mScheduler.AttachWorker(
+      AgentId(aAgent), { "127.0.0.1", 1 }, ++mSession, aState, Clock());
+  }
+
+  void Grant(const std::string& aAgent)
+  {
+    mScheduler.NoteGrant(AgentId(aAgent), mNow + mSettings.mHold);
+  }
+
+  void AttachAndGrant(const std::string& aAgent)
+  {
+    Attach(aAgent, State(aAgent + "-life"));
+    Grant(aAgent);
+  }
+
+  bool Report(const std::string& aAgent, const WorkerState& aState)
+  {
+    const auto& worker = mScheduler.Workers().at(AgentId(aAgent));
+    ReportRequest report;
+    report.mAgent = AgentId(aAgent);
+    report.mSession = worker.mSession;
+    report.mSequence = worker.mLastSequence + 1;
+    report.mState = aState;
+    return mScheduler.TakeReport(report, Clock());
+  }
+
+  /// All orders of an agent after a round of placing, its starts answered.
+  OrderRequest Orders(const std::string& aAgent)
+  {
+    mScheduler.Schedule(Clock());
+    return mScheduler.TakeOrders(AgentId(aAgent));
+  }
+
+  void Started(const std::string& aAgent, const OrderRequest& aOrders)
+  {
+    std::vector<StartResult> results;
+    for (const StartOrder& order : aOrders.mStarts) {
+      results.push_back({ order.mTask, order.mRun, StartOutcome::Started });
+    }
+    mScheduler.TakeStartResults(
+      AgentId(aAgent), aOrders.mSession, results, Clock());
+  }
+
+  static EndedTask Ended(std::int64_t aNumber,
+                         const TaskRef& aTask,
+                         RunNumber aRun,
+                         RunEnd aEnd)
+  {
+    return { aNumber, aTask, aRun, aEnd, {} };
+  }
+
+  static RunningTask Running(const TaskRef& aTask, RunNumber aRun)
+  {
+    RunningTask task;
+    task.mTask = aTask;
+    task.mRun = aRun;
+    return task;
+  }
+
+  bool Happened(const std::string& aEvent) const
+  {
+    return std::ranges::find(mEvents, aEvent) != mEvents.end();
+  }
+
+  CellSettings mSettings;
+  std::vector<std::string> mEvents;
+  Instant mNow{ seconds(1000) };
+  std::int64_t mUnixMs = 1'700'000'000'000;
+  Revision mRevision = 100;
+  Session mSession = 0;
+  CellScheduler mScheduler;
+};
+
+} // namespace foxtailbarrow::cell::test
--- /dev/null
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -0,0 +1,311 @@
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+const TaskRef kFirst{ JobId("job"), 0, 0, 0 };
+
+class CellSchedulerTest : public CellFixture
+{};
+
+TEST_F(CellSchedulerTest, NothingStartsBeforeTheProgressRecordIsThere)
+{
+  AttachAndGrant("a");
+  mScheduler.AddJob(
+    { Graph("job", { Step(1) }), mUnixMs, false }, {}, 0, Clock());
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Record();
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+TEST_F(CellSchedulerTest, AStepWaitsForTheStepsBeforeIt)
+{
+  StepSpec second = Step(1);
+  second.mAfter = { 0 };
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(2), second }));
+  const OrderRequest first = Orders("a");
+  ASSERT_EQ(first.mStarts.size(), 2U);
+  Started("a", first);
+  Report("a",
+         State("a-life",
+               { Running(first.mStarts[1].mTask, first.mStarts[1].mRun) },
+               { Ended(1, kFirst, first.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Report("a",
+         State("a-life",
+               {},
+               { Ended(1, kFirst, first.mStarts[0].mRun, RunEnd::Done),
+                 Ended(2,
+                       first.mStarts[1].mTask,
+                       first.mStarts[1].mRun,
+                       RunEnd::Done) }));
+  const OrderRequest next = Orders("a");
+  ASSERT_EQ(next.mStarts.size(), 1U);
+  EXPECT_EQ(next.mStarts[0].mTask.mStep, 1);
+}
+
+TEST_F(CellSchedulerTest, ReservationsNeverPassTheCapacity)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(20, 1500) }));
+  EXPECT_EQ(Orders("a").mStarts.size(), 5U); // 5 x 1500 of 8000 millicores
+}
+
+TEST_F(CellSchedulerTest, LeftoverTasksReserveMemoryAlone)
+{
+  StepSpec step = Step(30, 4000);
+  step.mLeftover = true;
+  step.mDemand.mMemoryMb = 32'000;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { step }));
+  EXPECT_EQ(Orders("a").mStarts.size(), 2U); // 2 x 32000 of 64000 MB
+}
+
+TEST_F(CellSchedulerTest, AnEndIsAcknowledgedAfterItsRecord)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  Report("a",
+         State("a-life",
+               { Running(orders.mStarts[1].mTask, orders.mStarts[1].mRun) },
+               { Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_EQ(mScheduler.Acknowledged(AgentId("a")), 0);
+  Record();
+  EXPECT_EQ(mScheduler.Acknowledged(AgentId("a")), 1);
+}
+
+TEST_F(CellSchedulerTest, AJobIsShownAsCompletedAfterItsRecord)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  Report("a",
+         State("a-life",
+               {},
+               { Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Running);
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
+}
+
+TEST_F(CellSchedulerTest, AJobFailsAfterItsAttempts)
+{
+  mScheduler.SetQueues({ Policy(2) });
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  std::vector<EndedTask> ended;
+  for (int attempt = 1; attempt <= 2; ++attempt) {
+    const OrderRequest orders = Orders("a");
+    ASSERT_EQ(orders.mStarts.size(), 1U);
+    Started("a", orders);
+    ended.push_back(
+      Ended(attempt, kFirst, orders.mStarts[0].mRun, RunEnd::Failed));
+    Report("a", State("a-life", {}, ended));
+  }
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Failed);
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+}
+
+TEST_F(CellSchedulerTest, AFailureThatAnEarlierOwnerRecordedCountsOnce)
+{
+  mScheduler.SetQueues({ Policy(2) });
+  StoredProgress progress;
+  progress.mSteps.push_back({ 0, 0, "", { { 0, { kEarlierRun } } }, {} });
+  AddInherited(Graph("job", { Step(1) }), progress);
+  Attach("a",
+         State("a-life",
+               {},
+               { Ended(1, kFirst, kEarlierRun, RunEnd::Failed) }));
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Queued);
+}
+
+TEST_F(CellSchedulerTest, ACancelledJobsTasksAreStopped)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  Started("a", Orders("a"));
+  mScheduler.CancelJob(JobId("job"), Clock());
+  EXPECT_EQ(Orders("a").mStops.size(), 2U);
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Cancelled);
+}
+
+TEST_F(CellSchedulerTest, AnEarlierOwnersRunIsAdopted)
+{
+  AddInherited(Graph("job", { Step(1) }));
+  Attach("a", State("a-life", { Running(kFirst, kEarlierRun) }));
+  AttachAndGrant("b");
+  const OrderRequest orders = Orders("a");
+  EXPECT_TRUE(orders.mStarts.empty());
+  EXPECT_EQ(orders.mTraits.size(), 1U);
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+}
+
+TEST_F(CellSchedulerTest, AnAdoptedRunOutlivesItsSessionByTheEarlierGrant)
+{
+  AddInherited(Graph("job", { Step(1) }));
+  Attach("a", State("a-life", { Running(kFirst, kEarlierRun) }));
+  AttachAndGrant("b");
+  // It breaks before this owner has granted anything.
+  mScheduler.DetachWorker(AgentId("a"), Clock());
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  Pass(mSettings.mHold - milliseconds(10));
+  Grant("b");
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  Pass(mSettings.mLeaseMargin + milliseconds(20));
+  EXPECT_EQ(Orders("b").mStarts.size(), 1U);
+}
+
+TEST_F(CellSchedulerTest, InheritedTasksWaitForAgentsThatHaveNotReported)
+{
+  AddInherited(Graph("job", { Step(1) }));
+  mScheduler.ExpectAgents({ AgentId("a"), AgentId("b") },
+                          mNow + mSettings.mAuthority);
+  AttachAndGrant("b");
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  // A job that no earlier owner can have started does not wait.
+  AddRecorded(Graph("new", { Step(1) }));
+  const OrderRequest orders = Orders("b");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  EXPECT_EQ(orders.mStarts[0].mTask.mJob, JobId("new"));
+  Started("b", orders);
+  Pass(mSettings.mAuthority);
+  Grant("b");
+  EXPECT_EQ(Orders("b").mStarts.size(), 1U);
+}
+
+TEST_F(CellSchedulerTest, ARestartedWorkersTasksStartAgainAtOnce)
+{
+  AttachAndGrant("a");
+  AttachAndGrant("b");
+  AddRecorded(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  Started("a", orders);
+  Report("a", State("a-second-life"));
+  mScheduler.Schedule(Clock());
+  EXPECT_EQ(mScheduler.AgentsWithOrders().size(), 1U);
+}
+
+TEST_F(CellSchedulerTest, AnEndThatCameAfterTheLeaseIsIgnored)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  mScheduler.DetachWorker(AgentId("a"), Clock());
+  Pass(mSettings.mHold + mSettings.mLeaseMargin + milliseconds(1));
+  AttachAndGrant("b");
+  ASSERT_EQ(Orders("b").mStarts.size(), 1U);
+  Attach("a",
+         State("a-life",
+               {},
+               { Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  Record();
+  EXPECT_TRUE(Happened("task-end-ignored"));
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Running);
+}
+
+TEST_F(CellSchedulerTest, AWorkerThatFailsJobAfterJobIsAvoided)
+{
+  AttachAndGrant("a");
+  std::vector<EndedTask> ended;
+  for (int number = 1; number <= 2; ++number) {
+    const std::string id = "job-" + std::to_string(number);
+    AddRecorded(Graph(id, { Step(1) }));
+    const OrderRequest orders = Orders("a");
+    ASSERT_FALSE(orders.mStarts.empty());
+    Started("a", orders);
+    for (const StartOrder& order : orders.mStarts) {
+      ended.push_back(Ended(static_cast<std::int64_t>(ended.size()) + 1,
+                            order.mTask,
+                            order.mRun,
+                            RunEnd::Failed));
+    }
+    Report("a", State("a-life", {}, ended));
+  }
+  EXPECT_TRUE(Happened("worker-avoided"));
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+}
+
+TEST_F(CellSchedulerTest, AGangStartsWholeOrNotAtAll)
+{
+  StepSpec gang = Step(3, 4000);
+  gang.mGang = true;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { gang }));
+  EXPECT_TRUE(Orders("a").mStarts.empty()); // Two of three would fit.
+  AttachAndGrant("b");
+  mScheduler.Schedule(Clock());
+  const OrderRequest first = mScheduler.TakeOrders(AgentId("a"));
+  const OrderRequest second = mScheduler.TakeOrders(AgentId("b"));
+  ASSERT_EQ(first.mStarts.size() + second.mStarts.size(), 3U);
+  EXPECT_EQ(first.mStarts[0].mRun, second.mStarts[0].mRun);
+}
+
+TEST_F(CellSchedulerTest, AnOccurrenceStartsWhenItIsDue)
+{
+  JobGraph graph = Graph("job", { Step(1) });
+  graph.mRecurrence = { 2, mUnixMs + 500, 1000 };
+  AttachAndGrant("a");
+  AddRecorded(graph);
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Pass(milliseconds(500));
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+  Pass(milliseconds(1000));
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+TEST_F(CellSchedulerTest, ForeignTasksAreStoppedAndHoldTheWorker)
+{
+  Attach("a", State("a-life", { Running({ JobId("old"), 0, 0, 0 }, 5) }));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  EXPECT_EQ(orders.mStops.size(), 1U);
+  EXPECT_TRUE(orders.mStarts.empty());
+  Report("a", State("a-life"));
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+struct PlacementCase
+{
+  const char* mName;
+  std::int32_t mMaxPerWorker;
+  const char* mLabel;
+  std::size_t mStarts;
+};
+
+class PlacementRules
+  : public CellFixture
+  , public testing::WithParamInterface<PlacementCase>
+{};
+
+TEST_P(PlacementRules, BoundWhatAWorkerTakes)
+{
+  StepSpec step = Step(4, 500);
+  step.mMaxPerWorker = GetParam().mMaxPerWorker;
+  step.mRequiredLabel = GetParam().mLabel;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { step }));
+  EXPECT_EQ(Orders("a").mStarts.size(), GetParam().mStarts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  PlacementRules,
+  testing::Values(PlacementCase{ "Free", 0, "", 4 },
+                  PlacementCase{ "TwoPerWorker", 2, "", 2 },
+                  PlacementCase{ "LabelThere", 0, "kind", 4 },
+                  PlacementCase{ "LabelMissing", 0, "other", 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
