Count an earlier owner's ends in whatever order agents report

Change: an end counts unless this owner itself has waited out its lease. Test: CellSchedulerTest.FailuresOfAnEarlierOwnerCountInAnyOrder (failed before).

--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -72,12 +72,16 @@
 }
 
 /// An end of a run that an earlier owner started and that this one never saw
-/// running. A run that this owner wrote off does not count: its lease lapsed.
+/// running, in whatever order the agents report. A run that this owner wrote
+/// off does not count: its lease lapsed.
 bool CellScheduler::CountsAsOurs(const JobEntry& aJob,
                                  const TaskEntry& aTask,
                                  const EndedTask& aEnded) const
 {
-  return aJob.mInherited && !aTask.mDone && aTask.mLastRun < aEnded.mRun;
+  return aJob.mInherited && !aTask.mDone &&
+         aEnded.mRun < FirstRunOf(mGeneration) &&
+         std::ranges::find(aTask.mWrittenOff, aEnded.mRun) ==
+           aTask.mWrittenOff.end();
 }
 
 void CellScheduler::ApplyEnd(JobEntry& aJob,
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -12,9 +12,6 @@
 /// worker.
 constexpr Duration kReportLag = std::chrono::milliseconds(1200);
 
-/// Run numbers of a generation are above those of all earlier ones.
-constexpr int kRunBits = 20;
-
 } // namespace
 
 void CellScheduler::ExpectAgents(const std::set<AgentId>& aAgents,
@@ -361,6 +358,9 @@
   const auto runs = aWorker.mRuns;
   for (const auto& [task, number] : runs) {
     Tell("task-lost", task, aWorker.mId, number, aReason);
+    if (number < FirstRunOf(mGeneration)) {
+      mJobs.at(task.mJob).Find(task)->mWrittenOff.push_back(number);
+    }
     RemoveRun(mJobs.at(task.mJob), task, aWorker.mId, number, aClock);
   }
 }
@@ -397,7 +397,7 @@
 
 RunNumber CellScheduler::NextRun(const TaskEntry& aTask) const
 {
-  return std::max(mGeneration << kRunBits, aTask.mLastRun) + 1;
+  return std::max(FirstRunOf(mGeneration), aTask.mLastRun) + 1;
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -41,6 +41,8 @@
   Instant mNotBefore{}; ///< No start before; set after a refusal.
   Instant mIdleSince{};
   std::vector<AgentId> mFailedOn;
+  /// Runs of earlier owners whose leases this owner has waited out.
+  std::vector<RunNumber> mWrittenOff;
 
   bool Idle() const { return !mDone && mRuns.empty(); }
 
--- a/src/core/cell/TaskRef.h
+++ b/src/core/cell/TaskRef.h
@@ -11,6 +11,14 @@
 /// Numbers the starts of a task; every start has a higher one than all before.
 using RunNumber = std::int64_t;
 
+/// Runs that an owner of this generation starts have this number or a higher
+/// one, and so are above those of all earlier owners.
+constexpr RunNumber FirstRunOf(std::int64_t aGeneration)
+{
+  constexpr int kRunBits = 20;
+  return aGeneration << kRunBits;
+}
+
 /// Names one task of a job.
 struct TaskRef
 {
--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -126,6 +126,22 @@
   EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Queued);
 }
 
+TEST_F(CellSchedulerTest, FailuresOfAnEarlierOwnerCountInAnyOrder)
+{
+  mScheduler.SetQueues({ Policy(3) });
+  AddInherited(Graph("job", { Step(1) }));
+  // The agent of the newest run attaches first.
+  for (int run = 3; run > 0; --run) {
+    const std::string agent(1, static_cast<char>('a' + run));
+    Attach(agent,
+           State(agent + "-life",
+                 {},
+                 { Ended(1, kFirst, kEarlierRun + run, RunEnd::Failed) }));
+  }
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Failed);
+}
+
 TEST_F(CellSchedulerTest, ACancelledJobsTasksAreStopped)
 {
   AttachAndGrant("a");
