Learn which images disturb which, place and pace by it

Change: the owner estimates a weight for each pair over all workers, places by it, and tells it to the agents, which slow down what presses most. Few leftover tasks at full speed go before many slow ones; jobs that have begun go first.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
@@ -29,6 +30,11 @@
 /// A transaction takes 32 compares and writes: the cell's record, and two a
 /// job.
 constexpr std::size_t kJobsPerRecord = 15;
+/// Of the log lines on what was learned, and the least pressure a core that
+/// they name.
+constexpr Duration kBeliefInterval = std::chrono::seconds(5);
+constexpr double kNotablePressure = 0.03;
+constexpr double kPerThousand = 1000.0;
 constexpr Duration kCleanupPause = std::chrono::seconds(10);
 constexpr std::size_t kDeletesPerCleanup = 15;
 
@@ -124,6 +130,7 @@
   Spawn(&CellOwner::RunSchedule);
   Spawn(&CellOwner::RunRecords);
   Spawn(&CellOwner::RunCleanup);
+  Spawn(&CellOwner::RunBeliefs);
   return absl::OkStatus();
 }
 
@@ -345,6 +352,26 @@
   }
 }
 
+/// What is believed of the images, for whoever asks why a task was placed or
+/// slowed down.
+void CellOwner::RunBeliefs()
+{
+  while (!mEnded) {
+    boost::this_fiber::sleep_for(kBeliefInterval);
+    std::string pairs;
+    for (const Pressure& pressure : mLogic.Learned().Known()) {
+      if (pressure.mPerCore >= kNotablePressure) {
+        pairs += pressure.mLeftover + ">" + pressure.mServing + ":" +
+                 std::to_string(std::lround(kPerThousand * pressure.mPerCore)) +
+                 ",";
+      }
+    }
+    if (!mEnded && !pairs.empty()) {
+      LogChange("pressures", { { "perMille", pairs } });
+    }
+  }
+}
+
 void CellOwner::RunCleanup()
 {
   while (!mEnded) {
@@ -395,6 +422,7 @@
   reply.mGrant = mTerm.GrantAt(now);
   mLogic.NoteGrant(aReport.mAgent, now + reply.mGrant);
   reply.mAcknowledged = mLogic.Acknowledged(aReport.mAgent);
+  reply.mPressures = mLogic.PressuresOn(aReport.mAgent);
   mSchedulePoke.Now();
   return reply;
 }
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -52,6 +52,13 @@
   void End();
   bool Active() const { return mLoaded && !mEnded; }
 
+  /// False when the store has been silent for so long that another scheduler
+  /// may own the cell: what is known here may be out of date.
+  bool Current() const
+  {
+    return mTerm.GrantAt(MonotonicNow()) > Duration::zero();
+  }
+
   cell::ReportReply OnReport(const cell::ReportRequest& aReport);
   void OnRecordChanged(const cell::StoredJob& aJob);
   void SetQueues(const std::vector<cell::QueuePolicy>& aQueues);
@@ -78,6 +85,7 @@
   void RunSchedule();
   void RunRecords();
   void RunCleanup();
+  void RunBeliefs();
   void RunDesk(const AgentId& aAgent, Desk& aDesk);
 
   absl::Status LoadJobs();
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -178,7 +178,7 @@
 
 std::optional<JobPhase> JobDesk::AskOwner(const JobId& aJob)
 {
-  if (const auto owner = mElection.Owner()) {
+  if (const auto owner = mElection.Owner(); owner && owner->Current()) {
     return owner->Logic().PhaseOf(aJob);
   }
   const auto at = mElection.OwnerAt();
@@ -226,7 +226,7 @@
 
 JobAnswer JobDesk::Handle(const CountWaitingJobs& aCount, Instant)
 {
-  if (const auto owner = mElection.Owner()) {
+  if (const auto owner = mElection.Owner(); owner && owner->Current()) {
     return WaitingCounted{ owner->Logic().WaitingJobs(aCount.mQueue) };
   }
   if (const auto at = mElection.OwnerAt()) {
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -231,7 +231,7 @@
   net::AddTyped<QueryJob>(
     mDispatcher, kQueryJobMethod, [this](const QueryJob& aRequest) {
       QueryJobReply reply;
-      if (const auto owner = mElection.Owner()) {
+      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
         reply.mOwner = true;
         const auto phase = owner->Logic().PhaseOf(aRequest.mJob);
         reply.mKnown = phase.has_value();
@@ -242,7 +242,7 @@
   net::AddTyped<QueryWaiting>(
     mDispatcher, kQueryWaitingMethod, [this](const QueryWaiting& aRequest) {
       QueryWaitingReply reply;
-      if (const auto owner = mElection.Owner()) {
+      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
         reply.mOwner = true;
         reply.mWaiting = owner->Logic().WaitingJobs(aRequest.mQueue);
       }
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -91,7 +91,6 @@
   report.mState = std::move(snapshot.mState);
   report.mWorkerAnswers = snapshot.mAnswers;
   report.mLeaseLeft = snapshot.mLeaseLeft;
-  report.mPacePercent = snapshot.mPacePercent;
   const Instant sentAt = MonotonicNow();
   ++mReports;
   const Endpoint owner = *mOwner;
@@ -128,6 +127,7 @@
                             mWorker.Info().mIncarnation) {
     mWorker.TakeGrant(
       aReport.mSession, aSentAt, aReply.mGrant, aReply.mAcknowledged);
+    mWorker.TakePressures(aReply.mPressures);
   }
 }
 
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -309,7 +309,6 @@
   snapshot.mState.mEnded = mBook.Ended();
   snapshot.mAnswers = mAnswers;
   snapshot.mLeaseLeft = mLease.LeaseLeft(MonotonicNow());
-  snapshot.mPacePercent = mGovernor.Percent();
   return snapshot;
 }
 
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include <boost/fiber/mutex.hpp>
@@ -23,7 +24,6 @@
   cell::WorkerState mState;
   bool mAnswers = false;
   Duration mLeaseLeft{};
-  std::int32_t mPacePercent = 100;
 };
 
 /// Gives the orders of the cell's owner to the worker, and looks at it.
@@ -55,6 +55,11 @@
                  Duration aGrant,
                  std::int64_t aAcknowledged);
 
+  void TakePressures(std::span<const cell::Pressure> aPressures)
+  {
+    mGovernor.TakePressures(aPressures);
+  }
+
   /// One look, with the wait for an end. Returns the pause until the next.
   Duration Look();
 
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -8,6 +8,7 @@
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/Interference.h"
 #include "src/core/cell/JobGraph.h"
 #include "src/core/cell/WorkerState.h"
 
@@ -109,8 +110,6 @@
   /// extended.
   bool mWorkerAnswers = true;
   Duration mLeaseLeft{}; ///< Until the last lease that it may hold is over.
-  /// Share of full speed of the tasks that run on leftover processors.
-  std::int32_t mPacePercent = 100;
 };
 
 struct ReportReply
@@ -122,6 +121,7 @@
   /// Leases may be held so much longer, from the sending of the request.
   Duration mGrant{};
   std::int64_t mAcknowledged = 0; ///< Ends up to this one are recorded.
+  std::vector<Pressure> mPressures; ///< Of the images on the agent's worker.
 };
 
 /// `cell.find`: anyone to a scheduler.
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -116,6 +116,9 @@
   /// The store has another revision of the record than was thought.
   void NoteProgressRevision(const JobId& aJob, Revision aRevision);
 
+  /// What is known of the images on this agent's worker, for its pacing.
+  std::vector<Pressure> PressuresOn(const AgentId& aAgent) const;
+
   /// Ends of this agent's worker up to this number are recorded.
   std::int64_t Acknowledged(const AgentId& aAgent);
 
@@ -130,6 +133,7 @@
 
   const std::map<JobId, JobEntry>& Jobs() const { return mJobs; }
   const WorkerTable& Workers() const { return mWorkers; }
+  const Interference& Learned() const { return mInterference; }
   Generation OwnGeneration() const { return mGeneration; }
 
 private:
@@ -207,6 +211,9 @@
   void LoseRuns(WorkerEntry& aWorker,
                 std::string_view aReason,
                 const CellClock& aClock);
+  void Learn(WorkerEntry& aWorker,
+             const std::vector<RunningTask>& aRunning,
+             const CellClock& aClock);
   void LoseLapsedWorkers(const CellClock& aClock);
   void TakeSilence(WorkerEntry& aWorker,
                    const ReportRequest& aReport,
@@ -214,6 +221,7 @@
   void Evacuate(WorkerEntry& aWorker, const CellClock& aClock);
 
   // Placing (CellSchedulerPlacing.cpp).
+  bool Starving(const JobEntry& aJob, const TaskRef& aTask, Instant aNow) const;
   bool MayBeRunningUnseen(const JobEntry& aJob, Instant aNow) const;
   std::vector<Candidate> Candidates(const CellClock& aClock);
   void PlaceStep(const Candidate& aCandidate, const CellClock& aClock);
@@ -240,6 +248,7 @@
   std::set<JobId> mActive; ///< Jobs that have not ended.
   std::set<JobId> mUnrecorded;
   WorkerTable mWorkers;
+  Interference mInterference;
   std::map<AgentId, OrderRequest> mOrders;
   std::set<AgentId> mExpected; ///< Not attached yet since the takeover.
   Instant mExpectedUntil{};
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -18,14 +18,23 @@
 /// A job that ends later than this many times its allowed time earns nothing.
 constexpr int kHopelessFactor = 3;
 
-Prospect ProspectOf(const JobEntry& aJob, Instant aNow)
+/// Part of the remaining chain that a job which has begun still has before it,
+/// on average.
+constexpr double kBegunShare = 0.5;
+
+Prospect ProspectOf(const JobEntry& aJob,
+                    const OccurrenceEntry& aOccurrence,
+                    bool aBegun,
+                    Instant aNow)
 {
-  const Instant earliest = aNow + LongestChain(aJob.Graph()) / 2;
-  if (earliest <= aJob.mDeadline) {
+  const Duration chain = RemainingChain(aJob.Graph(), aOccurrence);
+  const double share = aBegun ? kBegunShare : 1.0;
+  const auto left = std::chrono::duration_cast<Duration>(chain * share);
+  if (aNow + left <= aJob.mDeadline) {
     return Prospect::OnTime;
   }
   const Duration allowed = aJob.mDeadline - aJob.mAcceptedAt;
-  return aNow < aJob.mAcceptedAt + kHopelessFactor * allowed
+  return aNow + left < aJob.mAcceptedAt + kHopelessFactor * allowed
            ? Prospect::Late
            : Prospect::Hopeless;
 }
@@ -38,12 +47,17 @@
   bool mLeftover = false;
   std::int32_t mPriority = 0;
   Prospect mProspect = Prospect::OnTime;
+  /// Leftover work is short: what has begun is finished first, and then the
+  /// smallest job, so that as many as possible are on time.
+  bool mWaits = false;
+  double mWork = 0;
   Instant mDeadline{};
   TaskRef mFirst; ///< Of the step; the index is 0.
 
   auto Key() const
   {
-    return std::tie(mLeftover, mPriority, mProspect, mDeadline, mFirst);
+    return std::tie(
+      mLeftover, mPriority, mProspect, mWaits, mWork, mDeadline, mFirst);
   }
 };
 
@@ -72,6 +86,27 @@
   return aJob.mInherited && !mExpected.empty() && aNow < mExpectedUntil;
 }
 
+/// True when no task of the step's occurrence runs and this one has waited for
+/// a while.
+bool CellScheduler::Starving(const JobEntry& aJob,
+                             const TaskRef& aTask,
+                             Instant aNow) const
+{
+  const OccurrenceEntry& occurrence =
+    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)];
+  Instant since = aJob.mAcceptedAt;
+  for (const StepEntry& step : occurrence.mSteps) {
+    for (const TaskEntry& task : step.mTasks) {
+      if (!task.mRuns.empty()) {
+        return false;
+      }
+      since = std::max(since, task.mIdleSince);
+    }
+  }
+  return aNow - since > mSettings.mStarvingAfter &&
+         ReservedShareOf(mWorkers) < mSettings.mBusyShare;
+}
+
 std::vector<CellScheduler::Candidate> CellScheduler::Candidates(
   const CellClock& aClock)
 {
@@ -93,14 +128,19 @@
             std::ranges::none_of(entry.mTasks, &TaskEntry::Idle)) {
           continue;
         }
-        candidates.push_back({ job.Graph().mSteps[step].mLeftover,
-                               job.mPolicy.mPriority,
-                               ProspectOf(job, aClock.mNow),
-                               job.mDeadline,
-                               { id,
-                                 static_cast<std::int32_t>(number),
-                                 static_cast<std::int32_t>(step),
-                                 0 } });
+        const bool leftover = job.Graph().mSteps[step].mLeftover;
+        const bool begun = HasBegun(occurrence);
+        candidates.push_back(
+          { leftover,
+            job.mPolicy.mPriority,
+            ProspectOf(job, occurrence, begun, aClock.mNow),
+            leftover && !begun,
+            leftover ? RemainingWork(job.Graph(), occurrence) : 0.0,
+            job.mDeadline,
+            { id,
+              static_cast<std::int32_t>(number),
+              static_cast<std::int32_t>(step),
+              0 } });
       }
     }
   }
@@ -171,8 +211,13 @@
                               RunNumber aRun,
                               const CellClock& aClock)
 {
-  const auto agent =
-    ChooseWorker(mWorkers, aJob, aTask, mSettings, aClock.mNow);
+  const auto agent = ChooseWorker({ mWorkers,
+                                    mInterference,
+                                    mSettings,
+                                    aClock.mNow,
+                                    Starving(aJob, aTask, aClock.mNow) },
+                                  aJob,
+                                  aTask);
   if (!agent) {
     return false;
   }
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -26,12 +26,16 @@
   /// Before a draining worker leaves, tasks with checkpoints are stopped.
   Duration mEvacuateBefore = std::chrono::milliseconds(900);
   /// Demand of leftover tasks on a worker over what it has for them.
-  double mMaxLeftoverRatio = 1.25;
+  double mMaxLeftoverRatio = 1.0;
   /// Share of its reservation that a standing task is taken to use.
-  double mStandingUse = 0.6;
-  /// Added to the ratio of a worker with serving tasks, which leftover tasks
-  /// would disturb.
-  double mServingPenalty = 0.4;
+  double mStandingUse = 0.5;
+  /// Without any running task for so long, a job takes any worker with room,
+  /// unless more than mBusyShare of the cell's processors are reserved.
+  Duration mStarvingAfter = std::chrono::milliseconds(1500);
+  double mBusyShare = 0.6;
+  /// Between two looks at one worker that interference is learned from: its
+  /// figures cover half a second.
+  Duration mObserveEvery = std::chrono::milliseconds(450);
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -74,6 +74,24 @@
   }
 }
 
+/// Longest chain of declared run times over the steps that count.
+template<typename Counts>
+Duration Chain(const JobGraph& aGraph, Counts aCounts)
+{
+  std::vector<Duration> ends;
+  Duration longest{};
+  for (std::size_t step = 0; step < aGraph.mSteps.size(); ++step) {
+    const StepSpec& spec = aGraph.mSteps[step];
+    Duration begin{};
+    for (const std::int32_t before : spec.mAfter) {
+      begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
+    }
+    ends.push_back(begin + (aCounts(step) ? spec.mEstimate : Duration::zero()));
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
 StoredStep StoredOf(const StepEntry& aStep)
 {
   StoredStep stored;
@@ -153,17 +171,37 @@
 
 Duration LongestChain(const JobGraph& aGraph)
 {
-  std::vector<Duration> ends;
-  Duration longest{};
-  for (const StepSpec& spec : aGraph.mSteps) {
-    Duration begin{};
-    for (const std::int32_t before : spec.mAfter) {
-      begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
-    }
-    ends.push_back(begin + spec.mEstimate);
-    longest = std::max(longest, ends.back());
+  return Chain(aGraph, [](std::size_t) { return true; });
+}
+
+Duration RemainingChain(const JobGraph& aGraph,
+                        const OccurrenceEntry& aOccurrence)
+{
+  return Chain(aGraph, [&](std::size_t aStep) {
+    return aOccurrence.mSteps[aStep].mLeft > 0;
+  });
+}
+
+double RemainingWork(const JobGraph& aGraph, const OccurrenceEntry& aOccurrence)
+{
+  constexpr double kMillicores = 1000.0;
+  double work = 0;
+  for (std::size_t step = 0; step < aGraph.mSteps.size(); ++step) {
+    const StepSpec& spec = aGraph.mSteps[step];
+    const std::chrono::duration<double> estimate = spec.mEstimate;
+    work += static_cast<double>(spec.mDemand.mMillicores) / kMillicores *
+            estimate.count() * aOccurrence.mSteps[step].mLeft;
   }
-  return longest;
+  return work;
+}
+
+bool HasBegun(const OccurrenceEntry& aOccurrence)
+{
+  return std::ranges::any_of(aOccurrence.mSteps, [](const StepEntry& aStep) {
+    return std::ranges::any_of(aStep.mTasks, [](const TaskEntry& aTask) {
+      return aTask.mDone || !aTask.mRuns.empty();
+    });
+  });
 }
 
 bool Released(const JobGraph& aGraph,
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -72,6 +72,17 @@
 /// Longest chain of declared run times over the steps' dependencies.
 Duration LongestChain(const JobGraph& aGraph);
 
+/// As LongestChain(), over the steps of the occurrence that are not done.
+Duration RemainingChain(const JobGraph& aGraph,
+                        const OccurrenceEntry& aOccurrence);
+
+/// Declared work of the tasks that are not done, in core-seconds.
+double RemainingWork(const JobGraph& aGraph,
+                     const OccurrenceEntry& aOccurrence);
+
+/// True when a task of the occurrence runs or has ended done.
+bool HasBegun(const OccurrenceEntry& aOccurrence);
+
 /// True when every step that `aStep` waits for is done.
 bool Released(const JobGraph& aGraph,
               const OccurrenceEntry& aOccurrence,
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -1,15 +1,24 @@
 #include "src/core/cell/PaceGovernor.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 
 namespace foxtailbarrow::cell {
 
 namespace {
 
-/// From full speed to a standstill in four steps, so that two seconds suffice
-/// to take all pressure from a serving task.
-constexpr std::array<std::int32_t, 5> kLevels = { 100, 60, 30, 10, 0 };
+constexpr std::int32_t kFull = 100;
+constexpr double kFullShare = 100.0;
+constexpr double kMillicores = 1000.0;
+/// Weight below which an image counts as harmless: ten cores of it raise a tail
+/// latency by a tenth.
+constexpr double kHarmless = 0.01;
+/// Cores that a task at a standstill is taken to use at full pace.
+constexpr double kUnknownCores = 6.0;
+/// Part of the room that one round of raises may use up, since figures lag.
+constexpr double kRaiseShare = 0.6;
+/// Steps below this are not worth a call.
+constexpr std::int32_t kSmallestStep = 5;
 
 } // namespace
 
@@ -23,73 +32,217 @@
   mTraits[aTraits.mTask] = aTraits;
 }
 
-std::int32_t PaceGovernor::Percent() const
+void PaceGovernor::TakePressures(std::span<const Pressure> aPressures)
 {
-  return kLevels[mLevel];
+  for (const Pressure& pressure : aPressures) {
+    mPerCore[{ pressure.mServing, pressure.mLeftover }] = pressure.mPerCore;
+  }
 }
 
-std::vector<PaceChange> PaceGovernor::Judge(
-  std::span<const RunningTask> aRunning,
-  Instant aNow)
+double PaceGovernor::PerCore(const std::string& aServing,
+                             const std::string& aImage) const
 {
-  double worst = 0;
-  for (const RunningTask& task : aRunning) {
-    const auto traits = mTraits.find(task.mTask);
-    if (traits == mTraits.end() ||
-        traits->second.mLatencyTarget == Duration::zero()) {
+  const auto found = mPerCore.find({ aServing, aImage });
+  return found == mPerCore.end() ? InterferenceSettings().mPriorPerCore
+                                 : found->second;
+}
+
+void PaceGovernor::TakeServing(const TaskTraits& aTraits,
+                               std::span<const std::int64_t> aFigures,
+                               Instant aNow)
+{
+  const double target =
+    std::chrono::duration<double, std::milli>(aTraits.mLatencyTarget).count();
+  std::int64_t worst = 0;
+  double sum = 0;
+  for (const std::int64_t figure : aFigures) {
+    worst = std::max(worst, figure);
+    sum += std::log(static_cast<double>(std::max<std::int64_t>(figure, 1)));
+  }
+  const double latency =
+    sum / static_cast<double>(aFigures.size()) - std::log(target);
+  Serving& serving = mServing[aTraits.mImage];
+  serving.mLatency = serving.mSeen || serving.mLatency != 0
+                       ? mSettings.mNewest * latency +
+                           (1 - mSettings.mNewest) * serving.mLatency
+                       : latency;
+  serving.mSeen = true;
+  const bool over = static_cast<double>(worst) > target;
+  if (over && !serving.mOver) {
+    serving.mOverSince = aNow;
+  }
+  serving.mOver = over;
+}
+
+void PaceGovernor::TakeLook(std::span<const RunningTask> aRunning,
+                            Instant aNow)
+{
+  for (auto& [image, serving] : mServing) {
+    serving.mSeen = false;
+  }
+  for (auto& [task, leftover] : mLeftover) {
+    leftover.mSeen = false;
+  }
+  std::map<TaskRef, TaskTraits> present;
+  std::map<std::string, std::pair<TaskTraits, std::vector<std::int64_t>>>
+    figures;
+  for (const RunningTask& running : aRunning) {
+    const auto traits = mTraits.find(running.mTask);
+    if (traits == mTraits.end()) {
       continue;
     }
-    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
-      traits->second.mLatencyTarget);
-    worst = std::max(worst,
-                     static_cast<double>(task.mFigure) /
-                       static_cast<double>(std::max<std::int64_t>(
-                         target.count(), 1)));
+    present.insert(*traits);
+    if (traits->second.mLatencyTarget > Duration::zero()) {
+      auto& [first, list] = figures[traits->second.mImage];
+      first = traits->second;
+      if (running.mFigure > 0) {
+        list.push_back(running.mFigure);
+      }
+    }
+    if (traits->second.mLeftover) {
+      Leftover& leftover = mLeftover[running.mTask];
+      if (leftover.mRun != running.mRun) {
+        leftover = {};
+        leftover.mRun = running.mRun;
+      }
+      leftover.mCores = static_cast<double>(running.mFigure) / kMillicores;
+      leftover.mSeen = true;
+    }
   }
-  Step(worst, aNow);
-  std::vector<PaceChange> changes;
-  std::map<TaskRef, PaceChange> kept;
-  for (const RunningTask& task : aRunning) {
-    const auto traits = mTraits.find(task.mTask);
-    if (traits == mTraits.end() || !traits->second.mLeftover) {
+  for (const auto& [image, entry] : figures) {
+    if (!entry.second.empty()) {
+      TakeServing(entry.first, entry.second, aNow);
+    }
+  }
+  mTraits = std::move(present);
+  std::erase_if(mServing,
+                [](const auto& aEntry) { return !aEntry.second.mSeen; });
+  std::erase_if(mLeftover,
+                [](const auto& aEntry) { return !aEntry.second.mSeen; });
+}
+
+double PaceGovernor::PressureOf(const std::string& aServing,
+                                const TaskRef& aTask,
+                                const Leftover& aLeftover) const
+{
+  // At full pace; a slowed task uses less than it would.
+  const double cores =
+    aLeftover.mTold >= kSmallestStep && aLeftover.mCores > 0
+      ? std::min(kUnknownCores * 2,
+                 aLeftover.mCores * kFullShare / aLeftover.mTold)
+      : kUnknownCores;
+  return PerCore(aServing, mTraits.at(aTask).mImage) * cores;
+}
+
+/// Lowers the paces of those that press most, until the pressure is expected to
+/// be lower by `aExcess`.
+void PaceGovernor::Lower(const std::string& aServing, double aExcess)
+{
+  std::vector<std::pair<double, TaskRef>> pressing;
+  for (const auto& [task, leftover] : mLeftover) {
+    const double pressure = PressureOf(aServing, task, leftover);
+    if (pressure > 0 && leftover.mWanted > 0) {
+      pressing.emplace_back(pressure, task);
+    }
+  }
+  std::ranges::sort(pressing, std::greater());
+  for (const auto& [pressure, task] : pressing) {
+    if (aExcess <= 0) {
+      return;
+    }
+    Leftover& leftover = mLeftover.at(task);
+    const double now = pressure * leftover.mWanted / kFullShare;
+    const double taken = std::min(now, aExcess);
+    aExcess -= taken;
+    leftover.mWanted = static_cast<std::int32_t>(
+      std::floor(kFullShare * (now - taken) / pressure));
+  }
+}
+
+void PaceGovernor::Stop(const std::string& aServing, double aLeastPerCore)
+{
+  for (auto& [task, leftover] : mLeftover) {
+    if (PerCore(aServing, mTraits.at(task).mImage) >= aLeastPerCore) {
+      leftover.mWanted = 0;
+    }
+  }
+}
+
+/// Pressure that the serving tasks beside it can still take, in units of this
+/// task's pressure at full pace.
+double PaceGovernor::RoomFor(const TaskRef& aTask) const
+{
+  double room = 1.0;
+  for (const auto& [image, serving] : mServing) {
+    const double pressure = PressureOf(image, aTask, mLeftover.at(aTask));
+    if (PerCore(image, mTraits.at(aTask).mImage) < kHarmless) {
+      continue;
+    }
+    const double left = std::log(mSettings.mAimedShare) - serving.mLatency;
+    room = std::min(room, kRaiseShare * left / pressure);
+  }
+  return std::max(0.0, room);
+}
+
+void PaceGovernor::Raise(Instant aNow)
+{
+  for (auto& [task, leftover] : mLeftover) {
+    if (leftover.mWanted == kFull ||
+        aNow - leftover.mRaisedAt < mSettings.mRaiseEvery) {
       continue;
     }
-    const auto paced = mPaced.find(task.mTask);
-    const bool told =
-      paced != mPaced.end() && paced->second.mRun == task.mRun;
-    const std::int32_t now = told ? paced->second.mPercent : kLevels[0];
-    if (told) {
-      kept.insert(*paced);
+    const auto room =
+      static_cast<std::int32_t>(std::floor(RoomFor(task) * kFullShare));
+    const std::int32_t step = std::min(
+      { room, mSettings.mRaiseStep, kFull - leftover.mWanted });
+    if (step < kSmallestStep) {
+      continue;
     }
-    if (now != Percent()) {
-      changes.push_back({ task.mTask, task.mRun, Percent() });
+    leftover.mWanted += step;
+    leftover.mRaisedAt = aNow;
+    for (auto& [image, serving] : mServing) {
+      serving.mLatency +=
+        PressureOf(image, task, leftover) * step / kFullShare;
     }
   }
-  mPaced = std::move(kept);
-  std::erase_if(mTraits, [&](const auto& aTraits) {
-    return std::ranges::none_of(aRunning, [&](const RunningTask& aTask) {
-      return aTask.mTask == aTraits.first;
-    });
-  });
-  return changes;
 }
 
-void PaceGovernor::NotePaced(const PaceChange& aChange)
+std::vector<PaceChange> PaceGovernor::Judge(
+  std::span<const RunningTask> aRunning,
+  Instant aNow)
 {
-  mPaced[aChange.mTask] = aChange;
+  TakeLook(aRunning, aNow);
+  for (const auto& [image, serving] : mServing) {
+    const double excess = serving.mLatency - std::log(mSettings.mAimedShare);
+    if (excess > 0) {
+      Lower(image, excess);
+    }
+    if (serving.mOver && aNow - serving.mOverSince > 2 * mSettings.mHardAfter) {
+      Stop(image, 0);
+    } else if (serving.mOver &&
+               aNow - serving.mOverSince > mSettings.mHardAfter) {
+      Stop(image, kHarmless);
+    }
+  }
+  Raise(aNow);
+  std::vector<PaceChange> changes;
+  for (auto& [task, leftover] : mLeftover) {
+    const bool step =
+      std::abs(leftover.mWanted - leftover.mTold) >= kSmallestStep ||
+      (leftover.mWanted != leftover.mTold &&
+       (leftover.mWanted == 0 || leftover.mWanted == kFull));
+    if (step) {
+      changes.push_back({ task, leftover.mRun, leftover.mWanted });
+    }
+  }
+  return changes;
 }
 
-void PaceGovernor::Step(double aWorst, Instant aNow)
+void PaceGovernor::NotePaced(const PaceChange& aChange)
 {
-  const Duration since = aNow - mSteppedAt;
-  if (aWorst > mSettings.mPressedShare && since >= mSettings.mStepDown) {
-    const std::size_t steps = aWorst > mSettings.mFarOverShare ? 2 : 1;
-    mLevel = std::min(mLevel + steps, kLevels.size() - 1);
-    mSteppedAt = aNow;
-  } else if (aWorst < mSettings.mRelaxedShare && mLevel > 0 &&
-             since >= mSettings.mStepUp) {
-    --mLevel;
-    mSteppedAt = aNow;
+  if (const auto found = mLeftover.find(aChange.mTask);
+      found != mLeftover.end() && found->second.mRun == aChange.mRun) {
+    found->second.mTold = aChange.mPercent;
   }
 }
 
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -3,25 +3,30 @@
 #include <cstdint>
 #include <map>
 #include <span>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellMessages.h"
+#include "src/core/cell/Interference.h"
 #include "src/core/cell/WorkerState.h"
 
 namespace foxtailbarrow::cell {
 
 struct PaceSettings
 {
-  /// Of its target, from which on a serving task counts as pressed.
-  double mPressedShare = 0.9;
-  /// Of its target, from which on it counts as far over.
-  double mFarOverShare = 1.4;
-  /// Of its target, below which there is room to speed up again.
-  double mRelaxedShare = 0.65;
-  /// Figures cover half a second: faster steps would judge the same one twice.
-  Duration mStepDown = std::chrono::milliseconds(500);
-  Duration mStepUp = std::chrono::milliseconds(1000);
+  /// Share of its target that a serving task's tail latency is kept at.
+  double mAimedShare = 0.8;
+  /// Over its target for so long, everything that may disturb a serving task
+  /// stands still; after twice the time, every leftover task beside it. Figures
+  /// are half a second late.
+  Duration mHardAfter = std::chrono::milliseconds(1100);
+  /// Figures cover half a second: a faster rise would judge the same one twice.
+  Duration mRaiseEvery = std::chrono::milliseconds(600);
+  std::int32_t mRaiseStep = 40; ///< Percent.
+  /// Weight of the newest figure in the mean that is judged.
+  double mNewest = 0.6;
 };
 
 /// A pace to be set at the worker.
@@ -32,31 +37,60 @@
   std::int32_t mPercent = 100;
 };
 
-/// Slows the leftover tasks of one worker while a serving task beside them is
-/// over its target latency, and speeds them up again step by step. Pure: the
-/// looks go in, paces come out.
+/// Slows down those leftover tasks of one worker that press a serving task
+/// beside them over its target latency, and speeds them up again. Pure: the
+/// looks go in, paces come out. What presses what comes from the cell's owner;
+/// without its word every image is taken to press a little.
 class PaceGovernor
 {
 public:
   explicit PaceGovernor(PaceSettings aSettings = {});
 
   void NoteTraits(const TaskTraits& aTraits);
+  void TakePressures(std::span<const Pressure> aPressures);
 
   /// Paces to be set after a look. A pace stays due until NotePaced().
   std::vector<PaceChange> Judge(std::span<const RunningTask> aRunning,
                                 Instant aNow);
   void NotePaced(const PaceChange& aChange);
 
-  std::int32_t Percent() const;
-
 private:
-  void Step(double aWorst, Instant aNow);
+  struct Serving
+  {
+    double mLatency = 0; ///< Logarithm of the mean latency over the target.
+    Instant mOverSince{};
+    bool mOver = false;
+    bool mSeen = false; ///< In the look that is judged.
+  };
+
+  struct Leftover
+  {
+    RunNumber mRun = 0;
+    std::int32_t mWanted = 100;
+    std::int32_t mTold = 100;
+    double mCores = 0; ///< In use over the last half second.
+    Instant mRaisedAt{};
+    bool mSeen = false;
+  };
+
+  void TakeLook(std::span<const RunningTask> aRunning, Instant aNow);
+  void TakeServing(const TaskTraits& aTraits,
+                   std::span<const std::int64_t> aFigures,
+                   Instant aNow);
+  double PerCore(const std::string& aServing, const std::string& aImage) const;
+  double PressureOf(const std::string& aServing,
+                    const TaskRef& aTask,
+                    const Leftover& aLeftover) const;
+  void Lower(const std::string& aServing, double aExcess);
+  void Stop(const std::string& aServing, double aLeastPerCore);
+  void Raise(Instant aNow);
+  double RoomFor(const TaskRef& aTask) const;
 
   PaceSettings mSettings;
   std::map<TaskRef, TaskTraits> mTraits;
-  std::map<TaskRef, PaceChange> mPaced; ///< What the worker was told.
-  std::size_t mLevel = 0;
-  Instant mSteppedAt{};
+  std::map<std::pair<std::string, std::string>, double> mPerCore;
+  std::map<std::string, Serving> mServing;
+  std::map<TaskRef, Leftover> mLeftover;
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -10,11 +10,19 @@
 /// Scores are about 0 to 2; a worker with one of these is a last resort.
 constexpr double kFailedHerePenalty = 10.0;
 constexpr double kFarFromDataPenalty = 0.5;
-/// A worker whose leftover tasks are paced has less than it seems.
-constexpr double kPacedPenalty = 1.0;
-constexpr double kFullPace = 100.0;
+/// Of each other serving image on a worker: the fewer images, the more leftover
+/// images get along with all of them.
+constexpr double kOtherImagePenalty = 0.3;
+/// Of each unit by which the pressure on a serving task would pass its budget:
+/// the task would be slowed down about as much.
+constexpr double kPressurePenalty = 1.5;
+/// Pressure over the budget from which on a leftover task would hardly run.
+constexpr double kTooMuchPressure = 0.15;
+/// Share of the target latency that is planned for.
+constexpr double kPlannedShare = 0.8;
 /// Least leftover that a ratio is taken of, to keep it finite.
 constexpr double kLeastLeftover = 1000.0;
+constexpr double kMillicores = 1000.0;
 
 bool HasLabel(const WorkerInfo& aInfo, const std::string& aLabel)
 {
@@ -78,38 +86,85 @@
   return static_cast<double>(aWorker.mUse.mLeftover + aMore) / left;
 }
 
+/// Pressure on a serving image beyond its budget, with `aMore` millicores of
+/// one more leftover image.
+double PressureOver(const WorkerEntry& aWorker,
+                    const std::string& aServing,
+                    const std::string& aLeftover,
+                    std::int64_t aMore,
+                    const Interference& aInterference)
+{
+  double pressure = aInterference.PerCore(aServing, aLeftover) *
+                    static_cast<double>(aMore) / kMillicores;
+  for (const auto& [image, millicores] : aWorker.mUse.mLeftoverOf) {
+    pressure += aInterference.PerCore(aServing, image) *
+                static_cast<double>(millicores) / kMillicores;
+  }
+  return pressure - aInterference.Budget(aServing, kPlannedShare);
+}
+
+/// Over all serving images of the worker; at least 0.
+double WorstPressureOver(const WorkerEntry& aWorker,
+                         const StepSpec& aSpec,
+                         const Interference& aInterference)
+{
+  double worst = 0;
+  for (const auto& [serving, count] : aWorker.mUse.mServing) {
+    worst = std::max(worst,
+                     PressureOver(aWorker,
+                                  serving,
+                                  aSpec.mImage,
+                                  aSpec.mDemand.mMillicores,
+                                  aInterference));
+  }
+  return worst;
+}
+
 /// Lower is better; nullopt when the worker is too loaded.
-std::optional<double> LeftoverScore(const WorkerEntry& aWorker,
-                                    const StepSpec& aSpec,
-                                    const CellSettings& aSettings)
+std::optional<double> LeftoverScore(const PlacementView& aView,
+                                    const WorkerEntry& aWorker,
+                                    const StepSpec& aSpec)
 {
   const double ratio =
-    LeftoverRatio(aWorker, aSpec.mDemand.mMillicores, aSettings);
-  const bool empty = aWorker.mUse.mLeftover == 0;
-  if (ratio > aSettings.mMaxLeftoverRatio && !empty) {
+    LeftoverRatio(aWorker, aSpec.mDemand.mMillicores, aView.mSettings);
+  const double over =
+    WorstPressureOver(aWorker, aSpec, aView.mInterference);
+  const bool tooMuch = (ratio > aView.mSettings.mMaxLeftoverRatio &&
+                        aWorker.mUse.mLeftover > 0) ||
+                       over > kTooMuchPressure;
+  if (tooMuch && !aView.mStarving) {
     return std::nullopt;
   }
-  double score = ratio;
-  if (aWorker.mUse.mServing > 0) {
-    score += aSettings.mServingPenalty;
-    score += kPacedPenalty * (1.0 - aWorker.mPacePercent / kFullPace);
+  return ratio + kPressurePenalty * over;
+}
+
+double StandingScore(const PlacementView& aView,
+                     const WorkerEntry& aWorker,
+                     const StepSpec& aSpec)
+{
+  // Fullest first, but away from leftover tasks that run already.
+  double score = LeftoverRatio(aWorker, 0, aView.mSettings) -
+                 ReservedShare(aWorker);
+  for (const auto& [image, count] : aWorker.mUse.mServing) {
+    score += image == aSpec.mImage ? 0.0 : kOtherImagePenalty;
   }
-  return score;
+  const double over = PressureOver(
+    aWorker, aSpec.mImage, {}, 0, aView.mInterference);
+  return score + kPressurePenalty * std::max(0.0, over);
 }
 
-std::optional<double> Score(const WorkerEntry& aWorker,
-                            const StepSpec& aSpec,
-                            const CellSettings& aSettings)
+std::optional<double> Score(const PlacementView& aView,
+                            const WorkerEntry& aWorker,
+                            const StepSpec& aSpec)
 {
   if (aSpec.mLeftover) {
-    return LeftoverScore(aWorker, aSpec, aSettings);
+    return LeftoverScore(aView, aWorker, aSpec);
   }
-  const double leftoverLoad = LeftoverRatio(aWorker, 0, aSettings);
   if (aSpec.mStanding) {
-    // Fullest first, but away from leftover tasks that run already.
-    return leftoverLoad - ReservedShare(aWorker);
+    return StandingScore(aView, aWorker, aSpec);
   }
-  return ReservedShare(aWorker) + leftoverLoad / 2;
+  return ReservedShare(aWorker) +
+         LeftoverRatio(aWorker, 0, aView.mSettings) / 2;
 }
 
 } // namespace
@@ -133,12 +188,17 @@
   const std::int64_t millicores = aSign * aSpec.mDemand.mMillicores;
   if (aSpec.mLeftover) {
     aUse.mLeftover += millicores;
+    if ((aUse.mLeftoverOf[aSpec.mImage] += millicores) == 0) {
+      aUse.mLeftoverOf.erase(aSpec.mImage);
+    }
   }
   if (aSpec.mStanding) {
     aUse.mStanding += millicores;
   }
   if (aSpec.mLatencyTarget > Duration::zero()) {
-    aUse.mServing += aSign;
+    if ((aUse.mServing[aSpec.mImage] += aSign) == 0) {
+      aUse.mServing.erase(aSpec.mImage);
+    }
   }
 }
 
@@ -152,22 +212,35 @@
   return static_cast<double>(aWorker.mInfo.mCapacity.mMillicores) - used;
 }
 
-std::optional<AgentId> ChooseWorker(const WorkerTable& aWorkers,
+double ReservedShareOf(const WorkerTable& aWorkers)
+{
+  std::int64_t reserved = 0;
+  std::int64_t capacity = 0;
+  for (const auto& [id, worker] : aWorkers) {
+    if (worker.mLink == WorkerLink::Attached) {
+      reserved += worker.mUse.mReserved.mMillicores;
+      capacity += worker.mInfo.mCapacity.mMillicores;
+    }
+  }
+  return capacity == 0 ? 0.0
+                       : static_cast<double>(reserved) /
+                           static_cast<double>(capacity);
+}
+
+std::optional<AgentId> ChooseWorker(const PlacementView& aView,
                                     JobEntry& aJob,
-                                    const TaskRef& aTask,
-                                    const CellSettings& aSettings,
-                                    Instant aNow)
+                                    const TaskRef& aTask)
 {
   const StepSpec& spec = aJob.Spec(aTask);
   const TaskEntry& task = *aJob.Find(aTask);
   std::optional<AgentId> best;
   double bestScore = std::numeric_limits<double>::max();
-  for (const auto& [id, worker] : aWorkers) {
+  for (const auto& [id, worker] : aView.mWorkers) {
     const bool runsHere = worker.mRuns.contains(aTask);
-    if (runsHere || !MayTake(worker, aJob, aTask, aNow)) {
+    if (runsHere || !MayTake(worker, aJob, aTask, aView.mNow)) {
       continue;
     }
-    std::optional<double> score = Score(worker, spec, aSettings);
+    std::optional<double> score = Score(aView, worker, spec);
     if (!score) {
       continue;
     }
--- a/src/core/cell/WorkerChoice.h
+++ b/src/core/cell/WorkerChoice.h
@@ -5,6 +5,7 @@
 
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellSettings.h"
+#include "src/core/cell/Interference.h"
 #include "src/core/cell/JobEntry.h"
 #include "src/core/cell/WorkerEntry.h"
 
@@ -22,14 +23,28 @@
 double LeftoverMillicores(const WorkerEntry& aWorker,
                           const CellSettings& aSettings);
 
+/// Reserved share of the processors of all attached workers.
+double ReservedShareOf(const WorkerTable& aWorkers);
+
+/// What a choice rests on besides the job.
+struct PlacementView
+{
+  const WorkerTable& mWorkers;
+  const Interference& mInterference;
+  const CellSettings& mSettings;
+  Instant mNow{};
+  /// Nothing of the job has run for a while: any worker with room is better
+  /// than none, however loaded.
+  bool mStarving = false;
+};
+
 /// Picks the worker for one more run of a task, or none when no worker may take
-/// it now. Serving tasks are packed together, leftover tasks go where most is
-/// left for them, other tasks to the least used worker. Workers on which the
-/// task failed before, or that hold another run of it, come last or not at all.
-std::optional<AgentId> ChooseWorker(const WorkerTable& aWorkers,
+/// it now. Serving tasks are packed together by image; leftover tasks go where
+/// most is left for them and where they disturb the serving tasks least; other
+/// tasks go to the least used worker. Workers on which the task failed before
+/// come last; one that holds another run of it is not taken.
+std::optional<AgentId> ChooseWorker(const PlacementView& aView,
                                     JobEntry& aJob,
-                                    const TaskRef& aTask,
-                                    const CellSettings& aSettings,
-                                    Instant aNow);
+                                    const TaskRef& aTask);
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Time.h"
@@ -24,7 +25,9 @@
   Resources mReserved;              ///< Counted against the capacity.
   std::int64_t mStanding = 0;       ///< Millicores of standing tasks.
   std::int64_t mLeftover = 0;       ///< Millicores that leftover tasks want.
-  std::int32_t mServing = 0;        ///< Tasks with a latency target.
+  std::map<std::string, std::int32_t> mServing; ///< Serving tasks, by image.
+  /// Millicores that leftover tasks want, by image.
+  std::map<std::string, std::int64_t> mLeftoverOf;
 };
 
 /// What the owner knows of one worker.
@@ -46,7 +49,7 @@
   /// Latest end of a lease that this or an earlier owner may have granted.
   Instant mHeldUntil{};
   Instant mLeavesAt{};     ///< While it drains.
-  std::int32_t mPacePercent = 100;
+  Instant mObservedAt{}; ///< Figures were last learned from.
   bool mAnswers = true; ///< To its agent.
   Instant mSilentLeaseEnd{}; ///< While it does not answer.
 
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -241,7 +241,14 @@
   aVisitor.Optional("state", aMessage.mState);
   aVisitor.Optional("workerAnswers", aMessage.mWorkerAnswers);
   aVisitor.Optional("leaseLeftUs", aMessage.mLeaseLeft);
-  aVisitor.Optional("pacePercent", aMessage.mPacePercent);
+}
+
+template<typename Visitor, Is<cell::Pressure> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("serving", aMessage.mServing);
+  aVisitor.Required("leftover", aMessage.mLeftover);
+  aVisitor.Required("perCore", aMessage.mPerCore);
 }
 
 template<typename Visitor, Is<cell::ReportReply> Message>
@@ -253,6 +260,7 @@
   aVisitor.Optional("ownerAt", aMessage.mOwnerAt);
   aVisitor.Optional("grantUs", aMessage.mGrant);
   aVisitor.Optional("acknowledged", aMessage.mAcknowledged);
+  aVisitor.Optional("pressures", aMessage.mPressures);
 }
 
 template<typename Visitor, Is<cell::FindOwner> Message>
