--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -95,7 +95,8 @@
     if (traits->second.mLatencyTarget > Duration::zero()) {
       auto& [first, list] = figures[traits->second.mImage];
       first = traits->second;
-      if (running.mFigure > 0) {
+      // While it starts up its figure says nothing.
+      if (running.mFigure > 0 && running.mPercent == kFull) {
         list.push_back(running.mFigure);
       }
     }
@@ -170,7 +171,7 @@
 
 /// Pressure that the serving tasks beside it can still take, in units of this
 /// task's pressure at full pace.
-double PaceGovernor::RoomFor(const TaskRef& aTask) const
+double PaceGovernor::RoomFor(const TaskRef& aTask, Instant aNow) const
 {
   double room = 1.0;
   for (const auto& [image, serving] : mServing) {
@@ -178,6 +179,9 @@
     if (PerCore(image, mTraits.at(aTask).mImage) < kHarmless) {
       continue;
     }
+    if (aNow - serving.mLoweredAt < mSettings.mStepEvery) {
+      return 0;
+    }
     const double left = std::log(mSettings.mAimedShare) - serving.mLatency;
     room = std::min(room, kRaiseShare * left / pressure);
   }
@@ -188,11 +192,11 @@
 {
   for (auto& [task, leftover] : mLeftover) {
     if (leftover.mWanted == kFull ||
-        aNow - leftover.mRaisedAt < mSettings.mRaiseEvery) {
+        aNow - leftover.mRaisedAt < mSettings.mStepEvery) {
       continue;
     }
     const auto room =
-      static_cast<std::int32_t>(std::floor(RoomFor(task) * kFullShare));
+      static_cast<std::int32_t>(std::floor(RoomFor(task, aNow) * kFullShare));
     const std::int32_t step = std::min(
       { room, mSettings.mRaiseStep, kFull - leftover.mWanted });
     if (step < kSmallestStep) {
@@ -207,23 +211,30 @@
   }
 }
 
-std::vector<PaceChange> PaceGovernor::Judge(
-  std::span<const RunningTask> aRunning,
-  Instant aNow)
+void PaceGovernor::Relieve(Instant aNow)
 {
-  TakeLook(aRunning, aNow);
-  for (const auto& [image, serving] : mServing) {
-    const double excess = serving.mLatency - std::log(mSettings.mAimedShare);
-    if (excess > 0) {
-      Lower(image, excess);
+  for (auto& [image, serving] : mServing) {
+    if (serving.mLatency > std::log(mSettings.mPressedShare) &&
+        aNow - serving.mLoweredAt >= mSettings.mStepEvery) {
+      Lower(image, serving.mLatency - std::log(mSettings.mAimedShare));
+      serving.mLoweredAt = aNow;
     }
-    if (serving.mOver && aNow - serving.mOverSince > 2 * mSettings.mHardAfter) {
+    const Duration over =
+      serving.mOver ? Duration(aNow - serving.mOverSince) : Duration::zero();
+    if (over > 2 * mSettings.mHardAfter) {
       Stop(image, 0);
-    } else if (serving.mOver &&
-               aNow - serving.mOverSince > mSettings.mHardAfter) {
+    } else if (over > mSettings.mHardAfter) {
       Stop(image, kHarmless);
     }
   }
+}
+
+std::vector<PaceChange> PaceGovernor::Judge(
+  std::span<const RunningTask> aRunning,
+  Instant aNow)
+{
+  TakeLook(aRunning, aNow);
+  Relieve(aNow);
   Raise(aNow);
   std::vector<PaceChange> changes;
   for (auto& [task, leftover] : mLeftover) {
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -16,15 +16,18 @@
 
 struct PaceSettings
 {
-  /// Share of its target that a serving task's tail latency is kept at.
+  /// Share of its target that a serving task's tail latency is brought to, and
+  /// the share above which it is.
   double mAimedShare = 0.8;
+  double mPressedShare = 0.95;
   /// Over its target for so long, everything that may disturb a serving task
   /// stands still; after twice the time, every leftover task beside it. Figures
   /// are half a second late.
   Duration mHardAfter = std::chrono::milliseconds(1100);
-  /// Figures cover half a second: a faster rise would judge the same one twice.
-  Duration mRaiseEvery = std::chrono::milliseconds(600);
-  std::int32_t mRaiseStep = 40; ///< Percent.
+  /// Figures cover half a second: a faster step would judge the same one twice.
+  /// Without it, looks 30 ms apart took a task from full speed to 1 % in 0.13 s.
+  Duration mStepEvery = std::chrono::milliseconds(500);
+  std::int32_t mRaiseStep = 50; ///< Percent.
   /// Weight of the newest figure in the mean that is judged.
   double mNewest = 0.6;
 };
@@ -59,6 +62,7 @@
   {
     double mLatency = 0; ///< Logarithm of the mean latency over the target.
     Instant mOverSince{};
+    Instant mLoweredAt{};
     bool mOver = false;
     bool mSeen = false; ///< In the look that is judged.
   };
@@ -83,8 +87,9 @@
                     const Leftover& aLeftover) const;
   void Lower(const std::string& aServing, double aExcess);
   void Stop(const std::string& aServing, double aLeastPerCore);
+  void Relieve(Instant aNow);
   void Raise(Instant aNow);
-  double RoomFor(const TaskRef& aTask) const;
+  double RoomFor(const TaskRef& aTask, Instant aNow) const;
 
   PaceSettings mSettings;
   std::map<TaskRef, TaskTraits> mTraits;
