Keep stopped tasks stopped; test the governor, the learning and platform/

Cause: PaceGovernorTest.StopsEverythingBeforeATaskIsOverForTooLong failed: the raise that followed in the same round undid the stop for tasks held harmless.

--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -175,6 +175,9 @@
 {
   double room = 1.0;
   for (const auto& [image, serving] : mServing) {
+    if (serving.mOver && aNow - serving.mOverSince > 2 * mSettings.mHardAfter) {
+      return 0;
+    }
     const double pressure = PressureOf(image, aTask, mLeftover.at(aTask));
     if (PerCore(image, mTraits.at(aTask).mImage) < kHarmless) {
       continue;
--- /dev/null
+++ b/tests/cell/InterferenceTest.cpp
@@ -0,0 +1,49 @@
+#include <cmath>
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "src/core/cell/Interference.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+TEST(Interference, TellsHeavyPairsFromLightOnes)
+{
+  constexpr double kHeavy = 0.12;
+  std::mt19937 random(1);
+  std::normal_distribution<double> noise(0.0, 0.5);
+  std::uniform_int_distribution<int> cores(0, 14);
+  Interference interference;
+  for (int look = 0; look < 400; ++look) {
+    const ImageLoad beside[] = { { "heavy", 1.0 * cores(random) },
+                                 { "light", 1.0 * cores(random) } };
+    interference.Observe("service",
+                         std::log(0.45) + kHeavy * beside[0].mCores +
+                           noise(random),
+                         beside);
+  }
+  EXPECT_NEAR(interference.PerCore("service", "heavy"), kHeavy, 0.03);
+  EXPECT_LT(interference.PerCore("service", "light"), 0.03);
+}
+
+TEST(Interference, TakesAnUnknownPairForAverage)
+{
+  const Interference interference;
+  EXPECT_EQ(interference.PerCore("service", "new"),
+            InterferenceSettings().mPriorPerCore);
+  EXPECT_GT(interference.Budget("service", 0.8), 0);
+}
+
+TEST(Interference, OneOutlierDoesNotDecide)
+{
+  Interference interference;
+  const ImageLoad beside[] = { { "image", 7.0 } };
+  interference.Observe("service", std::log(100.0), beside);
+  EXPECT_LT(interference.PerCore("service", "image"), 0.12);
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
--- /dev/null
+++ b/tests/cell/PaceGovernorTest.cpp
@@ -0,0 +1,116 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "src/core/cell/PaceGovernor.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kTargetMs = 20;
+const TaskRef kServing{ JobId("serving"), 0, 0, 0 };
+const TaskRef kHeavy{ JobId("heavy"), 0, 0, 0 };
+const TaskRef kLight{ JobId("light"), 0, 0, 0 };
+
+RunningTask At(const TaskRef& aTask, std::int64_t aFigure)
+{
+  RunningTask task;
+  task.mTask = aTask;
+  task.mRun = 1;
+  task.mPercent = 100;
+  task.mFigure = aFigure;
+  return task;
+}
+
+class PaceGovernorTest : public testing::Test
+{
+protected:
+  PaceGovernorTest()
+  {
+    mGovernor.NoteTraits(
+      { kServing, milliseconds(kTargetMs), false, "service" });
+    mGovernor.NoteTraits({ kHeavy, {}, true, "heavy" });
+    mGovernor.NoteTraits({ kLight, {}, true, "light" });
+    const Pressure pressures[] = { { "service", "heavy", 0.15 },
+                                   { "service", "light", 0.0 } };
+    mGovernor.TakePressures(pressures);
+  }
+
+  /// A look after `aPause`; the paces are carried out.
+  std::vector<PaceChange> Look(std::int64_t aLatencyMs,
+                               milliseconds aPause = milliseconds(600),
+                               std::int32_t aServingPercent = 100)
+  {
+    mNow += aPause;
+    RunningTask serving = At(kServing, aLatencyMs);
+    serving.mPercent = aServingPercent;
+    const RunningTask running[] = { serving,
+                                    At(kHeavy, 6000),
+                                    At(kLight, 6000) };
+    std::vector<PaceChange> changes = mGovernor.Judge(running, mNow);
+    for (const PaceChange& change : changes) {
+      mGovernor.NotePaced(change);
+    }
+    return changes;
+  }
+
+  PaceGovernor mGovernor;
+  Instant mNow{ std::chrono::seconds(100) };
+};
+
+TEST_F(PaceGovernorTest, LeavesCalmTasksAlone)
+{
+  EXPECT_TRUE(Look(9).empty());
+  EXPECT_TRUE(Look(12).empty());
+}
+
+TEST_F(PaceGovernorTest, SlowsDownWhatPresses)
+{
+  const auto changes = Look(40);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].mTask, kHeavy);
+  EXPECT_LT(changes[0].mPercent, 50);
+}
+
+TEST_F(PaceGovernorTest, JudgesAFigureOnce)
+{
+  ASSERT_EQ(Look(30).size(), 1U);
+  EXPECT_TRUE(Look(30, milliseconds(30)).empty());
+  EXPECT_TRUE(Look(30, milliseconds(30)).empty());
+}
+
+TEST_F(PaceGovernorTest, IgnoresServingTasksThatStartUp)
+{
+  EXPECT_TRUE(Look(200, milliseconds(600), 40).empty());
+}
+
+TEST_F(PaceGovernorTest, SpeedsUpAgainWhenThereIsRoom)
+{
+  ASSERT_FALSE(Look(40).empty());
+  std::int32_t percent = 0;
+  for (int look = 0; look < 6; ++look) {
+    for (const PaceChange& change : Look(8)) {
+      percent = change.mPercent;
+    }
+  }
+  EXPECT_EQ(percent, 100);
+}
+
+TEST_F(PaceGovernorTest, StopsEverythingBeforeATaskIsOverForTooLong)
+{
+  bool lightStopped = false;
+  for (int look = 0; look < 6; ++look) {
+    for (const PaceChange& change : Look(60)) {
+      lightStopped =
+        lightStopped || (change.mTask == kLight && change.mPercent == 0);
+    }
+  }
+  EXPECT_TRUE(lightStopped); // Within 3.6 s, whatever was learned.
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
--- /dev/null
+++ b/tests/platform/CodecTest.cpp
@@ -0,0 +1,229 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "platform/ConfigurationCodec.h"
+#include "platform/KvCodec.h"
+#include "platform/TaskName.h"
+#include "platform/WorkerCodec.h"
+#include "platform/WorkerHeartbeat.h"
+
+namespace foxtailbarrow::platform::test {
+
+namespace {
+
+const cell::TaskRef kTask{ JobId("5c0e7a21d94b36f8"), 0, 1, 17 };
+
+TEST(TaskName, IsReadBack)
+{
+  EXPECT_EQ(FormatTaskName(kTask), "5c0e7a21d94b36f8.0.1.17");
+  EXPECT_EQ(ParseTaskName("5c0e7a21d94b36f8.0.1.17"), kTask);
+}
+
+class BadTaskNames : public testing::TestWithParam<const char*>
+{};
+
+TEST_P(BadTaskNames, AreRefused)
+{
+  EXPECT_FALSE(ParseTaskName(GetParam()).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  BadTaskNames,
+  testing::Values("", "a", "a.0.1", "a.0.1.2.3", "a.x.1.2", ".0.1.2", "a.0.1."));
+
+TEST(WorkerCodec, ReadsALook)
+{
+  const auto look = ParseLook(
+    R"({"ClockMs":482113,
+        "Running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,1800]],
+        "Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+  ASSERT_TRUE(look.ok());
+  EXPECT_EQ(look->mClock, 482113);
+  ASSERT_EQ(look->mRunning.size(), 1U);
+  EXPECT_EQ(look->mRunning[0],
+            (cell::RunningTask{ kTask, 2, "00000bb87a21d94b", 41, 1800 }));
+  ASSERT_EQ(look->mEnded.size(), 1U);
+  EXPECT_EQ(look->mEnded[0].mNumber, 58);
+  EXPECT_EQ(look->mEnded[0].mEnd, cell::RunEnd::Done);
+}
+
+class BadLooks : public testing::TestWithParam<const char*>
+{};
+
+TEST_P(BadLooks, AreErrors)
+{
+  EXPECT_FALSE(ParseLook(GetParam()).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BadLooks,
+                         testing::Values("",
+                                         "[]",
+                                         R"({"ClockMs":"x"})",
+                                         R"({"Running":7})",
+                                         R"({"Running":[7]})",
+                                         R"({"Running":[["bad",1]]})",
+                                         R"({"Ended":[[1,"a.0.0.0",1,"odd"]]})"));
+
+TEST(WorkerCodec, WritesOrders)
+{
+  EXPECT_EQ(FormatStart({ kTask, 2, "text", "", 486000, 7 }),
+            R"({"DeadlineMs":486000,"Fence":7,"Run":2,"Spec":"text",)"
+            R"("Task":"5c0e7a21d94b36f8.0.1.17"})");
+  cell::LookCall look;
+  look.mFence = 7;
+  look.mAcknowledged = 57;
+  look.mWait = std::chrono::milliseconds(1000);
+  EXPECT_EQ(FormatLook(look), R"({"Acked":57,"Fence":7,"WaitMs":1000})");
+}
+
+struct RefusalCase
+{
+  const char* mReason;
+  cell::StartOutcome mOutcome;
+};
+
+class Refusals : public testing::TestWithParam<RefusalCase>
+{};
+
+TEST_P(Refusals, AreTold)
+{
+  const auto reply = ParseRefusal(std::string(R"({"ClockMs":5,"Reason":")") +
+                                  GetParam().mReason + R"("})");
+  ASSERT_TRUE(reply.ok());
+  EXPECT_EQ(reply->mOutcome, GetParam().mOutcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  Refusals,
+  testing::Values(RefusalCase{ "room", cell::StartOutcome::NoRoom },
+                  RefusalCase{ "old", cell::StartOutcome::OldRun },
+                  RefusalCase{ "late", cell::StartOutcome::NoLease },
+                  RefusalCase{ "fence", cell::StartOutcome::NotStarted },
+                  RefusalCase{ "new", cell::StartOutcome::NotStarted }));
+
+TEST(KvCodec, ReadsItemsAndChanges)
+{
+  const auto entry = ParseEntry(
+    R"({"Key":"my/leader","Value":"bm9kZS0x","Revision":412,"Created":1,
+        "Lease":77120,"CurrentRev":530})");
+  ASSERT_TRUE(entry.ok());
+  EXPECT_EQ(entry->mValue, "node-1");
+  EXPECT_EQ(entry->mModRevision, 412);
+  EXPECT_EQ(entry->mLease, 77120);
+  const auto changes = ParseChanges(
+    R"({"events":[{"Key":"a","Value":"bm9kZS0x","Revision":412},
+        {"Key":"b","Revision":413,"Tombstone":true}],"CurrentRev":413})");
+  ASSERT_TRUE(changes.ok());
+  EXPECT_EQ(changes->mRevision, 413);
+  ASSERT_EQ(changes->mEvents.size(), 2U);
+  EXPECT_EQ(changes->mEvents[0].mValue, "node-1");
+  EXPECT_FALSE(changes->mEvents[1].mValue.has_value());
+}
+
+TEST(KvCodec, WritesATransaction)
+{
+  StoreTransaction transaction;
+  transaction.mCompares = { { "k", 0 } };
+  transaction.mWrites = { { "k", "node-1", 5 }, { "old", std::nullopt } };
+  EXPECT_EQ(FormatTransaction(transaction),
+            R"({"Deletes":["old"],"Expect":[{"Key":"k","Revision":0}],)"
+            R"("Writes":[{"Key":"k","Lease":5,"Value":"bm9kZS0x"}]})");
+}
+
+class BadChanges : public testing::TestWithParam<const char*>
+{};
+
+TEST_P(BadChanges, AreErrors)
+{
+  EXPECT_FALSE(ParseChanges(GetParam()).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  BadChanges,
+  testing::Values("",
+                  "{}",
+                  R"({"events":[]})",
+                  R"({"events":{},"CurrentRev":1})",
+                  R"({"events":[{"Value":"!"}],"CurrentRev":1})",
+                  R"({"events":[],"CurrentRev":-1})"));
+
+TEST(ConfigurationCodec, ReadsRoutes)
+{
+  const auto configuration = ParseConfiguration(
+    R"({"Version":7,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/",
+        "Kind":"unsafe","TimeoutMs":3000,"SloMs":250,"Priority":2,
+        "Service":"s","Attempts":3,"Stretch":1.5}],
+        "Services":[{"Name":"s","EnforcesCapacity":true}],
+        "Limits":{"MaxBodyBytes":262144}})");
+  ASSERT_TRUE(configuration.ok());
+  EXPECT_EQ(configuration->mVersion, 7);
+  EXPECT_EQ(configuration->mMaxBodyBytes, 262144U);
+  ASSERT_EQ(configuration->mRoutes.size(), 1U);
+  const cell::QueuePolicy& policy = configuration->mRoutes[0].mPolicy;
+  EXPECT_EQ(policy.mService, ServiceId("s"));
+  EXPECT_EQ(policy.mPriority, 2);
+  EXPECT_EQ(policy.mAttempts, 3);
+  EXPECT_EQ(policy.mStretch, 1.5);
+  EXPECT_TRUE(policy.mWorkersGuard);
+}
+
+TEST(WorkerHeartbeat, IsRead)
+{
+  net::HttpRequest request;
+  request.mMethod = "PUT";
+  request.mTarget = "/runners/i-1";
+  request.mBody =
+    R"({"Service":"s","Zone":"z","State":"draining","DrainLeftMs":900,
+        "Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},
+        "Labels":["a","r1-3"],"CallSeq":4})";
+  const auto message = ParseWorkerMessage(request);
+  ASSERT_TRUE(message.ok());
+  const auto& heartbeat = std::get<WorkerHeartbeat>(*message);
+  EXPECT_EQ(heartbeat.mSequence, 4);
+  EXPECT_EQ(heartbeat.mInfo.mIncarnation, cell::WorkerIncarnation("i-1"));
+  EXPECT_EQ(heartbeat.mInfo.mRack, RackId("r1-3"));
+  EXPECT_EQ(heartbeat.mInfo.mCapacity, (Resources{ 16000, 32768, 1 }));
+  EXPECT_TRUE(heartbeat.mInfo.mDraining);
+  EXPECT_EQ(heartbeat.mInfo.mDrainLeft, std::chrono::milliseconds(900));
+}
+
+struct HeartbeatCase
+{
+  const char* mMethod;
+  const char* mTarget;
+  const char* mBody;
+};
+
+class BadHeartbeats : public testing::TestWithParam<HeartbeatCase>
+{};
+
+TEST_P(BadHeartbeats, AreRefused)
+{
+  net::HttpRequest request;
+  request.mMethod = GetParam().mMethod;
+  request.mTarget = GetParam().mTarget;
+  request.mBody = GetParam().mBody;
+  EXPECT_FALSE(ParseWorkerMessage(request).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  BadHeartbeats,
+  testing::Values(HeartbeatCase{ "PUT", "/other/i-1", "{}" },
+                  HeartbeatCase{ "GET", "/runners/i-1", "" },
+                  HeartbeatCase{ "PUT", "/runners/", "{}" },
+                  HeartbeatCase{ "PUT", "/runners/i-1", "[" },
+                  HeartbeatCase{ "PUT", "/runners/i-1", R"({"Zone":1})" },
+                  HeartbeatCase{ "PUT", "/runners/i-1", R"({"Labels":[1]})" },
+                  HeartbeatCase{ "PUT",
+                                 "/runners/i-1",
+                                 R"({"Capacity":{"Cpu":-1}})" }));
+
+} // namespace
+
+} // namespace foxtailbarrow::platform::test
--- /dev/null
+++ b/tests/platform/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(platform-tests PRIVATE ftb_user_platform)
