--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -179,9 +179,8 @@
       desk.mListed = true;
     }
   }
-  mLogic.ExpectAgents(expected,
-                      MonotonicNow() + mSettings.mAuthority +
-                        mSettings.mLeaseMargin);
+  mLogic.ExpectAgents(
+    expected, MonotonicNow() + mSettings.mAuthority + mSettings.mLeaseMargin);
   return absl::OkStatus();
 }
 
@@ -465,8 +464,8 @@
       ForgetAgent(aAgent);
       return;
     }
-    const Duration pause = Attached(aAgent) ? OrderRound(aAgent, aDesk)
-                                            : AttachRound(aAgent, aDesk);
+    const Duration pause =
+      Attached(aAgent) ? OrderRound(aAgent, aDesk) : AttachRound(aAgent, aDesk);
     if (!mEnded && pause > Duration::zero()) {
       aDesk.mPoke.Wait(pause);
     }
@@ -529,8 +528,7 @@
     return kAttachRetry;
   }
   aDesk.mHeardAt = MonotonicNow();
-  mLogic.AttachWorker(
-    aAgent, aDesk.mEndpoint, session, reply->mState, Clock());
+  mLogic.AttachWorker(aAgent, aDesk.mEndpoint, session, reply->mState, Clock());
   mSchedulePoke.Now();
   return Duration::zero();
 }
@@ -554,12 +552,12 @@
     return Duration::zero();
   }
   if (!reply.ok() || !reply->mAccepted) {
-    LogWarning("orders-unsettled",
-               { { "agent", aAgent },
-                 { "session", orders.mSession },
-                 { "starts", orders.mStarts.size() },
-                 { "error",
-                   reply.ok() ? "not accepted" : reply.status().ToString() } });
+    LogWarning(
+      "orders-unsettled",
+      { { "agent", aAgent },
+        { "session", orders.mSession },
+        { "starts", orders.mStarts.size() },
+        { "error", reply.ok() ? "not accepted" : reply.status().ToString() } });
     // Only the session that the orders were sent in is in doubt.
     if (const auto worker = mLogic.Workers().find(aAgent);
         worker != mLogic.Workers().end() &&
--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -90,16 +90,16 @@
              { { "error", record.status().ToString() } });
   }
   bool gone = false;
-  const absl::Status ended = mStore.Watch(
-    kOwnerKey,
-    entry->mModRevision,
-    [this, &gone](const std::vector<StoreEvent>& aEvents) {
-      mSeenAt = MonotonicNow();
-      for (const StoreEvent& event : aEvents) {
-        gone = !event.mValue;
-      }
-      return aEvents.empty() && !mResigned;
-    });
+  const absl::Status ended =
+    mStore.Watch(kOwnerKey,
+                 entry->mModRevision,
+                 [this, &gone](const std::vector<StoreEvent>& aEvents) {
+                   mSeenAt = MonotonicNow();
+                   for (const StoreEvent& event : aEvents) {
+                     gone = !event.mValue;
+                   }
+                   return aEvents.empty() && !mResigned;
+                 });
   return gone || ended.ok() ? Duration(1) : kRetry;
 }
 
@@ -158,12 +158,10 @@
   StoreTransaction transaction;
   transaction.mCompares = { { std::string(kOwnerKey), 0 },
                             { std::string(kCellKey), aCellRevision } };
-  transaction.mWrites = {
-    { std::string(kOwnerKey),
-      OwnerText(aRecord.mGeneration, aRecord.mToken),
-      aLease },
-    { std::string(kCellKey), ToJsonText(aRecord) }
-  };
+  transaction.mWrites = { { std::string(kOwnerKey),
+                            OwnerText(aRecord.mGeneration, aRecord.mToken),
+                            aLease },
+                          { std::string(kCellKey), ToJsonText(aRecord) } };
   const auto result = mStore.Commit(transaction);
   if (result.ok()) {
     return result->mApplied ? std::optional(result->mRevision) : std::nullopt;
@@ -255,9 +253,9 @@
   transaction.mCompares = { { std::string(kOwnerKey), 0 },
                             { std::string(kCellKey),
                               owner->Term().CellRevision() } };
-  transaction.mWrites = { { std::string(kOwnerKey),
-                            OwnerText(mGeneration, mToken),
-                            *lease } };
+  transaction.mWrites = {
+    { std::string(kOwnerKey), OwnerText(mGeneration, mToken), *lease }
+  };
   const auto result = mStore.Commit(transaction);
   if (result.ok() && result->mApplied) {
     mLease = *lease;
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -22,6 +22,10 @@
 /// Refusals of the store after which the caller is told to come back: an
 /// outage lasts longer than the caller waits.
 constexpr int kMaxRefusals = 3;
+/// How long a request waits for a silent store before it is refused as not run.
+/// Short: the caller is told when to come back.
+constexpr Duration kSilenceWait = std::chrono::milliseconds(200);
+constexpr Duration kSilencePoll = std::chrono::milliseconds(20);
 constexpr Duration kOwnerTimeout = std::chrono::milliseconds(500);
 
 std::int64_t UnixMs()
@@ -87,7 +91,7 @@
 } // namespace
 
 JobDesk::JobDesk(net::FiberRuntime& aRuntime,
-                 Store& aStore,
+                 PulsedStore& aStore,
                  net::RpcClient& aRpc,
                  const Election& aElection)
   : mRuntime(aRuntime)
@@ -100,13 +104,24 @@
 JobAnswer JobDesk::Answer(const JobRequest& aRequest)
 {
   const Instant deadline = MonotonicNow() + aRequest.mTimeout - kAnswerTime;
-  return std::visit(
-    [&](const auto& aBody) { return Handle(aBody, deadline); },
-    aRequest.mBody);
+  return std::visit([&](const auto& aBody) { return Handle(aBody, deadline); },
+                    aRequest.mBody);
+}
+
+bool JobDesk::AwaitStore() const
+{
+  const Instant end = MonotonicNow() + kSilenceWait;
+  while (!mStore.Answers() && MonotonicNow() < end) {
+    boost::this_fiber::sleep_for(kSilencePoll);
+  }
+  return mStore.Answers();
 }
 
 JobAnswer JobDesk::Handle(const SubmitJob& aSubmit, Instant aDeadline)
 {
+  if (!AwaitStore()) {
+    return StoreAway(absl::UnavailableError("the store does not answer"));
+  }
   const StoredJob job{ aSubmit.mGraph, UnixMs(), false };
   const std::string key = JobKey(job.mGraph.mId);
   StoreTransaction transaction;
@@ -130,6 +145,9 @@
 
 JobAnswer JobDesk::Handle(const CancelJob& aCancel, Instant aDeadline)
 {
+  if (!AwaitStore()) {
+    return StoreAway(absl::UnavailableError("the store does not answer"));
+  }
   const std::string key = JobKey(aCancel.mJob);
   WriteTries tries(aDeadline);
   for (;;) {
@@ -240,9 +258,9 @@
       return WaitingCounted{ reply->mWaiting };
     }
   }
-  return JobRefused{
-    RefusalCause::NotReady, Verdict::NotRun, "the cell's owner is not known"
-  };
+  return JobRefused{ RefusalCause::NotReady,
+                     Verdict::NotRun,
+                     "the cell's owner is not known" };
 }
 
 void JobDesk::TellOwner(const StoredJob& aJob)
@@ -259,9 +277,9 @@
     const auto reply = net::CallTyped<RecordChangedReply>(
       mRpc, at, kRecordChangedMethod, RecordChanged{ aJob }, kOwnerTimeout);
     if (!reply.ok()) {
-      LogDebug("owner-not-told",
-               { { "job", aJob.mGraph.mId },
-                 { "error", reply.status().ToString() } });
+      LogDebug(
+        "owner-not-told",
+        { { "job", aJob.mGraph.mId }, { "error", reply.status().ToString() } });
     }
   });
 }
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -4,11 +4,11 @@
 #include <memory>
 
 #include "apps/scheduler/Election.h"
-#include "foxtailbarrow/Store.h"
 #include "src/core/cell/CellConfiguration.h"
 #include "src/core/cell/JobRequest.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Rpc.h"
+#include "src/platform/store/PulsedStore.h"
 
 namespace foxtailbarrow::scheduler {
 
@@ -19,7 +19,7 @@
 {
 public:
   JobDesk(net::FiberRuntime& aRuntime,
-          Store& aStore,
+          PulsedStore& aStore,
           net::RpcClient& aRpc,
           const Election& aElection);
 
@@ -32,12 +32,14 @@
   cell::JobAnswer Handle(const cell::CountWaitingJobs& aCount,
                          Instant aDeadline);
 
+  /// False when the store is silent: a write would leave the request in doubt.
+  bool AwaitStore() const;
   std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
   cell::JobAnswer ReadFromStore(const JobId& aJob);
   void TellOwner(const cell::StoredJob& aJob);
 
   net::FiberRuntime& mRuntime;
-  Store& mStore;
+  PulsedStore& mStore;
   net::RpcClient& mRpc;
   const Election& mElection;
 };
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -21,9 +21,8 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
-/// Without a word of the store for so long, callers are better served
-/// elsewhere.
-constexpr Duration kReadyWithoutStore = std::chrono::milliseconds(2500);
+/// Between two small reads that show whether the store answers.
+constexpr Duration kPulseInterval = std::chrono::milliseconds(300);
 /// Leases are granted for so much less than workers accept.
 constexpr Duration kHoldReserve = std::chrono::milliseconds(400);
 
@@ -88,8 +87,7 @@
     std::string operator()(const JobRefused& aRefused) const
     {
       return std::string(ToString(aRefused.mCause)) + "," +
-             std::string(ToString(aRefused.mVerdict)) + "," +
-             aRefused.mMessage;
+             std::string(ToString(aRefused.mVerdict)) + "," + aRefused.mMessage;
     }
   };
   return std::visit(Name(), aAnswer);
@@ -102,7 +100,8 @@
   , mCellSettings(CellSettingsFor(mSettings.mMaxHold))
   , mRuntime(aRuntime)
   , mPlainStore(aRuntime, { .mEndpoint = mSettings.mStore })
-  , mStore(mPlainStore)
+  , mCountedStore(mPlainStore)
+  , mStore(mCountedStore)
   , mClient(aRuntime)
   , mRpc(mClient)
   , mConfiguration(mStore,
@@ -199,9 +198,12 @@
   if (const absl::Status status = ListenAll(); !status.ok()) {
     return status;
   }
-  mFibers.Repeat(mConfigurationPoke,
-                 [this] { return mConfiguration.Round(); });
+  mFibers.Repeat(mConfigurationPoke, [this] { return mConfiguration.Round(); });
   mFibers.Repeat(mElection.RoundPoke(), [this] { return mElection.Round(); });
+  mFibers.Repeat(mPulsePoke, kPulseInterval, [this] {
+    const auto entry = mStore.Read(cell::kCellKey);
+    NotePulse(entry.status());
+  });
   return absl::OkStatus();
 }
 
@@ -275,10 +277,12 @@
       return owner ? static_cast<double>(owner->Figures().*aFigure) : 0.0;
     });
   };
-  figure("owner_reports", "Reports taken in this term.", &OwnerFigures::mReports);
+  figure(
+    "owner_reports", "Reports taken in this term.", &OwnerFigures::mReports);
   figure("owner_orders", "Orders sent in this term.", &OwnerFigures::mOrders);
   figure("owner_starts", "Tasks started in this term.", &OwnerFigures::mStarts);
-  figure("owner_records", "Progress writes in this term.", &OwnerFigures::mRecords);
+  figure(
+    "owner_records", "Progress writes in this term.", &OwnerFigures::mRecords);
   mMetrics.SampledGauge("jobs_known", "Jobs that the owner knows.", [this] {
     const auto owner = mElection.Owner();
     return owner ? static_cast<double>(owner->Logic().Jobs().size()) : 0.0;
@@ -319,14 +323,14 @@
   }
   const Duration took = MonotonicNow() - begin;
   mAnswerTime.Observe(std::chrono::duration<double>(took).count());
-  LogChange(
-    "request",
-    { { "target", aRequest.mTarget },
-      { "kind", kind },
-      { "configuration", configuration ? configuration->mVersion : 0 },
-      { "outcome", OutcomeOf(answer) },
-      { "ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(took).count() } });
+  LogChange("request",
+            { { "target", aRequest.mTarget },
+              { "kind", kind },
+              { "configuration", configuration ? configuration->mVersion : 0 },
+              { "outcome", OutcomeOf(answer) },
+              { "ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(took)
+                  .count() } });
   return platform::FormatAnswer(answer);
 }
 
@@ -338,18 +342,28 @@
   if (!mConfiguration.Current()) {
     return absl::UnavailableError("no configuration");
   }
-  if (MonotonicNow() - mConfiguration.HeardAt() > kReadyWithoutStore) {
-    return absl::UnavailableError("store not reached");
+  if (!mStore.Answers()) {
+    return absl::UnavailableError("the store does not answer");
   }
   return absl::OkStatus();
 }
 
+void Scheduler::NotePulse(const absl::Status& aStatus)
+{
+  const bool answers = mStore.Answers();
+  if (answers != std::exchange(mStoreAnswered, answers)) {
+    LogChange(answers ? "store-answers" : "store-silent",
+              { { "status", aStatus.ToString() } });
+  }
+}
+
 net::HttpResponse Scheduler::ServeReady(const net::HttpRequest&)
 {
   const absl::Status ready = Readiness();
   if (ready.ok() != std::exchange(mWasReady, ready.ok())) {
-    LogChange("readiness", { { "ready", ready.ok() ? 1 : 0 },
-                             { "reason", std::string(ready.message()) } });
+    LogChange("readiness",
+              { { "ready", ready.ok() ? 1 : 0 },
+                { "reason", std::string(ready.message()) } });
   }
   return ready.ok() ? Plain(kOk, "ready\n")
                     : Plain(kUnavailable, std::string(ready.message()));
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -13,6 +13,7 @@
 #include "src/net/HttpServer.h"
 #include "src/net/Rpc.h"
 #include "src/platform/store/CountingStore.h"
+#include "src/platform/store/PulsedStore.h"
 #include "src/telemetry/AdminPages.h"
 
 namespace foxtailbarrow::scheduler {
@@ -36,6 +37,7 @@
   net::HttpResponse ServePeer(const net::HttpRequest& aRequest);
   net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
   absl::Status Readiness() const;
+  void NotePulse(const absl::Status& aStatus);
   absl::Status Listen(const Endpoint& aEndpoint,
                       net::HttpServer::Handler aHandler,
                       std::unique_ptr<net::HttpServer>& aServer);
@@ -49,7 +51,8 @@
   const cell::CellSettings mCellSettings;
   net::FiberRuntime& mRuntime;
   platform::KvStore mPlainStore;
-  CountingStore mStore;
+  CountingStore mCountedStore;
+  PulsedStore mStore;
   net::HttpClient mClient;
   net::RpcClient mRpc;
   net::RpcDispatcher mDispatcher;
@@ -61,8 +64,10 @@
   AdminPages mAdmin;
   prometheus::Histogram& mAnswerTime;
   bool mDraining = false;
-  mutable bool mWasReady = false;
+  bool mWasReady = false;
+  bool mStoreAnswered = true;
   Poke mConfigurationPoke;
+  Poke mPulsePoke;
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mReady;
   std::unique_ptr<net::HttpServer> mPeers;
--- a/apps/taskagent/Main.cpp
+++ b/apps/taskagent/Main.cpp
@@ -15,7 +15,8 @@
   }
   net::BlockSignals();
   ConfigureLog(settings.mLogLevel, LogTarget::StandardOutput);
-  LogChange("start", { { "agent", settings.mId }, { "listen", settings.mListen } });
+  LogChange("start",
+            { { "agent", settings.mId }, { "listen", settings.mListen } });
   net::FiberRuntime runtime(1);
   taskagent::TaskAgent agent(std::move(settings), runtime);
   if (const absl::Status status = agent.Start(); !status.ok()) {
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -94,8 +94,8 @@
   const Instant sentAt = MonotonicNow();
   ++mReports;
   const Endpoint owner = *mOwner;
-  const auto reply = CallTyped<ReportReply>(
-    mRpc, owner, kReportMethod, report, kReportTimeout);
+  const auto reply =
+    CallTyped<ReportReply>(mRpc, owner, kReportMethod, report, kReportTimeout);
   if (reply.ok()) {
     TakeReply(*reply, owner, report, sentAt);
   }
@@ -107,9 +107,8 @@
                           Instant aSentAt)
 {
   if (!aReply.mOwner) {
-    const bool moved =
-      !aReply.mOwnerAt.empty() &&
-      TakeOwner(aReply.mGeneration, aReply.mOwnerAt.front());
+    const bool moved = !aReply.mOwnerAt.empty() &&
+                       TakeOwner(aReply.mGeneration, aReply.mOwnerAt.front());
     if (!moved && mOwner == aOwner) {
       mOwner.reset();
     }
@@ -123,8 +122,8 @@
     LogChange("owner-found",
               { { "owner", aOwner }, { "generation", aReply.mGeneration } });
   }
-  if (aReply.mAttached && aReport.mState.mInfo.mIncarnation ==
-                            mWorker.Info().mIncarnation) {
+  if (aReply.mAttached &&
+      aReport.mState.mInfo.mIncarnation == mWorker.Info().mIncarnation) {
     mWorker.TakeGrant(
       aReport.mSession, aSentAt, aReply.mGrant, aReply.mAcknowledged);
     mWorker.TakePressures(aReply.mPressures);
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -37,7 +37,8 @@
   Duration Round();
 
   /// `agent.attach`.
-  absl::StatusOr<cell::AttachReply> OnAttach(const cell::AttachRequest& aRequest);
+  absl::StatusOr<cell::AttachReply> OnAttach(
+    const cell::AttachRequest& aRequest);
 
   cell::Generation KnownGeneration() const { return mGeneration; }
   Instant LastContact() const { return mContactAt; }
@@ -67,7 +68,7 @@
   cell::Generation mGeneration = 0;
   cell::Session mReportedSession = 0;
   std::optional<cell::Session> mReporting; ///< Session of a report on its way.
-  bool mNews = false; ///< Came while one was on its way.
+  bool mNews = false;                      ///< Came while one was on its way.
   std::int64_t mSequence = 0;
   Instant mContactAt{};
   bool mInContact = false;
--- a/apps/taskagent/TaskAgentSettings.cpp
+++ b/apps/taskagent/TaskAgentSettings.cpp
@@ -16,8 +16,7 @@
   settings
     .AddListen("--listen", aSettings.mListen, "Address for the cell's owner")
     .Required();
-  settings
-    .AddListen("--control", aSettings.mControl, "Address for the worker")
+  settings.AddListen("--control", aSettings.mControl, "Address for the worker")
     .Required();
   settings
     .AddEndpoint("--worker", aSettings.mWorker, "The worker on this machine")
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -69,8 +69,9 @@
     mAnsweredAt = MonotonicNow();
   }
   if (aInfo.mDraining != mInfo.mDraining) {
-    LogChange("worker-draining", { { "incarnation", aInfo.mIncarnation },
-                                   { "draining", aInfo.mDraining ? 1 : 0 } });
+    LogChange("worker-draining",
+              { { "incarnation", aInfo.mIncarnation },
+                { "draining", aInfo.mDraining ? 1 : 0 } });
   }
   mInfo = aInfo;
   return true;
@@ -120,10 +121,9 @@
   bool settled = true;
   std::vector<boost::fibers::fiber> calls;
   for (const cell::StopOrder& order : aOrders.mStops) {
-    calls.emplace_back(
-      [this, &aOrders, &order, &settled] {
-        settled = Stop(aOrders, order) && settled;
-      });
+    calls.emplace_back([this, &aOrders, &order, &settled] {
+      settled = Stop(aOrders, order) && settled;
+    });
   }
   reply.mStarts.resize(aOrders.mStarts.size());
   for (std::size_t i = 0; i < aOrders.mStarts.size(); ++i) {
@@ -162,10 +162,8 @@
   if (mInfo.mDraining) {
     return StartOutcome::Unwell;
   }
-  mGovernor.NoteTraits({ aOrder.mTask,
-                         aOrder.mLatencyTarget,
-                         aOrder.mLeftover,
-                         aOrder.mImage });
+  mGovernor.NoteTraits(
+    { aOrder.mTask, aOrder.mLatencyTarget, aOrder.mLeftover, aOrder.mImage });
   const auto reply = mWorker.Start({ aOrder.mTask,
                                      aOrder.mRun,
                                      aOrder.mPayload,
@@ -200,8 +198,7 @@
 {
   absl::Status status = absl::AbortedError("another session");
   for (int attempt = 0; attempt < kStopTries && InForce(aOrders); ++attempt) {
-    status =
-      mWorker.Stop({ aOrder.mTask, aOrder.mRun, mFence }, kOrderTimeout);
+    status = mWorker.Stop({ aOrder.mTask, aOrder.mRun, mFence }, kOrderTimeout);
     if (status.ok()) {
       break;
     }
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -103,7 +103,7 @@
 {
   AgentId mAgent;
   Endpoint mEndpoint;
-  Session mSession = 0; ///< 0 = asks to be attached.
+  Session mSession = 0;       ///< 0 = asks to be attached.
   std::int64_t mSequence = 0; ///< Rises within a session.
   WorkerState mState;
   /// The worker has answered lately. While it does not, its leases are not
@@ -120,7 +120,7 @@
   std::vector<Endpoint> mOwnerAt; ///< Where the owner is; empty = unknown.
   /// Leases may be held so much longer, from the sending of the request.
   Duration mGrant{};
-  std::int64_t mAcknowledged = 0; ///< Ends up to this one are recorded.
+  std::int64_t mAcknowledged = 0;   ///< Ends up to this one are recorded.
   std::vector<Pressure> mPressures; ///< Of the images on the agent's worker.
 };
 
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -10,9 +10,8 @@
 
 Instant DeadlineOf(const JobEntry& aJob)
 {
-  const double chain =
-    static_cast<double>(LongestChain(aJob.Graph()).count()) *
-    aJob.mPolicy.mStretch;
+  const double chain = static_cast<double>(LongestChain(aJob.Graph()).count()) *
+                       aJob.mPolicy.mStretch;
   return aJob.mAcceptedAt + Duration(static_cast<Duration::rep>(chain)) +
          aJob.mPolicy.mAllowance;
 }
@@ -138,7 +137,7 @@
   MarkChanged(aJob);
 }
 
-void CellScheduler::StopRuns(JobEntry& aJob, const CellClock&)
+void CellScheduler::StopRuns(JobEntry& aJob, const CellClock& aClock)
 {
   for (std::size_t number = 0; number < aJob.mOccurrences.size(); ++number) {
     auto& steps = aJob.mOccurrences[number].mSteps;
@@ -149,8 +148,7 @@
                             static_cast<std::int32_t>(step),
                             static_cast<std::int32_t>(index) };
         for (TaskRun& run : steps[step].mTasks[index].mRuns) {
-          run.mPhase = RunPhase::Stopping;
-          OrderStop(mWorkers.at(run.mAgent), task, run.mNumber, "job-ended");
+          StopRun(run, task, "job-ended", aClock);
         }
       }
     }
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -161,6 +161,7 @@
   bool CountsAsOurs(const JobEntry& aJob,
                     const TaskEntry& aTask,
                     const EndedTask& aEnded) const;
+  void NoteRunTime(const QueueId& aQueue, Duration aRunTime);
   void ApplyEnd(JobEntry& aJob,
                 const EndedTask& aEnded,
                 const AgentId& aAgent,
@@ -188,6 +189,10 @@
                  const AgentId& aAgent,
                  RunNumber aRun,
                  const CellClock& aClock);
+  void StopRun(TaskRun& aRun,
+               const TaskRef& aTask,
+               std::string_view aReason,
+               const CellClock& aClock);
   void OrderStop(WorkerEntry& aWorker,
                  const TaskRef& aTask,
                  RunNumber aRun,
@@ -231,6 +236,10 @@
   void PlaceGang(JobEntry& aJob,
                  const TaskRef& aFirst,
                  const CellClock& aClock);
+  void PlaceCopies(const CellClock& aClock);
+  bool WantsCopy(const JobEntry& aJob,
+                 const TaskEntry& aTask,
+                 Instant aNow) const;
   bool PlaceTask(JobEntry& aJob,
                  const TaskRef& aTask,
                  RunNumber aRun,
@@ -244,6 +253,8 @@
   CellSettings mSettings;
   DecisionSink mSink;
   std::map<QueueId, QueuePolicy> mQueues;
+  /// Mean run time of the tasks of a queue that ended done.
+  std::map<QueueId, Duration> mTypicalRun;
   std::map<JobId, JobEntry> mJobs;
   std::set<JobId> mActive; ///< Jobs that have not ended.
   std::set<JobId> mUnrecorded;
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -61,6 +61,9 @@
        aEnded.mRun,
        ToString(aEnded.mEnd),
        ageMs);
+  if (run != nullptr && aEnded.mEnd == RunEnd::Done) {
+    NoteRunTime(job.Graph().mQueue, aClock.mNow - run->mRunningSince);
+  }
   if (run != nullptr) {
     RemoveRun(job, aEnded.mTask, aWorker.mId, aEnded.mRun, aClock);
   }
@@ -71,6 +74,15 @@
   return job.mVersion;
 }
 
+void CellScheduler::NoteRunTime(const QueueId& aQueue, Duration aRunTime)
+{
+  constexpr int kMemory = 10; // Runs that the mean is taken over, about.
+  const auto [entry, first] = mTypicalRun.try_emplace(aQueue, aRunTime);
+  if (!first) {
+    entry->second += (aRunTime - entry->second) / kMemory;
+  }
+}
+
 /// An end of a run that an earlier owner started and that this one never saw
 /// running, in whatever order the agents report. A run that this owner wrote
 /// off does not count: its lease lapsed.
@@ -129,8 +141,7 @@
   task.mDone = true;
   if (!aJob.Spec(aTask).mGang) {
     for (TaskRun& run : task.mRuns) {
-      run.mPhase = RunPhase::Stopping;
-      OrderStop(mWorkers.at(run.mAgent), aTask, run.mNumber, "copy-done");
+      StopRun(run, aTask, "copy-done", aClock);
     }
   }
   MarkChanged(aJob);
@@ -140,9 +151,10 @@
   OccurrenceEntry& occurrence =
     aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)];
   --occurrence.mStepsLeft;
-  const bool all = std::ranges::all_of(
-    aJob.mOccurrences,
-    [](const OccurrenceEntry& aEntry) { return aEntry.mStepsLeft == 0; });
+  const bool all =
+    std::ranges::all_of(aJob.mOccurrences, [](const OccurrenceEntry& aEntry) {
+      return aEntry.mStepsLeft == 0;
+    });
   if (all) {
     FinishJob(aJob, JobPhase::Completed, aClock);
   }
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -76,12 +76,70 @@
   for (const Candidate& candidate : candidates) {
     PlaceStep(candidate, aClock);
   }
+  PlaceCopies(aClock);
+}
+
+bool CellScheduler::WantsCopy(const JobEntry& aJob,
+                              const TaskEntry& aTask,
+                              Instant aNow) const
+{
+  if (aTask.mDone || aTask.mRuns.size() != 1) {
+    return false;
+  }
+  const TaskRun& run = aTask.mRuns.front();
+  const WorkerEntry& worker = mWorkers.at(run.mAgent);
+  if (worker.mLink != WorkerLink::Attached || !worker.mAnswers) {
+    return true;
+  }
+  if (run.mPhase != RunPhase::Running) {
+    return run.mPhase == RunPhase::Ordered &&
+           aNow - run.mOrderedAt > mSettings.mCopyAfter;
+  }
+  if (aNow - run.mPercentChangedAt > mSettings.mCopyAfter) {
+    return true;
+  }
+  const auto typical = mTypicalRun.find(aJob.Graph().mQueue);
+  const Duration age = aNow - run.mRunningSince;
+  if (typical == mTypicalRun.end() || age < typical->second) {
+    return false;
+  }
+  constexpr double kFull = 100.0;
+  const std::chrono::duration<double> expected =
+    std::chrono::duration<double>(age) * kFull / std::max(run.mPercent, 1);
+  return expected > typical->second * mSettings.mCopySlowness;
+}
+
+/// Starts copies of tasks that stand still or are slow, where copies may run.
+void CellScheduler::PlaceCopies(const CellClock& aClock)
+{
+  int copies = 0;
+  for (const JobId& id : mActive) {
+    JobEntry& job = mJobs.at(id);
+    TaskRef task{ id, 0, 0, 0 };
+    for (const OccurrenceEntry& occurrence : job.mOccurrences) {
+      task.mStep = 0;
+      for (const StepEntry& step : occurrence.mSteps) {
+        task.mIndex = 0;
+        for (const TaskEntry& entry : step.mTasks) {
+          copies += entry.mRuns.size() > 1 ? 1 : 0;
+          if (copies < mSettings.mMaxCopies &&
+              job.Spec(task).mSpeculative &&
+              WantsCopy(job, entry, aClock.mNow) &&
+              PlaceTask(job, task, NextRun(entry), aClock)) {
+            ++copies;
+          }
+          ++task.mIndex;
+        }
+        ++task.mStep;
+      }
+      ++task.mOccurrence;
+    }
+  }
 }
 
 /// True when an agent that has not reported since the takeover may run a task
 /// of this job that we know nothing of.
-bool CellScheduler::MayBeRunningUnseen(const JobEntry& aJob,
-                                       Instant aNow) const
+bool CellScheduler::MayBeRunningUnseen(const JobEntry& aJob, Instant aNow) const
 {
   return aJob.mInherited && !mExpected.empty() && aNow < mExpectedUntil;
 }
@@ -119,7 +177,8 @@
     }
     for (std::size_t number = 0; number < job.mOccurrences.size(); ++number) {
       const OccurrenceEntry& occurrence = job.mOccurrences[number];
-      if (occurrence.mStepsLeft == 0 || aClock.mUnixMs < occurrence.mDueUnixMs) {
+      if (occurrence.mStepsLeft == 0 ||
+          aClock.mUnixMs < occurrence.mDueUnixMs) {
         continue;
       }
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -14,6 +14,10 @@
 /// worker.
 constexpr Duration kReportLag = std::chrono::milliseconds(1200);
 
+/// A task that runs on so long after its stop was ordered is stopped again.
+/// Above the platform's longest stop.
+constexpr Duration kStopAgain = std::chrono::milliseconds(800);
+
 } // namespace
 
 void CellScheduler::ExpectAgents(const std::set<AgentId>& aAgents,
@@ -56,8 +60,7 @@
                                const CellClock& aClock)
 {
   const auto found = mWorkers.find(aReport.mAgent);
-  if (found == mWorkers.end() ||
-      found->second.mLink != WorkerLink::Attached ||
+  if (found == mWorkers.end() || found->second.mLink != WorkerLink::Attached ||
       found->second.mSession != aReport.mSession) {
     return false;
   }
@@ -188,6 +191,16 @@
   CountUse(worker.mUse, aJob.Spec(aTask), -1);
 }
 
+void CellScheduler::StopRun(TaskRun& aRun,
+                            const TaskRef& aTask,
+                            std::string_view aReason,
+                            const CellClock& aClock)
+{
+  aRun.mPhase = RunPhase::Stopping;
+  aRun.mStopOrderedAt = aClock.mNow;
+  OrderStop(mWorkers.at(aRun.mAgent), aTask, aRun.mNumber, aReason);
+}
+
 void CellScheduler::OrderStop(WorkerEntry& aWorker,
                               const TaskRef& aTask,
                               RunNumber aRun,
@@ -196,8 +209,15 @@
   if (aWorker.mLink != WorkerLink::Attached) {
     return; // Its next session lists what runs, and stops are ordered then.
   }
-  Tell("task-stop", aTask, aWorker.mId, aRun, aReason);
   OrderRequest& orders = mOrders[aWorker.mId];
+  const bool ordered =
+    std::ranges::any_of(orders.mStops, [&](const StopOrder& aStop) {
+      return aStop.mTask == aTask && aStop.mRun == aRun;
+    });
+  if (ordered) {
+    return;
+  }
+  Tell("task-stop", aTask, aWorker.mId, aRun, aReason);
   // A start that has not been sent is not stopped but left out.
   std::erase_if(orders.mStarts, [&](const StartOrder& aStart) {
     return aStart.mTask == aTask && aStart.mRun == aRun;
@@ -275,12 +295,9 @@
     found->second.mPhase = JobPhase::Running;
   }
   if (run->mPhase == RunPhase::Stopping &&
-      std::ranges::none_of(mOrders[aWorker.mId].mStops,
-                           [&](const StopOrder& aStop) {
-                             return aStop.mTask == aRunning.mTask;
-                           })) {
+      aClock.mNow - run->mStopOrderedAt > kStopAgain) {
     // Ordered before a session that broke, or lost: a stop is idempotent.
-    mOrders[aWorker.mId].mStops.push_back({ aRunning.mTask, aRunning.mRun });
+    StopRun(*run, aRunning.mTask, "again", aClock);
   }
 }
 
@@ -448,8 +465,7 @@
         !(spec.mStanding || (leaves && spec.mCheckpoints))) {
       continue;
     }
-    run->mPhase = RunPhase::Stopping;
-    OrderStop(aWorker, task, number, "worker-draining");
+    StopRun(*run, task, "worker-draining", aClock);
   }
 }
 
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -33,6 +33,13 @@
   /// unless more than mBusyShare of the cell's processors are reserved.
   Duration mStarvingAfter = std::chrono::milliseconds(1500);
   double mBusyShare = 0.6;
+  /// A task that may have copies gets one when it has made no progress for so
+  /// long, or when its worker has been silent.
+  Duration mCopyAfter = std::chrono::milliseconds(900);
+  /// Or when it is expected to last so many times as long as its like.
+  double mCopySlowness = 2.5;
+  /// Copies of a cell at a time.
+  int mMaxCopies = 24;
   /// Between two looks at one worker that interference is learned from: its
   /// figures cover half a second.
   Duration mObserveEvery = std::chrono::milliseconds(450);
--- a/src/core/cell/Interference.cpp
+++ b/src/core/cell/Interference.cpp
@@ -41,10 +41,8 @@
     predicted += pair.mValue * cores;
     variance += pair.mVariance * cores * cores;
   }
-  const double error =
-    std::clamp(aLogLatency - predicted,
-               -mSettings.mMaxError,
-               mSettings.mMaxError);
+  const double error = std::clamp(
+    aLogLatency - predicted, -mSettings.mMaxError, mSettings.mMaxError);
   const auto correct = [&](Estimate& aEstimate, double aFactor) {
     const double gain = aEstimate.mVariance * aFactor / variance;
     aEstimate.mValue += gain * error;
@@ -85,9 +83,8 @@
 double Interference::Budget(const std::string& aServing, double aShare) const
 {
   const auto serving = mServing.find(aServing);
-  const double calm = serving == mServing.end()
-                        ? std::log(mSettings.mCalmShare)
-                        : serving->second.mCalm.mValue;
+  const double calm = serving == mServing.end() ? std::log(mSettings.mCalmShare)
+                                                : serving->second.mCalm.mValue;
   return std::log(aShare) - calm;
 }
 
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -65,8 +65,7 @@
     }
     OccurrenceEntry& occurrence =
       aJob.mOccurrences[static_cast<std::size_t>(stored.mOccurrence)];
-    StepEntry& step =
-      occurrence.mSteps[static_cast<std::size_t>(stored.mStep)];
+    StepEntry& step = occurrence.mSteps[static_cast<std::size_t>(stored.mStep)];
     RestoreStep(stored, step);
     if (step.mLeft == 0) {
       --occurrence.mStepsLeft;
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -40,8 +40,8 @@
   bool mInherited = false;
   std::int64_t mEndedUnixMs = 0;
 
-  std::uint64_t mVersion = 0;  ///< Of what the progress record must say.
-  std::uint64_t mRecorded = 0; ///< Version that the store has.
+  std::uint64_t mVersion = 0;     ///< Of what the progress record must say.
+  std::uint64_t mRecorded = 0;    ///< Version that the store has.
   Revision mProgressRevision = 0; ///< Of the progress record; 0 = none.
 
   const JobGraph& Graph() const { return mStored.mGraph; }
--- a/src/core/cell/JobGraph.h
+++ b/src/core/cell/JobGraph.h
@@ -26,15 +26,15 @@
   Duration mEstimate{};       ///< Declared run time of a task; may be far off.
   std::vector<std::int32_t> mAfter; ///< Earlier steps that must be done first.
   bool mCheckpoints = false;        ///< Resumes from a saved checkpoint.
-  bool mGang = false;       ///< All tasks run together and end together.
-  bool mSameRack = false;   ///< Slower when spread over several racks.
+  bool mGang = false;        ///< All tasks run together and end together.
+  bool mSameRack = false;    ///< Slower when spread over several racks.
   bool mSpeculative = false; ///< Copies may run; the first to finish counts.
   bool mStanding = false;    ///< Lasts until cancelled; restarted when it ends.
   /// Processors are not reserved: the task gets what the others leave.
   bool mLeftover = false;
   std::string mRequiredLabel; ///< The worker must have it; empty = any worker.
   RackId mDataRack;           ///< Faster there; empty = no preference.
-  std::int32_t mMaxPerWorker = 0; ///< Tasks of the step on a worker; 0 = any.
+  std::int32_t mMaxPerWorker = 0;   ///< Tasks of the step on a worker; 0 = any.
   std::int32_t mMaxUnavailable = 0; ///< Bound on planned outages; 0 = none set.
   std::string mImage;               ///< Tasks of one image behave alike.
   Duration mLatencyTarget{}; ///< Tail latency of a serving task; 0 = not one.
--- a/src/core/cell/LeaseGrant.cpp
+++ b/src/core/cell/LeaseGrant.cpp
@@ -31,9 +31,8 @@
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
     mEnd - mSample->mReceivedAt);
   mSentEnd = std::max(mSentEnd, mEnd);
-  return mSample->mClock +
-         static_cast<WorkerTimeMs>(static_cast<double>(left.count()) *
-                                   kSlowestClock);
+  return mSample->mClock + static_cast<WorkerTimeMs>(
+                             static_cast<double>(left.count()) * kSlowestClock);
 }
 
 Duration LeaseGrant::LeaseLeft(Instant aNow) const
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -62,10 +62,10 @@
   const double latency =
     sum / static_cast<double>(aFigures.size()) - std::log(target);
   Serving& serving = mServing[aTraits.mImage];
-  serving.mLatency = serving.mSeen || serving.mLatency != 0
-                       ? mSettings.mNewest * latency +
-                           (1 - mSettings.mNewest) * serving.mLatency
-                       : latency;
+  serving.mLatency =
+    serving.mSeen || serving.mLatency != 0
+      ? mSettings.mNewest * latency + (1 - mSettings.mNewest) * serving.mLatency
+      : latency;
   serving.mSeen = true;
   const bool over = static_cast<double>(worst) > target;
   if (over && !serving.mOver) {
@@ -74,8 +74,7 @@
   serving.mOver = over;
 }
 
-void PaceGovernor::TakeLook(std::span<const RunningTask> aRunning,
-                            Instant aNow)
+void PaceGovernor::TakeLook(std::span<const RunningTask> aRunning, Instant aNow)
 {
   for (auto& [image, serving] : mServing) {
     serving.mSeen = false;
@@ -200,16 +199,15 @@
     }
     const auto room =
       static_cast<std::int32_t>(std::floor(RoomFor(task, aNow) * kFullShare));
-    const std::int32_t step = std::min(
-      { room, mSettings.mRaiseStep, kFull - leftover.mWanted });
+    const std::int32_t step =
+      std::min({ room, mSettings.mRaiseStep, kFull - leftover.mWanted });
     if (step < kSmallestStep) {
       continue;
     }
     leftover.mWanted += step;
     leftover.mRaisedAt = aNow;
     for (auto& [image, serving] : mServing) {
-      serving.mLatency +=
-        PressureOf(image, task, leftover) * step / kFullShare;
+      serving.mLatency += PressureOf(image, task, leftover) * step / kFullShare;
     }
   }
 }
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -25,7 +25,8 @@
   /// are half a second late.
   Duration mHardAfter = std::chrono::milliseconds(1100);
   /// Figures cover half a second: a faster step would judge the same one twice.
-  /// Without it, looks 30 ms apart took a task from full speed to 1 % in 0.13 s.
+  /// Without it, looks 30 ms apart took a task from full speed to 1 % in 0.13
+  /// s.
   Duration mStepEvery = std::chrono::milliseconds(500);
   std::int32_t mRaiseStep = 50; ///< Percent.
   /// Weight of the newest figure in the mean that is judged.
--- a/src/core/cell/QueuePolicy.h
+++ b/src/core/cell/QueuePolicy.h
@@ -12,13 +12,13 @@
 struct QueuePolicy
 {
   QueueId mQueue;
-  ServiceId mService;           ///< Whose workers run the tasks.
-  std::int32_t mPriority = 0;   ///< 0 goes first.
-  std::int32_t mAttempts = 1;   ///< Failed runs of a task until the job fails.
-  double mStretch = 1.0;        ///< Of the longest chain of estimates.
-  Duration mAllowance{};        ///< Added to the stretched chain.
-  bool mNeedsAdvice = false;    ///< Workers are chosen by another service.
-  bool mWorkersGuard = false;   ///< Workers refuse what does not fit.
+  ServiceId mService;         ///< Whose workers run the tasks.
+  std::int32_t mPriority = 0; ///< 0 goes first.
+  std::int32_t mAttempts = 1; ///< Failed runs of a task until the job fails.
+  double mStretch = 1.0;      ///< Of the longest chain of estimates.
+  Duration mAllowance{};      ///< Added to the stretched chain.
+  bool mNeedsAdvice = false;  ///< Workers are chosen by another service.
+  bool mWorkersGuard = false; ///< Workers refuse what does not fit.
 
   bool operator==(const QueuePolicy&) const = default;
 };
--- /dev/null
+++ b/src/core/cell/StorePulse.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <algorithm>
+#include <set>
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::cell {
+
+/// Tells whether the store answers, from the calls under way. A write that is
+/// sent into a silent store leaves its request in doubt; one that is not sent
+/// can be refused as not run.
+class StorePulse
+{
+public:
+  /// Calls unanswered for so long, with no other answer meanwhile, mean that the
+  /// store is silent. Above the 0.37 s that a slow store takes.
+  static constexpr Duration kSilentAfter = std::chrono::milliseconds(450);
+
+  void NoteSent(Instant aNow) { mSent.insert(aNow); }
+
+  void NoteEnded(Instant aSentAt, bool aAnswered, Instant aNow)
+  {
+    if (const auto found = mSent.find(aSentAt); found != mSent.end()) {
+      mSent.erase(found);
+    }
+    if (aAnswered) {
+      mAnsweredAt = aNow;
+      mSilentSince = {};
+    } else if (mSilentSince == Instant{}) {
+      mSilentSince = aSentAt;
+    }
+  }
+
+  bool Answers(Instant aNow) const
+  {
+    if (mSilentSince != Instant{}) {
+      return false;
+    }
+    return mSent.empty() ||
+           aNow - std::max(*mSent.begin(), mAnsweredAt) < kSilentAfter;
+  }
+
+private:
+  std::multiset<Instant> mSent;
+  Instant mAnsweredAt{};
+  Instant mSilentSince{}; ///< A call ended without an answer and none came since.
+};
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -28,6 +28,7 @@
   Instant mRunningSince{};
   std::int32_t mPercent = 0;
   Instant mPercentChangedAt{};
+  Instant mStopOrderedAt{};
 };
 
 /// What the owner knows of one task.
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -26,8 +26,8 @@
 
 bool HasLabel(const WorkerInfo& aInfo, const std::string& aLabel)
 {
-  return aLabel.empty() || std::ranges::find(aInfo.mLabels, aLabel) !=
-                             aInfo.mLabels.end();
+  return aLabel.empty() ||
+         std::ranges::find(aInfo.mLabels, aLabel) != aInfo.mLabels.end();
 }
 
 bool HasRoom(const WorkerEntry& aWorker, const StepSpec& aSpec)
@@ -54,8 +54,9 @@
 {
   const StepSpec& spec = aJob.Spec(aTask);
   if (aWorker.mLink != WorkerLink::Attached || aWorker.mInfo.mDraining ||
-      aWorker.mInfo.mIncarnation.Empty() || !aWorker.mAnswers || !aWorker.mForeign.empty() ||
-      aWorker.mAvoidUntil > aNow || aWorker.mGrantedUntil <= aNow) {
+      aWorker.mInfo.mIncarnation.Empty() || !aWorker.mAnswers ||
+      !aWorker.mForeign.empty() || aWorker.mAvoidUntil > aNow ||
+      aWorker.mGrantedUntil <= aNow) {
     return false;
   }
   if (aWorker.mInfo.mService != aJob.mPolicy.mService ||
@@ -67,6 +68,18 @@
   return spec.mMaxPerWorker == 0 || here < spec.mMaxPerWorker;
 }
 
+/// True when the step's tasks work best on one rack and run on another one.
+bool SplitsStep(const WorkerTable& aWorkers,
+                const WorkerEntry& aWorker,
+                const StepEntry& aStep)
+{
+  return std::ranges::any_of(aStep.mTasks, [&](const TaskEntry& aTask) {
+    return std::ranges::any_of(aTask.mRuns, [&](const TaskRun& aRun) {
+      return aWorkers.at(aRun.mAgent).mInfo.mRack != aWorker.mInfo.mRack;
+    });
+  });
+}
+
 double ReservedShare(const WorkerEntry& aWorker)
 {
   const Resources& capacity = aWorker.mInfo.mCapacity;
@@ -127,11 +140,10 @@
 {
   const double ratio =
     LeftoverRatio(aWorker, aSpec.mDemand.mMillicores, aView.mSettings);
-  const double over =
-    WorstPressureOver(aWorker, aSpec, aView.mInterference);
-  const bool tooMuch = (ratio > aView.mSettings.mMaxLeftoverRatio &&
-                        aWorker.mUse.mLeftover > 0) ||
-                       over > kTooMuchPressure;
+  const double over = WorstPressureOver(aWorker, aSpec, aView.mInterference);
+  const bool tooMuch =
+    (ratio > aView.mSettings.mMaxLeftoverRatio && aWorker.mUse.mLeftover > 0) ||
+    over > kTooMuchPressure;
   if (tooMuch && !aView.mStarving) {
     return std::nullopt;
   }
@@ -143,13 +155,13 @@
                      const StepSpec& aSpec)
 {
   // Fullest first, but away from leftover tasks that run already.
-  double score = LeftoverRatio(aWorker, 0, aView.mSettings) -
-                 ReservedShare(aWorker);
+  double score =
+    LeftoverRatio(aWorker, 0, aView.mSettings) - ReservedShare(aWorker);
   for (const auto& [image, count] : aWorker.mUse.mServing) {
     score += image == aSpec.mImage ? 0.0 : kOtherImagePenalty;
   }
-  const double over = PressureOver(
-    aWorker, aSpec.mImage, {}, 0, aView.mInterference);
+  const double over =
+    PressureOver(aWorker, aSpec.mImage, {}, 0, aView.mInterference);
   return score + kPressurePenalty * std::max(0.0, over);
 }
 
@@ -206,8 +218,7 @@
                           const CellSettings& aSettings)
 {
   const auto standing = static_cast<double>(aWorker.mUse.mStanding);
-  const auto reserved =
-    static_cast<double>(aWorker.mUse.mReserved.mMillicores);
+  const auto reserved = static_cast<double>(aWorker.mUse.mReserved.mMillicores);
   const double used = reserved - standing * (1.0 - aSettings.mStandingUse);
   return static_cast<double>(aWorker.mInfo.mCapacity.mMillicores) - used;
 }
@@ -222,9 +233,9 @@
       capacity += worker.mInfo.mCapacity.mMillicores;
     }
   }
-  return capacity == 0 ? 0.0
-                       : static_cast<double>(reserved) /
-                           static_cast<double>(capacity);
+  return capacity == 0
+           ? 0.0
+           : static_cast<double>(reserved) / static_cast<double>(capacity);
 }
 
 std::optional<AgentId> ChooseWorker(const PlacementView& aView,
@@ -250,6 +261,10 @@
     if (!spec.mDataRack.Empty() && spec.mDataRack != worker.mInfo.mRack) {
       *score += kFarFromDataPenalty;
     }
+    if (spec.mSameRack &&
+        SplitsStep(aView.mWorkers, worker, aJob.StepOf(aTask))) {
+      *score += kFarFromDataPenalty;
+    }
     if (*score < bestScore) {
       bestScore = *score;
       best = id;
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -22,9 +22,9 @@
 /// What runs on a worker, by kind of use.
 struct WorkerUse
 {
-  Resources mReserved;              ///< Counted against the capacity.
-  std::int64_t mStanding = 0;       ///< Millicores of standing tasks.
-  std::int64_t mLeftover = 0;       ///< Millicores that leftover tasks want.
+  Resources mReserved;        ///< Counted against the capacity.
+  std::int64_t mStanding = 0; ///< Millicores of standing tasks.
+  std::int64_t mLeftover = 0; ///< Millicores that leftover tasks want.
   std::map<std::string, std::int32_t> mServing; ///< Serving tasks, by image.
   /// Millicores that leftover tasks want, by image.
   std::map<std::string, std::int64_t> mLeftoverOf;
@@ -48,9 +48,9 @@
   Instant mGrantedUntil{}; ///< End of the newest grant of this owner.
   /// Latest end of a lease that this or an earlier owner may have granted.
   Instant mHeldUntil{};
-  Instant mLeavesAt{};     ///< While it drains.
-  Instant mObservedAt{}; ///< Figures were last learned from.
-  bool mAnswers = true; ///< To its agent.
+  Instant mLeavesAt{};       ///< While it drains.
+  Instant mObservedAt{};     ///< Figures were last learned from.
+  bool mAnswers = true;      ///< To its agent.
   Instant mSilentLeaseEnd{}; ///< While it does not answer.
 
   std::set<JobId> mFailingJobs; ///< Since the last task that ended done.
--- a/src/core/cell/WorkerState.h
+++ b/src/core/cell/WorkerState.h
@@ -36,7 +36,7 @@
 {
   TaskRef mTask;
   RunNumber mRun = 0;
-  std::string mCheckpoint; ///< Newest saved; empty = none.
+  std::string mCheckpoint;   ///< Newest saved; empty = none.
   std::int32_t mPercent = 0; ///< Work done; 100 = at work, for standing tasks.
   /// Tail latency in ms of a serving task, else millicores in use, over the
   /// last half second.
--- a/src/net/FiberGroup.h
+++ b/src/net/FiberGroup.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <vector>
 
-#include "src/net/Poke.h"
 #include "src/net/FiberRuntime.h"
+#include "src/net/Poke.h"
 
 namespace foxtailbarrow {
 
--- /dev/null
+++ b/src/platform/store/PulsedStore.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "foxtailbarrow/Store.h"
+#include "foxtailbarrow/Verdict.h"
+#include "src/core/cell/StorePulse.h"
+
+namespace foxtailbarrow {
+
+/// Passes every call on to another store and notes whether it is answered.
+/// Waiting watches are left out. All calls come from one thread.
+class PulsedStore : public Store
+{
+private:
+  static const absl::Status& StatusOf(const absl::Status& aStatus)
+  {
+    return aStatus;
+  }
+  template<typename T>
+  static const absl::Status& StatusOf(const absl::StatusOr<T>& aResult)
+  {
+    return aResult.status();
+  }
+
+  template<typename Call>
+  auto Note(Call aCall)
+  {
+    const Instant sentAt = MonotonicNow();
+    mPulse.NoteSent(sentAt);
+    auto result = aCall();
+    const absl::Status& status = StatusOf(result);
+    const bool answered =
+      status.ok() || VerdictOf(status) == Verdict::NotRun;
+    mPulse.NoteEnded(sentAt, answered, MonotonicNow());
+    return result;
+  }
+
+public:
+  explicit PulsedStore(Store& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  bool Answers() const { return mPulse.Answers(MonotonicNow()); }
+
+  absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
+  {
+    return Note([&] { return mStore.Read(aKey); });
+  }
+  absl::StatusOr<StoreListing> List(std::string_view aPrefix) override
+  {
+    return Note([&] { return mStore.List(aPrefix); });
+  }
+  absl::StatusOr<StoreTransactionResult> Commit(
+    const StoreTransaction& aTransaction) override
+  {
+    return Note([&] { return mStore.Commit(aTransaction); });
+  }
+  absl::StatusOr<StoreLease> GrantLease(Duration aTtl) override
+  {
+    return Note([&] { return mStore.GrantLease(aTtl); });
+  }
+  absl::StatusOr<Duration> KeepAlive(StoreLease aLease) override
+  {
+    return Note([&] { return mStore.KeepAlive(aLease); });
+  }
+  absl::Status RevokeLease(StoreLease aLease) override
+  {
+    return Note([&] { return mStore.RevokeLease(aLease); });
+  }
+  absl::Status Watch(std::string_view aPrefix,
+                     Revision aFrom,
+                     const std::function<bool(const std::vector<StoreEvent>&)>&
+                       aOnEvents) override
+  {
+    return mStore.Watch(aPrefix, aFrom, aOnEvents);
+  }
+
+private:
+  Store& mStore;
+  cell::StorePulse mPulse;
+};
+
+} // namespace foxtailbarrow
--- a/src/telemetry/BoundedOutput.cpp
+++ b/src/telemetry/BoundedOutput.cpp
@@ -100,8 +100,9 @@
     std::string text;
     text.swap(mWaiting);
     if (mUntold > 0) {
-      text += "level=WARN event=log-lines-dropped count=" +
-              std::to_string(mUntold) + "\n";
+      text +=
+        "level=WARN event=log-lines-dropped count=" + std::to_string(mUntold) +
+        "\n";
       mUntold = 0;
     }
     const bool last = mEnding;
--- a/src/telemetry/BoundedOutput.h
+++ b/src/telemetry/BoundedOutput.h
@@ -37,7 +37,6 @@
   std::uint64_t Dropped() const { return mDropped.load(); }
 
 private:
-
   void Run();
 
   const int mDescriptor;
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -99,10 +99,9 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
-  static constexpr BucketLimit kLineLimit{
-    static_cast<double>(kMaxLogLinesPerSecond),
-    kMaxLogLinesPerSecond
-  };
+  static constexpr BucketLimit kLineLimit{ static_cast<double>(
+                                             kMaxLogLinesPerSecond),
+                                           kMaxLogLinesPerSecond };
 
   TokenBucket mBudget;
 };
--- a/tests/cell/CellFixture.h
+++ b/tests/cell/CellFixture.h
@@ -62,8 +62,7 @@
   void Pass(Duration aTime)
   {
     mNow += aTime;
-    mUnixMs +=
-      std::chrono::duration_cast<milliseconds>(aTime).count();
+    mUnixMs += std::chrono::duration_cast<milliseconds>(aTime).count();
   }
 
   /// A new job whose progress record is written.
@@ -74,7 +73,8 @@
   }
 
   /// A job of which an earlier owner may have started tasks.
-  void AddInherited(const JobGraph& aGraph, const StoredProgress& aProgress = {})
+  void AddInherited(const JobGraph& aGraph,
+                    const StoredProgress& aProgress = {})
   {
     mScheduler.AddJob({ aGraph, mUnixMs, false }, aProgress, 7, Clock());
   }
--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -33,14 +33,14 @@
                { Running(first.mStarts[1].mTask, first.mStarts[1].mRun) },
                { Ended(1, kFirst, first.mStarts[0].mRun, RunEnd::Done) }));
   EXPECT_TRUE(Orders("a").mStarts.empty());
-  Report("a",
-         State("a-life",
-               {},
-               { Ended(1, kFirst, first.mStarts[0].mRun, RunEnd::Done),
-                 Ended(2,
-                       first.mStarts[1].mTask,
-                       first.mStarts[1].mRun,
-                       RunEnd::Done) }));
+  Report(
+    "a",
+    State(
+      "a-life",
+      {},
+      { Ended(1, kFirst, first.mStarts[0].mRun, RunEnd::Done),
+        Ended(
+          2, first.mStarts[1].mTask, first.mStarts[1].mRun, RunEnd::Done) }));
   const OrderRequest next = Orders("a");
   ASSERT_EQ(next.mStarts.size(), 1U);
   EXPECT_EQ(next.mStarts[0].mTask.mStep, 1);
@@ -118,10 +118,9 @@
   StoredProgress progress;
   progress.mSteps.push_back({ 0, 0, "", { { 0, { kEarlierRun } } }, {} });
   AddInherited(Graph("job", { Step(1) }), progress);
-  Attach("a",
-         State("a-life",
-               {},
-               { Ended(1, kFirst, kEarlierRun, RunEnd::Failed) }));
+  Attach(
+    "a",
+    State("a-life", {}, { Ended(1, kFirst, kEarlierRun, RunEnd::Failed) }));
   Record();
   EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Queued);
 }
@@ -290,6 +289,41 @@
   EXPECT_EQ(Orders("a").mStarts.size(), 1U);
 }
 
+TEST_F(CellSchedulerTest, ATaskThatStandsStillGetsACopyWhereCopiesMayRun)
+{
+  StepSpec step = Step(1);
+  step.mSpeculative = true;
+  AttachAndGrant("a");
+  AttachAndGrant("b");
+  AddRecorded(Graph("job", { step }));
+  const OrderRequest first = Orders("a");
+  ASSERT_EQ(first.mStarts.size(), 1U);
+  Started("a", first);
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  Pass(mSettings.mCopyAfter + milliseconds(1));
+  const OrderRequest copy = Orders("b");
+  ASSERT_EQ(copy.mStarts.size(), 1U);
+  Started("b", copy);
+  // The first to finish counts; the other is stopped.
+  Report("b",
+         State("b-life",
+               {},
+               { Ended(1, kFirst, copy.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_EQ(Orders("a").mStops.size(), 1U);
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
+}
+
+TEST_F(CellSchedulerTest, ATaskWithoutCopiesHasOneRun)
+{
+  AttachAndGrant("a");
+  AttachAndGrant("b");
+  AddRecorded(Graph("job", { Step(1) }));
+  Started("a", Orders("a"));
+  Pass(seconds(3));
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+}
+
 struct PlacementCase
 {
   const char* mName;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -28,10 +28,15 @@
   EXPECT_FALSE(ParseTaskName(GetParam()).has_value());
 }
 
-INSTANTIATE_TEST_SUITE_P(
-  Table,
-  BadTaskNames,
-  testing::Values("", "a", "a.0.1", "a.0.1.2.3", "a.x.1.2", ".0.1.2", "a.0.1."));
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BadTaskNames,
+                         testing::Values("",
+                                         "a",
+                                         "a.0.1",
+                                         "a.0.1.2.3",
+                                         "a.x.1.2",
+                                         ".0.1.2",
+                                         "a.0.1."));
 
 TEST(WorkerCodec, ReadsALook)
 {
@@ -57,15 +62,16 @@
   EXPECT_FALSE(ParseLook(GetParam()).ok());
 }
 
-INSTANTIATE_TEST_SUITE_P(Table,
-                         BadLooks,
-                         testing::Values("",
-                                         "[]",
-                                         R"({"ClockMs":"x"})",
-                                         R"({"Running":7})",
-                                         R"({"Running":[7]})",
-                                         R"({"Running":[["bad",1]]})",
-                                         R"({"Ended":[[1,"a.0.0.0",1,"odd"]]})"));
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  BadLooks,
+  testing::Values("",
+                  "[]",
+                  R"({"ClockMs":"x"})",
+                  R"({"Running":7})",
+                  R"({"Running":[7]})",
+                  R"({"Running":[["bad",1]]})",
+                  R"({"Ended":[[1,"a.0.0.0",1,"odd"]]})"));
 
 TEST(WorkerCodec, WritesOrders)
 {
@@ -214,15 +220,14 @@
 INSTANTIATE_TEST_SUITE_P(
   Table,
   BadHeartbeats,
-  testing::Values(HeartbeatCase{ "PUT", "/other/i-1", "{}" },
-                  HeartbeatCase{ "GET", "/runners/i-1", "" },
-                  HeartbeatCase{ "PUT", "/runners/", "{}" },
-                  HeartbeatCase{ "PUT", "/runners/i-1", "[" },
-                  HeartbeatCase{ "PUT", "/runners/i-1", R"({"Zone":1})" },
-                  HeartbeatCase{ "PUT", "/runners/i-1", R"({"Labels":[1]})" },
-                  HeartbeatCase{ "PUT",
-                                 "/runners/i-1",
-                                 R"({"Capacity":{"Cpu":-1}})" }));
+  testing::Values(
+    HeartbeatCase{ "PUT", "/other/i-1", "{}" },
+    HeartbeatCase{ "GET", "/runners/i-1", "" },
+    HeartbeatCase{ "PUT", "/runners/", "{}" },
+    HeartbeatCase{ "PUT", "/runners/i-1", "[" },
+    HeartbeatCase{ "PUT", "/runners/i-1", R"({"Zone":1})" },
+    HeartbeatCase{ "PUT", "/runners/i-1", R"({"Labels":[1]})" },
+    HeartbeatCase{ "PUT", "/runners/i-1", R"({"Capacity":{"Cpu":-1}})" }));
 
 } // namespace
 
--- a/tests/platform/JobApiTest.cpp
+++ b/tests/platform/JobApiTest.cpp
@@ -44,10 +44,9 @@
 
 TEST(JobApi, ReadsAWholeJob)
 {
-  const auto request = ParseJobRequest(
-    Request("POST",
-            std::string("/queue/") + kId,
-            R"({"Spec":"text","Steps":[
+  const auto request = ParseJobRequest(Request("POST",
+                                               std::string("/queue/") + kId,
+                                               R"({"Spec":"text","Steps":[
               {"Replicas":4,"Cpu":500,"MemMb":256,"EstimateMs":900,
                "Affinity":"r1-3","Requires":"a","MaxPerServer":2,
                "Speculative":true},
@@ -55,7 +54,7 @@
                "Fills":true,"Image":"b","Daemon":true,"TargetMs":18,
                "MayMiss":1,"Gang":true,"SameRack":true,"New":[]}],
               "Repeats":2,"StartMs":1000,"IntervalMs":500})"),
-    Configuration());
+                                       Configuration());
   ASSERT_TRUE(request.ok()) << request.status();
   const auto& graph = std::get<cell::SubmitJob>(request->mBody).mGraph;
   EXPECT_EQ(graph.mId, JobId(kId));
@@ -88,9 +87,8 @@
 
 TEST_P(JobApiTargets, SayWhatIsAsked)
 {
-  const auto request =
-    ParseJobRequest(Request(GetParam().mMethod, GetParam().mTarget),
-                    Configuration());
+  const auto request = ParseJobRequest(
+    Request(GetParam().mMethod, GetParam().mTarget), Configuration());
   ASSERT_TRUE(request.ok()) << request.status();
   EXPECT_EQ(request->mBody.index(), GetParam().mKind);
 }
@@ -198,10 +196,7 @@
                 200,
                 R"("State":"completed")" },
     AnswerCase{ "Cancelled", cell::JobCancelled{}, 200, "{}" },
-    AnswerCase{ "Counted",
-                cell::WaitingCounted{ 12 },
-                200,
-                R"("Waiting":12)" },
+    AnswerCase{ "Counted", cell::WaitingCounted{ 12 }, 200, R"("Waiting":12)" },
     AnswerCase{ "NoSuchJob", cell::NoSuchJob{}, 410, "{}" },
     AnswerCase{ "NotRun",
                 cell::JobRefused{ cell::RefusalCause::StoreAway,
@@ -215,12 +210,11 @@
                                   "lost" },
                 504,
                 "fate-unknown" },
-    AnswerCase{ "NoSuchQueue",
-                cell::JobRefused{ cell::RefusalCause::NoSuchQueue,
-                                  Verdict::NotRun,
-                                  "" },
-                404,
-                "no-such-queue" }),
+    AnswerCase{
+      "NoSuchQueue",
+      cell::JobRefused{ cell::RefusalCause::NoSuchQueue, Verdict::NotRun, "" },
+      404,
+      "no-such-queue" }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
 TEST(JobApi, ARefusalSaysWhenToComeBack)
