Forward requests to a scheduler that the store serves

Ruled out: readiness (it was not ready within a second; open connections stay). Change: a request that the store refuses here, or that is not sent into a silent store, goes to the other schedulers of the seed list, one hop at most; one that may have been written is not forwarded.

--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "src/core/cell/CellRecords.h"
+#include "src/core/cell/JobForward.h"
 #include "src/core/message/Codec.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
@@ -21,11 +22,13 @@
 constexpr Duration kRetryPause = std::chrono::milliseconds(40);
 /// Refusals of the store after which the caller is told to come back: an
 /// outage lasts longer than the caller waits.
-constexpr int kMaxRefusals = 3;
+constexpr int kMaxRefusals = 2;
 /// How long a request waits for a silent store before it is refused as not run.
 /// Short: the caller is told when to come back.
-constexpr Duration kSilenceWait = std::chrono::milliseconds(200);
+constexpr Duration kSilenceWait = std::chrono::milliseconds(100);
 constexpr Duration kSilencePoll = std::chrono::milliseconds(20);
+/// Of one other scheduler's answer.
+constexpr Duration kForwardTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kOwnerTimeout = std::chrono::milliseconds(500);
 
 std::int64_t UnixMs()
@@ -93,15 +96,57 @@
 JobDesk::JobDesk(net::FiberRuntime& aRuntime,
                  PulsedStore& aStore,
                  net::RpcClient& aRpc,
-                 const Election& aElection)
+                 const Election& aElection,
+                 std::vector<Endpoint> aPeers)
   : mRuntime(aRuntime)
   , mStore(aStore)
   , mRpc(aRpc)
   , mElection(aElection)
+  , mPeers(std::move(aPeers))
 {
 }
 
 JobAnswer JobDesk::Answer(const JobRequest& aRequest)
+{
+  const Instant deadline = MonotonicNow() + aRequest.mTimeout - kAnswerTime;
+  JobAnswer answer = AnswerHere(aRequest);
+  return WorthForwarding(answer)
+           ? Forward(aRequest, std::move(answer), deadline)
+           : answer;
+}
+
+/// Asks one scheduler after the other until one does more than refuse.
+JobAnswer JobDesk::Forward(const JobRequest& aRequest,
+                           JobAnswer aRefusal,
+                           Instant aDeadline)
+{
+  const bool changes = std::holds_alternative<SubmitJob>(aRequest.mBody) ||
+                       std::holds_alternative<CancelJob>(aRequest.mBody);
+  for (const Endpoint& peer : mPeers) {
+    const Duration left =
+      std::min<Duration>(aDeadline - MonotonicNow(), kForwardTimeout);
+    if (left <= Duration::zero()) {
+      break;
+    }
+    JobRequest request = aRequest;
+    request.mTimeout = left;
+    const auto reply = net::CallTyped<ForwardedReply>(
+      mRpc, peer, kForwardMethod, ToForwarded(request), left);
+    if (!reply.ok()) {
+      if (changes && VerdictOf(reply.status()) != Verdict::NotRun) {
+        return FateUnknown(reply.status());
+      }
+      continue;
+    }
+    JobAnswer answer = FromForwarded(*reply);
+    if (!WorthForwarding(answer)) {
+      return answer;
+    }
+  }
+  return aRefusal;
+}
+
+JobAnswer JobDesk::AnswerHere(const JobRequest& aRequest)
 {
   const Instant deadline = MonotonicNow() + aRequest.mTimeout - kAnswerTime;
   return std::visit([&](const auto& aBody) { return Handle(aBody, deadline); },
@@ -119,6 +164,11 @@
 
 JobAnswer JobDesk::Handle(const SubmitJob& aSubmit, Instant aDeadline)
 {
+  if (aSubmit.mGraph.mId.Empty() || aSubmit.mGraph.mSteps.empty()) {
+    return JobRefused{
+      RefusalCause::BadRequest, Verdict::NotRun, "a job without steps"
+    };
+  }
   if (!AwaitStore()) {
     return StoreAway(absl::UnavailableError("the store does not answer"));
   }
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "apps/scheduler/Election.h"
 #include "src/core/cell/CellConfiguration.h"
@@ -21,9 +22,14 @@
   JobDesk(net::FiberRuntime& aRuntime,
           PulsedStore& aStore,
           net::RpcClient& aRpc,
-          const Election& aElection);
+          const Election& aElection,
+          std::vector<Endpoint> aPeers);
 
+  /// Answers here or, where the store does not serve this process, by another
+  /// scheduler.
   cell::JobAnswer Answer(const cell::JobRequest& aRequest);
+  /// Answers a request that another scheduler forwarded.
+  cell::JobAnswer AnswerHere(const cell::JobRequest& aRequest);
 
 private:
   cell::JobAnswer Handle(const cell::SubmitJob& aSubmit, Instant aDeadline);
@@ -32,6 +38,10 @@
   cell::JobAnswer Handle(const cell::CountWaitingJobs& aCount,
                          Instant aDeadline);
 
+  cell::JobAnswer Forward(const cell::JobRequest& aRequest,
+                          cell::JobAnswer aRefusal,
+                          Instant aDeadline);
+
   /// False when the store is silent: a write would leave the request in doubt.
   bool AwaitStore() const;
   std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
@@ -42,6 +52,7 @@
   PulsedStore& mStore;
   net::RpcClient& mRpc;
   const Election& mElection;
+  std::vector<Endpoint> mPeers; ///< Other schedulers.
 };
 
 } // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "platform/JobApi.h"
+#include "src/core/cell/JobForward.h"
 #include "src/core/message/Codec.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
@@ -43,6 +44,14 @@
   return settings;
 }
 
+std::vector<Endpoint> PeersOf(const SchedulerSettings& aSettings)
+{
+  std::vector<Endpoint> peers = aSettings.mSeeds;
+  std::erase(peers, aSettings.mControl);
+  std::erase(peers, aSettings.mPeers);
+  return peers;
+}
+
 std::vector<QueuePolicy> QueuesOf(const CellConfiguration* aConfiguration)
 {
   std::vector<QueuePolicy> queues;
@@ -114,7 +123,7 @@
               mCellSettings,
               mStore,
               [this](const OwnerTerm& aTerm) { return MakeOwner(aTerm); })
-  , mJobs(aRuntime, mStore, mRpc, mElection)
+  , mJobs(aRuntime, mStore, mRpc, mElection, PeersOf(mSettings))
   , mAdmin(mMetrics, mState, [this] { return Readiness(); })
   , mAnswerTime(mMetrics.Histogram("answer_seconds",
                                    "From a caller's request to its answer."))
@@ -250,6 +259,17 @@
       }
       return reply;
     });
+  net::AddTyped<ForwardedRequest>(
+    mDispatcher, kForwardMethod, [this](const ForwardedRequest& aRequest) {
+      const JobAnswer answer = mJobs.AnswerHere(FromForwarded(aRequest));
+      LogChange("forwarded-request",
+                { { "kind", ToString(aRequest.mKind) },
+                  { "job",
+                    aRequest.mGraph.empty() ? aRequest.mJob
+                                            : aRequest.mGraph.front().mId },
+                  { "outcome", OutcomeOf(answer) } });
+      return ToForwarded(answer);
+    });
   net::AddTyped<RecordChanged>(
     mDispatcher, kRecordChangedMethod, [this](const RecordChanged& aRequest) {
       if (const auto owner = mElection.Owner()) {
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -25,6 +25,9 @@
     "--metrics", aValues.mMetrics, "Address for metrics and state");
   aSettings.AddEndpoint("--store", aValues.mStore, "The platform's store")
     .Required();
+  aSettings.AddEndpoints("--seeds",
+                         aValues.mSeeds,
+                         "Schedulers to ask where the store is out of reach");
 }
 
 void AddTimes(Settings& aSettings, SchedulerSettings& aValues)
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -20,6 +20,7 @@
   Endpoint mControl; ///< As mPeers, where the platform's seed lists point.
   Endpoint mMetrics;
   Endpoint mStore;
+  std::vector<Endpoint> mSeeds; ///< Schedulers, this one perhaps among them.
   /// The platform ends all leases of a worker by then.
   Duration mMaxHold = std::chrono::milliseconds(6000);
   /// Time for which ended jobs can be read.
--- a/src/core/message/CellCodec.cpp
+++ b/src/core/message/CellCodec.cpp
@@ -21,5 +21,7 @@
 FOXTAILBARROW_DEFINE_CODEC(cell::QueryWaitingReply);
 FOXTAILBARROW_DEFINE_CODEC(cell::RecordChanged);
 FOXTAILBARROW_DEFINE_CODEC(cell::RecordChangedReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::ForwardedRequest);
+FOXTAILBARROW_DEFINE_CODEC(cell::ForwardedReply);
 
 } // namespace foxtailbarrow
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -2,6 +2,7 @@
 
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/CellRecords.h"
+#include "src/core/cell/JobForward.h"
 #include "src/core/message/detail/CommonFields.h"
 
 namespace foxtailbarrow::detail {
@@ -313,4 +314,23 @@
 {
 }
 
+template<typename Visitor, Is<cell::ForwardedRequest> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("kind", aMessage.mKind);
+  aVisitor.Optional("job", aMessage.mJob);
+  aVisitor.Optional("graph", aMessage.mGraph);
+  aVisitor.Optional("queue", aMessage.mQueue);
+  aVisitor.Required("timeoutUs", aMessage.mTimeout);
+}
+
+template<typename Visitor, Is<cell::ForwardedReply> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("outcome", aMessage.mOutcome);
+  aVisitor.Optional("phase", aMessage.mPhase);
+  aVisitor.Optional("waiting", aMessage.mWaiting);
+  aVisitor.Optional("message", aMessage.mMessage);
+}
+
 } // namespace foxtailbarrow::detail
