Wake fibers at the deadline of a call after a notified wait

Their search for the owner waited for a reply of the store and its deadline did not wake the fiber: Boost.Fiber 1.74 skips the deadline of a fiber whose last timed wait was ended by a notification (its status is left at 'notified'). Ruled out: the guard against two reports at a time, stale connections. Change: the wait resets that status. A failed report is logged. Test: TimedWaitTest.ACallToASilentPeerTimesOut (hung before).

--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -96,9 +96,14 @@
   const Endpoint owner = *mOwner;
   const auto reply =
     CallTyped<ReportReply>(mRpc, owner, kReportMethod, report, kReportTimeout);
-  if (reply.ok()) {
-    TakeReply(*reply, owner, report, sentAt);
+  if (!reply.ok()) {
+    LogWarning("report-failed",
+               { { "owner", owner },
+                 { "session", session },
+                 { "error", reply.status().ToString() } });
+    return;
   }
+  TakeReply(*reply, owner, report, sentAt);
 }
 
 void OwnerLink::TakeReply(const ReportReply& aReply,
--- a/src/net/detail/Await.h
+++ b/src/net/detail/Await.h
@@ -54,7 +54,13 @@
   template<typename Cancel>
   bool WaitUntil(TimePoint aDeadline, Cancel aCancel)
   {
-    while (!mDone && mFiber->wait_until(aDeadline)) {
+    while (!mDone) {
+      // Boost.Fiber 1.74 takes a deadline for settled when the fiber's last
+      // timed wait was ended by a notification, and would never wake it.
+      mFiber->twstatus.store(0, std::memory_order_release);
+      if (!mFiber->wait_until(aDeadline)) {
+        break;
+      }
     }
     if (mDone) {
       return true;
