Watch from the store's revision, not the entry's

Change: a watch starts where the answer says that the store is; a watch that fails waits before it is tried again.

--- a/apps/scheduler/ConfigurationWatch.cpp
+++ b/apps/scheduler/ConfigurationWatch.cpp
@@ -34,7 +34,7 @@
   Take(entry->mValue);
   const absl::Status ended = mStore.Watch(
     platform::kConfigurationKey,
-    entry->mModRevision,
+    WatchStart(*entry),
     [this](const std::vector<StoreEvent>& aEvents) {
       NoteHeard(true);
       for (const StoreEvent& event : aEvents) {
@@ -45,7 +45,7 @@
       return true;
     });
   LogDebug("configuration-watch-ended", { { "error", ended.ToString() } });
-  return Duration(1);
+  return ended.ok() ? Duration(1) : kRetry;
 }
 
 void ConfigurationWatch::Take(std::string_view aText)
--- a/include/foxtailbarrow/Store.h
+++ b/include/foxtailbarrow/Store.h
@@ -24,8 +24,19 @@
   std::string mValue;
   Revision mModRevision = 0;
   StoreLease mLease = 0; ///< 0 = none.
+  /// Revision of the whole store when it answered; 0 = not told. A watch from
+  /// here needs no older history.
+  Revision mStoreRevision = 0;
 };
 
+/// From where a watch brings all changes after this answer. The entry's own
+/// revision may be older than the store's history.
+inline Revision WatchStart(const StoreEntry& aEntry)
+{
+  return aEntry.mStoreRevision > aEntry.mModRevision ? aEntry.mStoreRevision
+                                                     : aEntry.mModRevision;
+}
+
 /// All keys under a prefix, as of one revision of the store.
 struct StoreListing
 {
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -120,6 +120,7 @@
   EXPECT_EQ(entry->mValue, "node-1");
   EXPECT_EQ(entry->mModRevision, 412);
   EXPECT_EQ(entry->mLease, 77120);
+  EXPECT_EQ(entry->mStoreRevision, 530);
   const auto changes = ParseChanges(
     R"({"events":[{"Key":"a","Value":"bm9kZS0x","Revision":412},
         {"Key":"b","Revision":413,"Tombstone":true}],"CurrentRev":413})");
