--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -115,10 +115,10 @@
 
 absl::Status CellOwner::Load()
 {
-  if (const absl::Status status = LoadJobs(); !status.ok()) {
+  if (absl::Status status = LoadJobs(); !status.ok()) {
     return status;
   }
-  if (const absl::Status status = LoadAgents(); !status.ok()) {
+  if (absl::Status status = LoadAgents(); !status.ok()) {
     return status;
   }
   mLoaded = true;
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -165,9 +165,9 @@
 JobAnswer JobDesk::Handle(const SubmitJob& aSubmit, Instant aDeadline)
 {
   if (aSubmit.mGraph.mId.Empty() || aSubmit.mGraph.mSteps.empty()) {
-    return JobRefused{
-      RefusalCause::BadRequest, Verdict::NotRun, "a job without steps"
-    };
+    return JobRefused{ RefusalCause::BadRequest,
+                       Verdict::NotRun,
+                       "a job without steps" };
   }
   if (!AwaitStore()) {
     return StoreAway(absl::UnavailableError("the store does not answer"));
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -204,7 +204,7 @@
 {
   AddMethods();
   AddViews();
-  if (const absl::Status status = ListenAll(); !status.ok()) {
+  if (absl::Status status = ListenAll(); !status.ok()) {
     return status;
   }
   mFibers.Repeat(mConfigurationPoke, [this] { return mConfiguration.Round(); });
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -122,8 +122,7 @@
         task.mIndex = 0;
         for (const TaskEntry& entry : step.mTasks) {
           copies += entry.mRuns.size() > 1 ? 1 : 0;
-          if (copies < mSettings.mMaxCopies &&
-              job.Spec(task).mSpeculative &&
+          if (copies < mSettings.mMaxCopies && job.Spec(task).mSpeculative &&
               WantsCopy(job, entry, aClock.mNow) &&
               PlaceTask(job, task, NextRun(entry), aClock)) {
             ++copies;
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -413,6 +413,7 @@
     }
   }
   std::vector<ImageLoad> beside;
+  beside.reserve(cores.size());
   for (const auto& [image, used] : cores) {
     beside.push_back({ image, used });
   }
--- a/src/core/cell/JobForward.cpp
+++ b/src/core/cell/JobForward.cpp
@@ -105,9 +105,9 @@
   request.mTimeout = aRequest.mTimeout;
   switch (aRequest.mKind) {
     case ForwardedKind::Submit:
-      request.mBody = SubmitJob{ aRequest.mGraph.empty()
-                                   ? JobGraph()
-                                   : aRequest.mGraph.front() };
+      request.mBody =
+        SubmitJob{ aRequest.mGraph.empty() ? JobGraph()
+                                           : aRequest.mGraph.front() };
       break;
     case ForwardedKind::Read:
       request.mBody = ReadJob{ aRequest.mJob };
--- a/src/core/cell/StorePulse.h
+++ b/src/core/cell/StorePulse.h
@@ -13,8 +13,8 @@
 class StorePulse
 {
 public:
-  /// Calls unanswered for so long, with no other answer meanwhile, mean that the
-  /// store is silent. Above the 0.37 s that a slow store takes.
+  /// Calls unanswered for so long, with no other answer meanwhile, mean that
+  /// the store is silent. Above the 0.37 s that a slow store takes.
   static constexpr Duration kSilentAfter = std::chrono::milliseconds(450);
 
   void NoteSent(Instant aNow) { mSent.insert(aNow); }
@@ -44,7 +44,8 @@
 private:
   std::multiset<Instant> mSent;
   Instant mAnsweredAt{};
-  Instant mSilentSince{}; ///< A call ended without an answer and none came since.
+  Instant
+    mSilentSince{}; ///< A call ended without an answer and none came since.
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/platform/store/PulsedStore.h
+++ b/src/platform/store/PulsedStore.h
@@ -28,8 +28,7 @@
     mPulse.NoteSent(sentAt);
     auto result = aCall();
     const absl::Status& status = StatusOf(result);
-    const bool answered =
-      status.ok() || VerdictOf(status) == Verdict::NotRun;
+    const bool answered = status.ok() || VerdictOf(status) == Verdict::NotRun;
     mPulse.NoteEnded(sentAt, answered, MonotonicNow());
     return result;
   }
--- a/tests/cell/JobForwardTest.cpp
+++ b/tests/cell/JobForwardTest.cpp
@@ -20,8 +20,8 @@
 
 TEST_P(ForwardedAnswers, KeepTheirKind)
 {
-  const auto reply = FromJson<ForwardedReply>(
-    ToJson(ToForwarded(GetParam().mAnswer)));
+  const auto reply =
+    FromJson<ForwardedReply>(ToJson(ToForwarded(GetParam().mAnswer)));
   ASSERT_TRUE(reply.ok()) << reply.status();
   const JobAnswer answer = FromForwarded(*reply);
   EXPECT_EQ(answer.index(), GetParam().mAnswer.index());
--- a/tests/net/TimedWaitTest.cpp
+++ b/tests/net/TimedWaitTest.cpp
@@ -51,8 +51,8 @@
 
 TEST_F(TimedWaitTest, ACallToASilentPeerTimesOut)
 {
-  const auto server = HttpServer::Start(
-    mRuntime, { "127.0.0.1", 0 }, [](HttpRequest&) {
+  const auto server =
+    HttpServer::Start(mRuntime, { "127.0.0.1", 0 }, [](HttpRequest&) {
       boost::this_fiber::sleep_for(kLong);
       return HttpResponse();
     });
