--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -19,9 +19,9 @@
 
 /// Of a start or stop at a healthy worker: milliseconds. Beyond this it is
 /// settled instead of waited for.
-constexpr Duration kOrderTimeout = std::chrono::milliseconds(500);
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(250);
 /// Of a look without a wait.
-constexpr Duration kLookTimeout = std::chrono::milliseconds(500);
+constexpr Duration kLookTimeout = std::chrono::milliseconds(300);
 /// How long a look waits for an end. Bounds the age of leases and figures.
 constexpr Duration kLookWait = std::chrono::milliseconds(400);
 /// How long an order is settled before the session is given up.
