Split the owner's and the scheduler's files by subject

CellOwner into term, desks and records; the scheduler's pages and words apart; learning out of the workers' file; the time of day read by one function.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -24,34 +24,11 @@
 /// Events that come within this are decided on together.
 constexpr Duration kGather = std::chrono::milliseconds(2);
 constexpr Duration kStoreRetry = std::chrono::milliseconds(100);
-/// Ends that come within this are recorded by one transaction: at 60 ends a
-/// second some 15 writes a second instead of 60.
-constexpr Duration kRecordLinger = std::chrono::milliseconds(15);
-/// A transaction takes 32 compares and writes: the cell's record, and two a
-/// job.
-constexpr std::size_t kJobsPerRecord = 15;
 /// Of the log lines on what was learned, and the least pressure a core that
 /// they name.
 constexpr Duration kBeliefInterval = std::chrono::seconds(5);
 constexpr double kNotablePressure = 0.03;
 constexpr double kPerThousand = 1000.0;
-constexpr Duration kCleanupPause = std::chrono::seconds(10);
-constexpr std::size_t kDeletesPerCleanup = 15;
-
-constexpr Duration kAttachTimeout = std::chrono::milliseconds(2000);
-constexpr Duration kAttachRetry = std::chrono::milliseconds(150);
-/// Longer than an agent needs to settle orders that the worker did not answer.
-constexpr Duration kOrderTimeout = std::chrono::milliseconds(2500);
-constexpr Duration kOrderWait = std::chrono::milliseconds(200);
-/// Three reports missed.
-constexpr Duration kSilentAfter = std::chrono::milliseconds(1300);
-/// An agent that is gone for so long is no longer asked for.
-constexpr Duration kForgetAfter = std::chrono::seconds(20);
-
-/// The high part of a session is its generation, so that sessions rise over
-/// owners; the low part is left to the agent for fences of its own.
-constexpr int kGenerationShift = 32;
-constexpr int kSessionShift = 8;
 
 void LogDecision(const CellDecision& aDecision)
 {
@@ -64,13 +41,6 @@
               { "ms", aDecision.mAgeMs } });
 }
 
-std::int64_t UnixMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 template<typename Record>
 std::optional<Record> ReadRecord(std::string_view aKey, std::string_view aText)
 {
@@ -99,7 +69,7 @@
 
 CellClock CellOwner::Clock() const
 {
-  return { MonotonicNow(), UnixMs() };
+  return { MonotonicNow(), UnixMsNow() };
 }
 
 StoreCompare CellOwner::CellUnchanged() const
@@ -107,12 +77,6 @@
   return { std::string(kCellKey), mTerm.CellRevision() };
 }
 
-Session CellOwner::NextSession()
-{
-  return (mTerm.OwnGeneration() << kGenerationShift) +
-         (++mSessions << kSessionShift);
-}
-
 absl::Status CellOwner::Load()
 {
   if (absl::Status status = LoadJobs(); !status.ok()) {
@@ -273,84 +237,6 @@
   }
 }
 
-void CellOwner::RunRecords()
-{
-  while (!mEnded) {
-    if (!mLogic.HasUnrecorded()) {
-      mRecordPoke.Wait(std::chrono::seconds(1));
-      continue;
-    }
-    boost::this_fiber::sleep_for(kRecordLinger);
-    if (!mEnded && !RecordBatch()) {
-      boost::this_fiber::sleep_for(kStoreRetry);
-    }
-  }
-}
-
-bool CellOwner::RecordBatch()
-{
-  const std::vector<UnrecordedProgress> batch =
-    mLogic.Unrecorded(kJobsPerRecord);
-  StoreTransaction transaction;
-  transaction.mCompares.push_back(CellUnchanged());
-  for (const UnrecordedProgress& job : batch) {
-    const std::string key = ProgressKey(job.mJob);
-    transaction.mCompares.push_back({ key, job.mRevision });
-    transaction.mWrites.push_back({ key, ToJsonText(job.mProgress) });
-  }
-  const Instant sentAt = MonotonicNow();
-  const auto result = mParts.mStore.Commit(transaction);
-  if (mEnded) {
-    return false;
-  }
-  if (!result.ok()) {
-    LogWarning("record-failed",
-               { { "jobs", batch.size() },
-                 { "verdict", ToString(VerdictOf(result.status())) },
-                 { "error", result.status().ToString() } });
-    return false;
-  }
-  if (!result->mApplied) {
-    TakeConflict(batch, *result);
-    return false;
-  }
-  mTerm.Confirm(sentAt);
-  ++mFigures.mRecords;
-  for (const UnrecordedProgress& job : batch) {
-    mLogic.NoteRecorded(job.mJob, job.mVersion, result->mRevision);
-  }
-  mSchedulePoke.Now();
-  return true;
-}
-
-/// A condition failed: either another owner has the cell, or an earlier write
-/// of ours took effect although its reply was lost.
-void CellOwner::TakeConflict(const std::vector<UnrecordedProgress>& aBatch,
-                             const StoreTransactionResult& aResult)
-{
-  std::map<std::string, Revision> current;
-  for (const StoreEntry& entry : aResult.mCurrent) {
-    current[entry.mKey] = entry.mModRevision;
-  }
-  if (const auto cell = current.find(std::string(kCellKey));
-      cell == current.end() || cell->second != mTerm.CellRevision()) {
-    LogWarning("cell-superseded", { { "generation", mTerm.OwnGeneration() } });
-    mParts.mOnSuperseded();
-    return;
-  }
-  for (const UnrecordedProgress& job : aBatch) {
-    const auto found = current.find(ProgressKey(job.mJob));
-    const Revision revision = found == current.end() ? 0 : found->second;
-    if (revision != job.mRevision) {
-      LogChange("record-conflict",
-                { { "job", job.mJob },
-                  { "expected", job.mRevision },
-                  { "found", revision } });
-      mLogic.NoteProgressRevision(job.mJob, revision);
-    }
-  }
-}
-
 /// What is believed of the images, for whoever asks why a task was placed or
 /// slowed down.
 void CellOwner::RunBeliefs()
@@ -371,204 +257,4 @@
   }
 }
 
-void CellOwner::RunCleanup()
-{
-  while (!mEnded) {
-    boost::this_fiber::sleep_for(kCleanupPause);
-    if (mEnded) {
-      return;
-    }
-    const auto keep =
-      std::chrono::duration_cast<std::chrono::milliseconds>(mParts.mKeepEnded);
-    std::vector<JobId> ended = mLogic.EndedBefore(UnixMs() - keep.count());
-    ended.resize(std::min(ended.size(), kDeletesPerCleanup));
-    if (ended.empty()) {
-      continue;
-    }
-    StoreTransaction transaction;
-    transaction.mCompares.push_back(CellUnchanged());
-    for (const JobId& job : ended) {
-      transaction.mWrites.push_back({ JobKey(job), std::nullopt });
-      transaction.mWrites.push_back({ ProgressKey(job), std::nullopt });
-    }
-    if (const auto result = mParts.mStore.Commit(transaction);
-        result.ok() && result->mApplied) {
-      LogChange("ended-jobs-deleted", { { "jobs", ended.size() } });
-      for (const JobId& job : ended) {
-        mLogic.DropJob(job);
-      }
-    }
-  }
-}
-
-ReportReply CellOwner::OnReport(const ReportRequest& aReport)
-{
-  ++mFigures.mReports;
-  ReportReply reply;
-  reply.mOwner = true;
-  reply.mGeneration = mTerm.OwnGeneration();
-  Desk& desk = DeskOf(aReport.mAgent, aReport.mEndpoint);
-  desk.mHeardAt = MonotonicNow();
-  reply.mAttached = mLogic.TakeReport(aReport, Clock());
-  if (!reply.mAttached) {
-    if (Attached(aReport.mAgent)) {
-      Detach(aReport.mAgent); // It restarted and knows of no session.
-    }
-    desk.mPoke.Now();
-    return reply;
-  }
-  const Instant now = MonotonicNow();
-  reply.mGrant = mTerm.GrantAt(now);
-  mLogic.NoteGrant(aReport.mAgent, now + reply.mGrant);
-  reply.mAcknowledged = mLogic.Acknowledged(aReport.mAgent);
-  reply.mPressures = mLogic.PressuresOn(aReport.mAgent);
-  mSchedulePoke.Now();
-  return reply;
-}
-
-CellOwner::Desk& CellOwner::DeskOf(const AgentId& aAgent,
-                                   const Endpoint& aEndpoint)
-{
-  auto& desk = mDesks[aAgent];
-  if (!desk) {
-    desk = std::make_unique<Desk>();
-    desk->mHeardAt = MonotonicNow();
-    mParts.mRuntime.Spawn([self = shared_from_this(), aAgent, &desk = *desk] {
-      self->RunDesk(aAgent, desk);
-    });
-  }
-  if (desk->mEndpoint != aEndpoint) {
-    desk->mRecorded = false;
-    desk->mEndpoint = aEndpoint;
-  }
-  return *desk;
-}
-
-bool CellOwner::Attached(const AgentId& aAgent) const
-{
-  const auto found = mLogic.Workers().find(aAgent);
-  return found != mLogic.Workers().end() &&
-         found->second.mLink == WorkerLink::Attached;
-}
-
-void CellOwner::Detach(const AgentId& aAgent)
-{
-  mLogic.DetachWorker(aAgent, Clock());
-  mSchedulePoke.Now();
-}
-
-void CellOwner::RunDesk(const AgentId& aAgent, Desk& aDesk)
-{
-  while (!mEnded) {
-    if (MonotonicNow() - aDesk.mHeardAt > kForgetAfter) {
-      ForgetAgent(aAgent);
-      return;
-    }
-    const Duration pause =
-      Attached(aAgent) ? OrderRound(aAgent, aDesk) : AttachRound(aAgent, aDesk);
-    if (!mEnded && pause > Duration::zero()) {
-      aDesk.mPoke.Wait(pause);
-    }
-  }
-}
-
-/// An agent may run tasks only after the store names it, so that the next owner
-/// knows whom to ask.
-bool CellOwner::RecordAgent(const AgentId& aAgent, Desk& aDesk)
-{
-  if (aDesk.mRecorded) {
-    return true;
-  }
-  const Endpoint endpoint = aDesk.mEndpoint;
-  StoreTransaction transaction;
-  transaction.mCompares.push_back(CellUnchanged());
-  transaction.mWrites.push_back(
-    { AgentKey(aAgent), ToJsonText(AgentContact{ endpoint }) });
-  const auto result = mParts.mStore.Commit(transaction);
-  aDesk.mRecorded =
-    result.ok() && result->mApplied && endpoint == aDesk.mEndpoint;
-  return aDesk.mRecorded;
-}
-
-void CellOwner::ForgetAgent(const AgentId& aAgent)
-{
-  LogChange("agent-forgotten", { { "agent", aAgent } });
-  StoreTransaction transaction;
-  transaction.mCompares.push_back(CellUnchanged());
-  transaction.mWrites.push_back({ AgentKey(aAgent), std::nullopt });
-  if (const auto result = mParts.mStore.Commit(transaction); !result.ok()) {
-    LogWarning("agent-record-kept", { { "agent", aAgent } });
-  }
-  mDesks.erase(aAgent);
-}
-
-Duration CellOwner::AttachRound(const AgentId& aAgent, Desk& aDesk)
-{
-  if (!RecordAgent(aAgent, aDesk)) {
-    return kAttachRetry;
-  }
-  const Session session = NextSession();
-  const auto reply = net::CallTyped<AttachReply>(
-    mParts.mRpc,
-    aDesk.mEndpoint,
-    kAttachMethod,
-    AttachRequest{ mTerm.OwnGeneration(), session, mParts.mSelf },
-    kAttachTimeout);
-  if (mEnded) {
-    return Duration::zero();
-  }
-  if (!reply.ok()) {
-    LogDebug("attach-failed",
-             { { "agent", aAgent }, { "error", reply.status().ToString() } });
-    return kAttachRetry;
-  }
-  if (!reply->mAttached) {
-    LogWarning("attach-refused",
-               { { "agent", aAgent }, { "generation", reply->mGeneration } });
-    return kAttachRetry;
-  }
-  aDesk.mHeardAt = MonotonicNow();
-  mLogic.AttachWorker(aAgent, aDesk.mEndpoint, session, reply->mState, Clock());
-  mSchedulePoke.Now();
-  return Duration::zero();
-}
-
-Duration CellOwner::OrderRound(const AgentId& aAgent, Desk& aDesk)
-{
-  if (MonotonicNow() - aDesk.mHeardAt > kSilentAfter) {
-    Detach(aAgent);
-    return Duration::zero();
-  }
-  const OrderRequest orders = mLogic.TakeOrders(aAgent);
-  if (orders.mStarts.empty() && orders.mStops.empty() &&
-      orders.mTraits.empty()) {
-    return kOrderWait;
-  }
-  ++mFigures.mOrders;
-  mFigures.mStarts += orders.mStarts.size();
-  const auto reply = net::CallTyped<OrderReply>(
-    mParts.mRpc, aDesk.mEndpoint, kOrderMethod, orders, kOrderTimeout);
-  if (mEnded) {
-    return Duration::zero();
-  }
-  if (!reply.ok() || !reply->mAccepted) {
-    LogWarning(
-      "orders-unsettled",
-      { { "agent", aAgent },
-        { "session", orders.mSession },
-        { "starts", orders.mStarts.size() },
-        { "error", reply.ok() ? "not accepted" : reply.status().ToString() } });
-    // Only the session that the orders were sent in is in doubt.
-    if (const auto worker = mLogic.Workers().find(aAgent);
-        worker != mLogic.Workers().end() &&
-        worker->second.mSession == orders.mSession) {
-      Detach(aAgent);
-    }
-    return Duration::zero();
-  }
-  mLogic.TakeStartResults(aAgent, orders.mSession, reply->mStarts, Clock());
-  mSchedulePoke.Now();
-  return Duration::zero();
-}
-
 } // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -0,0 +1,209 @@
+#include "apps/scheduler/CellOwner.h"
+
+#include <chrono>
+#include <utility>
+
+#include "src/core/cell/CellRecords.h"
+#include "src/core/message/Codec.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::scheduler {
+
+using namespace cell;
+
+namespace {
+
+constexpr Duration kAttachTimeout = std::chrono::milliseconds(2000);
+constexpr Duration kAttachRetry = std::chrono::milliseconds(150);
+/// Longer than an agent needs to settle orders that the worker did not answer.
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(2500);
+constexpr Duration kOrderWait = std::chrono::milliseconds(200);
+/// Three reports missed.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(1300);
+/// An agent that is gone for so long is no longer asked for.
+constexpr Duration kForgetAfter = std::chrono::seconds(20);
+/// The high part of a session is its generation, so that sessions rise over
+/// owners; the low part is left to the agent for fences of its own.
+constexpr int kGenerationShift = 32;
+constexpr int kSessionShift = 8;
+
+} // namespace
+
+ReportReply CellOwner::OnReport(const ReportRequest& aReport)
+{
+  ++mFigures.mReports;
+  ReportReply reply;
+  reply.mOwner = true;
+  reply.mGeneration = mTerm.OwnGeneration();
+  Desk& desk = DeskOf(aReport.mAgent, aReport.mEndpoint);
+  desk.mHeardAt = MonotonicNow();
+  reply.mAttached = mLogic.TakeReport(aReport, Clock());
+  if (!reply.mAttached) {
+    if (Attached(aReport.mAgent)) {
+      Detach(aReport.mAgent); // It restarted and knows of no session.
+    }
+    desk.mPoke.Now();
+    return reply;
+  }
+  const Instant now = MonotonicNow();
+  reply.mGrant = mTerm.GrantAt(now);
+  mLogic.NoteGrant(aReport.mAgent, now + reply.mGrant);
+  reply.mAcknowledged = mLogic.Acknowledged(aReport.mAgent);
+  reply.mPressures = mLogic.PressuresOn(aReport.mAgent);
+  mSchedulePoke.Now();
+  return reply;
+}
+
+CellOwner::Desk& CellOwner::DeskOf(const AgentId& aAgent,
+                                   const Endpoint& aEndpoint)
+{
+  auto& desk = mDesks[aAgent];
+  if (!desk) {
+    desk = std::make_unique<Desk>();
+    desk->mHeardAt = MonotonicNow();
+    mParts.mRuntime.Spawn([self = shared_from_this(), aAgent, &desk = *desk] {
+      self->RunDesk(aAgent, desk);
+    });
+  }
+  if (desk->mEndpoint != aEndpoint) {
+    desk->mRecorded = false;
+    desk->mEndpoint = aEndpoint;
+  }
+  return *desk;
+}
+
+bool CellOwner::Attached(const AgentId& aAgent) const
+{
+  const auto found = mLogic.Workers().find(aAgent);
+  return found != mLogic.Workers().end() &&
+         found->second.mLink == WorkerLink::Attached;
+}
+
+void CellOwner::Detach(const AgentId& aAgent)
+{
+  mLogic.DetachWorker(aAgent, Clock());
+  mSchedulePoke.Now();
+}
+
+void CellOwner::RunDesk(const AgentId& aAgent, Desk& aDesk)
+{
+  while (!mEnded) {
+    if (MonotonicNow() - aDesk.mHeardAt > kForgetAfter) {
+      ForgetAgent(aAgent);
+      return;
+    }
+    const Duration pause =
+      Attached(aAgent) ? OrderRound(aAgent, aDesk) : AttachRound(aAgent, aDesk);
+    if (!mEnded && pause > Duration::zero()) {
+      aDesk.mPoke.Wait(pause);
+    }
+  }
+}
+
+/// An agent may run tasks only after the store names it, so that the next owner
+/// knows whom to ask.
+bool CellOwner::RecordAgent(const AgentId& aAgent, Desk& aDesk)
+{
+  if (aDesk.mRecorded) {
+    return true;
+  }
+  const Endpoint endpoint = aDesk.mEndpoint;
+  StoreTransaction transaction;
+  transaction.mCompares.push_back(CellUnchanged());
+  transaction.mWrites.push_back(
+    { AgentKey(aAgent), ToJsonText(AgentContact{ endpoint }) });
+  const auto result = mParts.mStore.Commit(transaction);
+  aDesk.mRecorded =
+    result.ok() && result->mApplied && endpoint == aDesk.mEndpoint;
+  return aDesk.mRecorded;
+}
+
+void CellOwner::ForgetAgent(const AgentId& aAgent)
+{
+  LogChange("agent-forgotten", { { "agent", aAgent } });
+  StoreTransaction transaction;
+  transaction.mCompares.push_back(CellUnchanged());
+  transaction.mWrites.push_back({ AgentKey(aAgent), std::nullopt });
+  if (const auto result = mParts.mStore.Commit(transaction); !result.ok()) {
+    LogWarning("agent-record-kept", { { "agent", aAgent } });
+  }
+  mDesks.erase(aAgent);
+}
+
+Duration CellOwner::AttachRound(const AgentId& aAgent, Desk& aDesk)
+{
+  if (!RecordAgent(aAgent, aDesk)) {
+    return kAttachRetry;
+  }
+  const Session session = NextSession();
+  const auto reply = net::CallTyped<AttachReply>(
+    mParts.mRpc,
+    aDesk.mEndpoint,
+    kAttachMethod,
+    AttachRequest{ mTerm.OwnGeneration(), session, mParts.mSelf },
+    kAttachTimeout);
+  if (mEnded) {
+    return Duration::zero();
+  }
+  if (!reply.ok()) {
+    LogDebug("attach-failed",
+             { { "agent", aAgent }, { "error", reply.status().ToString() } });
+    return kAttachRetry;
+  }
+  if (!reply->mAttached) {
+    LogWarning("attach-refused",
+               { { "agent", aAgent }, { "generation", reply->mGeneration } });
+    return kAttachRetry;
+  }
+  aDesk.mHeardAt = MonotonicNow();
+  mLogic.AttachWorker(aAgent, aDesk.mEndpoint, session, reply->mState, Clock());
+  mSchedulePoke.Now();
+  return Duration::zero();
+}
+
+Duration CellOwner::OrderRound(const AgentId& aAgent, Desk& aDesk)
+{
+  if (MonotonicNow() - aDesk.mHeardAt > kSilentAfter) {
+    Detach(aAgent);
+    return Duration::zero();
+  }
+  const OrderRequest orders = mLogic.TakeOrders(aAgent);
+  if (orders.mStarts.empty() && orders.mStops.empty() &&
+      orders.mTraits.empty()) {
+    return kOrderWait;
+  }
+  ++mFigures.mOrders;
+  mFigures.mStarts += orders.mStarts.size();
+  const auto reply = net::CallTyped<OrderReply>(
+    mParts.mRpc, aDesk.mEndpoint, kOrderMethod, orders, kOrderTimeout);
+  if (mEnded) {
+    return Duration::zero();
+  }
+  if (!reply.ok() || !reply->mAccepted) {
+    LogWarning(
+      "orders-unsettled",
+      { { "agent", aAgent },
+        { "session", orders.mSession },
+        { "starts", orders.mStarts.size() },
+        { "error", reply.ok() ? "not accepted" : reply.status().ToString() } });
+    // Only the session that the orders were sent in is in doubt.
+    if (const auto worker = mLogic.Workers().find(aAgent);
+        worker != mLogic.Workers().end() &&
+        worker->second.mSession == orders.mSession) {
+      Detach(aAgent);
+    }
+    return Duration::zero();
+  }
+  mLogic.TakeStartResults(aAgent, orders.mSession, reply->mStarts, Clock());
+  mSchedulePoke.Now();
+  return Duration::zero();
+}
+
+Session CellOwner::NextSession()
+{
+  return (mTerm.OwnGeneration() << kGenerationShift) +
+         (++mSessions << kSessionShift);
+}
+
+} // namespace foxtailbarrow::scheduler
--- /dev/null
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -0,0 +1,141 @@
+#include "apps/scheduler/CellOwner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+
+#include <boost/fiber/operations.hpp>
+
+#include "foxtailbarrow/Verdict.h"
+#include "src/core/cell/CellRecords.h"
+#include "src/core/message/Codec.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::scheduler {
+
+using namespace cell;
+
+namespace {
+
+/// Until a write that failed is tried again.
+constexpr Duration kRecordRetry = std::chrono::milliseconds(100);
+/// Ends that come within this are recorded by one transaction: at 60 ends a
+/// second some 15 writes a second instead of 60.
+constexpr Duration kRecordLinger = std::chrono::milliseconds(15);
+/// A transaction takes 32 compares and writes: the cell's record, and two a
+/// job.
+constexpr std::size_t kJobsPerRecord = 15;
+constexpr Duration kCleanupPause = std::chrono::seconds(10);
+constexpr std::size_t kDeletesPerCleanup = 15;
+
+} // namespace
+
+void CellOwner::RunRecords()
+{
+  while (!mEnded) {
+    if (!mLogic.HasUnrecorded()) {
+      mRecordPoke.Wait(std::chrono::seconds(1));
+      continue;
+    }
+    boost::this_fiber::sleep_for(kRecordLinger);
+    if (!mEnded && !RecordBatch()) {
+      boost::this_fiber::sleep_for(kRecordRetry);
+    }
+  }
+}
+
+bool CellOwner::RecordBatch()
+{
+  const std::vector<UnrecordedProgress> batch =
+    mLogic.Unrecorded(kJobsPerRecord);
+  StoreTransaction transaction;
+  transaction.mCompares.push_back(CellUnchanged());
+  for (const UnrecordedProgress& job : batch) {
+    const std::string key = ProgressKey(job.mJob);
+    transaction.mCompares.push_back({ key, job.mRevision });
+    transaction.mWrites.push_back({ key, ToJsonText(job.mProgress) });
+  }
+  const Instant sentAt = MonotonicNow();
+  const auto result = mParts.mStore.Commit(transaction);
+  if (mEnded) {
+    return false;
+  }
+  if (!result.ok()) {
+    LogWarning("record-failed",
+               { { "jobs", batch.size() },
+                 { "verdict", ToString(VerdictOf(result.status())) },
+                 { "error", result.status().ToString() } });
+    return false;
+  }
+  if (!result->mApplied) {
+    TakeConflict(batch, *result);
+    return false;
+  }
+  mTerm.Confirm(sentAt);
+  ++mFigures.mRecords;
+  for (const UnrecordedProgress& job : batch) {
+    mLogic.NoteRecorded(job.mJob, job.mVersion, result->mRevision);
+  }
+  mSchedulePoke.Now();
+  return true;
+}
+
+/// A condition failed: either another owner has the cell, or an earlier write
+/// of ours took effect although its reply was lost.
+void CellOwner::TakeConflict(const std::vector<UnrecordedProgress>& aBatch,
+                             const StoreTransactionResult& aResult)
+{
+  std::map<std::string, Revision> current;
+  for (const StoreEntry& entry : aResult.mCurrent) {
+    current[entry.mKey] = entry.mModRevision;
+  }
+  if (const auto cell = current.find(std::string(kCellKey));
+      cell == current.end() || cell->second != mTerm.CellRevision()) {
+    LogWarning("cell-superseded", { { "generation", mTerm.OwnGeneration() } });
+    mParts.mOnSuperseded();
+    return;
+  }
+  for (const UnrecordedProgress& job : aBatch) {
+    const auto found = current.find(ProgressKey(job.mJob));
+    const Revision revision = found == current.end() ? 0 : found->second;
+    if (revision != job.mRevision) {
+      LogChange("record-conflict",
+                { { "job", job.mJob },
+                  { "expected", job.mRevision },
+                  { "found", revision } });
+      mLogic.NoteProgressRevision(job.mJob, revision);
+    }
+  }
+}
+
+void CellOwner::RunCleanup()
+{
+  while (!mEnded) {
+    boost::this_fiber::sleep_for(kCleanupPause);
+    if (mEnded) {
+      return;
+    }
+    const auto keep =
+      std::chrono::duration_cast<std::chrono::milliseconds>(mParts.mKeepEnded);
+    std::vector<JobId> ended = mLogic.EndedBefore(UnixMsNow() - keep.count());
+    ended.resize(std::min(ended.size(), kDeletesPerCleanup));
+    if (ended.empty()) {
+      continue;
+    }
+    StoreTransaction transaction;
+    transaction.mCompares.push_back(CellUnchanged());
+    for (const JobId& job : ended) {
+      transaction.mWrites.push_back({ JobKey(job), std::nullopt });
+      transaction.mWrites.push_back({ ProgressKey(job), std::nullopt });
+    }
+    if (const auto result = mParts.mStore.Commit(transaction);
+        result.ok() && result->mApplied) {
+      LogChange("ended-jobs-deleted", { { "jobs", ended.size() } });
+      for (const JobId& job : ended) {
+        mLogic.DropJob(job);
+      }
+    }
+  }
+}
+
+} // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -34,13 +34,6 @@
 constexpr Duration kForwardTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kOwnerTimeout = std::chrono::milliseconds(500);
 
-std::int64_t UnixMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 JobRefused StoreAway(const absl::Status& aStatus)
 {
   return { RefusalCause::StoreAway,
@@ -176,7 +169,7 @@
   if (!AwaitStore()) {
     return StoreAway(absl::UnavailableError("the store does not answer"));
   }
-  const StoredJob job{ aSubmit.mGraph, UnixMs(), false };
+  const StoredJob job{ aSubmit.mGraph, UnixMsNow(), false };
   const std::string key = JobKey(job.mGraph.mId);
   StoreTransaction transaction;
   transaction.mCompares.push_back({ key, 0 });
--- /dev/null
+++ b/apps/scheduler/RequestText.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "src/core/cell/JobRequest.h"
+
+/// Words for callers' requests and their answers in log lines.
+namespace foxtailbarrow::scheduler {
+
+std::string_view KindOf(const cell::JobRequest& aRequest);
+std::string OutcomeOf(const cell::JobAnswer& aAnswer);
+
+} // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "apps/scheduler/RequestText.h"
 #include "platform/JobApi.h"
 #include "src/core/cell/JobForward.h"
 #include "src/core/message/Codec.h"
@@ -63,45 +64,6 @@
   return queues;
 }
 
-std::string_view Kind(const JobRequest& aRequest)
-{
-  struct Name
-  {
-    std::string_view operator()(const SubmitJob&) const { return "submit"; }
-    std::string_view operator()(const ReadJob&) const { return "read"; }
-    std::string_view operator()(const CancelJob&) const { return "cancel"; }
-    std::string_view operator()(const CountWaitingJobs&) const
-    {
-      return "count";
-    }
-  };
-  return std::visit(Name(), aRequest.mBody);
-}
-
-std::string OutcomeOf(const JobAnswer& aAnswer)
-{
-  struct Name
-  {
-    std::string operator()(const JobAccepted&) const { return "accepted"; }
-    std::string operator()(const JobShown& aShown) const
-    {
-      return std::string(ToString(aShown.mPhase));
-    }
-    std::string operator()(const JobCancelled&) const { return "cancelled"; }
-    std::string operator()(const WaitingCounted& aCounted) const
-    {
-      return "waiting-" + std::to_string(aCounted.mWaiting);
-    }
-    std::string operator()(const NoSuchJob&) const { return "no-such-job"; }
-    std::string operator()(const JobRefused& aRefused) const
-    {
-      return std::string(ToString(aRefused.mCause)) + "," +
-             std::string(ToString(aRefused.mVerdict)) + "," + aRefused.mMessage;
-    }
-  };
-  return std::visit(Name(), aAnswer);
-}
-
 } // namespace
 
 Scheduler::Scheduler(SchedulerSettings aSettings, net::FiberRuntime& aRuntime)
@@ -216,110 +178,6 @@
   return absl::OkStatus();
 }
 
-void Scheduler::AddMethods()
-{
-  net::AddTyped<ReportRequest>(
-    mDispatcher, kReportMethod, [this](const ReportRequest& aRequest) {
-      if (const auto owner = mElection.Owner()) {
-        return owner->OnReport(aRequest);
-      }
-      ReportReply reply;
-      reply.mGeneration = mElection.KnownGeneration();
-      if (const auto at = mElection.OwnerAt(); at && *at != mSettings.mPeers) {
-        reply.mOwnerAt.push_back(*at);
-      }
-      return reply;
-    });
-  net::AddTyped<FindOwner>(
-    mDispatcher, kFindOwnerMethod, [this](const FindOwner&) {
-      FindOwnerReply reply;
-      reply.mGeneration = mElection.KnownGeneration();
-      if (const auto at = mElection.OwnerAt()) {
-        reply.mOwnerAt.push_back(*at);
-      }
-      return reply;
-    });
-  net::AddTyped<QueryJob>(
-    mDispatcher, kQueryJobMethod, [this](const QueryJob& aRequest) {
-      QueryJobReply reply;
-      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
-        reply.mOwner = true;
-        const auto phase = owner->Logic().PhaseOf(aRequest.mJob);
-        reply.mKnown = phase.has_value();
-        reply.mPhase = phase.value_or(JobPhase::Queued);
-      }
-      return reply;
-    });
-  net::AddTyped<QueryWaiting>(
-    mDispatcher, kQueryWaitingMethod, [this](const QueryWaiting& aRequest) {
-      QueryWaitingReply reply;
-      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
-        reply.mOwner = true;
-        reply.mWaiting = owner->Logic().WaitingJobs(aRequest.mQueue);
-      }
-      return reply;
-    });
-  net::AddTyped<ForwardedRequest>(
-    mDispatcher, kForwardMethod, [this](const ForwardedRequest& aRequest) {
-      const JobAnswer answer = mJobs.AnswerHere(FromForwarded(aRequest));
-      LogChange("forwarded-request",
-                { { "kind", ToString(aRequest.mKind) },
-                  { "job",
-                    aRequest.mGraph.empty() ? aRequest.mJob
-                                            : aRequest.mGraph.front().mId },
-                  { "outcome", OutcomeOf(answer) } });
-      return ToForwarded(answer);
-    });
-  net::AddTyped<RecordChanged>(
-    mDispatcher, kRecordChangedMethod, [this](const RecordChanged& aRequest) {
-      if (const auto owner = mElection.Owner()) {
-        owner->OnRecordChanged(aRequest.mJob);
-      }
-      return RecordChangedReply{};
-    });
-}
-
-void Scheduler::AddViews()
-{
-  AddProcessMetrics(mMetrics);
-  mMetrics.SampledGauge("cell_owner", "1 while this process owns it.", [this] {
-    return mElection.Owner() ? 1.0 : 0.0;
-  });
-  mMetrics.SampledGauge(
-    "cell_generation", "Newest known generation of the cell.", [this] {
-      return static_cast<double>(mElection.KnownGeneration());
-    });
-  const auto figure = [this](const char* aName,
-                             const char* aHelp,
-                             std::uint64_t OwnerFigures::*aFigure) {
-    mMetrics.SampledGauge(aName, aHelp, [this, aFigure] {
-      const auto owner = mElection.Owner();
-      return owner ? static_cast<double>(owner->Figures().*aFigure) : 0.0;
-    });
-  };
-  figure(
-    "owner_reports", "Reports taken in this term.", &OwnerFigures::mReports);
-  figure("owner_orders", "Orders sent in this term.", &OwnerFigures::mOrders);
-  figure("owner_starts", "Tasks started in this term.", &OwnerFigures::mStarts);
-  figure(
-    "owner_records", "Progress writes in this term.", &OwnerFigures::mRecords);
-  mMetrics.SampledGauge("jobs_known", "Jobs that the owner knows.", [this] {
-    const auto owner = mElection.Owner();
-    return owner ? static_cast<double>(owner->Logic().Jobs().size()) : 0.0;
-  });
-  mMetrics.SampledGauge("log_lines_dropped", "Lines above the bounds.", [] {
-    return static_cast<double>(DroppedLogLines());
-  });
-  mState.Add("cell", [this] {
-    FindOwnerReply view;
-    view.mGeneration = mElection.KnownGeneration();
-    if (const auto at = mElection.OwnerAt()) {
-      view.mOwnerAt.push_back(*at);
-    }
-    return ToJson(view);
-  });
-}
-
 JobAnswer Scheduler::Refuse(const absl::Status& aStatus) const
 {
   const RefusalCause cause = absl::IsNotFound(aStatus)
@@ -338,7 +196,7 @@
   std::string_view kind = "unparsed";
   if (configuration) {
     const auto request = platform::ParseJobRequest(aRequest, *configuration);
-    kind = request.ok() ? Kind(*request) : kind;
+    kind = request.ok() ? KindOf(*request) : kind;
     answer = request.ok() ? mJobs.Answer(*request) : Refuse(request.status());
   }
   const Duration took = MonotonicNow() - begin;
--- /dev/null
+++ b/apps/scheduler/SchedulerPages.cpp
@@ -0,0 +1,117 @@
+#include "apps/scheduler/RequestText.h"
+#include "apps/scheduler/Scheduler.h"
+#include "src/core/cell/JobForward.h"
+#include "src/core/message/Codec.h"
+#include "src/net/TypedRpc.h"
+#include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
+
+namespace foxtailbarrow::scheduler {
+
+using namespace cell;
+
+void Scheduler::AddMethods()
+{
+  net::AddTyped<ReportRequest>(
+    mDispatcher, kReportMethod, [this](const ReportRequest& aRequest) {
+      if (const auto owner = mElection.Owner()) {
+        return owner->OnReport(aRequest);
+      }
+      ReportReply reply;
+      reply.mGeneration = mElection.KnownGeneration();
+      if (const auto at = mElection.OwnerAt(); at && *at != mSettings.mPeers) {
+        reply.mOwnerAt.push_back(*at);
+      }
+      return reply;
+    });
+  net::AddTyped<FindOwner>(
+    mDispatcher, kFindOwnerMethod, [this](const FindOwner&) {
+      FindOwnerReply reply;
+      reply.mGeneration = mElection.KnownGeneration();
+      if (const auto at = mElection.OwnerAt()) {
+        reply.mOwnerAt.push_back(*at);
+      }
+      return reply;
+    });
+  net::AddTyped<QueryJob>(
+    mDispatcher, kQueryJobMethod, [this](const QueryJob& aRequest) {
+      QueryJobReply reply;
+      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
+        reply.mOwner = true;
+        const auto phase = owner->Logic().PhaseOf(aRequest.mJob);
+        reply.mKnown = phase.has_value();
+        reply.mPhase = phase.value_or(JobPhase::Queued);
+      }
+      return reply;
+    });
+  net::AddTyped<QueryWaiting>(
+    mDispatcher, kQueryWaitingMethod, [this](const QueryWaiting& aRequest) {
+      QueryWaitingReply reply;
+      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
+        reply.mOwner = true;
+        reply.mWaiting = owner->Logic().WaitingJobs(aRequest.mQueue);
+      }
+      return reply;
+    });
+  net::AddTyped<ForwardedRequest>(
+    mDispatcher, kForwardMethod, [this](const ForwardedRequest& aRequest) {
+      const JobAnswer answer = mJobs.AnswerHere(FromForwarded(aRequest));
+      LogChange("forwarded-request",
+                { { "kind", ToString(aRequest.mKind) },
+                  { "job",
+                    aRequest.mGraph.empty() ? aRequest.mJob
+                                            : aRequest.mGraph.front().mId },
+                  { "outcome", OutcomeOf(answer) } });
+      return ToForwarded(answer);
+    });
+  net::AddTyped<RecordChanged>(
+    mDispatcher, kRecordChangedMethod, [this](const RecordChanged& aRequest) {
+      if (const auto owner = mElection.Owner()) {
+        owner->OnRecordChanged(aRequest.mJob);
+      }
+      return RecordChangedReply{};
+    });
+}
+
+void Scheduler::AddViews()
+{
+  AddProcessMetrics(mMetrics);
+  mMetrics.SampledGauge("cell_owner", "1 while this process owns it.", [this] {
+    return mElection.Owner() ? 1.0 : 0.0;
+  });
+  mMetrics.SampledGauge(
+    "cell_generation", "Newest known generation of the cell.", [this] {
+      return static_cast<double>(mElection.KnownGeneration());
+    });
+  const auto figure = [this](const char* aName,
+                             const char* aHelp,
+                             std::uint64_t OwnerFigures::*aFigure) {
+    mMetrics.SampledGauge(aName, aHelp, [this, aFigure] {
+      const auto owner = mElection.Owner();
+      return owner ? static_cast<double>(owner->Figures().*aFigure) : 0.0;
+    });
+  };
+  figure(
+    "owner_reports", "Reports taken in this term.", &OwnerFigures::mReports);
+  figure("owner_orders", "Orders sent in this term.", &OwnerFigures::mOrders);
+  figure("owner_starts", "Tasks started in this term.", &OwnerFigures::mStarts);
+  figure(
+    "owner_records", "Progress writes in this term.", &OwnerFigures::mRecords);
+  mMetrics.SampledGauge("jobs_known", "Jobs that the owner knows.", [this] {
+    const auto owner = mElection.Owner();
+    return owner ? static_cast<double>(owner->Logic().Jobs().size()) : 0.0;
+  });
+  mMetrics.SampledGauge("log_lines_dropped", "Lines above the bounds.", [] {
+    return static_cast<double>(DroppedLogLines());
+  });
+  mState.Add("cell", [this] {
+    FindOwnerReply view;
+    view.mGeneration = mElection.KnownGeneration();
+    if (const auto at = mElection.OwnerAt()) {
+      view.mOwnerAt.push_back(*at);
+    }
+    return ToJson(view);
+  });
+}
+
+} // namespace foxtailbarrow::scheduler
--- a/include/foxtailbarrow/Time.h
+++ b/include/foxtailbarrow/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace foxtailbarrow {
 
@@ -19,4 +20,13 @@
     std::chrono::steady_clock::now());
 }
 
+/// Time of day in milliseconds since 1970, as this machine has it. For shells
+/// only, as MonotonicNow(); it may jump.
+inline std::int64_t UnixMsNow()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace foxtailbarrow
--- /dev/null
+++ b/src/core/cell/CellSchedulerLearning.cpp
@@ -0,0 +1,66 @@
+#include <chrono>
+#include <cmath>
+#include <numeric>
+
+#include "src/core/cell/CellScheduler.h"
+
+namespace foxtailbarrow::cell {
+
+void CellScheduler::Learn(WorkerEntry& aWorker,
+                          const std::vector<RunningTask>& aRunning,
+                          const CellClock& aClock)
+{
+  if (aClock.mNow - aWorker.mObservedAt < mSettings.mObserveEvery) {
+    return;
+  }
+  aWorker.mObservedAt = aClock.mNow;
+  constexpr double kMillicores = 1000.0;
+  constexpr std::int32_t kAtWork = 100;
+  std::map<std::string, double> cores;
+  std::map<std::string, std::vector<double>> latencies;
+  for (const RunningTask& running : aRunning) {
+    const auto job = mJobs.find(running.mTask.mJob);
+    if (job == mJobs.end() || job->second.Find(running.mTask) == nullptr) {
+      continue;
+    }
+    const StepSpec& spec = job->second.Spec(running.mTask);
+    const auto figure = static_cast<double>(running.mFigure);
+    if (spec.mLeftover) {
+      cores[spec.mImage] += figure / kMillicores;
+    } else if (spec.mLatencyTarget > Duration::zero() &&
+               running.mPercent == kAtWork && running.mFigure > 0) {
+      const std::chrono::duration<double, std::milli> target =
+        spec.mLatencyTarget;
+      latencies[spec.mImage].push_back(std::log(figure / target.count()));
+    }
+  }
+  std::vector<ImageLoad> beside;
+  beside.reserve(cores.size());
+  for (const auto& [image, used] : cores) {
+    beside.push_back({ image, used });
+  }
+  for (const auto& [image, list] : latencies) {
+    const double sum = std::accumulate(list.begin(), list.end(), 0.0);
+    mInterference.Observe(
+      image, sum / static_cast<double>(list.size()), beside);
+  }
+}
+
+std::vector<Pressure> CellScheduler::PressuresOn(const AgentId& aAgent) const
+{
+  std::vector<Pressure> pressures;
+  const auto found = mWorkers.find(aAgent);
+  if (found == mWorkers.end()) {
+    return pressures;
+  }
+  const WorkerUse& use = found->second.mUse;
+  for (const auto& [serving, count] : use.mServing) {
+    for (const auto& [leftover, millicores] : use.mLeftoverOf) {
+      pressures.push_back(
+        { serving, leftover, mInterference.PerCore(serving, leftover) });
+    }
+  }
+  return pressures;
+}
+
+} // namespace foxtailbarrow::cell
