--- a/apps/agent/BackendProbe.h
+++ b/apps/agent/BackendProbe.h
@@ -5,9 +5,9 @@
 
 #include "apps/agent/AgentSettings.h"
 #include "src/net/FiberGroup.h"
-#include "src/net/Poke.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/HttpClient.h"
+#include "src/net/Poke.h"
 
 namespace foxtailbarrow {
 
--- a/apps/agent/ColocationControl.h
+++ b/apps/agent/ColocationControl.h
@@ -6,11 +6,11 @@
 
 #include <json/value.h>
 
-#include "src/net/FiberGroup.h"
-#include "src/net/Poke.h"
 #include "foxtailbarrow/Reason.h"
 #include "src/core/colocation/ColocationGuard.h"
 #include "src/core/colocation/LatencyRecorder.h"
+#include "src/net/FiberGroup.h"
+#include "src/net/Poke.h"
 #include "src/telemetry/Metrics.h"
 
 namespace foxtailbarrow {
--- a/apps/agent/HeartbeatSender.h
+++ b/apps/agent/HeartbeatSender.h
@@ -11,11 +11,11 @@
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
-#include "src/net/FiberGroup.h"
-#include "src/net/Poke.h"
 #include "foxtailbarrow/Messages.h"
 #include "src/core/membership/HeartbeatSchedule.h"
+#include "src/net/FiberGroup.h"
 #include "src/net/FiberRuntime.h"
+#include "src/net/Poke.h"
 #include "src/net/Rpc.h"
 #include "src/telemetry/Metrics.h"
 
--- a/apps/agent/TaskControl.h
+++ b/apps/agent/TaskControl.h
@@ -8,14 +8,14 @@
 #include <json/value.h>
 
 #include "apps/agent/AgentSettings.h"
-#include "src/net/FiberGroup.h"
-#include "src/net/Poke.h"
 #include "foxtailbarrow/Messages.h"
 #include "foxtailbarrow/Worker.h"
 #include "src/core/agent/CapacityLedger.h"
 #include "src/core/agent/TaskTable.h"
 #include "src/core/colocation/PlacementHistory.h"
+#include "src/net/FiberGroup.h"
 #include "src/net/FiberRuntime.h"
+#include "src/net/Poke.h"
 #include "src/telemetry/Metrics.h"
 
 namespace foxtailbarrow {
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -193,6 +193,10 @@
                const TaskRef& aTask,
                std::string_view aReason,
                const CellClock& aClock);
+  void StopGang(JobEntry& aJob,
+                const TaskRef& aMember,
+                RunNumber aRun,
+                const CellClock& aClock);
   void OrderStop(WorkerEntry& aWorker,
                  const TaskRef& aTask,
                  RunNumber aRun,
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -22,6 +22,16 @@
 /// on average.
 constexpr double kBegunShare = 0.5;
 
+/// All members of a gang resume from one checkpoint; that of any is valid.
+std::string GangCheckpoint(const std::vector<TaskEntry>& aMembers)
+{
+  const auto saved =
+    std::ranges::find_if(aMembers, [](const TaskEntry& aMember) {
+      return !aMember.mCheckpoint.empty();
+    });
+  return saved == aMembers.end() ? std::string() : saved->mCheckpoint;
+}
+
 Prospect ProspectOf(const JobEntry& aJob,
                     const OccurrenceEntry& aOccurrence,
                     bool aBegun,
@@ -296,14 +306,17 @@
 {
   const StepSpec& spec = aJob.Spec(aTask);
   const std::size_t step = static_cast<std::size_t>(aTask.mStep);
-  const TaskEntry& task =
+  const std::vector<TaskEntry>& tasks =
     aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
       .mSteps[step]
-      .mTasks[static_cast<std::size_t>(aTask.mIndex)];
+      .mTasks;
   return { .mTask = aTask,
            .mRun = aRun,
            .mPayload = aJob.Graph().mPayload,
-           .mCheckpoint = task.mCheckpoint,
+           .mCheckpoint =
+             spec.mGang
+               ? GangCheckpoint(tasks)
+               : tasks[static_cast<std::size_t>(aTask.mIndex)].mCheckpoint,
            .mLatencyTarget = spec.mLatencyTarget,
            .mLeftover = spec.mLeftover,
            .mImage = spec.mImage };
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -156,6 +156,7 @@
          result.mRun,
          ToString(result.mOutcome));
     RemoveRun(found->second, result.mTask, aAgent, result.mRun, aClock);
+    StopGang(found->second, result.mTask, result.mRun, aClock);
     task->mNotBefore = aClock.mNow + mSettings.mRefusalPause;
   }
 }
@@ -201,6 +202,26 @@
   OrderStop(mWorkers.at(aRun.mAgent), aTask, aRun.mNumber, aReason);
 }
 
+/// A member of a gang is not there: the others would wait for it in vain.
+void CellScheduler::StopGang(JobEntry& aJob,
+                             const TaskRef& aMember,
+                             RunNumber aRun,
+                             const CellClock& aClock)
+{
+  if (!aJob.Spec(aMember).mGang) {
+    return;
+  }
+  TaskRef member = aMember;
+  for (member.mIndex = 0; member.mIndex < aJob.Spec(aMember).mReplicas;
+       ++member.mIndex) {
+    for (TaskRun& run : aJob.Find(member)->mRuns) {
+      if (run.mNumber == aRun && run.mPhase != RunPhase::Stopping) {
+        StopRun(run, member, "gang-incomplete", aClock);
+      }
+    }
+  }
+}
+
 void CellScheduler::OrderStop(WorkerEntry& aWorker,
                               const TaskRef& aTask,
                               RunNumber aRun,
@@ -367,6 +388,7 @@
     }
     Tell("task-lost", task, aWorker.mId, number, "not-there");
     RemoveRun(job, task, aWorker.mId, number, aClock);
+    StopGang(job, task, number, aClock);
   }
 }
 
@@ -381,6 +403,7 @@
       mJobs.at(task.mJob).Find(task)->mWrittenOff.push_back(number);
     }
     RemoveRun(mJobs.at(task.mJob), task, aWorker.mId, number, aClock);
+    StopGang(mJobs.at(task.mJob), task, number, aClock);
   }
 }
 
