Slow leftover tasks down later

Change: lowered from 1.05 of the target to 0.85 (before: 0.95 to 0.8); the hard stops stay as they were.

--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -18,8 +18,8 @@
 {
   /// Share of its target that a serving task's tail latency is brought to, and
   /// the share above which it is.
-  double mAimedShare = 0.8;
-  double mPressedShare = 0.95;
+  double mAimedShare = 0.85;
+  double mPressedShare = 1.05;
   /// Over its target for so long, everything that may disturb a serving task
   /// stands still; after twice the time, every leftover task beside it. Figures
   /// are half a second late.
