Forget workers that have left; ask a worker which incarnation is there

Besides, a heartbeat that a cut held up could arrive after the next incarnation's and was taken for a newer worker. Change: agents report that their worker has left; the owner ends its runs at once and removes the record, conditional on the record's revision, as for every worker whose leases are over. A heartbeat of another incarnation is confirmed by a call to the worker.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -140,7 +140,7 @@
       expected.insert(id);
       Desk& desk = DeskOf(id, contact->mEndpoint);
       desk.mRecorded = true;
-      desk.mListed = true;
+      desk.mRecordRevision = entry.mModRevision;
     }
   }
   mLogic.ExpectAgents(
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -76,8 +76,11 @@
     Endpoint mEndpoint;
     Poke mPoke;
     Instant mHeardAt{};
-    bool mRecorded = false; ///< In the store, for the next owner.
-    bool mListed = false;   ///< Known from an earlier owner.
+    bool mWorkerGone = false; ///< By the agent's newest report.
+    bool mRecorded = false;   ///< In the store, for the next owner.
+    /// Of the agent's record. A removal depends on it, so that one which the
+    /// store carries out late removes no newer record.
+    Revision mRecordRevision = 0;
   };
 
   void Spawn(void (CellOwner::*aBody)());
@@ -94,7 +97,8 @@
   Desk& DeskOf(const AgentId& aAgent, const Endpoint& aEndpoint);
   bool Attached(const AgentId& aAgent) const;
   bool RecordAgent(const AgentId& aAgent, Desk& aDesk);
-  void ForgetAgent(const AgentId& aAgent);
+  void RemoveRecord(const AgentId& aAgent, Desk& aDesk);
+  void ForgetAgent(const AgentId& aAgent, Desk& aDesk);
   Duration AttachRound(const AgentId& aAgent, Desk& aDesk);
   Duration OrderRound(const AgentId& aAgent, Desk& aDesk);
   void Detach(const AgentId& aAgent);
--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -38,6 +38,7 @@
   reply.mGeneration = mTerm.OwnGeneration();
   Desk& desk = DeskOf(aReport.mAgent, aReport.mEndpoint);
   desk.mHeardAt = MonotonicNow();
+  desk.mWorkerGone = aReport.mState.mInfo.mGone;
   reply.mAttached = mLogic.TakeReport(aReport, Clock());
   if (!reply.mAttached) {
     if (Attached(aReport.mAgent)) {
@@ -90,7 +91,7 @@
 {
   while (!mEnded) {
     if (MonotonicNow() - aDesk.mHeardAt > kForgetAfter) {
-      ForgetAgent(aAgent);
+      ForgetAgent(aAgent, aDesk);
       return;
     }
     const Duration pause =
@@ -116,23 +117,48 @@
   const auto result = mParts.mStore.Commit(transaction);
   aDesk.mRecorded =
     result.ok() && result->mApplied && endpoint == aDesk.mEndpoint;
+  if (aDesk.mRecorded) {
+    aDesk.mRecordRevision = result->mRevision;
+  }
   return aDesk.mRecorded;
 }
 
-void CellOwner::ForgetAgent(const AgentId& aAgent)
+/// The next owner waits for every agent that has a record: without this, up to
+/// 5.95 s for one that has left.
+void CellOwner::RemoveRecord(const AgentId& aAgent, Desk& aDesk)
 {
-  LogChange("agent-forgotten", { { "agent", aAgent } });
+  if (!std::exchange(aDesk.mRecorded, false)) {
+    return;
+  }
   StoreTransaction transaction;
   transaction.mCompares.push_back(CellUnchanged());
+  transaction.mCompares.push_back({ AgentKey(aAgent), aDesk.mRecordRevision });
   transaction.mWrites.push_back({ AgentKey(aAgent), std::nullopt });
-  if (const auto result = mParts.mStore.Commit(transaction); !result.ok()) {
-    LogWarning("agent-record-kept", { { "agent", aAgent } });
-  }
+  const auto result = mParts.mStore.Commit(transaction);
+  LogChange("agent-record-removed",
+            { { "agent", aAgent },
+              { "revision", aDesk.mRecordRevision },
+              { "outcome",
+                !result.ok()       ? result.status().ToString()
+                : result->mApplied ? "ok"
+                                   : "changed" } });
+}
+
+void CellOwner::ForgetAgent(const AgentId& aAgent, Desk& aDesk)
+{
+  LogChange("agent-forgotten", { { "agent", aAgent } });
+  RemoveRecord(aAgent, aDesk);
   mDesks.erase(aAgent);
 }
 
 Duration CellOwner::AttachRound(const AgentId& aAgent, Desk& aDesk)
 {
+  if (mLogic.RunsNothing(aAgent)) {
+    RemoveRecord(aAgent, aDesk);
+    if (aDesk.mWorkerGone || MonotonicNow() - aDesk.mHeardAt > kSilentAfter) {
+      return kOrderWait; // Until its agent reports a worker.
+    }
+  }
   if (!RecordAgent(aAgent, aDesk)) {
     return kAttachRetry;
   }
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -133,12 +133,17 @@
 
 void TaskAgent::Take(const platform::WorkerHeartbeat& aHeartbeat)
 {
-  const bool same =
-    aHeartbeat.mInfo.mIncarnation == mWorker.Info().mIncarnation;
-  if (same && aHeartbeat.mSequence <= mHeartbeatSequence) {
-    return; // Overtaken by a newer one.
+  const WorkerIncarnation& incarnation = aHeartbeat.mInfo.mIncarnation;
+  const WorkerIncarnation before = mHeartbeats.Current();
+  const HeartbeatUse use = mHeartbeats.Judge(incarnation, aHeartbeat.mSequence);
+  if (use == HeartbeatUse::Ignore ||
+      (use == HeartbeatUse::Confirm && !mWorker.IsThere(incarnation))) {
+    return;
+  }
+  if (mHeartbeats.Current() != before) {
+    return; // Another one was confirmed meanwhile; the next heartbeat tells.
   }
-  mHeartbeatSequence = aHeartbeat.mSequence;
+  mHeartbeats.NoteTaken(incarnation, aHeartbeat.mSequence);
   if (mWorker.TakeInfo(aHeartbeat.mInfo)) {
     mOwner.Poked();
   }
@@ -146,13 +151,14 @@
 
 void TaskAgent::Take(const platform::WorkerGone& aGone)
 {
-  if (aGone.mIncarnation != mWorker.Info().mIncarnation) {
+  if (!mHeartbeats.NoteGone(aGone.mIncarnation)) {
     return;
   }
   LogChange("worker-gone", { { "incarnation", aGone.mIncarnation } });
   WorkerInfo info = mWorker.Info();
   info.mDraining = true;
   info.mDrainLeft = Duration::zero();
+  info.mGone = true;
   if (mWorker.TakeInfo(info)) {
     mOwner.Poked();
   }
--- a/apps/taskagent/TaskAgent.h
+++ b/apps/taskagent/TaskAgent.h
@@ -10,6 +10,7 @@
 #include "platform/KvStore.h"
 #include "platform/WorkerClient.h"
 #include "platform/WorkerHeartbeat.h"
+#include "src/core/cell/HeartbeatOrder.h"
 #include "src/net/FiberGroup.h"
 #include "src/net/HttpServer.h"
 #include "src/net/Rpc.h"
@@ -48,7 +49,7 @@
   Metrics mMetrics;
   StateDump mState;
   AdminPages mAdmin;
-  std::int64_t mHeartbeatSequence = 0;
+  cell::HeartbeatOrder mHeartbeats;
   std::unique_ptr<net::HttpServer> mWorkerServer;
   std::unique_ptr<net::HttpServer> mOwnerServer;
   std::unique_ptr<net::HttpServer> mAdminServer;
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -77,6 +77,19 @@
   return true;
 }
 
+bool WorkerControl::IsThere(const cell::WorkerIncarnation& aIncarnation)
+{
+  const auto there = mWorker.IsThere(aIncarnation, mFence, kLookTimeout);
+  LogChange("other-incarnation",
+            { { "incarnation", aIncarnation },
+              { "current", mInfo.mIncarnation },
+              { "outcome",
+                !there.ok() ? there.status().ToString()
+                : *there    ? "there"
+                            : "replaced" } });
+  return there.ok() && *there;
+}
+
 absl::StatusOr<cell::WorkerState> WorkerControl::Attach(cell::Session aSession)
 {
   if (mInfo.mIncarnation.Empty()) {
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -41,6 +41,10 @@
   bool TakeInfo(const cell::WorkerInfo& aInfo);
   const cell::WorkerInfo& Info() const { return mInfo; }
 
+  /// Asks the worker whether a heartbeat of another incarnation is of the one
+  /// that answers now; false also without an answer.
+  bool IsThere(const cell::WorkerIncarnation& aIncarnation);
+
   /// Ends all earlier sessions at the worker and returns what is there.
   absl::StatusOr<cell::WorkerState> Attach(cell::Session aSession);
 
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -82,7 +82,8 @@
                     const WorkerState& aState,
                     const CellClock& aClock);
 
-  /// False when the report belongs to no session in force.
+  /// False when the report belongs to no session in force, and when the worker
+  /// has left for good, which ends its session.
   bool TakeReport(const ReportRequest& aReport, const CellClock& aClock);
 
   /// The session broke; tasks may run until their leases are over.
@@ -93,6 +94,10 @@
                         const std::vector<StartResult>& aResults,
                         const CellClock& aClock);
 
+  /// True when nothing runs at the agent's worker and nothing will before the
+  /// agent attaches again: a next owner need not know of it.
+  bool RunsNothing(const AgentId& aAgent) const;
+
   /// Notes that the agent may hold leases until `aUntil`.
   void NoteGrant(const AgentId& aAgent, Instant aUntil);
 
@@ -224,6 +229,9 @@
              const std::vector<RunningTask>& aRunning,
              const CellClock& aClock);
   void LoseLapsedWorkers(const CellClock& aClock);
+  void TakeDeparture(const ReportRequest& aReport,
+                     bool aInSession,
+                     const CellClock& aClock);
   void TakeSilence(WorkerEntry& aWorker,
                    const ReportRequest& aReport,
                    const CellClock& aClock);
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -60,8 +60,14 @@
                                const CellClock& aClock)
 {
   const auto found = mWorkers.find(aReport.mAgent);
-  if (found == mWorkers.end() || found->second.mLink != WorkerLink::Attached ||
-      found->second.mSession != aReport.mSession) {
+  const bool inSession = found != mWorkers.end() &&
+                         found->second.mLink == WorkerLink::Attached &&
+                         found->second.mSession == aReport.mSession;
+  if (aReport.mState.mInfo.mGone) {
+    TakeDeparture(aReport, inSession, aClock);
+    return false;
+  }
+  if (!inSession) {
     return false;
   }
   WorkerEntry& worker = found->second;
@@ -81,6 +87,40 @@
   return true;
 }
 
+/// Its last ends count; what else it ran is over, without a wait for leases.
+void CellScheduler::TakeDeparture(const ReportRequest& aReport,
+                                  bool aInSession,
+                                  const CellClock& aClock)
+{
+  const auto [entry, first] = mWorkers.try_emplace(aReport.mAgent);
+  WorkerEntry& worker = entry->second;
+  const bool overtaken = aInSession
+                           ? aReport.mSequence <= worker.mLastSequence
+                           : !first && (worker.mLink == WorkerLink::Attached ||
+                                        worker.mInfo.mIncarnation !=
+                                          aReport.mState.mInfo.mIncarnation);
+  if (overtaken || worker.mLink == WorkerLink::Lost) {
+    return;
+  }
+  worker.mId = aReport.mAgent;
+  worker.mEndpoint = aReport.mEndpoint;
+  mExpected.erase(aReport.mAgent);
+  if (aInSession) {
+    TakeInfo(worker, aReport.mState.mInfo, aClock);
+    TakeEnds(worker, aReport.mState.mEnded, aClock);
+  }
+  Tell("worker-lost", {}, worker.mId, worker.mSession, "left");
+  LoseRuns(worker, "worker-left", aClock);
+  worker.mLink = WorkerLink::Lost;
+  mOrders.erase(worker.mId);
+}
+
+bool CellScheduler::RunsNothing(const AgentId& aAgent) const
+{
+  const auto found = mWorkers.find(aAgent);
+  return found != mWorkers.end() && found->second.mLink == WorkerLink::Lost;
+}
+
 /// A worker that does not answer its agent keeps what it runs until its leases
 /// are over.
 void CellScheduler::TakeSilence(WorkerEntry& aWorker,
--- a/src/core/cell/TaskWorker.h
+++ b/src/core/cell/TaskWorker.h
@@ -81,6 +81,12 @@
   /// Orders are meant for this incarnation alone.
   virtual void Expect(const WorkerIncarnation& aIncarnation) = 0;
 
+  /// Whether this incarnation answers at the worker's address now, whatever
+  /// Expect() named. Changes nothing there but the highest fence seen.
+  virtual absl::StatusOr<bool> IsThere(const WorkerIncarnation& aIncarnation,
+                                       Fence aFence,
+                                       Duration aTimeout) = 0;
+
   virtual absl::StatusOr<StartReply> Start(const StartCall& aCall,
                                            Duration aTimeout) = 0;
   virtual absl::Status Stop(const StopCall& aCall, Duration aTimeout) = 0;
--- a/src/core/cell/WorkerState.h
+++ b/src/core/cell/WorkerState.h
@@ -27,6 +27,8 @@
   Resources mCapacity;
   bool mDraining = false;
   Duration mDrainLeft{}; ///< Least time until it leaves, while draining.
+  /// It has left: nothing of this incarnation runs or ever will.
+  bool mGone = false;
 
   bool operator==(const WorkerInfo&) const = default;
 };
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -133,6 +133,7 @@
   aVisitor.Optional("capacity", aMessage.mCapacity);
   aVisitor.Optional("draining", aMessage.mDraining);
   aVisitor.Optional("drainLeftUs", aMessage.mDrainLeft);
+  aVisitor.Optional("gone", aMessage.mGone);
 }
 
 template<typename Visitor, Is<cell::RunningTask> Message>
--- /dev/null
+++ b/tests/cell/WorkerLeaveTest.cpp
@@ -0,0 +1,96 @@
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+const TaskRef kFirst{ JobId("job"), 0, 0, 0 };
+const AgentId kAgent("a");
+
+/// A worker that has said good-bye: nothing of this incarnation runs.
+class WorkerLeaveTest : public CellFixture
+{
+protected:
+  static WorkerState Gone(std::vector<EndedTask> aEnded = {})
+  {
+    WorkerState state = State("a-life", {}, std::move(aEnded));
+    state.mInfo.mDraining = true;
+    state.mInfo.mGone = true;
+    return state;
+  }
+
+  /// From an agent without a session.
+  void ReportUnattached(const WorkerState& aState)
+  {
+    ReportRequest report;
+    report.mAgent = kAgent;
+    report.mState = aState;
+    EXPECT_FALSE(mScheduler.TakeReport(report, Clock()));
+  }
+};
+
+TEST_F(WorkerLeaveTest, ItsTasksStartElsewhereAtOnce)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  Started("a", Orders("a"));
+  AttachAndGrant("b");
+  Report("a", Gone());
+  EXPECT_EQ(Orders("b").mStarts.size(), 1U);
+}
+
+TEST_F(WorkerLeaveTest, ItsLastEndsCount)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  AttachAndGrant("b");
+  Report("a", Gone({ Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
+}
+
+TEST_F(WorkerLeaveTest, ANextOwnerDoesNotWaitForIt)
+{
+  mScheduler.ExpectAgents({ kAgent }, mNow + seconds(6));
+  AddInherited(Graph("job", { Step(1) }));
+  AttachAndGrant("b");
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  ReportUnattached(Gone());
+  EXPECT_EQ(Orders("b").mStarts.size(), 1U);
+}
+
+TEST_F(WorkerLeaveTest, NothingIsPlacedOnItUntilItsAgentAttachesAgain)
+{
+  AttachAndGrant("a");
+  Report("a", Gone());
+  AddRecorded(Graph("job", { Step(1) }));
+  EXPECT_FALSE(Report("a", State("next-life")));
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Attach("a", State("next-life"));
+  Grant("a");
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+TEST_F(WorkerLeaveTest, ARecordIsNeededWhileSomethingMayRun)
+{
+  EXPECT_FALSE(mScheduler.RunsNothing(kAgent)); // Not heard of yet.
+  AttachAndGrant("a");
+  EXPECT_FALSE(mScheduler.RunsNothing(kAgent));
+  mScheduler.DetachWorker(kAgent, Clock());
+  mScheduler.Schedule(Clock());
+  EXPECT_FALSE(mScheduler.RunsNothing(kAgent)); // Its leases last.
+  Pass(mSettings.mHold + mSettings.mLeaseMargin + milliseconds(1));
+  mScheduler.Schedule(Clock());
+  EXPECT_TRUE(mScheduler.RunsNothing(kAgent));
+  AttachAndGrant("a");
+  EXPECT_FALSE(mScheduler.RunsNothing(kAgent));
+  Report("a", Gone());
+  EXPECT_TRUE(mScheduler.RunsNothing(kAgent));
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
