Judge a run as not there by the orders that a report covers, not by its age

Cause: a report that missed a run was believed 1.2 s after the run was ordered. Change: orders are numbered within a session, a report says up to which number they were carried out before its state was taken, and only what is covered can be missing.

--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -88,6 +88,7 @@
   report.mEndpoint = mSettings.mListen;
   report.mSession = session;
   report.mSequence = ++mSequence;
+  report.mOrdersDone = snapshot.mOrdersDone;
   report.mState = std::move(snapshot.mState);
   report.mWorkerAnswers = snapshot.mAnswers;
   report.mLeaseLeft = snapshot.mLeaseLeft;
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -1,5 +1,6 @@
 #include "apps/taskagent/WorkerControl.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -99,6 +100,7 @@
     return absl::FailedPreconditionError("an older session");
   }
   mSession = aSession;
+  mOrdersDone = 0;
   mFence = aSession;
   const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
   if (!Settle(aSession) || incarnation != mInfo.mIncarnation) {
@@ -152,6 +154,9 @@
     call.join();
   }
   reply.mAccepted = settled && InForce(aOrders);
+  if (reply.mAccepted) {
+    mOrdersDone = std::max(mOrdersDone, aOrders.mNumber);
+  }
   return reply;
 }
 
@@ -318,6 +323,7 @@
   snapshot.mState.mRunning = mBook.Running();
   snapshot.mState.mEnded = mBook.Ended();
   snapshot.mAnswers = mAnswers;
+  snapshot.mOrdersDone = mOrdersDone;
   snapshot.mLeaseLeft = mLease.LeaseLeft(MonotonicNow());
   return snapshot;
 }
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -24,6 +24,7 @@
   cell::WorkerState mState;
   bool mAnswers = false;
   Duration mLeaseLeft{};
+  std::int64_t mOrdersDone = 0; ///< Of the session in force.
 };
 
 /// Gives the orders of the cell's owner to the worker, and looks at it.
@@ -91,6 +92,7 @@
   cell::LeaseGrant mLease;
   cell::PaceGovernor mGovernor;
   cell::Session mSession = 0;
+  std::int64_t mOrdersDone = 0; ///< Number of the newest of this session.
   cell::Fence mFence = 0;
   Instant mAnsweredAt{};
   bool mAnswers = false;
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -86,6 +86,7 @@
 struct OrderRequest
 {
   Session mSession = 0;
+  std::int64_t mNumber = 0;       ///< Rises by one within a session, from 1.
   WorkerIncarnation mIncarnation; ///< The orders are for this one alone.
   std::vector<StartOrder> mStarts;
   std::vector<StopOrder> mStops;
@@ -105,6 +106,9 @@
   Endpoint mEndpoint;
   Session mSession = 0;       ///< 0 = asks to be attached.
   std::int64_t mSequence = 0; ///< Rises within a session.
+  /// Orders of the session up to this number were carried out before the state
+  /// was taken: what they started and the state does not show is not there.
+  std::int64_t mOrdersDone = 0;
   WorkerState mState;
   /// The worker has answered lately. While it does not, its leases are not
   /// extended.
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -220,7 +220,7 @@
              const CellClock& aClock);
   void DropAbsentRuns(WorkerEntry& aWorker,
                       const std::vector<RunningTask>& aRunning,
-                      Duration aYoungest,
+                      std::int64_t aOrdersDone,
                       const CellClock& aClock);
   void LoseRuns(WorkerEntry& aWorker,
                 std::string_view aReason,
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -292,10 +292,14 @@
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
     aClock.mNow - aJob.mAcceptedAt);
   Tell("task-start", aTask, *agent, aRun, "room", waited.count());
+  WorkerEntry& worker = mWorkers.at(*agent);
   AddRun(aJob,
          aTask,
-         mWorkers.at(*agent),
-         { .mAgent = *agent, .mNumber = aRun, .mOrderedAt = aClock.mNow });
+         worker,
+         { .mAgent = *agent,
+           .mNumber = aRun,
+           .mOrderedAt = aClock.mNow,
+           .mOrderNumber = worker.mLastOrder + 1 });
   mOrders[*agent].mStarts.push_back(OrderFor(aJob, aTask, aRun));
   return true;
 }
@@ -343,6 +347,7 @@
   }
   if (const auto worker = mWorkers.find(aAgent); worker != mWorkers.end()) {
     orders.mSession = worker->second.mSession;
+    orders.mNumber = ++worker->second.mLastOrder;
     orders.mIncarnation = worker->second.mInfo.mIncarnation;
   }
   return orders;
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
-#include <cmath>
-#include <numeric>
+#include <limits>
 #include <utility>
 
 #include "src/core/cell/CellScheduler.h"
@@ -9,15 +8,13 @@
 
 namespace {
 
-/// A report may be older than the newest orders: a run that started less than
-/// this ago may be missing from it. Longer than two looks of an agent at its
-/// worker.
-constexpr Duration kReportLag = std::chrono::milliseconds(1200);
-
 /// A task that runs on so long after its stop was ordered is stopped again.
 /// Above the platform's longest stop.
 constexpr Duration kStopAgain = std::chrono::milliseconds(800);
 
+/// A state that is newer than every order.
+constexpr std::int64_t kAllOrders = std::numeric_limits<std::int64_t>::max();
+
 } // namespace
 
 void CellScheduler::ExpectAgents(const std::set<AgentId>& aAgents,
@@ -39,6 +36,7 @@
   worker.mLink = WorkerLink::Attached;
   worker.mSession = aSession;
   worker.mLastSequence = 0;
+  worker.mLastOrder = 0;
   worker.mForeign.clear();
   worker.mAnswers = true;
   // Until the first report, leases are those that an earlier owner granted.
@@ -50,7 +48,10 @@
   TakeEnds(worker, aState.mEnded, aClock);
   TakeRunning(worker, aState.mRunning, aClock);
   // Orders of earlier sessions are dead, so that what is not there never comes.
-  DropAbsentRuns(worker, aState.mRunning, Duration::zero(), aClock);
+  DropAbsentRuns(worker, aState.mRunning, kAllOrders, aClock);
+  for (const auto& [task, number] : worker.mRuns) {
+    mJobs.at(task.mJob).Find(task)->FindRun(aAgent, number)->mOrderNumber = 0;
+  }
   if (!aState.mInfo.mIncarnation.Empty()) {
     mExpected.erase(aAgent);
   }
@@ -82,7 +83,7 @@
   }
   TakeEnds(worker, aReport.mState.mEnded, aClock);
   TakeRunning(worker, aReport.mState.mRunning, aClock);
-  DropAbsentRuns(worker, aReport.mState.mRunning, kReportLag, aClock);
+  DropAbsentRuns(worker, aReport.mState.mRunning, aReport.mOrdersDone, aClock);
   Learn(worker, aReport.mState.mRunning, aClock);
   return true;
 }
@@ -410,7 +411,7 @@
 
 void CellScheduler::DropAbsentRuns(WorkerEntry& aWorker,
                                    const std::vector<RunningTask>& aRunning,
-                                   Duration aYoungest,
+                                   std::int64_t aOrdersDone,
                                    const CellClock& aClock)
 {
   std::set<std::pair<TaskRef, RunNumber>> present;
@@ -421,9 +422,12 @@
   for (const auto& [task, number] : runs) {
     JobEntry& job = mJobs.at(task.mJob);
     const TaskRun* run = job.Find(task)->FindRun(aWorker.mId, number);
-    const bool open = run->mPhase == RunPhase::Ordered && aYoungest.count() > 0;
-    if (present.contains({ task, number }) || open ||
-        aClock.mNow - run->mOrderedAt < aYoungest) {
+    // A report may be older than the orders that started the run; one whose
+    // orders are not answered yet is judged by the answer.
+    const bool open =
+      run->mOrderNumber > aOrdersDone ||
+      (run->mPhase == RunPhase::Ordered && aOrdersDone != kAllOrders);
+    if (open || present.contains({ task, number })) {
       continue;
     }
     Tell("task-lost", task, aWorker.mId, number, "not-there");
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -25,6 +25,9 @@
   RunNumber mNumber = 0;
   RunPhase mPhase = RunPhase::Ordered;
   Instant mOrderedAt{};
+  /// Of the orders that started it in the session in force; 0 = it was there
+  /// when the session began.
+  std::int64_t mOrderNumber = 0;
   Instant mRunningSince{};
   std::int32_t mPercent = 0;
   Instant mPercentChangedAt{};
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -38,6 +38,7 @@
   WorkerLink mLink = WorkerLink::Detached;
   Session mSession = 0;
   std::int64_t mLastSequence = 0;
+  std::int64_t mLastOrder = 0; ///< Number of the newest orders of the session.
   WorkerInfo mInfo;
   WorkerUse mUse;
   std::map<TaskRef, RunNumber> mRuns;
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -220,6 +220,7 @@
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("session", aMessage.mSession);
+  aVisitor.Required("number", aMessage.mNumber);
   aVisitor.Optional("incarnation", aMessage.mIncarnation);
   aVisitor.Optional("starts", aMessage.mStarts);
   aVisitor.Optional("stops", aMessage.mStops);
@@ -240,6 +241,7 @@
   aVisitor.Required("endpoint", aMessage.mEndpoint);
   aVisitor.Required("session", aMessage.mSession);
   aVisitor.Required("sequence", aMessage.mSequence);
+  aVisitor.Optional("ordersDone", aMessage.mOrdersDone);
   aVisitor.Optional("state", aMessage.mState);
   aVisitor.Optional("workerAnswers", aMessage.mWorkerAnswers);
   aVisitor.Optional("leaseLeftUs", aMessage.mLeaseLeft);
--- a/tests/cell/CellFixture.h
+++ b/tests/cell/CellFixture.h
@@ -14,6 +14,7 @@
 using std::chrono::seconds;
 
 inline constexpr Generation kGeneration = 3;
+inline constexpr std::int64_t kManyOrders = 1'000'000;
 inline constexpr RunNumber kEarlierRun = (RunNumber{ 2 } << 20) + 1;
 
 /// A scheduler with helpers that play the store and the agents.
@@ -118,13 +119,17 @@
     Grant(aAgent);
   }
 
-  bool Report(const std::string& aAgent, const WorkerState& aState)
+  /// By default after all orders were carried out.
+  bool Report(const std::string& aAgent,
+              const WorkerState& aState,
+              std::int64_t aOrdersDone = kManyOrders)
   {
     const auto& worker = mScheduler.Workers().at(AgentId(aAgent));
     ReportRequest report;
     report.mAgent = AgentId(aAgent);
     report.mSession = worker.mSession;
     report.mSequence = worker.mLastSequence + 1;
+    report.mOrdersDone = aOrdersDone;
     report.mState = aState;
     return mScheduler.TakeReport(report, Clock());
   }
