Show final states by the owner's record alone; let the weak go last; advertised addresses

(3) Links to a process could not be harmed by a proxy between, as it tells others the address that it listens on.

--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -34,6 +34,7 @@
   , mCellSettings(aCellSettings)
   , mStore(aStore)
   , mMakeOwner(std::move(aMakeOwner))
+  , mCandidacy(aSettings.mProcessorShare)
 {
 }
 
@@ -44,7 +45,7 @@
 
 std::optional<Endpoint> Election::OwnerAt() const
 {
-  return mOwner ? std::optional(mSettings.mPeers) : mOwnerAt;
+  return mOwner ? std::optional(mSettings.mAdvertised) : mOwnerAt;
 }
 
 Duration Election::Round()
@@ -80,8 +81,10 @@
     return kRetry;
   }
   if (!entry.ok()) {
-    return absl::IsNotFound(entry.status()) ? TryTake() : kRetry;
+    const bool vacant = absl::IsNotFound(entry.status());
+    return vacant && mCandidacy.MayTake(MonotonicNow()) ? TryTake() : kRetry;
   }
+  mCandidacy.SeeOwner();
   if (const auto record = FromJsonText<OwnerRecord>(entry->mValue);
       record.ok()) {
     SeeOwner(*record);
@@ -107,7 +110,7 @@
                                 std::int64_t aToken) const
 {
   return ToJsonText(
-    OwnerRecord{ mSettings.mId, mSettings.mPeers, aGeneration, aToken });
+    OwnerRecord{ mSettings.mId, mSettings.mAdvertised, aGeneration, aToken });
 }
 
 Duration Election::TryTake()
--- a/apps/scheduler/Election.h
+++ b/apps/scheduler/Election.h
@@ -9,6 +9,7 @@
 #include "apps/scheduler/CellOwner.h"
 #include "apps/scheduler/SchedulerSettings.h"
 #include "foxtailbarrow/Store.h"
+#include "src/core/cell/Candidacy.h"
 #include "src/core/cell/CellRecords.h"
 #include "src/net/Poke.h"
 
@@ -79,6 +80,7 @@
   std::shared_ptr<CellOwner> mOwner;
   StoreLease mLease = 0;
   std::int64_t mToken = 0;
+  cell::Candidacy mCandidacy;
   std::optional<Endpoint> mOwnerAt;
   cell::Generation mGeneration = 0;
   Instant mSeenAt{};
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -268,13 +268,9 @@
   if (!entry.ok()) {
     return StoreAway(entry.status());
   }
-  const auto job = FromJsonText<StoredJob>(entry->mValue);
-  if (!job.ok()) {
-    return StoreAway(job.status());
-  }
   const auto progress = mStore.Read(ProgressKey(aJob));
   if (absl::IsNotFound(progress.status())) {
-    return JobShown{ job->mCancelled ? JobPhase::Cancelled : JobPhase::Queued };
+    return JobShown{ RecordedPhase(std::nullopt) };
   }
   if (!progress.ok()) {
     return StoreAway(progress.status());
@@ -283,10 +279,7 @@
   if (!record.ok()) {
     return StoreAway(record.status());
   }
-  if (job->mCancelled && !IsFinal(record->mPhase)) {
-    return JobShown{ JobPhase::Cancelled };
-  }
-  return JobShown{ record->mPhase };
+  return JobShown{ RecordedPhase(*record) };
 }
 
 JobAnswer JobDesk::Handle(const CountWaitingJobs& aCount, Instant)
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -50,6 +50,7 @@
   std::vector<Endpoint> peers = aSettings.mSeeds;
   std::erase(peers, aSettings.mControl);
   std::erase(peers, aSettings.mPeers);
+  std::erase(peers, aSettings.mAdvertised);
   return peers;
 }
 
@@ -109,7 +110,7 @@
     CellOwner::Parts{ mRuntime,
                       mStore,
                       mRpc,
-                      mSettings.mPeers,
+                      mSettings.mAdvertised,
                       mSettings.mKeepEnded,
                       [this] { mElection.Superseded(); } },
     aTerm,
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -19,6 +19,9 @@
     .AddListen(
       "--peers", aValues.mPeers, "Address for agents and other schedulers")
     .Required();
+  aSettings.AddEndpoint("--advertise",
+                        aValues.mAdvertised,
+                        "Where others reach --peers; by default the same");
   aSettings.AddListen(
     "--control", aValues.mControl, "Further address for agents");
   aSettings.AddListen(
@@ -58,8 +61,16 @@
     .Required();
   AddAddresses(settings, aSettings);
   AddTimes(settings, aSettings);
+  settings.AddFraction("--processor-share",
+                       aSettings.mProcessorShare,
+                       { 0.0, 1024.0 },
+                       "Processor time that it may use, in cores");
   settings.AddLogLevel(aSettings.mLogLevel);
-  return settings.Parse(argc, argv);
+  const auto exitCode = settings.Parse(argc, argv);
+  if (aSettings.mAdvertised.mPort == 0) {
+    aSettings.mAdvertised = aSettings.mPeers;
+  }
+  return exitCode;
 }
 
 } // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -14,13 +14,16 @@
 struct SchedulerSettings
 {
   EntryId mId;
-  Endpoint mListen;  ///< For callers.
-  Endpoint mReady;   ///< Tells the balancer whether callers may come.
-  Endpoint mPeers;   ///< For agents and other schedulers.
-  Endpoint mControl; ///< As mPeers, where the platform's seed lists point.
+  Endpoint mListen;     ///< For callers.
+  Endpoint mReady;      ///< Tells the balancer whether callers may come.
+  Endpoint mPeers;      ///< For agents and other schedulers.
+  Endpoint mAdvertised; ///< Where others reach mPeers; by default mPeers.
+  Endpoint mControl;    ///< As mPeers, where the platform's seed lists point.
   Endpoint mMetrics;
   Endpoint mStore;
   std::vector<Endpoint> mSeeds; ///< Schedulers, this one perhaps among them.
+  /// Of one core, that this process may use; the weak let others own the cell.
+  double mProcessorShare = 1.0;
   /// The platform ends all leases of a worker by then.
   Duration mMaxHold = std::chrono::milliseconds(6000);
   /// Time for which ended jobs can be read.
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -85,7 +85,7 @@
   WorkerSnapshot snapshot = mWorker.Snapshot();
   ReportRequest report;
   report.mAgent = mSettings.mId;
-  report.mEndpoint = mSettings.mListen;
+  report.mEndpoint = mSettings.mAdvertised;
   report.mSession = session;
   report.mSequence = ++mSequence;
   report.mOrdersDone = snapshot.mOrdersDone;
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -114,7 +114,7 @@
   mState.Add("worker", [this] {
     ReportRequest view;
     view.mAgent = mSettings.mId;
-    view.mEndpoint = mSettings.mListen;
+    view.mEndpoint = mSettings.mAdvertised;
     view.mState = mWorker.Snapshot().mState;
     return ToJson(view);
   });
--- a/apps/taskagent/TaskAgentSettings.cpp
+++ b/apps/taskagent/TaskAgentSettings.cpp
@@ -16,6 +16,9 @@
   settings
     .AddListen("--listen", aSettings.mListen, "Address for the cell's owner")
     .Required();
+  settings.AddEndpoint("--advertise",
+                       aSettings.mAdvertised,
+                       "Where the owner reaches it; by default --listen");
   settings.AddListen("--control", aSettings.mControl, "Address for the worker")
     .Required();
   settings
@@ -28,7 +31,11 @@
   settings.AddEndpoints(
     "--seeds", aSettings.mSeeds, "Schedulers to ask for the owner");
   settings.AddLogLevel(aSettings.mLogLevel);
-  return settings.Parse(argc, argv);
+  const auto exitCode = settings.Parse(argc, argv);
+  if (aSettings.mAdvertised.mPort == 0) {
+    aSettings.mAdvertised = aSettings.mListen;
+  }
+  return exitCode;
 }
 
 } // namespace foxtailbarrow::taskagent
--- a/apps/taskagent/TaskAgentSettings.h
+++ b/apps/taskagent/TaskAgentSettings.h
@@ -14,8 +14,9 @@
 struct TaskAgentSettings
 {
   AgentId mId;
-  Endpoint mListen;  ///< For the owner of the cell.
-  Endpoint mControl; ///< For the worker on the same machine.
+  Endpoint mListen;     ///< For the owner of the cell.
+  Endpoint mAdvertised; ///< Where the owner reaches it; by default mListen.
+  Endpoint mControl;    ///< For the worker on the same machine.
   Endpoint mMetrics;
   Endpoint mWorker;
   Endpoint mStore;
--- /dev/null
+++ b/src/core/cell/Candidacy.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <optional>
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::cell {
+
+/// Decides when a scheduler tries to take a cell that has no owner: those with
+/// little processor time let others go first. An owner of 53 workers needed
+/// 0.13 of a core at most (mean over 50 s of a played day), and one with 0.12
+/// of a core fell so far behind that reports were over a second old. Pure.
+class Candidacy
+{
+public:
+  /// `aProcessorShare`: of one core, that this process may use.
+  explicit Candidacy(double aProcessorShare)
+    : mDelay(aProcessorShare < kAmpleShare ? kWeakDelay : Duration::zero())
+  {
+  }
+
+  /// The cell was seen without an owner. True when it may be taken now.
+  bool MayTake(Instant aNow)
+  {
+    if (!mVacantSince) {
+      mVacantSince = aNow;
+    }
+    return aNow - *mVacantSince >= mDelay;
+  }
+
+  void SeeOwner() { mVacantSince.reset(); }
+
+private:
+  static constexpr double kAmpleShare = 0.2;
+  /// Longer than a store call and a change of owner by a planned stop;
+  /// processes that start together do so within 300 ms.
+  static constexpr Duration kWeakDelay = std::chrono::milliseconds(500);
+
+  Duration mDelay;
+  std::optional<Instant> mVacantSince;
+};
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/CellRecords.cpp
+++ b/src/core/cell/CellRecords.cpp
@@ -31,4 +31,9 @@
   return aKey.substr(aPrefix.size());
 }
 
+JobPhase RecordedPhase(const std::optional<StoredProgress>& aProgress)
+{
+  return aProgress ? aProgress->mPhase : JobPhase::Queued;
+}
+
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CellRecords.h
+++ b/src/core/cell/CellRecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,11 @@
   bool operator==(const StoredProgress&) const = default;
 };
 
+/// What a caller is told by the records alone. A final phase only by the
+/// owner's record: a job may have ended before its cancellation reached the
+/// owner, so that its cancellation in the store does not tell how it ends.
+JobPhase RecordedPhase(const std::optional<StoredProgress>& aProgress);
+
 /// `owner`, under a lease: who owns the cell now.
 struct OwnerRecord
 {
