--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -161,6 +161,19 @@
   }
 }
 
+std::optional<JobPhase> CellOwner::PhaseNow(const JobId& aJob) const
+{
+  const auto phase = mLogic.PhaseOf(aJob);
+  const bool certain =
+    mTerm.IsSole(MonotonicNow()) || (phase && IsFinal(*phase));
+  return certain ? phase : std::nullopt;
+}
+
+std::optional<JobPhase> CellOwner::LastKnownPhase(const JobId& aJob) const
+{
+  return Current() ? mLogic.PhaseOf(aJob) : std::nullopt;
+}
+
 void CellOwner::SetQueues(const std::vector<QueuePolicy>& aQueues)
 {
   mLogic.SetQueues(aQueues);
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -59,11 +60,19 @@
     return mTerm.GrantAt(MonotonicNow()) > Duration::zero();
   }
 
+  /// What a caller is told of the job, as long as no other owner can know better:
+  /// an end that is recorded stands for good.
+  std::optional<cell::JobPhase> PhaseNow(const JobId& aJob) const;
+  /// The same when nobody can be asked who may know better.
+  std::optional<cell::JobPhase> LastKnownPhase(const JobId& aJob) const;
+
   cell::ReportReply OnReport(const cell::ReportRequest& aReport);
   void OnRecordChanged(const cell::StoredJob& aJob);
   void SetQueues(const std::vector<cell::QueuePolicy>& aQueues);
   /// The store has shown the cell's record unchanged.
   void Confirm(Instant aSentAt) { mTerm.Confirm(aSentAt); }
+  /// The owner's key lasts for `aTtl` from the sending of a call.
+  void KeepKey(Instant aSentAt, Duration aTtl) { mTerm.KeepKey(aSentAt, aTtl); }
 
   const cell::OwnerTerm& Term() const { return mTerm; }
   const cell::CellScheduler& Logic() const { return mLogic; }
--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -65,6 +65,11 @@
                { { "jobs", batch.size() },
                  { "verdict", ToString(VerdictOf(result.status())) },
                  { "error", result.status().ToString() } });
+    if (VerdictOf(result.status()) != Verdict::NotRun) {
+      for (const UnrecordedProgress& job : batch) {
+        mLogic.NoteRecordInDoubt(job.mJob);
+      }
+    }
     return false;
   }
   if (!result->mApplied) {
--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -135,6 +135,7 @@
   record.mScheduler = mSettings.mId;
   record.mToken =
     std::uniform_int_distribution<std::int64_t>(1, kMaxToken)(mRandom);
+  const Instant leaseSentAt = MonotonicNow();
   const auto lease = mStore.GrantLease(kOwnerTtl);
   if (!lease.ok() || mResigned) {
     return kRetry;
@@ -148,7 +149,9 @@
   if (!*won) {
     return Duration(1); // Another scheduler was faster.
   }
-  Begin(record, **won, *lease, sentAt);
+  OwnerTerm term(record.mGeneration, **won, sentAt, mCellSettings);
+  term.KeepKey(leaseSentAt, kOwnerTtl);
+  Begin(record, term, *lease);
   return kKeepInterval;
 }
 
@@ -192,18 +195,17 @@
 }
 
 void Election::Begin(const CellRecord& aRecord,
-                     Revision aCellRevision,
-                     StoreLease aLease,
-                     Instant aSentAt)
+                     const OwnerTerm& aTerm,
+                     StoreLease aLease)
 {
   mLease = aLease;
   mToken = aRecord.mToken;
   mGeneration = aRecord.mGeneration;
   mSeenAt = MonotonicNow();
   LogChange("election-won",
-            { { "generation", mGeneration }, { "revision", aCellRevision } });
-  mOwner = mMakeOwner(
-    OwnerTerm(aRecord.mGeneration, aCellRevision, aSentAt, mCellSettings));
+            { { "generation", mGeneration },
+              { "revision", aTerm.CellRevision() } });
+  mOwner = mMakeOwner(aTerm);
   if (const absl::Status status = mOwner->Load(); !status.ok()) {
     LogWarning("cell-load-failed", { { "error", status.ToString() } });
     Superseded();
@@ -237,7 +239,12 @@
 
 void Election::KeepLease()
 {
+  const std::shared_ptr<CellOwner> owner = mOwner;
+  const Instant sentAt = MonotonicNow();
   const auto ttl = mStore.KeepAlive(mLease);
+  if (ttl.ok()) {
+    owner->KeepKey(sentAt, kOwnerTtl);
+  }
   if (!ttl.ok() && absl::IsNotFound(ttl.status()) && mOwner) {
     RestoreOwnerKey();
   }
@@ -248,6 +255,7 @@
 void Election::RestoreOwnerKey()
 {
   const std::shared_ptr<CellOwner> owner = mOwner;
+  const Instant sentAt = MonotonicNow();
   const auto lease = mStore.GrantLease(kOwnerTtl);
   if (!lease.ok() || owner != mOwner) {
     return;
@@ -262,6 +270,7 @@
   const auto result = mStore.Commit(transaction);
   if (result.ok() && result->mApplied) {
     mLease = *lease;
+    owner->KeepKey(sentAt, kOwnerTtl);
     LogChange("owner-key-restored", { { "generation", mGeneration } });
   }
 }
--- a/apps/scheduler/Election.h
+++ b/apps/scheduler/Election.h
@@ -62,9 +62,8 @@
   absl::StatusOr<std::optional<Revision>> ReadOutcome(
     const cell::CellRecord& aRecord);
   void Begin(const cell::CellRecord& aRecord,
-             Revision aCellRevision,
-             StoreLease aLease,
-             Instant aSentAt);
+             const cell::OwnerTerm& aTerm,
+             StoreLease aLease);
   void KeepLease();
   void RestoreOwnerKey();
   std::string OwnerText(cell::Generation aGeneration,
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -140,7 +140,7 @@
       return answer;
     }
   }
-  return aRefusal;
+  return LastResort(aRequest, std::move(aRefusal));
 }
 
 JobAnswer JobDesk::AnswerHere(const JobRequest& aRequest)
@@ -238,13 +238,28 @@
   if (const auto phase = AskOwner(aRead.mJob)) {
     return JobShown{ *phase };
   }
-  return ReadFromStore(aRead.mJob);
+  // Where the store is silent, another scheduler is asked at once.
+  return mStore.Answers()
+           ? ReadFromStore(aRead.mJob)
+           : StoreAway(absl::UnavailableError("the store does not answer"));
+}
+
+JobAnswer JobDesk::LastResort(const JobRequest& aRequest, JobAnswer aRefusal)
+{
+  const auto* read = std::get_if<ReadJob>(&aRequest.mBody);
+  const auto owner = mElection.Owner();
+  if (read != nullptr && owner != nullptr) {
+    if (const auto phase = owner->LastKnownPhase(read->mJob)) {
+      return JobShown{ *phase };
+    }
+  }
+  return aRefusal;
 }
 
 std::optional<JobPhase> JobDesk::AskOwner(const JobId& aJob)
 {
-  if (const auto owner = mElection.Owner(); owner && owner->Current()) {
-    return owner->Logic().PhaseOf(aJob);
+  if (const auto owner = mElection.Owner()) {
+    return owner->PhaseNow(aJob);
   }
   const auto at = mElection.OwnerAt();
   if (!at) {
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -44,6 +44,9 @@
 
   /// False when the store is silent: a write would leave the request in doubt.
   bool AwaitStore() const;
+  /// Nobody knows better than an owner that the store may have replaced.
+  cell::JobAnswer LastResort(const cell::JobRequest& aRequest,
+                             cell::JobAnswer aRefusal);
   std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
   cell::JobAnswer ReadFromStore(const JobId& aJob);
   void TellOwner(const cell::StoredJob& aJob);
--- a/apps/scheduler/SchedulerPages.cpp
+++ b/apps/scheduler/SchedulerPages.cpp
@@ -36,9 +36,9 @@
   net::AddTyped<QueryJob>(
     mDispatcher, kQueryJobMethod, [this](const QueryJob& aRequest) {
       QueryJobReply reply;
-      if (const auto owner = mElection.Owner(); owner && owner->Current()) {
+      if (const auto owner = mElection.Owner()) {
         reply.mOwner = true;
-        const auto phase = owner->Logic().PhaseOf(aRequest.mJob);
+        const auto phase = owner->PhaseNow(aRequest.mJob);
         reply.mKnown = phase.has_value();
         reply.mPhase = phase.value_or(JobPhase::Queued);
       }
--- /dev/null
+++ b/soak/Callers.cpp
@@ -0,0 +1,212 @@
+#include "soak/Callers.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include <boost/fiber/operations.hpp>
+#include <json/value.h>
+
+#include "foxtailbarrow/Verdict.h"
+#include "platform/WireJson.h"
+#include "src/core/message/Json.h"
+
+namespace foxtailbarrow::soak {
+
+namespace {
+
+using cell::JobPhase;
+using std::chrono::milliseconds;
+
+constexpr Duration kCallTimeout = milliseconds(3000);
+constexpr int kTries = 4;
+constexpr Duration kAskEvery = milliseconds(700);
+constexpr unsigned kOk = 200;
+constexpr unsigned kGone = 410;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kUnavailable = 503;
+constexpr std::int64_t kPercent = 100;
+
+constexpr std::array kPhases = { JobPhase::Queued,
+                                 JobPhase::Running,
+                                 JobPhase::Completed,
+                                 JobPhase::Failed,
+                                 JobPhase::Cancelled };
+
+std::string Body(const cell::JobGraph& aGraph)
+{
+  Json::Value body;
+  body["Spec"] = aGraph.mPayload;
+  for (const cell::StepSpec& spec : aGraph.mSteps) {
+    Json::Value step;
+    step["Replicas"] = spec.mReplicas;
+    step["Cpu"] = Json::Int64{ spec.mDemand.mMillicores };
+    step["MemMb"] = Json::Int64{ spec.mDemand.mMemoryMb };
+    step["EstimateMs"] = Json::Int64{
+      std::chrono::duration_cast<milliseconds>(spec.mEstimate).count()
+    };
+    step["Checkpoint"] = spec.mCheckpoints;
+    step["Daemon"] = spec.mStanding;
+    for (const std::int32_t before : spec.mAfter) {
+      step["After"].append(before);
+    }
+    body["Steps"].append(step);
+  }
+  return FormatJson(body);
+}
+
+} // namespace
+
+Callers::Callers(net::FiberRuntime& aRuntime,
+                 const Fleet& aFleet,
+                 PromiseBook& aBook,
+                 unsigned aSeed)
+  : mRuntime(aRuntime)
+  , mFleet(aFleet)
+  , mBook(aBook)
+  , mRandom(aSeed)
+  , mClient(aRuntime)
+{
+}
+
+std::int64_t Callers::Random(std::int64_t aLeast, std::int64_t aMost)
+{
+  return std::uniform_int_distribution(aLeast, aMost)(mRandom);
+}
+
+void Callers::Start(unsigned aCount)
+{
+  for (unsigned i = 0; i < aCount; ++i) {
+    mRuntime.Spawn([this] { Run(); });
+  }
+}
+
+cell::JobGraph Callers::RandomJob()
+{
+  constexpr std::int64_t kStandsPercent = 4;
+  constexpr std::int64_t kFailsPercent = 10;
+  cell::JobGraph graph;
+  std::array<char, 17> id{};
+  std::snprintf(id.data(),
+                id.size(),
+                "%016llx",
+                static_cast<unsigned long long>(mRandom()));
+  graph.mId = JobId(id.data());
+  graph.mQueue = cell::QueueId("queue");
+  const std::int64_t kind = Random(1, kPercent);
+  standin::TaskProgram program;
+  program.mStands = kind <= kStandsPercent;
+  program.mFails = !program.mStands && kind <= kFailsPercent;
+  program.mWork = milliseconds(Random(50, 900));
+  graph.mPayload = standin::FormatTaskProgram(program);
+  const auto steps =
+    static_cast<std::int32_t>(program.mStands ? 1 : Random(1, 3));
+  for (std::int32_t i = 0; i < steps; ++i) {
+    cell::StepSpec step;
+    step.mReplicas = static_cast<std::int32_t>(Random(1, 4));
+    step.mDemand = { Random(200, 2000), Random(100, 2000), 0 };
+    step.mEstimate = program.mWork;
+    step.mCheckpoints = Random(0, 1) == 1;
+    step.mStanding = program.mStands;
+    if (i > 0) {
+      step.mAfter = { i - 1 };
+    }
+    graph.mSteps.push_back(step);
+  }
+  return graph;
+}
+
+absl::StatusOr<net::HttpResponse> Callers::Call(const char* aMethod,
+                                                const JobId& aJob,
+                                                std::string aBody)
+{
+  net::HttpRequest request;
+  request.mMethod = aMethod;
+  request.mTarget = "/jobs/" + aJob.Value();
+  request.mBody = std::move(aBody);
+  const auto door = static_cast<unsigned>(Random(0, mFleet.Schedulers() - 1));
+  return mClient.Call(mFleet.Door(door), request, kCallTimeout);
+}
+
+Told Callers::Submit(const cell::JobGraph& aGraph)
+{
+  Told told = Told::Refused;
+  for (int i = 0; i < kTries; ++i) {
+    const auto answer = Call("POST", aGraph.mId, Body(aGraph));
+    if (answer.ok() && answer->mStatus == kOk) {
+      return Told::Accepted;
+    }
+    const bool refused =
+      answer.ok()
+        ? answer->mStatus == kTooMany || answer->mStatus == kUnavailable
+        : VerdictOf(answer.status()) == Verdict::NotRun;
+    told = refused ? told : Told::Nothing;
+    boost::this_fiber::sleep_for(milliseconds(Random(50, 400)));
+  }
+  return told;
+}
+
+void Callers::Ask(const JobId& aJob)
+{
+  const auto answer = Call("GET", aJob, {});
+  if (!answer.ok()) {
+    return;
+  }
+  if (answer->mStatus == kGone) {
+    mBook.ShownGone(aJob);
+    return;
+  }
+  const auto body = platform::ParseObject(answer->mBody);
+  std::string state;
+  if (answer->mStatus != kOk || !body.ok() ||
+      !platform::ReadText(*body, "State", kPercent, state)) {
+    return;
+  }
+  const auto phase = std::ranges::find_if(
+    kPhases, [&](JobPhase aPhase) { return ToString(aPhase) == state; });
+  if (phase != kPhases.end()) {
+    mBook.Shown(aJob, *phase);
+  }
+}
+
+bool Callers::Cancel(const JobId& aJob)
+{
+  mBook.Cancelling(aJob);
+  const auto answer = Call("DELETE", aJob, {});
+  if (answer.ok() && answer->mStatus == kOk) {
+    mBook.Cancelled(aJob);
+    return true;
+  }
+  return false;
+}
+
+void Callers::Follow(const JobId& aJob, bool aCancel)
+{
+  bool cancelled = !aCancel;
+  while (mAsking) {
+    boost::this_fiber::sleep_for(kAskEvery);
+    cancelled = cancelled || Cancel(aJob);
+    Ask(aJob);
+  }
+}
+
+void Callers::Run()
+{
+  constexpr std::int64_t kCancelPercent = 10;
+  while (mSubmitting) {
+    const cell::JobGraph graph = RandomJob();
+    mBook.Submitting(graph);
+    const Told told = Submit(graph);
+    mBook.Submitted(graph.mId, told);
+    if (told != Told::Refused) {
+      mRuntime.Spawn(
+        [this, id = graph.mId, cancel = Random(1, kPercent) <= kCancelPercent] {
+          Follow(id, cancel);
+        });
+    }
+    boost::this_fiber::sleep_for(milliseconds(Random(100, 900)));
+  }
+}
+
+} // namespace foxtailbarrow::soak
--- /dev/null
+++ b/soak/FaultPlan.cpp
@@ -0,0 +1,75 @@
+#include "soak/FaultPlan.h"
+
+#include <algorithm>
+#include <random>
+
+#include "src/core/base/EnumText.h"
+
+namespace foxtailbarrow::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kKinds = 23;
+
+constexpr EnumText<FaultKind, kKinds> kNames({
+  { FaultKind::KillScheduler, "kill-scheduler" },
+  { FaultKind::TermScheduler, "term-scheduler" },
+  { FaultKind::PauseScheduler, "pause-scheduler" },
+  { FaultKind::KillAgent, "kill-agent" },
+  { FaultKind::TermAgent, "term-agent" },
+  { FaultKind::PauseAgent, "pause-agent" },
+  { FaultKind::KillAll, "kill-all" },
+  { FaultKind::StoreSilent, "store-silent" },
+  { FaultKind::StoreSilentLeasesPause, "store-silent-leases-pause" },
+  { FaultKind::StoreRefuses, "store-refuses" },
+  { FaultKind::StoreSlow, "store-slow" },
+  { FaultKind::StoreLosesAnswers, "store-loses-answers" },
+  { FaultKind::StoreWritesLate, "store-writes-late" },
+  { FaultKind::StoreForgets, "store-forgets" },
+  { FaultKind::StoreLink, "store-link" },
+  { FaultKind::SchedulerLink, "scheduler-link" },
+  { FaultKind::AgentLink, "agent-link" },
+  { FaultKind::WorkerCrashes, "worker-crashes" },
+  { FaultKind::WorkerLeaves, "worker-leaves" },
+  { FaultKind::WorkerMute, "worker-mute" },
+  { FaultKind::WorkerFailsAll, "worker-fails-all" },
+  { FaultKind::WorkerLate, "worker-late" },
+  { FaultKind::Configuration, "configuration" },
+});
+
+/// Mean pause between two faults, and how long one lasts.
+constexpr double kMeanGapMs = 900;
+constexpr std::int64_t kShortestMs = 200;
+constexpr std::int64_t kLongestMs = 4500;
+
+} // namespace
+
+std::string_view ToString(FaultKind aKind)
+{
+  return kNames.Text(aKind);
+}
+
+std::vector<Fault> PlanFaults(std::uint32_t aSeed, Duration aLength)
+{
+  std::mt19937 random(aSeed);
+  std::exponential_distribution<double> gap(1.0 / kMeanGapMs);
+  std::uniform_int_distribution<std::int64_t> lasts(kShortestMs, kLongestMs);
+  std::uniform_int_distribution<int> kind(0, kKinds - 1);
+  std::vector<Fault> faults;
+  Duration at = milliseconds(500);
+  while (at < aLength) {
+    Fault fault;
+    fault.mAt = at;
+    fault.mKind = static_cast<FaultKind>(kind(random));
+    fault.mTarget = random();
+    fault.mVariant = random();
+    fault.mFor = std::min<Duration>(milliseconds(lasts(random)), aLength - at);
+    faults.push_back(fault);
+    at += milliseconds(static_cast<std::int64_t>(gap(random)));
+  }
+  return faults;
+}
+
+} // namespace foxtailbarrow::soak
--- /dev/null
+++ b/soak/Injector.cpp
@@ -0,0 +1,203 @@
+#include "soak/Injector.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <boost/fiber/operations.hpp>
+
+namespace foxtailbarrow::soak {
+
+namespace {
+
+using standin::KvFaults;
+using standin::KvOutage;
+using standin::TaskWorkerFaults;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kLinkStates = 5;
+/// After a process has ended, until it is started again.
+constexpr Duration kRestartDelay = milliseconds(300);
+constexpr unsigned kMostHosts = 64;
+
+KvFaults StoreFaults(FaultKind aKind)
+{
+  KvFaults faults;
+  switch (aKind) {
+    case FaultKind::StoreSilent:
+      faults.mOutage = KvOutage::Silent;
+      break;
+    case FaultKind::StoreSilentLeasesPause:
+      faults.mOutage = KvOutage::Silent;
+      faults.mLeasesPause = true;
+      break;
+    case FaultKind::StoreRefuses:
+      faults.mOutage = KvOutage::Refuses;
+      break;
+    case FaultKind::StoreSlow:
+      faults.mDelay = milliseconds(250);
+      break;
+    case FaultKind::StoreLosesAnswers:
+      faults.mLoseShare = 0.35;
+      break;
+    default:
+      faults.mLateShare = 0.35;
+      break;
+  }
+  return faults;
+}
+
+TaskWorkerFaults WorkerFaults(FaultKind aKind)
+{
+  TaskWorkerFaults faults;
+  faults.mMute = aKind == FaultKind::WorkerMute;
+  faults.mFailAll = aKind == FaultKind::WorkerFailsAll;
+  faults.mLateShare = aKind == FaultKind::WorkerLate ? 0.3 : 0.0;
+  return faults;
+}
+
+} // namespace
+
+Injector::Injector(net::FiberRuntime& aRuntime, Fleet& aFleet)
+  : mRuntime(aRuntime)
+  , mFleet(aFleet)
+{
+}
+
+void Injector::Play(const std::vector<Fault>& aFaults)
+{
+  const Instant start = MonotonicNow();
+  for (const Fault& fault : aFaults) {
+    boost::this_fiber::sleep_until(start + fault.mAt);
+    std::cout << "fault "
+              << std::chrono::duration_cast<milliseconds>(fault.mAt).count()
+              << " ms " << ToString(fault.mKind) << " target "
+              << fault.mTarget % kMostHosts << " variant "
+              << fault.mVariant % kLinkStates << " for "
+              << std::chrono::duration_cast<milliseconds>(fault.mFor).count()
+              << " ms" << std::endl;
+    mRuntime.Spawn([this, fault] { Bring(fault); });
+  }
+}
+
+void Injector::Heal()
+{
+  mHealed = true;
+  mFleet.Store().SetFaults({});
+  for (unsigned host = 0; host < kMostHosts; ++host) {
+    mFleet.Scheduler(host).Signal(SIGCONT);
+    mFleet.Agent(host).Signal(SIGCONT);
+    mFleet.StoreLink(host).Set(LinkState::Passes);
+    mFleet.SchedulerLink(host).Set(LinkState::Passes);
+    mFleet.AgentLink(host).Set(LinkState::Passes);
+    mFleet.Worker(host).SetFaults({});
+    if (!mFleet.Worker(host).Up()) {
+      mFleet.Worker(host).Rise();
+    }
+  }
+  mFleet.StartAll();
+}
+
+void Injector::Bring(const Fault& aFault)
+{
+  switch (aFault.mKind) {
+    case FaultKind::KillScheduler:
+      BringProcess(aFault, mFleet.Scheduler(aFault.mTarget), SIGKILL);
+      break;
+    case FaultKind::TermScheduler:
+      BringProcess(aFault, mFleet.Scheduler(aFault.mTarget), SIGTERM);
+      break;
+    case FaultKind::PauseScheduler:
+      BringProcess(aFault, mFleet.Scheduler(aFault.mTarget), SIGSTOP);
+      break;
+    case FaultKind::KillAgent:
+      BringProcess(aFault, mFleet.Agent(aFault.mTarget), SIGKILL);
+      break;
+    case FaultKind::TermAgent:
+      BringProcess(aFault, mFleet.Agent(aFault.mTarget), SIGTERM);
+      break;
+    case FaultKind::PauseAgent:
+      BringProcess(aFault, mFleet.Agent(aFault.mTarget), SIGSTOP);
+      break;
+    case FaultKind::KillAll:
+      mFleet.KillAll();
+      boost::this_fiber::sleep_for(kRestartDelay);
+      mFleet.StartAll();
+      break;
+    case FaultKind::StoreLink:
+      BringLink(aFault, mFleet.StoreLink(aFault.mTarget));
+      break;
+    case FaultKind::SchedulerLink:
+      BringLink(aFault, mFleet.SchedulerLink(aFault.mTarget));
+      break;
+    case FaultKind::AgentLink:
+      BringLink(aFault, mFleet.AgentLink(aFault.mTarget));
+      break;
+    case FaultKind::WorkerCrashes:
+    case FaultKind::WorkerLeaves:
+    case FaultKind::WorkerMute:
+    case FaultKind::WorkerFailsAll:
+    case FaultKind::WorkerLate:
+      BringWorker(aFault);
+      break;
+    case FaultKind::Configuration:
+      mFleet.Configure();
+      break;
+    default:
+      BringStore(aFault);
+      break;
+  }
+}
+
+void Injector::BringProcess(const Fault& aFault, Child& aChild, int aSignal)
+{
+  aChild.Signal(aSignal);
+  boost::this_fiber::sleep_for(aFault.mFor);
+  if (aSignal == SIGSTOP) {
+    aChild.Signal(SIGCONT);
+    return;
+  }
+  while (aChild.Running() && !mHealed && aSignal == SIGTERM) {
+    boost::this_fiber::sleep_for(kRestartDelay);
+  }
+  aChild.Start();
+}
+
+void Injector::BringStore(const Fault& aFault)
+{
+  if (aFault.mKind == FaultKind::StoreForgets) {
+    mFleet.Store().ForgetHistory();
+    return;
+  }
+  mFleet.Store().SetFaults(StoreFaults(aFault.mKind));
+  boost::this_fiber::sleep_for(aFault.mFor);
+  mFleet.Store().SetFaults({});
+}
+
+void Injector::BringLink(const Fault& aFault, LinkProxy& aLink)
+{
+  aLink.Set(static_cast<LinkState>(1 + aFault.mVariant % kLinkStates));
+  boost::this_fiber::sleep_for(aFault.mFor);
+  aLink.Set(LinkState::Passes);
+}
+
+void Injector::BringWorker(const Fault& aFault)
+{
+  standin::TaskWorkerService& worker = mFleet.Worker(aFault.mTarget);
+  if (!worker.Up()) {
+    return;
+  }
+  if (aFault.mKind == FaultKind::WorkerCrashes) {
+    worker.Crash();
+  } else if (aFault.mKind == FaultKind::WorkerLeaves) {
+    worker.Leave();
+  } else {
+    worker.SetFaults(WorkerFaults(aFault.mKind));
+  }
+  boost::this_fiber::sleep_for(aFault.mFor);
+  worker.SetFaults({});
+  if (!worker.Up() && !mHealed) {
+    worker.Rise();
+  }
+}
+
+} // namespace foxtailbarrow::soak
--- /dev/null
+++ b/soak/Main.cpp
@@ -0,0 +1,109 @@
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/fiber/operations.hpp>
+
+#include "soak/Callers.h"
+#include "soak/Injector.h"
+#include "src/telemetry/Log.h"
+#include "src/telemetry/Settings.h"
+
+namespace foxtailbarrow::soak {
+
+namespace {
+
+constexpr unsigned kCallers = 6;
+/// Before the first fault, so that there is something to lose.
+constexpr Duration kWarmUp = std::chrono::milliseconds(2500);
+/// After the last fault, until every promise about what must come has to be
+/// kept: longer than leases, a takeover and the longest job together.
+constexpr Duration kRecovery = std::chrono::seconds(25);
+constexpr Duration kPoll = std::chrono::milliseconds(500);
+
+struct SoakSettings
+{
+  FleetSettings mFleet;
+  std::int64_t mSeed = 1;
+  Duration mLength = std::chrono::seconds(20);
+};
+
+/// What a run leaves undone when the recovery is over.
+std::vector<std::string> AwaitAll(const PromiseBook& aBook)
+{
+  const Instant end = MonotonicNow() + kRecovery;
+  std::vector<std::string> missing = aBook.Missing();
+  while (!missing.empty() && MonotonicNow() < end) {
+    boost::this_fiber::sleep_for(kPoll);
+    missing = aBook.Missing();
+  }
+  return missing;
+}
+
+bool Judge(const SoakSettings& aSettings,
+           const PromiseBook& aBook,
+           const std::vector<std::string>& aMissing)
+{
+  for (const std::string& broken : aBook.Broken()) {
+    std::cout << "broken: " << broken << '\n';
+  }
+  for (const std::string& missing : aMissing) {
+    std::cout << "missing: " << missing << '\n';
+  }
+  const bool held = aBook.Broken().empty() && aMissing.empty();
+  std::cout << "seed " << aSettings.mSeed << ": " << (held ? "held" : "FAILED")
+            << ", " << aBook.Accepted() << " jobs accepted, " << aBook.Starts()
+            << " starts" << std::endl;
+  return held;
+}
+
+bool Soak(net::FiberRuntime& aRuntime, const SoakSettings& aSettings)
+{
+  PromiseBook book(standin::TaskWorkerSettings().mCapacity);
+  auto fleet = Fleet::Start(aRuntime, aSettings.mFleet, book);
+  if (!fleet.ok()) {
+    std::cout << "not started: " << fleet.status() << std::endl;
+    return false;
+  }
+  Callers callers(aRuntime, **fleet, book, aSettings.mFleet.mSeed);
+  Injector injector(aRuntime, **fleet);
+  callers.Start(kCallers);
+  boost::this_fiber::sleep_for(kWarmUp);
+  injector.Play(PlanFaults(aSettings.mFleet.mSeed, aSettings.mLength));
+  injector.Heal();
+  callers.Stop();
+  const std::vector<std::string> missing = AwaitAll(book);
+  callers.End();
+  (*fleet)->KillAll();
+  const bool held = Judge(aSettings, book, missing);
+  // Fibers of callers and stand-ins still wait for calls: nothing of this
+  // process is needed any more.
+  std::_Exit(held ? EXIT_SUCCESS : EXIT_FAILURE);
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::soak
+
+int main(int argc, char** argv)
+{
+  using namespace foxtailbarrow;
+  soak::SoakSettings values;
+  Settings settings("foxtailbarrow-soak",
+                    "Runs a whole system under random faults, by seed");
+  settings.AddText("--programs", values.mFleet.mPrograms, "Folder of programs")
+    .Required();
+  settings.AddText("--logs", values.mFleet.mLogs, "Folder for their output")
+    .Required();
+  settings.AddCount("--seed", values.mSeed, { 1, 1'000'000'000 }, "Of all");
+  settings.AddMilliseconds("--length-ms",
+                           values.mLength,
+                           { std::chrono::seconds(1), std::chrono::hours(24) },
+                           "Time with faults");
+  if (const auto code = settings.Parse(argc, argv)) {
+    return *code;
+  }
+  values.mFleet.mSeed = static_cast<unsigned>(values.mSeed);
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] { soak::Soak(runtime, values); });
+  return EXIT_FAILURE;
+}
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -181,11 +181,19 @@
   JobEntry& job = found->second;
   job.mRecorded = std::max(job.mRecorded, aVersion);
   job.mProgressRevision = aRevision;
+  job.mRecordInDoubt = false;
   if (job.mRecorded >= job.mVersion) {
     mUnrecorded.erase(aJob);
   }
 }
 
+void CellScheduler::NoteRecordInDoubt(const JobId& aJob)
+{
+  if (const auto found = mJobs.find(aJob); found != mJobs.end()) {
+    found->second.mRecordInDoubt = true;
+  }
+}
+
 void CellScheduler::NoteProgressRevision(const JobId& aJob, Revision aRevision)
 {
   if (const auto found = mJobs.find(aJob); found != mJobs.end()) {
@@ -220,7 +228,9 @@
   const bool ahead = job.mRecorded < job.mVersion;
   if (ahead &&
       (job.mPhase == JobPhase::Completed || job.mPhase == JobPhase::Failed)) {
-    return JobPhase::Running;
+    // A caller who read the store may have seen the end already.
+    return job.mRecordInDoubt ? std::nullopt
+                              : std::optional(JobPhase::Running);
   }
   return job.mPhase;
 }
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -118,6 +118,8 @@
   void NoteRecorded(const JobId& aJob,
                     std::uint64_t aVersion,
                     Revision aRevision);
+  /// A write of the record got no answer.
+  void NoteRecordInDoubt(const JobId& aJob);
   /// The store has another revision of the record than was thought.
   void NoteProgressRevision(const JobId& aJob, Revision aRevision);
 
@@ -129,8 +131,8 @@
 
   // Views.
 
-  /// What a caller is told; nullopt for an unknown job. Never ahead of what is
-  /// recorded.
+  /// What a caller is told; nullopt for an unknown job, and for one whose end
+  /// only the store can tell. Never ahead of what is recorded.
   std::optional<JobPhase> PhaseOf(const JobId& aJob) const;
   std::int64_t WaitingJobs(const QueueId& aQueue) const;
   /// Jobs that ended and were recorded before `aUnixMs`.
--- a/src/core/cell/OwnerTerm.h
+++ b/src/core/cell/OwnerTerm.h
@@ -39,6 +39,17 @@
     mConfirmedAt = std::max(mConfirmedAt, aSentAt);
   }
 
+  /// The owner's key was written or renewed for `aTtl` by a call sent then.
+  void KeepKey(Instant aSentAt, Duration aTtl)
+  {
+    mKeyUntil = std::max(mKeyUntil, aSentAt + aTtl);
+  }
+
+  /// No other scheduler owns the cell, so that what is known here is the newest.
+  /// Shorter than what GrantAt() rests on, as another one may own the cell
+  /// before the last leases of this one have run out.
+  bool IsSole(Instant aNow) const { return aNow < mKeyUntil; }
+
   /// The lease that may be granted now; zero when the store has been silent for
   /// too long.
   Duration GrantAt(Instant aNow) const
@@ -51,6 +62,7 @@
   Generation mGeneration;
   Revision mCellRevision;
   Instant mConfirmedAt;
+  Instant mKeyUntil{};
   CellSettings mSettings;
 };
 
--- /dev/null
+++ b/standins/kv/KvService.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include <json/value.h>
+
+#include "foxtailbarrow/Endpoint.h"
+#include "src/net/HttpServer.h"
+#include "src/platform/store/KeyValueTable.h"
+#include "standins/kv/KvFaults.h"
+
+namespace foxtailbarrow::standin {
+
+/// The key-value store of the users' platform, in memory, over its HTTP calls.
+/// The runtime must have one thread, on which the faults are set, too.
+class KvService
+{
+public:
+  static absl::StatusOr<std::unique_ptr<KvService>>
+  Start(net::FiberRuntime& aRuntime, const Endpoint& aListen, unsigned aSeed);
+
+  /// `aFaults` replaces what was wrong before.
+  void SetFaults(const KvFaults& aFaults);
+  /// Watches from an earlier revision than the present one are refused.
+  void ForgetHistory() { mForgotten = mTable.LatestRevision(); }
+  /// Writes as an operator does.
+  void Put(const std::string& aKey, const std::string& aValue);
+
+  Endpoint ListeningEndpoint() const { return mServer->ListeningEndpoint(); }
+  std::uint64_t Calls() const { return mCalls; }
+
+private:
+  KvService(net::FiberRuntime& aRuntime, unsigned aSeed);
+
+  net::HttpResponse Handle(const net::HttpRequest& aRequest);
+  net::HttpResponse Route(const net::HttpRequest& aRequest);
+  net::HttpResponse Key(std::string_view aQuery);
+  net::HttpResponse Range(std::string_view aQuery);
+  net::HttpResponse Watch(std::string_view aQuery);
+  net::HttpResponse Transaction(const std::string& aBody);
+  net::HttpResponse GrantLease(const std::string& aBody);
+  net::HttpResponse KeepLease(std::string_view aLease);
+  net::HttpResponse EndLease(std::string_view aLease);
+  bool Chance(double aShare);
+  Instant LeaseClock();
+  void Expire();
+
+  net::FiberRuntime& mRuntime;
+  KeyValueTable mTable;
+  KvFaults mFaults;
+  std::mt19937 mRandom;
+  Revision mForgotten = 0;
+  Duration mPaused{}; ///< Time for which leases did not run, in all.
+  Instant mPausedSince{};
+  std::uint64_t mCalls = 0;
+  std::unique_ptr<net::HttpServer> mServer;
+};
+
+} // namespace foxtailbarrow::standin
--- /dev/null
+++ b/standins/taskworker/Main.cpp
@@ -0,0 +1,34 @@
+#include <iostream>
+
+#include "src/net/FiberRuntime.h"
+#include "src/telemetry/Settings.h"
+#include "standins/taskworker/TaskWorkerService.h"
+
+int main(int argc, char** argv)
+{
+  using namespace foxtailbarrow;
+  net::BlockSignals();
+  standin::TaskWorkerService::Place place{
+    { "127.0.0.1", 0 }, {}, "worker", "service", "rack"
+  };
+  Settings settings("foxtailbarrow-standin-taskworker",
+                    "Worker of the users' platform, for tests");
+  settings.AddListen("--listen", place.mListen, "Address for orders");
+  settings.AddEndpoint("--agent", place.mAgent, "Its agent's control address")
+    .Required();
+  settings.AddText("--name", place.mName, "Of its incarnations");
+  settings.AddText("--service", place.mService, "Whose tasks it runs");
+  settings.AddText("--rack", place.mRack, "Where it is");
+  if (const auto code = settings.Parse(argc, argv)) {
+    return *code;
+  }
+  net::FiberRuntime runtime(1);
+  const auto service = standin::TaskWorkerService::Start(
+    runtime, place, {}, 1, [](const std::string&, const standin::RunMark&) {});
+  if (!service.ok()) {
+    std::cerr << service.status().message() << '\n';
+    return 1;
+  }
+  net::WaitForSignal();
+  return 0;
+}
--- /dev/null
+++ b/standins/taskworker/TaskProgram.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::standin {
+
+/// What a task pretends to do, as its job's payload says: "work=300" runs for
+/// 300 ms, "fails=300" fails after 300 ms, "stands" runs until it is stopped.
+struct TaskProgram
+{
+  Duration mWork{};
+  bool mFails = false;
+  bool mStands = false;
+};
+
+TaskProgram ParseTaskProgram(std::string_view aPayload);
+std::string FormatTaskProgram(const TaskProgram& aProgram);
+
+} // namespace foxtailbarrow::standin
--- /dev/null
+++ b/standins/taskworker/TaskWorkerModel.cpp
@@ -0,0 +1,213 @@
+#include "standins/taskworker/TaskWorkerModel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailbarrow::standin {
+
+using cell::RunEnd;
+using cell::StartOutcome;
+
+namespace {
+
+/// Clocks do not begin at zero.
+constexpr cell::WorkerTimeMs kFirstClock = 100'000;
+constexpr std::int32_t kFullPercent = 100;
+
+std::chrono::milliseconds ToMs(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration);
+}
+
+} // namespace
+
+TaskWorkerModel::TaskWorkerModel(TaskWorkerSettings aSettings,
+                                 Instant aBornAt,
+                                 MarkSink aSink)
+  : mSettings(aSettings)
+  , mBornAt(aBornAt)
+  , mSink(std::move(aSink))
+{
+}
+
+cell::WorkerTimeMs TaskWorkerModel::Clock(Instant aNow) const
+{
+  const auto lived = static_cast<double>(ToMs(aNow - mBornAt).count());
+  return kFirstClock +
+         static_cast<cell::WorkerTimeMs>(lived * mSettings.mClockRate);
+}
+
+void TaskWorkerModel::Progress(Run& aRun, Instant aNow) const
+{
+  aRun.mDone += (aNow - aRun.mAsOf) * aRun.mPercent / kFullPercent;
+  aRun.mAsOf = aNow;
+  if (const std::int64_t saves = aRun.mDone / mSettings.mSaveEvery;
+      saves > aRun.mSaves) {
+    aRun.mSaves = saves;
+    aRun.mSaved = std::to_string(ToMs(saves * mSettings.mSaveEvery).count());
+  }
+}
+
+void TaskWorkerModel::End(const cell::TaskRef& aTask, RunEnd aEnd)
+{
+  const auto run = mRuns.find(aTask);
+  mEnded.push_back({ ++mEnds,
+                     aTask,
+                     run->second.mNumber,
+                     aEnd,
+                     aEnd == RunEnd::Done ? "" : run->second.mSaved });
+  mOver[aTask] = std::max(mOver[aTask], run->second.mNumber);
+  mSink({ RunMoment::Ended, aTask, run->second.mNumber, aEnd, {} });
+  mRuns.erase(run);
+}
+
+void TaskWorkerModel::Advance(Instant aNow)
+{
+  const bool lapsed = Clock(aNow) >= mLeaseEnd;
+  if (lapsed && !std::exchange(mLapsed, true)) {
+    mSink({ RunMoment::LeaseLapsed, {}, 0, RunEnd::Lapsed, {} });
+  }
+  const auto runs = mRuns;
+  for (const auto& [task, before] : runs) {
+    Run& run = mRuns.at(task);
+    Progress(run, aNow);
+    if (lapsed) {
+      End(task, RunEnd::Lapsed);
+    } else if (aNow >= run.mStopAt) {
+      End(task, RunEnd::Stopped);
+    } else if (!run.mProgram.mStands && run.mDone >= run.mProgram.mWork) {
+      End(task, run.mProgram.mFails ? RunEnd::Failed : RunEnd::Done);
+    } else if (mFailAll) {
+      End(task, RunEnd::Failed);
+    }
+  }
+}
+
+bool TaskWorkerModel::Admit(cell::Fence aFence)
+{
+  mFence = std::max(mFence, aFence);
+  return aFence == mFence;
+}
+
+void TaskWorkerModel::Extend(cell::WorkerTimeMs aEnd, Instant aNow)
+{
+  const cell::WorkerTimeMs latest =
+    Clock(aNow) + ToMs(mSettings.mMaxLease).count();
+  mLeaseEnd = std::max(mLeaseEnd, std::min(aEnd, latest));
+  mLapsed = Clock(aNow) >= mLeaseEnd;
+}
+
+StartOutcome TaskWorkerModel::Start(const cell::StartCall& aCall, Instant aNow)
+{
+  Advance(aNow);
+  if (!Admit(aCall.mFence)) {
+    return StartOutcome::NotStarted;
+  }
+  if (aCall.mLeaseEnd <= Clock(aNow)) {
+    return StartOutcome::NoLease;
+  }
+  Extend(aCall.mLeaseEnd, aNow);
+  const auto there = mRuns.find(aCall.mTask);
+  if (there != mRuns.end() && there->second.mNumber == aCall.mRun) {
+    return StartOutcome::Started;
+  }
+  if (const auto over = mOver.find(aCall.mTask);
+      over != mOver.end() && aCall.mRun <= over->second) {
+    return StartOutcome::OldRun;
+  }
+  Run run;
+  run.mNumber = aCall.mRun;
+  run.mProgram = ParseTaskProgram(aCall.mPayload);
+  run.mAsOf = aNow;
+  if (!aCall.mCheckpoint.empty()) {
+    run.mDone = std::chrono::milliseconds(std::stoll(aCall.mCheckpoint));
+    run.mSaved = aCall.mCheckpoint;
+    run.mSaves = run.mDone / mSettings.mSaveEvery;
+  }
+  mSink({ RunMoment::Started,
+          aCall.mTask,
+          aCall.mRun,
+          RunEnd::Done,
+          aCall.mPayload });
+  mRuns[aCall.mTask] = std::move(run);
+  return StartOutcome::Started;
+}
+
+bool TaskWorkerModel::Stop(const cell::StopCall& aCall, Instant aNow)
+{
+  Advance(aNow);
+  if (!Admit(aCall.mFence)) {
+    return false;
+  }
+  const auto there = mRuns.find(aCall.mTask);
+  if (there != mRuns.end() && there->second.mNumber == aCall.mRun) {
+    there->second.mStopAt =
+      std::min(there->second.mStopAt, aNow + mSettings.mStopTime);
+  } else {
+    mOver[aCall.mTask] = std::max(mOver[aCall.mTask], aCall.mRun);
+  }
+  return true;
+}
+
+bool TaskWorkerModel::Pace(const cell::PaceCall& aCall, Instant aNow)
+{
+  Advance(aNow);
+  if (!Admit(aCall.mFence)) {
+    return false;
+  }
+  if (const auto there = mRuns.find(aCall.mTask);
+      there != mRuns.end() && there->second.mNumber == aCall.mRun) {
+    there->second.mPercent = aCall.mPercent;
+  }
+  return true;
+}
+
+bool TaskWorkerModel::Look(const cell::LookCall& aCall, Instant aNow)
+{
+  Advance(aNow);
+  if (!Admit(aCall.mFence)) {
+    return false;
+  }
+  if (aCall.mLeaseEnd) {
+    Extend(*aCall.mLeaseEnd, aNow);
+  }
+  std::erase_if(mEnded, [&](const cell::EndedTask& aEnded) {
+    if (aEnded.mNumber > aCall.mAcknowledged) {
+      return false;
+    }
+    mSink(
+      { RunMoment::Acknowledged, aEnded.mTask, aEnded.mRun, aEnded.mEnd, {} });
+    return true;
+  });
+  return true;
+}
+
+cell::LookReply TaskWorkerModel::View(Instant aNow) const
+{
+  cell::LookReply reply;
+  reply.mClock = Clock(aNow);
+  reply.mEnded = mEnded;
+  for (const auto& [task, run] : mRuns) {
+    cell::RunningTask running;
+    running.mTask = task;
+    running.mRun = run.mNumber;
+    running.mCheckpoint = run.mSaved;
+    running.mPercent =
+      run.mProgram.mStands
+        ? kFullPercent
+        : static_cast<std::int32_t>(kFullPercent * run.mDone /
+                                    std::max(run.mProgram.mWork, Duration(1)));
+    reply.mRunning.push_back(std::move(running));
+  }
+  return reply;
+}
+
+void TaskWorkerModel::Crash()
+{
+  for (const auto& [task, run] : mRuns) {
+    mSink({ RunMoment::Lost, task, run.mNumber, RunEnd::Lapsed, {} });
+  }
+  mRuns.clear();
+}
+
+} // namespace foxtailbarrow::standin
--- /dev/null
+++ b/standins/taskworker/TaskWorkerModel.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/core/cell/TaskWorker.h"
+#include "standins/taskworker/TaskProgram.h"
+
+namespace foxtailbarrow::standin {
+
+struct TaskWorkerSettings
+{
+  Resources mCapacity{ 16'000, 64'000, 0 };
+  Duration mMaxLease = std::chrono::milliseconds(6000);
+  Duration mStopTime = std::chrono::milliseconds(150);
+  Duration mSaveEvery = std::chrono::milliseconds(200);
+  double mClockRate = 1.0; ///< Of the worker's clock against true time.
+};
+
+enum class RunMoment : std::uint8_t
+{
+  Started,
+  Ended,
+  Lost,         ///< With its worker.
+  Acknowledged, ///< Its end was taken note of.
+  LeaseLapsed,  ///< The worker's; of no run.
+};
+
+struct RunMark
+{
+  RunMoment mMoment = RunMoment::Started;
+  cell::TaskRef mTask;
+  cell::RunNumber mRun = 0;
+  cell::RunEnd mEnd = cell::RunEnd::Done;
+  std::string mPayload; ///< Of a start.
+};
+
+/// One life of a worker that pretends to run its tasks: leases, fences, run
+/// numbers, checkpoints and ends as the users' platform promises them. Pure:
+/// the time is passed in, and every call first brings everything up to it.
+class TaskWorkerModel
+{
+public:
+  using MarkSink = std::function<void(const RunMark&)>;
+
+  TaskWorkerModel(TaskWorkerSettings aSettings,
+                  Instant aBornAt,
+                  MarkSink aSink);
+
+  void FailAll(bool aFailAll) { mFailAll = aFailAll; }
+
+  void Advance(Instant aNow);
+  cell::WorkerTimeMs Clock(Instant aNow) const;
+
+  cell::StartOutcome Start(const cell::StartCall& aCall, Instant aNow);
+  /// False for a fence that is too low; nothing was done then.
+  bool Stop(const cell::StopCall& aCall, Instant aNow);
+  bool Pace(const cell::PaceCall& aCall, Instant aNow);
+  bool Look(const cell::LookCall& aCall, Instant aNow);
+  cell::LookReply View(Instant aNow) const;
+  std::int64_t NewestEnd() const { return mEnds; }
+
+  /// It crashes: what runs is lost.
+  void Crash();
+
+private:
+  struct Run
+  {
+    cell::RunNumber mNumber = 0;
+    TaskProgram mProgram;
+    Duration mDone{};
+    Instant mAsOf{};
+    std::int32_t mPercent = 100;
+    std::string mSaved;
+    std::int64_t mSaves = 0;
+    Instant mStopAt = Instant::max();
+  };
+
+  bool Admit(cell::Fence aFence);
+  void Extend(cell::WorkerTimeMs aEnd, Instant aNow);
+  void Progress(Run& aRun, Instant aNow) const;
+  void End(const cell::TaskRef& aTask, cell::RunEnd aEnd);
+
+  TaskWorkerSettings mSettings;
+  Instant mBornAt;
+  MarkSink mSink;
+  bool mFailAll = false;
+  cell::Fence mFence = 0;
+  cell::WorkerTimeMs mLeaseEnd = 0;
+  bool mLapsed = true; ///< No lease is in force.
+  std::map<cell::TaskRef, Run> mRuns;
+  std::map<cell::TaskRef, cell::RunNumber> mOver; ///< Highest that ended.
+  std::vector<cell::EndedTask> mEnded;
+  std::int64_t mEnds = 0;
+};
+
+} // namespace foxtailbarrow::standin
--- /dev/null
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -0,0 +1,325 @@
+#include "standins/taskworker/TaskWorkerService.h"
+
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include <boost/fiber/operations.hpp>
+
+#include "platform/TaskName.h"
+#include "platform/WireJson.h"
+#include "src/core/message/Json.h"
+
+namespace foxtailbarrow::standin {
+
+namespace {
+
+using platform::ReadNumber;
+using platform::ReadText;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kMisdirected = 421;
+constexpr std::int64_t kAnyNumber = std::numeric_limits<std::int64_t>::max();
+constexpr std::size_t kMaxText = 8192;
+constexpr Duration kTick = std::chrono::milliseconds(5);
+constexpr Duration kBeatInterval = std::chrono::milliseconds(500);
+constexpr Duration kBeatTimeout = std::chrono::milliseconds(900);
+constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
+/// An unanswered connection is closed after this, as nobody waits longer.
+constexpr Duration kHang = std::chrono::seconds(3);
+
+net::HttpResponse Reply(unsigned aStatus, const Json::Value& aBody)
+{
+  net::HttpResponse response;
+  response.mStatus = aStatus;
+  response.mBody = FormatJson(aBody);
+  return response;
+}
+
+const char* ReasonOf(cell::StartOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case cell::StartOutcome::OldRun:
+      return "old";
+    case cell::StartOutcome::NoLease:
+      return "late";
+    default:
+      return "fence";
+  }
+}
+
+std::optional<cell::TaskRef> TaskOf(const Json::Value& aBody)
+{
+  std::string name;
+  return ReadText(aBody, "Task", kMaxText, name) ? platform::ParseTaskName(name)
+                                                 : std::nullopt;
+}
+
+std::int64_t NumberOf(const Json::Value& aBody, const char* aName)
+{
+  std::int64_t number = 0;
+  ReadNumber(aBody, aName, kAnyNumber, number);
+  return number;
+}
+
+std::string TextOf(const Json::Value& aBody, const char* aName)
+{
+  std::string text;
+  ReadText(aBody, aName, kMaxText, text);
+  return text;
+}
+
+Json::Value ViewBody(const cell::LookReply& aView)
+{
+  Json::Value body;
+  body["ClockMs"] = Json::Int64{ aView.mClock };
+  body["Running"] = Json::arrayValue;
+  body["Ended"] = Json::arrayValue;
+  for (const cell::RunningTask& running : aView.mRunning) {
+    Json::Value row(Json::arrayValue);
+    row.append(platform::FormatTaskName(running.mTask));
+    row.append(Json::Int64{ running.mRun });
+    row.append(running.mCheckpoint);
+    row.append(running.mPercent);
+    row.append(0);
+    body["Running"].append(row);
+  }
+  for (const cell::EndedTask& ended : aView.mEnded) {
+    Json::Value row(Json::arrayValue);
+    row.append(Json::Int64{ ended.mNumber });
+    row.append(platform::FormatTaskName(ended.mTask));
+    row.append(Json::Int64{ ended.mRun });
+    row.append(std::string(ToString(ended.mEnd)));
+    row.append(ended.mCheckpoint);
+    body["Ended"].append(row);
+  }
+  return body;
+}
+
+} // namespace
+
+TaskWorkerService::TaskWorkerService(net::FiberRuntime& aRuntime,
+                                     Place aPlace,
+                                     TaskWorkerSettings aSettings,
+                                     unsigned aSeed,
+                                     MarkSink aSink)
+  : mRuntime(aRuntime)
+  , mPlace(std::move(aPlace))
+  , mSettings(aSettings)
+  , mRandom(aSeed)
+  , mSink(std::move(aSink))
+  , mClient(aRuntime)
+{
+}
+
+absl::StatusOr<std::unique_ptr<TaskWorkerService>> TaskWorkerService::Start(
+  net::FiberRuntime& aRuntime,
+  Place aPlace,
+  TaskWorkerSettings aSettings,
+  unsigned aSeed,
+  MarkSink aSink)
+{
+  const Endpoint listen = aPlace.mListen;
+  std::unique_ptr<TaskWorkerService> service(new TaskWorkerService(
+    aRuntime, std::move(aPlace), aSettings, aSeed, std::move(aSink)));
+  auto server = net::HttpServer::Start(
+    aRuntime, listen, [worker = service.get()](net::HttpRequest& aRequest) {
+      return worker->Handle(aRequest);
+    });
+  if (!server.ok()) {
+    return server.status();
+  }
+  service->mServer = *std::move(server);
+  service->Rise();
+  aRuntime.Spawn([worker = service.get()] { worker->Beat(); });
+  aRuntime.Spawn([worker = service.get()] { worker->Tick(); });
+  return service;
+}
+
+void TaskWorkerService::SetFaults(const TaskWorkerFaults& aFaults)
+{
+  mFaults = aFaults;
+  mModel->FailAll(aFaults.mFailAll);
+}
+
+void TaskWorkerService::Crash()
+{
+  mUp = false;
+  mModel->Crash();
+}
+
+void TaskWorkerService::Rise()
+{
+  mIncarnation = mPlace.mName + "-" + std::to_string(++mLives);
+  mModel = std::make_shared<TaskWorkerModel>(
+    mSettings,
+    MonotonicNow(),
+    [this, incarnation = mIncarnation](const RunMark& aMark) {
+      mSink(incarnation, aMark);
+    });
+  mModel->FailAll(mFaults.mFailAll);
+  mSequence = 0;
+  mDraining = false;
+  mUp = true;
+}
+
+void TaskWorkerService::Leave()
+{
+  const int life = mLives;
+  mDraining = true;
+  boost::this_fiber::sleep_for(kDrainTime);
+  if (life != mLives || !mUp) {
+    return;
+  }
+  net::HttpRequest request;
+  request.mMethod = "DELETE";
+  request.mTarget = "/runners/" + mIncarnation;
+  (void)mClient.Call(mPlace.mAgent, request, kBeatTimeout);
+  if (life == mLives) {
+    Crash();
+  }
+}
+
+void TaskWorkerService::Tick()
+{
+  for (;;) {
+    boost::this_fiber::sleep_for(kTick);
+    if (mUp) {
+      mModel->Advance(MonotonicNow());
+    }
+  }
+}
+
+void TaskWorkerService::Beat()
+{
+  for (;;) {
+    if (mUp) {
+      Json::Value body;
+      body["Service"] = mPlace.mService;
+      body["Addr"] = ToString(mPlace.mListen);
+      body["Zone"] = "zone";
+      body["State"] = mDraining ? "draining" : "ready";
+      body["DrainLeftMs"] = 1000;
+      body["CallSeq"] = Json::Int64{ ++mSequence };
+      body["Capacity"]["Cpu"] = Json::Int64{ mSettings.mCapacity.mMillicores };
+      body["Capacity"]["MemMb"] = Json::Int64{ mSettings.mCapacity.mMemoryMb };
+      body["Labels"].append("a");
+      body["Labels"].append(mPlace.mRack);
+      net::HttpRequest request;
+      request.mMethod = "PUT";
+      request.mTarget = "/runners/" + mIncarnation;
+      request.mBody = FormatJson(body);
+      (void)mClient.Call(mPlace.mAgent, request, kBeatTimeout);
+    }
+    boost::this_fiber::sleep_for(kBeatInterval);
+  }
+}
+
+net::HttpResponse TaskWorkerService::Hang()
+{
+  boost::this_fiber::sleep_for(kHang);
+  net::HttpResponse response;
+  response.mStatus = net::kCloseWithoutAnswer;
+  return response;
+}
+
+net::HttpResponse TaskWorkerService::Handle(const net::HttpRequest& aRequest)
+{
+  if (!mUp || mFaults.mMute) {
+    return Hang();
+  }
+  const bool late =
+    std::uniform_real_distribution<double>(0, 1)(mRandom) < mFaults.mLateShare;
+  if (!late) {
+    return CarryOut(aRequest);
+  }
+  mRuntime.Spawn([this, aRequest, by = mFaults.mLateBy] {
+    boost::this_fiber::sleep_for(by);
+    if (mUp) {
+      CarryOut(aRequest);
+    }
+  });
+  return Hang();
+}
+
+net::HttpResponse TaskWorkerService::CarryOut(const net::HttpRequest& aRequest)
+{
+  const auto expected = aRequest.mHeaders.Find("Expect-Instance");
+  if (expected && *expected != mIncarnation) {
+    return Reply(kMisdirected, Json::objectValue);
+  }
+  const auto body = platform::ParseObject(aRequest.mBody);
+  if (!body.ok()) {
+    return Reply(kBadRequest, Json::objectValue);
+  }
+  if (aRequest.mTarget == "/hold") {
+    return Look(*body);
+  }
+  const auto task = TaskOf(*body);
+  if (!task) {
+    return Reply(kBadRequest, Json::objectValue);
+  }
+  const Instant now = MonotonicNow();
+  const cell::RunNumber run = NumberOf(*body, "Run");
+  const cell::Fence fence = NumberOf(*body, "Fence");
+  bool done = false;
+  const char* reason = "fence";
+  if (aRequest.mTarget == "/run-start") {
+    const auto outcome = mModel->Start({ *task,
+                                         run,
+                                         TextOf(*body, "Spec"),
+                                         TextOf(*body, "CheckpointId"),
+                                         NumberOf(*body, "DeadlineMs"),
+                                         fence },
+                                       now);
+    done = outcome == cell::StartOutcome::Started;
+    reason = ReasonOf(outcome);
+  } else if (aRequest.mTarget == "/run-stop") {
+    done = mModel->Stop({ *task, run, fence }, now);
+  } else {
+    done = mModel->Pace({ *task,
+                          run,
+                          static_cast<std::int32_t>(NumberOf(*body, "Percent")),
+                          fence },
+                        now);
+  }
+  Json::Value reply;
+  reply["ClockMs"] = Json::Int64{ mModel->Clock(now) };
+  if (!done) {
+    reply["Reason"] = reason;
+  }
+  return Reply(done ? kOk : kConflict, reply);
+}
+
+net::HttpResponse TaskWorkerService::Look(const Json::Value& aBody)
+{
+  const std::shared_ptr<TaskWorkerModel> model = mModel;
+  cell::LookCall call;
+  call.mFence = NumberOf(aBody, "Fence");
+  call.mAcknowledged = NumberOf(aBody, "Acked");
+  if (aBody.isMember("DeadlineMs")) {
+    call.mLeaseEnd = NumberOf(aBody, "DeadlineMs");
+  }
+  if (!model->Look(call, MonotonicNow())) {
+    Json::Value reply;
+    reply["ClockMs"] = Json::Int64{ model->Clock(MonotonicNow()) };
+    reply["Reason"] = "fence";
+    return Reply(kConflict, reply);
+  }
+  const Instant end =
+    MonotonicNow() + std::chrono::milliseconds(NumberOf(aBody, "WaitMs"));
+  const std::int64_t seen = model->NewestEnd();
+  while (MonotonicNow() < end && model->NewestEnd() == seen &&
+         model->View(MonotonicNow()).mEnded.empty() && mUp) {
+    boost::this_fiber::sleep_for(kTick);
+  }
+  if (!mUp || model != mModel) {
+    return Hang();
+  }
+  model->Advance(MonotonicNow());
+  return Reply(kOk, ViewBody(model->View(MonotonicNow())));
+}
+
+} // namespace foxtailbarrow::standin
--- /dev/null
+++ b/standins/taskworker/TaskWorkerService.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include <json/value.h>
+
+#include "src/net/HttpClient.h"
+#include "src/net/HttpServer.h"
+#include "standins/taskworker/TaskWorkerFaults.h"
+#include "standins/taskworker/TaskWorkerModel.h"
+
+namespace foxtailbarrow::standin {
+
+/// A worker of the users' platform over its HTTP calls: takes orders, tells its
+/// agent about itself, crashes, leaves and comes back as another incarnation.
+/// The runtime must have one thread, on which all methods are called.
+class TaskWorkerService
+{
+public:
+  struct Place
+  {
+    Endpoint mListen; ///< For orders.
+    Endpoint mAgent;  ///< For heartbeats.
+    std::string mName;
+    std::string mService;
+    std::string mRack;
+  };
+
+  /// `aSink` is told of every run, with the incarnation that it is of.
+  using MarkSink =
+    std::function<void(const std::string& aIncarnation, const RunMark&)>;
+
+  static absl::StatusOr<std::unique_ptr<TaskWorkerService>> Start(
+    net::FiberRuntime& aRuntime,
+    Place aPlace,
+    TaskWorkerSettings aSettings,
+    unsigned aSeed,
+    MarkSink aSink);
+
+  void SetFaults(const TaskWorkerFaults& aFaults);
+  /// Dark from now on; what runs is lost.
+  void Crash();
+  /// After Crash(), or after it has left: the next incarnation.
+  void Rise();
+  /// Tells that it drains, serves on for a while, says good-bye, and is gone.
+  /// Suspends the calling fiber meanwhile.
+  void Leave();
+
+  bool Up() const { return mUp; }
+  const std::string& Incarnation() const { return mIncarnation; }
+
+private:
+  TaskWorkerService(net::FiberRuntime& aRuntime,
+                    Place aPlace,
+                    TaskWorkerSettings aSettings,
+                    unsigned aSeed,
+                    MarkSink aSink);
+
+  net::HttpResponse Handle(const net::HttpRequest& aRequest);
+  net::HttpResponse CarryOut(const net::HttpRequest& aRequest);
+  net::HttpResponse Look(const Json::Value& aBody);
+  net::HttpResponse Hang();
+  void Beat();
+  void Tick();
+
+  net::FiberRuntime& mRuntime;
+  Place mPlace;
+  TaskWorkerSettings mSettings;
+  std::mt19937 mRandom;
+  MarkSink mSink;
+  TaskWorkerFaults mFaults;
+  std::shared_ptr<TaskWorkerModel> mModel;
+  std::string mIncarnation;
+  int mLives = 0;
+  std::int64_t mSequence = 0;
+  bool mUp = false;
+  bool mDraining = false;
+  net::HttpClient mClient;
+  std::unique_ptr<net::HttpServer> mServer;
+};
+
+} // namespace foxtailbarrow::standin
--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -93,6 +93,26 @@
   EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
 }
 
+TEST_F(CellSchedulerTest, OnlyTheStoreTellsAnEndWhoseRecordIsInDoubt)
+{
+  const JobId job("job");
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  Report("a",
+         State("a-life",
+               {},
+               { Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_EQ(mScheduler.PhaseOf(job), JobPhase::Running);
+  mScheduler.NoteRecordInDoubt(job);
+  EXPECT_EQ(mScheduler.PhaseOf(job), std::nullopt);
+  mScheduler.NoteProgressRevision(job, 200);
+  EXPECT_EQ(mScheduler.PhaseOf(job), std::nullopt);
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(job), JobPhase::Completed);
+}
+
 TEST_F(CellSchedulerTest, AJobFailsAfterItsAttempts)
 {
   mScheduler.SetQueues({ Policy(2) });
--- /dev/null
+++ b/tests/soak/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(soak-tests PRIVATE ftb_soak)
--- /dev/null
+++ b/tests/soak/PromiseBookTest.cpp
@@ -0,0 +1,207 @@
+#include <functional>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "soak/PromiseBook.h"
+
+namespace foxtailbarrow::soak::test {
+
+namespace {
+
+using cell::JobPhase;
+using cell::RunEnd;
+using cell::TaskRef;
+using standin::RunMark;
+using standin::RunMoment;
+
+const JobId kJob("job");
+const TaskRef kFirst{ kJob, 0, 0, 0 };
+const TaskRef kSecond{ kJob, 0, 1, 0 };
+
+/// A book that knows an accepted job of two steps with a task each, and the
+/// marks of workers "x" and "y" of 4000 millicores.
+class Story
+{
+public:
+  Story()
+    : mBook({ 4000, 8000, 0 })
+  {
+    cell::JobGraph graph;
+    graph.mId = kJob;
+    graph.mPayload = "work=100";
+    graph.mSteps.resize(2);
+    graph.mSteps[0].mDemand = { 3000, 1000, 0 };
+    graph.mSteps[1].mDemand = { 3000, 1000, 0 };
+    graph.mSteps[1].mAfter = { 0 };
+    mBook.Submitting(graph);
+    mBook.Submitted(kJob, Told::Accepted);
+  }
+
+  Story& Start(const char* aWorker,
+               const TaskRef& aTask = kFirst,
+               cell::RunNumber aRun = 1)
+  {
+    return Tell(aWorker, RunMoment::Started, aTask, aRun, RunEnd::Done);
+  }
+
+  Story& End(const char* aWorker,
+             RunEnd aEnd = RunEnd::Done,
+             const TaskRef& aTask = kFirst,
+             cell::RunNumber aRun = 1)
+  {
+    return Tell(aWorker, RunMoment::Ended, aTask, aRun, aEnd);
+  }
+
+  Story& Note(const char* aWorker)
+  {
+    return Tell(aWorker, RunMoment::Acknowledged, kFirst, 1, RunEnd::Done);
+  }
+
+  Story& Lapse(const char* aWorker)
+  {
+    return Tell(aWorker, RunMoment::LeaseLapsed, {}, 0, RunEnd::Lapsed);
+  }
+
+  Story& Show(JobPhase aPhase)
+  {
+    mBook.Shown(kJob, aPhase);
+    return *this;
+  }
+
+  PromiseBook& Book() { return mBook; }
+
+private:
+  Story& Tell(const char* aWorker,
+              RunMoment aMoment,
+              const TaskRef& aTask,
+              cell::RunNumber aRun,
+              RunEnd aEnd)
+  {
+    mBook.Mark(aWorker, { aMoment, aTask, aRun, aEnd, "work=100" });
+    return *this;
+  }
+
+  PromiseBook mBook;
+};
+
+struct StoryCase
+{
+  const char* mName;
+  std::function<void(Story&)> mTell;
+  bool mHolds;
+};
+
+class PromiseBookTest : public testing::TestWithParam<StoryCase>
+{};
+
+TEST_P(PromiseBookTest, KnowsABrokenPromise)
+{
+  Story story;
+  GetParam().mTell(story);
+  EXPECT_EQ(story.Book().Broken().empty(), GetParam().mHolds);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  PromiseBookTest,
+  testing::Values(
+    StoryCase{ "InOrder",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Note("x").Start("y", kSecond);
+               },
+               true },
+    StoryCase{ "TwoAtATime",
+               [](Story& aStory) { aStory.Start("x").Start("y", kFirst, 2); },
+               false },
+    StoryCase{ "AgainAfterAStop",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x", RunEnd::Stopped);
+                 aStory.Start("y", kFirst, 2);
+               },
+               true },
+    StoryCase{ "AgainAfterANotedEnd",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Note("x").Start("y", kFirst, 2);
+               },
+               false },
+    StoryCase{ "NotedAfterTheNextStart",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Start("y", kFirst, 2).Note("x");
+               },
+               false },
+    StoryCase{ "NotedAfterTheLeaseLapsed",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Lapse("x");
+                 aStory.Start("y", kFirst, 2).Note("x");
+               },
+               true },
+    StoryCase{ "BeforeTheStepBefore",
+               [](Story& aStory) { aStory.Start("x", kSecond); },
+               false },
+    StoryCase{ "OverTheCapacity",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Start("y", kFirst, 2);
+                 aStory.Start("y", kSecond);
+               },
+               false },
+    StoryCase{ "NobodyAsked",
+               [](Story& aStory) {
+                 aStory.Start("x", TaskRef{ JobId("other"), 0, 0, 0 });
+               },
+               false },
+    StoryCase{ "RefusedAndRun",
+               [](Story& aStory) {
+                 aStory.Book().Submitted(kJob, Told::Refused);
+                 aStory.Start("x");
+               },
+               false },
+    StoryCase{ "CompletedTooEarly",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Show(JobPhase::Completed);
+               },
+               false },
+    StoryCase{ "CompletedAfterAll",
+               [](Story& aStory) {
+                 aStory.Start("x").End("x").Start("x", kSecond);
+                 aStory.End("x", RunEnd::Done, kSecond);
+                 aStory.Show(JobPhase::Running).Show(JobPhase::Completed);
+               },
+               true },
+    StoryCase{ "FinalThenAnother",
+               [](Story& aStory) {
+                 aStory.Book().Cancelling(kJob);
+                 aStory.Show(JobPhase::Cancelled).Show(JobPhase::Running);
+               },
+               false },
+    StoryCase{ "FailedWithoutAFailure",
+               [](Story& aStory) { aStory.Show(JobPhase::Failed); },
+               false },
+    StoryCase{ "AcceptedThenUnknown",
+               [](Story& aStory) { aStory.Book().ShownGone(kJob); },
+               false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+TEST(PromiseBookEnd, AnAcceptedJobHasToEnd)
+{
+  Story story;
+  EXPECT_EQ(story.Book().Missing().size(), 1U);
+  story.Start("x").End("x").Start("x", kSecond);
+  story.End("x", RunEnd::Done, kSecond).Show(JobPhase::Completed);
+  EXPECT_TRUE(story.Book().Missing().empty());
+}
+
+TEST(PromiseBookEnd, ACancelledJobHasToStop)
+{
+  Story story;
+  story.Start("x");
+  story.Book().Cancelling(kJob);
+  story.Book().Cancelled(kJob);
+  EXPECT_EQ(story.Book().Missing().size(), 1U);
+  story.End("x", RunEnd::Stopped);
+  EXPECT_TRUE(story.Book().Missing().empty());
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::soak::test
