Show a cancellation, too, only once its record is there

Change: every final state is shown after its record. Tests: AJobIsShownAsCancelledAfterItsRecord (red before). The check of the state in ACancelledJobsTasksAreStopped expected 'cancelled' before the record, which is the fault; it now records first and checks the same.

--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -226,8 +226,7 @@
   }
   const JobEntry& job = found->second;
   const bool ahead = job.mRecorded < job.mVersion;
-  if (ahead &&
-      (job.mPhase == JobPhase::Completed || job.mPhase == JobPhase::Failed)) {
+  if (ahead && job.Final()) {
     // A caller who read the store may have seen the end already.
     return job.mRecordInDoubt ? std::nullopt
                               : std::optional(JobPhase::Running);
--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -168,6 +168,16 @@
   Started("a", Orders("a"));
   mScheduler.CancelJob(JobId("job"), Clock());
   EXPECT_EQ(Orders("a").mStops.size(), 2U);
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Cancelled);
+}
+
+TEST_F(CellSchedulerTest, AJobIsShownAsCancelledAfterItsRecord)
+{
+  AddRecorded(Graph("job", { Step(1) }));
+  mScheduler.CancelJob(JobId("job"), Clock());
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Running);
+  Record();
   EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Cancelled);
 }
 
