Ask the service that chooses the workers of some queues

Cause: a queue with advice was read and then ignored: its tasks would have been started without tickets, rejected, and started again for ever. Change: the owner asks about up to 30 workers of a step that cannot be placed otherwise, one question at a time, keeps who may run it and the tickets while they are valid, and sends the ticket with each start; a rejected one is asked for anew. docs/PLATFORM.md had said that such jobs are refused: nothing did that. Tests: AdviceTest, AdviceCodec.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -64,6 +64,14 @@
   , mSettings(aSettings)
   , mLogic(aTerm.OwnGeneration(), aSettings, LogDecision)
 {
+  TakeQueues(aQueues);
+}
+
+void CellOwner::TakeQueues(const std::vector<QueuePolicy>& aQueues)
+{
+  mAdviceWanted = std::ranges::any_of(aQueues, [](const QueuePolicy& aQueue) {
+    return aQueue.mAdvice.has_value();
+  });
   mLogic.SetQueues(aQueues);
 }
 
@@ -95,6 +103,7 @@
   Spawn(&CellOwner::RunRecords);
   Spawn(&CellOwner::RunCleanup);
   Spawn(&CellOwner::RunBeliefs);
+  Spawn(&CellOwner::RunAdvice);
   return absl::OkStatus();
 }
 
@@ -176,7 +185,7 @@
 
 void CellOwner::SetQueues(const std::vector<QueuePolicy>& aQueues)
 {
-  mLogic.SetQueues(aQueues);
+  TakeQueues(aQueues);
   mSchedulePoke.Now();
 }
 
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -40,6 +40,7 @@
     net::RpcClient& mRpc;
     Endpoint mSelf;
     Duration mKeepEnded;
+    cell::PlacementAdvisor* mAdvisor; ///< Null where there is none.
     std::function<void()> mOnSuperseded;
   };
 
@@ -60,8 +61,8 @@
     return mTerm.GrantAt(MonotonicNow()) > Duration::zero();
   }
 
-  /// What a caller is told of the job, as long as no other owner can know better:
-  /// an end that is recorded stands for good.
+  /// What a caller is told of the job, as long as no other owner can know
+  /// better: an end that is recorded stands for good.
   std::optional<cell::JobPhase> PhaseNow(const JobId& aJob) const;
   /// The same when nobody can be asked who may know better.
   std::optional<cell::JobPhase> LastKnownPhase(const JobId& aJob) const;
@@ -85,6 +86,7 @@
     Endpoint mEndpoint;
     Poke mPoke;
     Instant mHeardAt{};
+    Instant mAttachedAt{};
     bool mWorkerGone = false; ///< By the agent's newest report.
     bool mRecorded = false;   ///< In the store, for the next owner.
     /// Of the agent's record. A removal depends on it, so that one which the
@@ -92,12 +94,14 @@
     Revision mRecordRevision = 0;
   };
 
+  void TakeQueues(const std::vector<cell::QueuePolicy>& aQueues);
   void Spawn(void (CellOwner::*aBody)());
   void RunJobWatch();
   void RunSchedule();
   void RunRecords();
   void RunCleanup();
   void RunBeliefs();
+  void RunAdvice();
   void RunDesk(const AgentId& aAgent, Desk& aDesk);
 
   absl::Status LoadJobs();
@@ -129,6 +133,7 @@
   Poke mSchedulePoke;
   Poke mRecordPoke;
   OwnerFigures mFigures;
+  bool mAdviceWanted = false; ///< A queue's workers are chosen by a service.
   bool mLoaded = false;
   bool mEnded = false;
 };
--- /dev/null
+++ b/apps/scheduler/CellOwnerAdvice.cpp
@@ -0,0 +1,45 @@
+#include <optional>
+
+#include <boost/fiber/operations.hpp>
+
+#include "apps/scheduler/CellOwner.h"
+#include "src/telemetry/Log.h"
+
+namespace foxtailbarrow::scheduler {
+
+using namespace cell;
+
+namespace {
+
+/// Between two looks for a step that needs advice.
+constexpr Duration kIdle = std::chrono::milliseconds(20);
+
+} // namespace
+
+/// One question at a time, as the service takes them so.
+void CellOwner::RunAdvice()
+{
+  while (!mEnded && mParts.mAdvisor != nullptr) {
+    const std::optional<AdviceQuery> query =
+      mAdviceWanted ? mLogic.NextAdvice(Clock()) : std::nullopt;
+    if (!query) {
+      boost::this_fiber::sleep_for(mAdviceWanted ? kIdle : kIdle * 10);
+      continue;
+    }
+    const auto reply = mParts.mAdvisor->Advise(*query);
+    if (mEnded) {
+      return;
+    }
+    if (!reply.ok()) {
+      LogWarning("advice-failed",
+                 { { "job", query->mStep.mJob },
+                   { "workers", query->mWorkers.size() },
+                   { "error", reply.status().ToString() } });
+    }
+    mLogic.TakeAdvice(
+      *query, reply.ok() ? std::optional(*reply) : std::nullopt, Clock());
+    mSchedulePoke.Now();
+  }
+}
+
+} // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -202,9 +202,9 @@
   mToken = aRecord.mToken;
   mGeneration = aRecord.mGeneration;
   mSeenAt = MonotonicNow();
-  LogChange("election-won",
-            { { "generation", mGeneration },
-              { "revision", aTerm.CellRevision() } });
+  LogChange(
+    "election-won",
+    { { "generation", mGeneration }, { "revision", aTerm.CellRevision() } });
   mOwner = mMakeOwner(aTerm);
   if (const absl::Status status = mOwner->Load(); !status.ok()) {
     LogWarning("cell-load-failed", { { "error", status.ToString() } });
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -74,6 +74,7 @@
   , mPlainStore(aRuntime, { .mEndpoint = mSettings.mStore })
   , mCountedStore(mPlainStore)
   , mStore(mCountedStore)
+  , mAdvice(aRuntime, mSettings.mAdvice)
   , mClient(aRuntime)
   , mRpc(mClient)
   , mConfiguration(mStore,
@@ -112,6 +113,7 @@
                       mRpc,
                       mSettings.mAdvertised,
                       mSettings.mKeepEnded,
+                      mSettings.mAdvice.mPort == 0 ? nullptr : &mAdvice,
                       [this] { mElection.Superseded(); } },
     aTerm,
     mCellSettings,
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -8,6 +8,7 @@
 #include "apps/scheduler/Election.h"
 #include "apps/scheduler/JobDesk.h"
 #include "apps/scheduler/SchedulerSettings.h"
+#include "platform/AdviceClient.h"
 #include "platform/KvStore.h"
 #include "src/net/FiberGroup.h"
 #include "src/net/HttpServer.h"
@@ -53,6 +54,7 @@
   platform::KvStore mPlainStore;
   CountingStore mCountedStore;
   PulsedStore mStore;
+  platform::AdviceClient mAdvice;
   net::HttpClient mClient;
   net::RpcClient mRpc;
   net::RpcDispatcher mDispatcher;
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -28,6 +28,9 @@
     "--metrics", aValues.mMetrics, "Address for metrics and state");
   aSettings.AddEndpoint("--store", aValues.mStore, "The platform's store")
     .Required();
+  aSettings.AddEndpoint("--advice",
+                        aValues.mAdvice,
+                        "The service that chooses the workers of some queues");
   aSettings.AddEndpoints("--seeds",
                          aValues.mSeeds,
                          "Schedulers to ask where the store is out of reach");
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -21,6 +21,7 @@
   Endpoint mControl;    ///< As mPeers, where the platform's seed lists point.
   Endpoint mMetrics;
   Endpoint mStore;
+  Endpoint mAdvice; ///< The service that chooses the workers of some queues.
   std::vector<Endpoint> mSeeds; ///< Schedulers, this one perhaps among them.
   /// Of one core, that this process may use; the weak let others own the cell.
   double mProcessorShare = 1.0;
--- a/src/core/cell/CellMessages.cpp
+++ b/src/core/cell/CellMessages.cpp
@@ -15,12 +15,13 @@
   { RunEnd::Alone, "alone" },
 });
 
-constexpr EnumText<StartOutcome, 6> kStartOutcomes({
+constexpr EnumText<StartOutcome, 7> kStartOutcomes({
   { StartOutcome::Started, "started" },
   { StartOutcome::NoRoom, "no-room" },
   { StartOutcome::OldRun, "old-run" },
   { StartOutcome::Unwell, "unwell" },
   { StartOutcome::NoLease, "no-lease" },
+  { StartOutcome::NoTicket, "no-ticket" },
   { StartOutcome::NotStarted, "not-started" },
 });
 
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -29,6 +29,7 @@
   RunNumber mRun = 0;
   std::string mPayload;
   std::string mCheckpoint;
+  std::string mTicket; ///< Where another service chooses workers; else empty.
   Duration mLatencyTarget{}; ///< 0 = not a serving task.
   bool mLeftover = false;    ///< May be slowed to protect serving tasks.
   std::string mImage;
@@ -56,6 +57,7 @@
   OldRun,     ///< A run as high has ended or been stopped there.
   Unwell,     ///< The worker is unhealthy, draining, or another incarnation.
   NoLease,    ///< The agent's grant has run out.
+  NoTicket,   ///< The worker rejected the ticket.
   NotStarted, ///< Certainly not started, for another reason.
 };
 
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -82,13 +82,14 @@
   job.mDeadline = DeadlineOf(job);
   job.mInherited = aProgressRevision != 0;
   job.mProgressRevision = aProgressRevision;
+  if (job.Final()) {
+    // Not told one by one: 980 lines at a takeover pushed others out.
+    return;
+  }
   mSink({ .mEvent = "job-known",
           .mJob = id,
           .mReason = ToString(job.mPhase),
           .mAgeMs = ageMs });
-  if (job.Final()) {
-    return;
-  }
   mActive.insert(id);
   if (aStored.mCancelled) {
     CancelJob(id, aClock);
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -101,6 +101,16 @@
   /// Notes that the agent may hold leases until `aUntil`.
   void NoteGrant(const AgentId& aAgent, Instant aUntil);
 
+  // Advice.
+
+  /// The next question to the service that chooses workers, for a step that
+  /// cannot be placed without an answer.
+  std::optional<AdviceQuery> NextAdvice(const CellClock& aClock);
+  /// Nothing: the service did not answer.
+  void TakeAdvice(const AdviceQuery& aQuery,
+                  const std::optional<AdviceReply>& aReply,
+                  const CellClock& aClock);
+
   // Output.
 
   /// Ends what has lapsed and places what may run. Orders are then found by
@@ -242,6 +252,11 @@
                    const CellClock& aClock);
   void Evacuate(WorkerEntry& aWorker, const CellClock& aClock);
 
+  // Advice (CellSchedulerAdvice.cpp).
+  std::vector<WorkerIncarnation> WorkersToAskAbout(JobEntry& aJob,
+                                                   const TaskRef& aStep,
+                                                   Instant aNow) const;
+
   // Moves (CellSchedulerMoves.cpp).
   void NoteStall(TaskRun& aRun,
                  const StepSpec& aSpec,
@@ -257,6 +272,7 @@
   bool Starving(const JobEntry& aJob, const TaskRef& aTask, Instant aNow) const;
   bool MayBeRunningUnseen(const JobEntry& aJob, Instant aNow) const;
   std::vector<Candidate> Candidates(const CellClock& aClock);
+  std::vector<Candidate> SortedCandidates(const CellClock& aClock);
   void PlaceStep(const Candidate& aCandidate, const CellClock& aClock);
   void PlaceTasks(JobEntry& aJob,
                   const TaskRef& aFirst,
@@ -274,7 +290,9 @@
                  const CellClock& aClock);
   StartOrder OrderFor(const JobEntry& aJob,
                       const TaskRef& aTask,
-                      RunNumber aRun) const;
+                      RunNumber aRun,
+                      const WorkerEntry& aWorker,
+                      Instant aNow) const;
 
   Generation mGeneration;
   CellSettings mSettings;
--- /dev/null
+++ b/src/core/cell/CellSchedulerAdvice.cpp
@@ -0,0 +1,94 @@
+#include <algorithm>
+
+#include "src/core/cell/Candidate.h"
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+/// Workers asked about at a time: the service takes 100 at most, and each makes
+/// the answer later.
+constexpr std::size_t kMostAsked = 30;
+/// On top of the time that the service says it takes.
+constexpr Duration kAdviceSlack = std::chrono::milliseconds(1000);
+/// After a question without an answer.
+constexpr Duration kAskAgain = std::chrono::milliseconds(200);
+
+} // namespace
+
+/// Workers that might run the step and of which the service has not said no,
+/// without a ticket; those with most room first.
+std::vector<WorkerIncarnation> CellScheduler::WorkersToAskAbout(
+  JobEntry& aJob,
+  const TaskRef& aStep,
+  Instant aNow) const
+{
+  const StepAdvice& advice = aJob.StepOf(aStep).mAdvice;
+  std::vector<const WorkerEntry*> open;
+  for (const auto& [id, worker] : mWorkers) {
+    const WorkerIncarnation& incarnation = worker.mInfo.mIncarnation;
+    if (worker.mLink == WorkerLink::Attached && worker.mAnswers &&
+        CouldRun(worker, aJob, aStep) && !advice.Denied(incarnation) &&
+        advice.Ticket(incarnation, aNow) == nullptr) {
+      open.push_back(&worker);
+    }
+  }
+  std::ranges::stable_sort(open, {}, [](const WorkerEntry* aWorker) {
+    return aWorker->mUse.mReserved.mMillicores;
+  });
+  std::vector<WorkerIncarnation> workers;
+  for (const WorkerEntry* worker : open) {
+    if (workers.size() == kMostAsked) {
+      break;
+    }
+    workers.push_back(worker->mInfo.mIncarnation);
+  }
+  return workers;
+}
+
+std::optional<AdviceQuery> CellScheduler::NextAdvice(const CellClock& aClock)
+{
+  for (const Candidate& candidate : SortedCandidates(aClock)) {
+    JobEntry& job = mJobs.at(candidate.mFirst.mJob);
+    const std::optional<AdvicePolicy>& policy = job.mPolicy.mAdvice;
+    if (!policy || !job.StepOf(candidate.mFirst).mAdvice.MayAsk(aClock.mNow)) {
+      continue;
+    }
+    AdviceQuery query{ candidate.mFirst,
+                       WorkersToAskAbout(job, candidate.mFirst, aClock.mNow),
+                       {} };
+    if (query.mWorkers.empty()) {
+      continue;
+    }
+    const auto asked = static_cast<Duration::rep>(query.mWorkers.size());
+    query.mTimeout = policy->mDecide + policy->mEach * asked + kAdviceSlack;
+    return query;
+  }
+  return std::nullopt;
+}
+
+void CellScheduler::TakeAdvice(const AdviceQuery& aQuery,
+                               const std::optional<AdviceReply>& aReply,
+                               const CellClock& aClock)
+{
+  const auto found = mJobs.find(aQuery.mStep.mJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  StepAdvice& advice = found->second.StepOf(aQuery.mStep).mAdvice;
+  Tell("advice",
+       aQuery.mStep,
+       {},
+       0,
+       !aReply                    ? "no-answer"
+       : aReply->mGranted.empty() ? "none-granted"
+                                  : "granted",
+       static_cast<std::int64_t>(aQuery.mWorkers.size()));
+  if (aReply) {
+    advice.Take(aQuery, *aReply, aClock.mNow);
+  } else {
+    advice.Defer(aClock.mNow + kAskAgain);
+  }
+}
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -1,20 +1,12 @@
 #include <algorithm>
 #include <tuple>
 
-#include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/Candidate.h"
 
 namespace foxtailbarrow::cell {
 
 namespace {
 
-/// How much a job can still earn, best first.
-enum class Prospect : std::uint8_t
-{
-  OnTime,
-  Late,
-  Hopeless,
-};
-
 /// A job that ends later than this many times its allowed time earns nothing.
 constexpr int kHopelessFactor = 3;
 
@@ -51,26 +43,6 @@
 
 } // namespace
 
-/// A step with tasks to place, and its place in the queue.
-struct CellScheduler::Candidate
-{
-  bool mLeftover = false;
-  std::int32_t mPriority = 0;
-  Prospect mProspect = Prospect::OnTime;
-  /// Leftover work is short: what has begun is finished first, and then the
-  /// smallest job, so that as many as possible are on time.
-  bool mWaits = false;
-  double mWork = 0;
-  Instant mDeadline{};
-  TaskRef mFirst; ///< Of the step; the index is 0.
-
-  auto Key() const
-  {
-    return std::tie(
-      mLeftover, mPriority, mProspect, mWaits, mWork, mDeadline, mFirst);
-  }
-};
-
 void CellScheduler::Schedule(const CellClock& aClock)
 {
   LoseLapsedWorkers(aClock);
@@ -79,11 +51,7 @@
       Evacuate(worker, aClock);
     }
   }
-  std::vector<Candidate> candidates = Candidates(aClock);
-  std::ranges::sort(candidates, {}, [](const Candidate& aCandidate) {
-    return aCandidate.Key();
-  });
-  for (const Candidate& candidate : candidates) {
+  for (const Candidate& candidate : SortedCandidates(aClock)) {
     PlaceStep(candidate, aClock);
   }
   PlaceCopies(aClock);
@@ -216,6 +184,16 @@
   return candidates;
 }
 
+std::vector<CellScheduler::Candidate> CellScheduler::SortedCandidates(
+  const CellClock& aClock)
+{
+  std::vector<Candidate> candidates = Candidates(aClock);
+  std::ranges::sort(candidates, {}, [](const Candidate& aCandidate) {
+    return aCandidate.Key();
+  });
+  return candidates;
+}
+
 void CellScheduler::PlaceStep(const Candidate& aCandidate,
                               const CellClock& aClock)
 {
@@ -301,20 +279,24 @@
            .mNumber = aRun,
            .mOrderedAt = aClock.mNow,
            .mOrderNumber = worker.mLastOrder + 1 });
-  mOrders[*agent].mStarts.push_back(OrderFor(aJob, aTask, aRun));
+  mOrders[*agent].mStarts.push_back(
+    OrderFor(aJob, aTask, aRun, worker, aClock.mNow));
   return true;
 }
 
 StartOrder CellScheduler::OrderFor(const JobEntry& aJob,
                                    const TaskRef& aTask,
-                                   RunNumber aRun) const
+                                   RunNumber aRun,
+                                   const WorkerEntry& aWorker,
+                                   Instant aNow) const
 {
   const StepSpec& spec = aJob.Spec(aTask);
   const std::size_t step = static_cast<std::size_t>(aTask.mStep);
-  const std::vector<TaskEntry>& tasks =
-    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
-      .mSteps[step]
-      .mTasks;
+  const StepEntry& entry =
+    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)].mSteps[step];
+  const std::vector<TaskEntry>& tasks = entry.mTasks;
+  const std::string* ticket =
+    entry.mAdvice.Ticket(aWorker.mInfo.mIncarnation, aNow);
   return { .mTask = aTask,
            .mRun = aRun,
            .mPayload = aJob.Graph().mPayload,
@@ -322,6 +304,7 @@
              spec.mGang
                ? GangCheckpoint(tasks)
                : tasks[static_cast<std::size_t>(aTask.mIndex)].mCheckpoint,
+           .mTicket = ticket == nullptr ? std::string() : *ticket,
            .mLatencyTarget = spec.mLatencyTarget,
            .mLeftover = spec.mLeftover,
            .mImage = spec.mImage };
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -184,6 +184,10 @@
          aAgent,
          result.mRun,
          ToString(result.mOutcome));
+    if (result.mOutcome == StartOutcome::NoTicket) {
+      found->second.StepOf(result.mTask)
+        .mAdvice.Reject(worker->second.mInfo.mIncarnation);
+    }
     RemoveRun(found->second, result.mTask, aAgent, result.mRun, aClock);
     StopGang(found->second, result.mTask, result.mRun, aClock);
     task->mNotBefore = aClock.mNow + mSettings.mRefusalPause;
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -7,6 +7,7 @@
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellRecords.h"
 #include "src/core/cell/QueuePolicy.h"
+#include "src/core/cell/StepAdvice.h"
 #include "src/core/cell/TaskEntry.h"
 
 namespace foxtailbarrow::cell {
@@ -15,6 +16,7 @@
 {
   std::vector<TaskEntry> mTasks;
   std::int32_t mLeft = 0; ///< Tasks that are not done.
+  StepAdvice mAdvice;     ///< Where the queue's policy asks for it.
 };
 
 /// One time that the steps of a job run.
--- a/src/core/cell/QueuePolicy.h
+++ b/src/core/cell/QueuePolicy.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/JobGraph.h"
+#include "src/core/cell/PlacementAdvice.h"
 
 namespace foxtailbarrow::cell {
 
@@ -17,8 +19,8 @@
   std::int32_t mAttempts = 1; ///< Failed runs of a task until the job fails.
   double mStretch = 1.0;      ///< Of the longest chain of estimates.
   Duration mAllowance{};      ///< Added to the stretched chain.
-  bool mNeedsAdvice = false;  ///< Workers are chosen by another service.
-  bool mWorkersGuard = false; ///< Workers refuse what does not fit.
+  std::optional<AdvicePolicy> mAdvice; ///< Another service chooses workers.
+  bool mWorkersGuard = false;          ///< Workers refuse what does not fit.
 
   bool operator==(const QueuePolicy&) const = default;
 };
--- /dev/null
+++ b/src/core/cell/StepAdvice.cpp
@@ -0,0 +1,44 @@
+#include "src/core/cell/StepAdvice.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+/// Kept of a ticket's time for the order's way to the worker. Of a short-lived
+/// ticket, half of its time.
+constexpr Duration kOrderTime = std::chrono::milliseconds(400);
+
+} // namespace
+
+const std::string* StepAdvice::Ticket(const WorkerIncarnation& aWorker,
+                                      Instant aNow) const
+{
+  const auto found = mTickets.find(aWorker);
+  return found == mTickets.end() || aNow >= found->second.mUntil
+           ? nullptr
+           : &found->second.mText;
+}
+
+void StepAdvice::Take(const AdviceQuery& aQuery,
+                      const AdviceReply& aReply,
+                      Instant aReceivedAt)
+{
+  const Duration usable =
+    aReply.mValid - std::min<Duration>(kOrderTime, aReply.mValid / 2);
+  for (const AdviceGrant& grant : aReply.mGranted) {
+    mTickets[grant.mWorker] = { grant.mTicket, aReceivedAt + usable };
+  }
+  for (const WorkerIncarnation& worker : aQuery.mWorkers) {
+    const bool granted =
+      std::ranges::any_of(aReply.mGranted, [&](const AdviceGrant& aGrant) {
+        return aGrant.mWorker == worker;
+      });
+    if (!granted) {
+      mDenied.insert(worker);
+    }
+  }
+}
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/TaskWorker.h
+++ b/src/core/cell/TaskWorker.h
@@ -26,6 +26,7 @@
   RunNumber mRun = 0;
   std::string mPayload;
   std::string mCheckpoint;
+  std::string mTicket; ///< Empty where none is needed.
   /// Leases of the worker's tasks last until then; never shortened by this.
   WorkerTimeMs mLeaseEnd = 0;
   Fence mFence = 0;
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -53,15 +53,16 @@
              Instant aNow)
 {
   const StepSpec& spec = aJob.Spec(aTask);
-  if (aWorker.mLink != WorkerLink::Attached || aWorker.mInfo.mDraining ||
-      aWorker.mInfo.mIncarnation.Empty() || !aWorker.mAnswers ||
+  if (aWorker.mLink != WorkerLink::Attached || !aWorker.mAnswers ||
       !aWorker.mForeign.empty() || aWorker.mAvoidUntil > aNow ||
       aWorker.mGrantedUntil <= aNow) {
     return false;
   }
-  if (aWorker.mInfo.mService != aJob.mPolicy.mService ||
-      !HasLabel(aWorker.mInfo, spec.mRequiredLabel) ||
-      !HasRoom(aWorker, spec)) {
+  if (!CouldRun(aWorker, aJob, aTask) || !HasRoom(aWorker, spec)) {
+    return false;
+  }
+  if (aJob.mPolicy.mAdvice && aJob.StepOf(aTask).mAdvice.Ticket(
+                                aWorker.mInfo.mIncarnation, aNow) == nullptr) {
     return false;
   }
   const std::int32_t here = TasksOfStepOn(aJob.StepOf(aTask), aWorker.mId);
@@ -181,6 +182,15 @@
 
 } // namespace
 
+bool CouldRun(const WorkerEntry& aWorker,
+              const JobEntry& aJob,
+              const TaskRef& aTask)
+{
+  return !aWorker.mInfo.mIncarnation.Empty() && !aWorker.mInfo.mDraining &&
+         aWorker.mInfo.mService == aJob.mPolicy.mService &&
+         HasLabel(aWorker.mInfo, aJob.Spec(aTask).mRequiredLabel);
+}
+
 Resources Reservation(const StepSpec& aSpec)
 {
   Resources reserved = aSpec.mDemand;
--- a/src/core/cell/WorkerChoice.h
+++ b/src/core/cell/WorkerChoice.h
@@ -13,6 +13,12 @@
 
 using WorkerTable = std::map<AgentId, WorkerEntry>;
 
+/// True when the worker is of the kind that the task needs, whatever runs
+/// there.
+bool CouldRun(const WorkerEntry& aWorker,
+              const JobEntry& aJob,
+              const TaskRef& aTask);
+
 /// What a task of the step reserves on a worker.
 Resources Reservation(const StepSpec& aSpec);
 
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -171,6 +171,7 @@
   aVisitor.Required("run", aMessage.mRun);
   aVisitor.Optional("payload", aMessage.mPayload, kPayloadRule);
   aVisitor.Optional("checkpoint", aMessage.mCheckpoint);
+  aVisitor.Optional("ticket", aMessage.mTicket);
   aVisitor.Optional("latencyTargetUs", aMessage.mLatencyTarget);
   aVisitor.Optional("leftover", aMessage.mLeftover);
   aVisitor.Optional("image", aMessage.mImage);
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -271,6 +271,7 @@
                                          run,
                                          TextOf(*body, "Spec"),
                                          TextOf(*body, "CheckpointId"),
+                                         TextOf(*body, "Ticket"),
                                          NumberOf(*body, "DeadlineMs"),
                                          fence },
                                        now);
--- /dev/null
+++ b/tests/cell/AdviceTest.cpp
@@ -0,0 +1,110 @@
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+const TaskRef kFirst{ JobId("job"), 0, 0, 0 };
+const WorkerIncarnation kWorkerA("a-life");
+const WorkerIncarnation kWorkerB("b-life");
+
+/// A queue whose workers another service chooses; workers a and b; a job of one
+/// task.
+class AdviceTest : public CellFixture
+{
+protected:
+  AdviceTest()
+  {
+    QueuePolicy policy = Policy();
+    policy.mAdvice = { milliseconds(100), milliseconds(10), seconds(3) };
+    mScheduler.SetQueues({ policy });
+    AttachAndGrant("a");
+    AttachAndGrant("b");
+    AddRecorded(Graph("job", { Step(1) }));
+    mScheduler.Schedule(Clock());
+  }
+
+  AdviceQuery Ask()
+  {
+    const auto query = mScheduler.NextAdvice(Clock());
+    EXPECT_TRUE(query.has_value());
+    return query.value_or(AdviceQuery());
+  }
+
+  void Answer(std::vector<AdviceGrant> aGranted)
+  {
+    mScheduler.TakeAdvice(
+      Ask(), AdviceReply{ std::move(aGranted), seconds(3) }, Clock());
+  }
+};
+
+TEST_F(AdviceTest, NothingStartsWithoutATicket)
+{
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+}
+
+TEST_F(AdviceTest, AsksAboutAllWorkersInTime)
+{
+  const AdviceQuery query = Ask();
+  EXPECT_EQ(query.mStep, kFirst);
+  EXPECT_EQ(query.mWorkers,
+            (std::vector<WorkerIncarnation>{ kWorkerA, kWorkerB }));
+  EXPECT_GT(query.mTimeout, milliseconds(120)); // 100 and 10 a worker
+}
+
+TEST_F(AdviceTest, ATaskStartsWhereItMayWithTheTicket)
+{
+  Answer({ { kWorkerB, "ticket-b" } });
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  const OrderRequest orders = Orders("b");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  EXPECT_EQ(orders.mStarts[0].mTicket, "ticket-b");
+}
+
+TEST_F(AdviceTest, ADeniedWorkerIsNotAskedAboutAgain)
+{
+  Answer({});
+  EXPECT_FALSE(mScheduler.NextAdvice(Clock()));
+  Pass(seconds(10));
+  EXPECT_FALSE(mScheduler.NextAdvice(Clock()));
+}
+
+TEST_F(AdviceTest, ATicketThatRanOutIsAskedForAgain)
+{
+  mScheduler.DetachWorker(AgentId("b"), Clock());
+  Answer({ { kWorkerA, "first" } });
+  Pass(seconds(3));
+  Grant("a");
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Answer({ { kWorkerA, "second" } });
+  const OrderRequest orders = Orders("a");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  EXPECT_EQ(orders.mStarts[0].mTicket, "second");
+}
+
+TEST_F(AdviceTest, ARejectedTicketIsAskedForAgain)
+{
+  mScheduler.DetachWorker(AgentId("b"), Clock());
+  Answer({ { kWorkerA, "first" } });
+  const OrderRequest orders = Orders("a");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  mScheduler.TakeStartResults(
+    AgentId("a"),
+    orders.mSession,
+    { { kFirst, orders.mStarts[0].mRun, StartOutcome::NoTicket } },
+    Clock());
+  EXPECT_EQ(Ask().mWorkers, std::vector<WorkerIncarnation>{ kWorkerA });
+}
+
+TEST_F(AdviceTest, AServiceWithoutAnAnswerIsAskedLater)
+{
+  mScheduler.TakeAdvice(Ask(), std::nullopt, Clock());
+  EXPECT_FALSE(mScheduler.NextAdvice(Clock()));
+  Pass(milliseconds(200));
+  EXPECT_TRUE(mScheduler.NextAdvice(Clock()));
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
--- /dev/null
+++ b/tests/platform/AdviceCodecTest.cpp
@@ -0,0 +1,87 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "platform/AdviceClient.h"
+#include "platform/ConfigurationCodec.h"
+#include "platform/WorkerCodec.h"
+
+namespace foxtailbarrow::platform::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const cell::TaskRef kTask{ JobId("5c0e7a21d94b36f8"), 0, 1, 0 };
+
+TEST(AdviceCodec, AsksByStepAndWorkers)
+{
+  EXPECT_EQ(FormatAdviceQuery({ kTask,
+                                { cell::WorkerIncarnation("i-1"),
+                                  cell::WorkerIncarnation("i-2") },
+                                {} }),
+            R"({"Step":"5c0e7a21d94b36f8.0.1","Workers":["i-1","i-2"]})");
+}
+
+TEST(AdviceCodec, ReadsTickets)
+{
+  const auto reply =
+    ParseAdvice(R"({"Granted":[["i-1","c81e"]],"ValidMs":3000,"New":1})");
+  ASSERT_TRUE(reply.ok()) << reply.status();
+  ASSERT_EQ(reply->mGranted.size(), 1U);
+  EXPECT_EQ(reply->mGranted[0].mWorker, cell::WorkerIncarnation("i-1"));
+  EXPECT_EQ(reply->mGranted[0].mTicket, "c81e");
+  EXPECT_EQ(reply->mValid, milliseconds(3000));
+}
+
+class BadAdvice : public testing::TestWithParam<const char*>
+{};
+
+TEST_P(BadAdvice, IsRefused)
+{
+  EXPECT_FALSE(ParseAdvice(GetParam()).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BadAdvice,
+                         testing::Values("",
+                                         "[]",
+                                         R"({"Granted":7})",
+                                         R"({"Granted":[["i-1"]]})",
+                                         R"({"Granted":[["i-1",7]]})",
+                                         R"({"Granted":[],"ValidMs":-1})",
+                                         R"({"Granted":[],"ValidMs":"x"})"));
+
+TEST(AdviceCodec, AStartCarriesTheTicket)
+{
+  cell::StartCall call;
+  call.mTask = kTask;
+  EXPECT_EQ(FormatStart(call).find("Ticket"), std::string::npos);
+  call.mTicket = "c81e";
+  EXPECT_NE(FormatStart(call).find(R"("Ticket":"c81e")"), std::string::npos);
+}
+
+TEST(AdviceCodec, ARejectedTicketIsToldApart)
+{
+  const auto reply = ParseRefusal(R"({"ClockMs":5,"Reason":"ticket"})");
+  ASSERT_TRUE(reply.ok());
+  EXPECT_EQ(reply->mOutcome, cell::StartOutcome::NoTicket);
+}
+
+TEST(AdviceCodec, AQueueSaysHowItsServiceAnswers)
+{
+  const auto configuration = ParseConfiguration(
+    R"({"Version":1,"Routes":[
+        {"Name":"a","Service":"s","Advice":{"DecideMs":40,"EachMs":5,"ValidMs":3000}},
+        {"Name":"b","Service":"s"}]})");
+  ASSERT_TRUE(configuration.ok()) << configuration.status();
+  ASSERT_EQ(configuration->mRoutes.size(), 2U);
+  EXPECT_EQ(configuration->mRoutes[0].mPolicy.mAdvice,
+            (cell::AdvicePolicy{
+              milliseconds(40), milliseconds(5), milliseconds(3000) }));
+  EXPECT_FALSE(configuration->mRoutes[1].mPolicy.mAdvice);
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::platform::test
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -75,7 +75,7 @@
 
 TEST(WorkerCodec, WritesOrders)
 {
-  EXPECT_EQ(FormatStart({ kTask, 2, "text", "", 486000, 7 }),
+  EXPECT_EQ(FormatStart({ kTask, 2, "text", "", "", 486000, 7 }),
             R"({"DeadlineMs":486000,"Fence":7,"Run":2,"Spec":"text",)"
             R"("Task":"5c0e7a21d94b36f8.0.1.17"})");
   cell::LookCall look;
--- a/tests/soak/TaskWorkerModelTest.cpp
+++ b/tests/soak/TaskWorkerModelTest.cpp
@@ -27,6 +27,7 @@
                            aRun,
                            aPayload,
                            {},
+                           {},
                            mWorker.Clock(mNow) + aLease.count(),
                            aFence },
                          mNow);
@@ -104,8 +105,8 @@
   mWorker.Advance(mNow);
   const std::string saved = mWorker.View(mNow).mEnded.back().mCheckpoint;
   EXPECT_EQ(saved, "400");
-  mWorker.Start({ kTask, 2, "work=600", saved, mWorker.Clock(mNow) + 1000, 1 },
-                mNow);
+  mWorker.Start(
+    { kTask, 2, "work=600", saved, {}, mWorker.Clock(mNow) + 1000, 1 }, mNow);
   mNow += milliseconds(200);
   EXPECT_EQ(LastEnd(), RunEnd::Done);
 }
