Report in a session only after the worker was looked at in it

Cause: an agent that has just started set the session in force before its look at the worker was answered; a report in between said that nothing runs. Change: the session counts once the worker was looked at. A report that follows an attachment within 0.7 s does not end the session: it was sent before.

--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kOrderWait = std::chrono::milliseconds(200);
 /// Three reports missed.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1300);
+/// A report may have been sent so long before an attachment that it follows.
+/// The agent's own timeout of reports.
+constexpr Duration kReportTime = std::chrono::milliseconds(700);
 /// An agent that is gone for so long is no longer asked for.
 constexpr Duration kForgetAfter = std::chrono::seconds(20);
 /// The high part of a session is its generation, so that sessions rise over
@@ -41,7 +44,8 @@
   desk.mWorkerGone = aReport.mState.mInfo.mGone;
   reply.mAttached = mLogic.TakeReport(aReport, Clock());
   if (!reply.mAttached) {
-    if (Attached(aReport.mAgent)) {
+    const bool overtaken = MonotonicNow() - desk.mAttachedAt < kReportTime;
+    if (Attached(aReport.mAgent) && !overtaken) {
       Detach(aReport.mAgent); // It restarted and knows of no session.
     }
     desk.mPoke.Now();
@@ -183,6 +187,7 @@
     return kAttachRetry;
   }
   aDesk.mHeardAt = MonotonicNow();
+  aDesk.mAttachedAt = aDesk.mHeardAt;
   mLogic.AttachWorker(aAgent, aDesk.mEndpoint, session, reply->mState, Clock());
   mSchedulePoke.Now();
   return Duration::zero();
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -100,12 +100,14 @@
     return absl::FailedPreconditionError("an older session");
   }
   mSession = aSession;
+  mBegun = false;
   mOrdersDone = 0;
   mFence = aSession;
   const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
   if (!Settle(aSession) || incarnation != mInfo.mIncarnation) {
     return absl::UnavailableError("the worker does not answer");
   }
+  mBegun = true;
   return Snapshot().mState;
 }
 
@@ -186,6 +188,7 @@
                                      aOrder.mRun,
                                      aOrder.mPayload,
                                      aOrder.mCheckpoint,
+                                     aOrder.mTicket,
                                      *leaseEnd,
                                      mFence },
                                    kOrderTimeout);
--- /dev/null
+++ b/tests/taskagent/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(taskagent-tests PRIVATE ftb_app_taskagent)
