--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -28,6 +28,10 @@
 /// Leases are granted for so much less than workers accept.
 constexpr Duration kHoldReserve = std::chrono::milliseconds(400);
 
+const JobRefused kUnadvised{ RefusalCause::Unsupported,
+                             Verdict::NotRun,
+                             "no service chooses the queue's workers" };
+
 net::HttpResponse Plain(unsigned aStatus, std::string aText)
 {
   net::HttpResponse response;
@@ -189,6 +193,20 @@
   return JobRefused{ cause, Verdict::NotRun, std::string(aStatus.message()) };
 }
 
+/// True for a job of a queue whose workers a service chooses that this
+/// deployment does not have.
+bool Scheduler::Unadvised(const JobRequest& aRequest,
+                          const CellConfiguration& aConfiguration) const
+{
+  const auto* submit = std::get_if<SubmitJob>(&aRequest.mBody);
+  return submit != nullptr && mSettings.mAdvice.mPort == 0 &&
+         std::ranges::any_of(
+           aConfiguration.mRoutes, [&](const QueueRoute& aRoute) {
+             return aRoute.mPolicy.mQueue == submit->mGraph.mQueue &&
+                    aRoute.mPolicy.mAdvice.has_value();
+           });
+}
+
 net::HttpResponse Scheduler::ServeCaller(const net::HttpRequest& aRequest)
 {
   const Instant begin = MonotonicNow();
@@ -200,7 +218,9 @@
   if (configuration) {
     const auto request = platform::ParseJobRequest(aRequest, *configuration);
     kind = request.ok() ? KindOf(*request) : kind;
-    answer = request.ok() ? mJobs.Answer(*request) : Refuse(request.status());
+    answer = !request.ok()                         ? Refuse(request.status())
+             : Unadvised(*request, *configuration) ? kUnadvised
+                                                   : mJobs.Answer(*request);
   }
   const Duration took = MonotonicNow() - begin;
   mAnswerTime.Observe(std::chrono::duration<double>(took).count());
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -45,6 +45,8 @@
   absl::Status ListenAll();
   void AddMethods();
   void AddViews();
+  bool Unadvised(const cell::JobRequest& aRequest,
+                 const cell::CellConfiguration& aConfiguration) const;
   cell::JobAnswer Refuse(const absl::Status& aStatus) const;
   std::shared_ptr<CellOwner> MakeOwner(const cell::OwnerTerm& aTerm);
 
