Make a round of placing cheaper in a full cell

Change: what no worker takes in a round is not tried again for a task that asks for as much; copies and moves are judged each 0.1 s; agents are told pressures once a second instead of with each report. Figures: bench-cell-ScheduleRound, 64 workers and 64 waiting jobs, one run each on a busy machine: 406 us before, 170 us, then 102 us to 146 us.

--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -87,6 +87,7 @@
     Poke mPoke;
     Instant mHeardAt{};
     Instant mAttachedAt{};
+    Instant mPressuresAt{};
     bool mWorkerGone = false; ///< By the agent's newest report.
     bool mRecorded = false;   ///< In the store, for the next owner.
     /// Of the agent's record. A removal depends on it, so that one which the
--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -24,6 +24,9 @@
 /// A report may have been sent so long before an attachment that it follows.
 /// The agent's own timeout of reports.
 constexpr Duration kReportTime = std::chrono::milliseconds(700);
+/// Between two words to an agent on what disturbs what: it is learned over
+/// seconds, and the agent keeps the last word.
+constexpr Duration kPressureInterval = std::chrono::seconds(1);
 /// An agent that is gone for so long is no longer asked for.
 constexpr Duration kForgetAfter = std::chrono::seconds(20);
 /// The high part of a session is its generation, so that sessions rise over
@@ -55,7 +58,10 @@
   reply.mGrant = mTerm.GrantAt(now);
   mLogic.NoteGrant(aReport.mAgent, now + reply.mGrant);
   reply.mAcknowledged = mLogic.Acknowledged(aReport.mAgent);
-  reply.mPressures = mLogic.PressuresOn(aReport.mAgent);
+  if (now - desk.mPressuresAt >= kPressureInterval) {
+    desk.mPressuresAt = now;
+    reply.mPressures = mLogic.PressuresOn(aReport.mAgent);
+  }
   mSchedulePoke.Now();
   return reply;
 }
@@ -188,6 +194,7 @@
   }
   aDesk.mHeardAt = MonotonicNow();
   aDesk.mAttachedAt = aDesk.mHeardAt;
+  aDesk.mPressuresAt = {}; // It may have started anew.
   mLogic.AttachWorker(aAgent, aDesk.mEndpoint, session, reply->mState, Clock());
   mSchedulePoke.Now();
   return Duration::zero();
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -69,8 +69,8 @@
   Duration Look();
 
   WorkerSnapshot Snapshot() const;
-  /// The session in force; 0 while one begins, since what is known of the worker
-  /// may be older than it: a report then would deny what runs.
+  /// The session in force; 0 while one begins, since what is known of the
+  /// worker may be older than it: a report then would deny what runs.
   cell::Session CurrentSession() const { return mBegun ? mSession : 0; }
 
 private:
@@ -94,7 +94,7 @@
   cell::LeaseGrant mLease;
   cell::PaceGovernor mGovernor;
   cell::Session mSession = 0;
-  bool mBegun = false; ///< The worker was looked at in this session.
+  bool mBegun = false;          ///< The worker was looked at in this session.
   std::int64_t mOrdersDone = 0; ///< Number of the newest of this session.
   cell::Fence mFence = 0;
   Instant mAnsweredAt{};
--- /dev/null
+++ b/bench/cell/ScheduleRound.cpp
@@ -0,0 +1,108 @@
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "src/core/cell/CellScheduler.h"
+
+/// Cost of a round of placing in a full cell, by workers: each runs four
+/// serving tasks of two images and leftover tasks up to its room; as many
+/// leftover jobs of twenty tasks wait as there are workers.
+namespace {
+
+using namespace foxtailbarrow;
+using namespace foxtailbarrow::cell;
+using std::chrono::seconds;
+
+constexpr int kServingImages = 5;
+constexpr int kLeftoverImages = 9;
+constexpr int kServingPerWorker = 4;
+constexpr int kTasksPerJob = 20;
+
+class FullCell
+{
+public:
+  explicit FullCell(int aWorkers)
+    : mScheduler(1, {}, [](const CellDecision&) {})
+  {
+    QueuePolicy policy;
+    policy.mQueue = QueueId("queue");
+    policy.mService = ServiceId("service");
+    policy.mAllowance = seconds(10);
+    mScheduler.SetQueues({ policy });
+    for (int i = 0; i < aWorkers; ++i) {
+      Attach(AgentId("agent" + std::to_string(i)));
+    }
+    for (int i = 0; i < aWorkers * kServingPerWorker / kTasksPerJob; ++i) {
+      Add(i, Serving(i % kServingImages));
+    }
+    for (int i = 0; i < aWorkers; ++i) {
+      Add(aWorkers + i, Leftover(i % kLeftoverImages));
+    }
+    Round();
+  }
+
+  void Round() { mScheduler.Schedule({ mNow, 0 }); }
+
+private:
+  static StepSpec Serving(int aImage)
+  {
+    StepSpec step;
+    step.mReplicas = kTasksPerJob;
+    step.mDemand = { 13'000, 26'000, 0 };
+    step.mStanding = true;
+    step.mImage = "s" + std::to_string(aImage);
+    step.mLatencyTarget = std::chrono::milliseconds(18);
+    return step;
+  }
+
+  static StepSpec Leftover(int aImage)
+  {
+    StepSpec step;
+    step.mReplicas = kTasksPerJob;
+    step.mDemand = { 7'000, 13'000, 0 };
+    step.mLeftover = true;
+    step.mCheckpoints = true;
+    step.mImage = "l" + std::to_string(aImage);
+    step.mEstimate = seconds(2);
+    return step;
+  }
+
+  void Attach(const AgentId& aAgent)
+  {
+    WorkerState state;
+    state.mInfo.mIncarnation = WorkerIncarnation(aAgent.Value());
+    state.mInfo.mService = ServiceId("service");
+    state.mInfo.mCapacity = { 64'000, 256'000, 0 };
+    mScheduler.AttachWorker(
+      aAgent, { "127.0.0.1", 1 }, 256, state, { mNow, 0 });
+    mScheduler.NoteGrant(aAgent, mNow + std::chrono::hours(1));
+  }
+
+  void Add(int aId, StepSpec aStep)
+  {
+    JobGraph graph;
+    graph.mId = JobId("job" + std::to_string(aId));
+    graph.mQueue = QueueId("queue");
+    graph.mSteps = { std::move(aStep) };
+    mScheduler.AddJob({ graph, 0, false }, {}, 0, { mNow, 0 });
+    for (const UnrecordedProgress& job : mScheduler.Unrecorded(1)) {
+      mScheduler.NoteRecorded(job.mJob, job.mVersion, 1);
+    }
+  }
+
+  Instant mNow{ std::chrono::hours(1) };
+  CellScheduler mScheduler;
+};
+
+void RoundInAFullCell(benchmark::State& aState)
+{
+  FullCell cell(static_cast<int>(aState.range(0)));
+  for (auto _ : aState) {
+    cell.Round();
+  }
+}
+BENCHMARK(RoundInAFullCell)->Arg(11)->Arg(64)->Unit(benchmark::kMicrosecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -10,6 +10,7 @@
 #include "src/core/cell/CellDecision.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/CellSettings.h"
+#include "src/core/cell/FullFor.h"
 #include "src/core/cell/JobEntry.h"
 #include "src/core/cell/WorkerChoice.h"
 #include "src/core/cell/WorkerEntry.h"
@@ -305,6 +306,8 @@
   std::set<JobId> mUnrecorded;
   WorkerTable mWorkers;
   Interference mInterference;
+  Instant mRunsJudgedAt{};
+  FullFor mFullFor; ///< Of the present round of placing.
   std::map<AgentId, OrderRequest> mOrders;
   std::set<AgentId> mExpected; ///< Not attached yet since the takeover.
   Instant mExpectedUntil{};
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -51,11 +51,15 @@
       Evacuate(worker, aClock);
     }
   }
+  mFullFor.Clear();
   for (const Candidate& candidate : SortedCandidates(aClock)) {
     PlaceStep(candidate, aClock);
   }
-  PlaceCopies(aClock);
-  MoveStalledTasks(aClock);
+  if (aClock.mNow - mRunsJudgedAt >= mSettings.mJudgeRunsEvery) {
+    mRunsJudgedAt = aClock.mNow;
+    PlaceCopies(aClock);
+    MoveStalledTasks(aClock);
+  }
 }
 
 bool CellScheduler::WantsCopy(const JobEntry& aJob,
@@ -258,14 +262,18 @@
                               RunNumber aRun,
                               const CellClock& aClock)
 {
-  const auto agent = ChooseWorker({ mWorkers,
-                                    mInterference,
-                                    mSettings,
-                                    aClock.mNow,
-                                    Starving(aJob, aTask, aClock.mNow) },
-                                  aJob,
-                                  aTask);
+  const StepSpec& spec = aJob.Spec(aTask);
+  const bool starving = Starving(aJob, aTask, aClock.mNow);
+  const bool compared = !starving && FullFor::Covers(aJob, spec);
+  if (compared && mFullFor.Refuses(aJob, spec)) {
+    return false;
+  }
+  const auto agent = ChooseWorker(
+    { mWorkers, mInterference, mSettings, aClock.mNow, starving }, aJob, aTask);
   if (!agent) {
+    if (compared && aJob.Find(aTask)->mStalledUntil <= aClock.mNow) {
+      mFullFor.NoteRefused(aJob, spec);
+    }
     return false;
   }
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -40,6 +40,10 @@
   double mCopySlowness = 2.5;
   /// Copies of a cell at a time.
   int mMaxCopies = 24;
+  /// Between two looks over all runs for copies and moves, which wait for about
+  /// a second; rounds of placing come up to 200 times a second. Without the
+  /// looks a round of 64 workers takes 102 us to 146 us instead of 170 us.
+  Duration mJudgeRunsEvery = std::chrono::milliseconds(100);
   /// A leftover task that uses less than this share of its demand, later than
   /// so long after its start, is stalled: slowed down for a serving task.
   double mStalledShare = 0.3;
--- /dev/null
+++ b/src/core/cell/FullFor.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "src/core/cell/JobEntry.h"
+
+namespace foxtailbarrow::cell {
+
+/// Leftover tasks that no worker takes in the present round of placing. Within
+/// a round workers only get fuller, so that what asks for as much is not tried
+/// again: 406 us a round of 64 workers and 64 waiting jobs without it, 170 us
+/// with it (bench-cell-ScheduleRound, one run each). Pure.
+class FullFor
+{
+public:
+  /// Only tasks that differ in nothing but image and demand are compared.
+  static bool Covers(const JobEntry& aJob, const StepSpec& aSpec)
+  {
+    return aSpec.mLeftover && !aSpec.mGang && aSpec.mRequiredLabel.empty() &&
+           aSpec.mMaxPerWorker == 0 && !aJob.mPolicy.mAdvice;
+  }
+
+  bool Refuses(const JobEntry& aJob, const StepSpec& aSpec) const
+  {
+    const auto found = mRefused.find(KeyOf(aJob, aSpec));
+    return found != mRefused.end() && found->second.FitsIn(aSpec.mDemand);
+  }
+
+  void NoteRefused(const JobEntry& aJob, const StepSpec& aSpec)
+  {
+    mRefused.insert_or_assign(KeyOf(aJob, aSpec), aSpec.mDemand);
+  }
+
+  void Clear() { mRefused.clear(); }
+
+private:
+  using Key = std::pair<std::string, std::string>;
+
+  static Key KeyOf(const JobEntry& aJob, const StepSpec& aSpec)
+  {
+    return { aJob.mPolicy.mService.Value(), aSpec.mImage };
+  }
+
+  std::map<Key, Resources> mRefused; ///< Demand by service and image.
+};
+
+} // namespace foxtailbarrow::cell
