--- a/soak/PromiseBook.cpp
+++ b/soak/PromiseBook.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace foxtailbarrow::soak {
 
 using cell::JobPhase;
@@ -134,8 +136,14 @@
     Break("refused as not run, but it runs: " + name);
   }
   for (const auto& [incarnation, run] : task.mLive) {
-    Break("two runs at a time: " + name + " on " + aIncarnation + ", run " +
-          std::to_string(run) + " on " + incarnation);
+    Break(absl::StrCat("two runs at a time: ",
+                       name,
+                       " on ",
+                       aIncarnation,
+                       ", run ",
+                       run,
+                       " on ",
+                       incarnation));
   }
   if (task.mNoted || aJob.mShown == JobPhase::Completed) {
     Break("started again after its end was noted: " + name);
