--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -44,7 +44,8 @@
 
   /// False when the store is silent: a write would leave the request in doubt.
   bool AwaitStore() const;
-  /// Nobody knows better than an owner that the store may have replaced.
+  /// For a read that nobody could answer: what this process knows as the owner
+  /// of the cell, although it may have been replaced.
   cell::JobAnswer LastResort(const cell::JobRequest& aRequest,
                              cell::JobAnswer aRefusal);
   std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
