--- a/src/core/cell/Candidacy.h
+++ b/src/core/cell/Candidacy.h
@@ -7,9 +7,8 @@
 namespace foxtailbarrow::cell {
 
 /// Decides when a scheduler tries to take a cell that has no owner: those with
-/// little processor time let others go first. An owner of 53 workers needed
-/// 0.13 of a core at most (mean over 50 s of a played day), and one with 0.12
-/// of a core fell so far behind that reports were over a second old. Pure.
+/// little processor time let others go first. An owner of 53 workers used 0.13
+/// of a core in its worst second, and some front VMs have 0.12. Pure.
 class Candidacy
 {
 public:
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -49,9 +49,10 @@
   double mStalledShare = 0.3;
   Duration mStalledGrace = std::chrono::milliseconds(900);
   /// A task that was stalled for so long is stopped, with a checkpoint, when
-  /// another worker would take it. Mean worth of six played days of one
-  /// deployment: 0.415 without, 0.474 with it; of another 0.562 and 0.552,
-  /// which is noise. A move costs a stop and a restore, 0.3 s to 1 s.
+  /// another worker would take it. Mean share of the value of all work earned
+  /// on six days: 0.415 without, 0.474 with it where serving tasks reserve all
+  /// workers; 0.562 and 0.552, which is noise, where they do not. A move costs
+  /// a stop and a restore, 0.3 s to 1 s.
   Duration mMoveStalledAfter = std::chrono::milliseconds(1200);
   /// Between two such stops on one worker: the others may go faster after one.
   Duration mMovePause = std::chrono::milliseconds(500);
