Let a loading owner take the configuration; elect only with one

Cause: an owner that is still loading from the store was not told of a new configuration. Ruled out: a fiber that is never woken (reports, records and reads went on), no grants (no worker was detached). Change: the configuration reaches an owner from its election on; a scheduler without a configuration takes no part in the election.

--- a/apps/scheduler/Election.h
+++ b/apps/scheduler/Election.h
@@ -44,7 +44,9 @@
   /// Another owner was seen: the term is over.
   void Superseded();
 
-  /// The owner in this process, or null.
+  /// The owner in this process, also while it still loads; null without a term.
+  std::shared_ptr<CellOwner> Term() const { return mOwner; }
+  /// The owner in this process once it has loaded, or null.
   std::shared_ptr<CellOwner> Owner() const;
   /// Where the owner was seen last; nullopt when there is none.
   std::optional<Endpoint> OwnerAt() const;
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
 /// Between two small reads that show whether the store answers.
 constexpr Duration kPulseInterval = std::chrono::milliseconds(300);
+/// An owner without policies would judge jobs by none: until they are read,
+/// this scheduler takes no part in the election.
+constexpr Duration kAwaitConfiguration = std::chrono::milliseconds(20);
 /// Leases are granted for so much less than workers accept.
 constexpr Duration kHoldReserve = std::chrono::milliseconds(400);
 
@@ -83,7 +86,9 @@
   , mRpc(mClient)
   , mConfiguration(mStore,
                    [this](const CellConfiguration& aConfiguration) {
-                     if (const auto owner = mElection.Owner()) {
+                     // One that still loads must not miss it: without policies
+                     // nothing would start until the next change.
+                     if (const auto owner = mElection.Term()) {
                        owner->SetQueues(QueuesOf(&aConfiguration));
                      }
                    })
@@ -177,7 +182,9 @@
     return status;
   }
   mFibers.Repeat(mConfigurationPoke, [this] { return mConfiguration.Round(); });
-  mFibers.Repeat(mElection.RoundPoke(), [this] { return mElection.Round(); });
+  mFibers.Repeat(mElection.RoundPoke(), [this] {
+    return mConfiguration.Current() ? mElection.Round() : kAwaitConfiguration;
+  });
   mFibers.Repeat(mPulsePoke, kPulseInterval, [this] {
     const auto entry = mStore.Read(cell::kCellKey);
     NotePulse(entry.status());
--- /dev/null
+++ b/tests/scheduler/Libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(scheduler-tests PRIVATE ftb_app_scheduler)
