--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -54,6 +54,8 @@
     const std::string key = ProgressKey(job.mJob);
     transaction.mCompares.push_back({ key, job.mRevision });
     transaction.mWrites.push_back({ key, ToJsonText(job.mProgress) });
+    // From now on until the answer the store may show what we do not.
+    mLogic.NoteRecordInDoubt(job.mJob);
   }
   const Instant sentAt = MonotonicNow();
   const auto result = mParts.mStore.Commit(transaction);
@@ -65,11 +67,6 @@
                { { "jobs", batch.size() },
                  { "verdict", ToString(VerdictOf(result.status())) },
                  { "error", result.status().ToString() } });
-    if (VerdictOf(result.status()) != Verdict::NotRun) {
-      for (const UnrecordedProgress& job : batch) {
-        mLogic.NoteRecordInDoubt(job.mJob);
-      }
-    }
     return false;
   }
   if (!result->mApplied) {
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -129,7 +129,7 @@
   void NoteRecorded(const JobId& aJob,
                     std::uint64_t aVersion,
                     Revision aRevision);
-  /// A write of the record got no answer.
+  /// A write of the record was sent and is not answered yet.
   void NoteRecordInDoubt(const JobId& aJob);
   /// The store has another revision of the record than was thought.
   void NoteProgressRevision(const JobId& aJob, Revision aRevision);
