--- a/src/core/cell/Candidate.h
+++ b/src/core/cell/Candidate.h
@@ -4,17 +4,10 @@
 #include <tuple>
 
 #include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/Prospect.h"
 
 namespace foxtailbarrow::cell {
 
-/// How much a job can still earn, best first.
-enum class Prospect : std::uint8_t
-{
-  OnTime,
-  Late,
-  Hopeless,
-};
-
 /// A step with tasks to place, and its place in the queue.
 struct CellScheduler::Candidate
 {
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -2,18 +2,12 @@
 #include <tuple>
 
 #include "src/core/cell/Candidate.h"
+#include "src/core/cell/Prospect.h"
 
 namespace foxtailbarrow::cell {
 
 namespace {
 
-/// A job that ends later than this many times its allowed time earns nothing.
-constexpr int kHopelessFactor = 3;
-
-/// Part of the remaining chain that a job which has begun still has before it,
-/// on average.
-constexpr double kBegunShare = 0.5;
-
 /// All members of a gang resume from one checkpoint; that of any is valid.
 std::string GangCheckpoint(const std::vector<TaskEntry>& aMembers)
 {
@@ -24,23 +18,6 @@
   return saved == aMembers.end() ? std::string() : saved->mCheckpoint;
 }
 
-Prospect ProspectOf(const JobEntry& aJob,
-                    const OccurrenceEntry& aOccurrence,
-                    bool aBegun,
-                    Instant aNow)
-{
-  const Duration chain = RemainingChain(aJob.Graph(), aOccurrence);
-  const double share = aBegun ? kBegunShare : 1.0;
-  const auto left = std::chrono::duration_cast<Duration>(chain * share);
-  if (aNow + left <= aJob.mDeadline) {
-    return Prospect::OnTime;
-  }
-  const Duration allowed = aJob.mDeadline - aJob.mAcceptedAt;
-  return aNow + left < aJob.mAcceptedAt + kHopelessFactor * allowed
-           ? Prospect::Late
-           : Prospect::Hopeless;
-}
-
 } // namespace
 
 void CellScheduler::Schedule(const CellClock& aClock)
--- /dev/null
+++ b/src/core/cell/Prospect.cpp
@@ -0,0 +1,35 @@
+#include "src/core/cell/Prospect.h"
+
+#include <chrono>
+
+namespace foxtailbarrow::cell {
+
+namespace {
+
+/// A job that ends later than this many times its allowed time earns nothing.
+constexpr int kHopelessFactor = 3;
+
+/// Part of the remaining chain that a job which has begun still has before it,
+/// on average.
+constexpr double kBegunShare = 0.5;
+
+} // namespace
+
+Prospect ProspectOf(const JobEntry& aJob,
+                    const OccurrenceEntry& aOccurrence,
+                    bool aBegun,
+                    Instant aNow)
+{
+  const Duration chain = RemainingChain(aJob.Graph(), aOccurrence);
+  const double share = aBegun ? kBegunShare : 1.0;
+  const auto left = std::chrono::duration_cast<Duration>(chain * share);
+  if (aNow + left <= aJob.mDeadline) {
+    return Prospect::OnTime;
+  }
+  const Duration allowed = aJob.mDeadline - aJob.mAcceptedAt;
+  return aNow + left < aJob.mAcceptedAt + kHopelessFactor * allowed
+           ? Prospect::Late
+           : Prospect::Hopeless;
+}
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/Prospect.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+#include "src/core/cell/JobEntry.h"
+
+namespace foxtailbarrow::cell {
+
+/// How much a job can still earn, best first.
+enum class Prospect : std::uint8_t
+{
+  OnTime,
+  Late,
+  Hopeless,
+};
+
+/// What a job can still earn by one occurrence, by declared run times. Pure.
+Prospect ProspectOf(const JobEntry& aJob,
+                    const OccurrenceEntry& aOccurrence,
+                    bool aBegun,
+                    Instant aNow);
+
+} // namespace foxtailbarrow::cell
