--- a/apps/scheduler/CellOwnerBeliefs.cpp
+++ b/apps/scheduler/CellOwnerBeliefs.cpp
@@ -78,7 +78,7 @@
 
 void CellOwner::KeepBeliefs()
 {
-  const LearnedInterference learned = mLogic.Learned().Learned(kMostPairs);
+  const LearnedInterference learned = mLogic.Learned().WellKnown(kMostPairs);
   if (learned.mPairs.empty()) {
     return;
   }
@@ -86,6 +86,7 @@
   transaction.mCompares.push_back(CellUnchanged());
   transaction.mWrites.push_back(
     { std::string(kLearnedKey), ToJsonText(learned) });
+  // Not applied: another owner has the cell, as the election will find.
   if (const auto result = mParts.mStore.Commit(transaction); !result.ok()) {
     LogWarning("pressures-unkept", { { "error", result.status().ToString() } });
   }
--- a/bench/cell/ScheduleRound.cpp
+++ b/bench/cell/ScheduleRound.cpp
@@ -101,7 +101,11 @@
     cell.Round();
   }
 }
-BENCHMARK(RoundInAFullCell)->Arg(11)->Arg(64)->Unit(benchmark::kMicrosecond);
+BENCHMARK(RoundInAFullCell)
+  ->Arg(11)
+  ->Arg(64)
+  ->Arg(100)
+  ->Unit(benchmark::kMicrosecond);
 
 } // namespace
 
--- a/src/core/cell/Interference.cpp
+++ b/src/core/cell/Interference.cpp
@@ -119,7 +119,7 @@
   return known;
 }
 
-LearnedInterference Interference::Learned(std::size_t aMostPairs) const
+LearnedInterference Interference::WellKnown(std::size_t aMostPairs) const
 {
   const double share = mSettings.mKeptVarianceShare;
   LearnedInterference learned;
--- a/src/core/cell/Interference.h
+++ b/src/core/cell/Interference.h
@@ -101,7 +101,7 @@
   std::vector<Pressure> Known() const;
 
   /// What is known well enough to be kept, at most `aMostPairs` of it.
-  LearnedInterference Learned(std::size_t aMostPairs) const;
+  LearnedInterference WellKnown(std::size_t aMostPairs) const;
   /// Takes over what an earlier owner learned. What was observed here stays.
   void Adopt(const LearnedInterference& aLearned);
 
--- a/tests/cell/InterferenceTest.cpp
+++ b/tests/cell/InterferenceTest.cpp
@@ -58,7 +58,7 @@
       kWorker, "service", std::log(0.45) + 0.5, often, At(look));
   }
   interference.Observe(kWorker, "service", 0.0, once, At(100));
-  const LearnedInterference learned = interference.Learned(kAll);
+  const LearnedInterference learned = interference.WellKnown(kAll);
   ASSERT_EQ(learned.mPairs.size(), 1U);
   EXPECT_EQ(learned.mPairs[0].mLeftover, "often");
 
@@ -68,7 +68,7 @@
             interference.PerCore("service", "often"));
   EXPECT_EQ(next.PerCore("service", "once"),
             InterferenceSettings().mPriorPerCore);
-  EXPECT_TRUE(interference.Learned(0).mPairs.empty());
+  EXPECT_TRUE(interference.WellKnown(0).mPairs.empty());
 }
 
 TEST(Interference, OneOutlierDoesNotDecide)
--- a/tests/load/LoadReplay.cpp
+++ b/tests/load/LoadReplay.cpp
@@ -52,13 +52,13 @@
     }
   }
   for (int number = 0; number < mPattern.mWorkers; ++number) {
-    mSeats.push_back(
-      std::make_unique<Seat>(Seat{ AgentId("agent" + std::to_string(number)),
-                                   ModelWorker(mPattern, mWeights, number),
-                                   PaceGovernor(aPolicy.mPace) }));
-    Seat& seat = *mSeats.back();
+    mManaged.push_back(std::make_unique<ManagedWorker>(
+      ManagedWorker{ AgentId("agent" + std::to_string(number)),
+                     ModelWorker(mPattern, mWeights, number),
+                     PaceGovernor(aPolicy.mPace) }));
+    ManagedWorker& worker = *mManaged.back();
     mScheduler.AttachWorker(
-      seat.mAgent, {}, kSession, seat.mWorker.State(), Clock());
+      worker.mAgent, {}, kSession, worker.mModel.State(), Clock());
   }
 }
 
@@ -140,23 +140,23 @@
   }
 }
 
-void LoadReplay::Report(Seat& aSeat)
+void LoadReplay::Report(ManagedWorker& aWorker)
 {
   ReportRequest report;
-  report.mAgent = aSeat.mAgent;
+  report.mAgent = aWorker.mAgent;
   report.mSession = kSession;
-  report.mSequence = ++aSeat.mSequence;
+  report.mSequence = ++aWorker.mSequence;
   report.mOrdersDone = kAllOrders;
-  report.mState = aSeat.mWorker.State();
+  report.mState = aWorker.mModel.State();
   mScheduler.TakeReport(report, Clock());
-  mScheduler.NoteGrant(aSeat.mAgent, At(mSeconds) + std::chrono::seconds(3));
+  mScheduler.NoteGrant(aWorker.mAgent, At(mSeconds) + std::chrono::seconds(3));
   Record();
-  aSeat.mWorker.Acknowledge(mScheduler.Acknowledged(aSeat.mAgent));
-  aSeat.mGovernor.TakePressures(mScheduler.PressuresOn(aSeat.mAgent));
+  aWorker.mModel.Acknowledge(mScheduler.Acknowledged(aWorker.mAgent));
+  aWorker.mGovernor.TakePressures(mScheduler.PressuresOn(aWorker.mAgent));
   for (const PaceChange& change :
-       aSeat.mGovernor.Judge(report.mState.mRunning, At(mSeconds))) {
-    aSeat.mWorker.Pace(change.mTask, change.mPercent);
-    aSeat.mGovernor.NotePaced(change);
+       aWorker.mGovernor.Judge(report.mState.mRunning, At(mSeconds))) {
+    aWorker.mModel.Pace(change.mTask, change.mPercent);
+    aWorker.mGovernor.NotePaced(change);
   }
 }
 
@@ -172,25 +172,25 @@
          static_cast<double>(aSpec.mDemand.mMillicores) / kMillicores;
 }
 
-void LoadReplay::CarryOut(Seat& aSeat)
+void LoadReplay::CarryOut(ManagedWorker& aWorker)
 {
-  const OrderRequest orders = mScheduler.TakeOrders(aSeat.mAgent);
+  const OrderRequest orders = mScheduler.TakeOrders(aWorker.mAgent);
   std::vector<StartResult> results;
   for (const StartOrder& order : orders.mStarts) {
     const StepSpec& spec =
       mScheduler.Jobs().at(order.mTask.mJob).Spec(order.mTask);
-    aSeat.mWorker.Start(order, spec, WorkOf(order.mTask, spec));
-    aSeat.mGovernor.NoteTraits(
+    aWorker.mModel.Start(order, spec, WorkOf(order.mTask, spec));
+    aWorker.mGovernor.NoteTraits(
       { order.mTask, order.mLatencyTarget, order.mLeftover, order.mImage });
     results.push_back({ order.mTask, order.mRun, StartOutcome::Started });
   }
   for (const StopOrder& order : orders.mStops) {
-    aSeat.mWorker.Stop(order);
+    aWorker.mModel.Stop(order);
   }
-  mScheduler.TakeStartResults(aSeat.mAgent, kSession, results, Clock());
+  mScheduler.TakeStartResults(aWorker.mAgent, kSession, results, Clock());
 }
 
-void LoadReplay::NoteEnds()
+void LoadReplay::NoteFinished()
 {
   for (auto& [id, job] : mLeftoverJobs) {
     if (!job.mOnTime && mSeconds <= job.mArrived + job.mAllowed) {
@@ -207,18 +207,18 @@
     mSeconds = tick * kTickS;
     Arrive(kTickS);
     Record();
-    for (auto& seat : mSeats) {
-      seat->mWorker.Pass(kTickS, mSeconds);
+    for (auto& worker : mManaged) {
+      worker->mModel.Pass(kTickS, mSeconds);
       if (tick % kTicksPerFigure == 0) {
-        seat->mWorker.TakeFigures(mRandom);
+        worker->mModel.TakeFigures(mRandom);
       }
-      Report(*seat);
+      Report(*worker);
     }
     mScheduler.Schedule(Clock());
-    for (auto& seat : mSeats) {
-      CarryOut(*seat);
+    for (auto& worker : mManaged) {
+      CarryOut(*worker);
     }
-    NoteEnds();
+    NoteFinished();
   }
   LoadOutcome outcome;
   double work = 0;
@@ -230,9 +230,9 @@
   }
   outcome.mOnTime /= work;
   double serving = 0;
-  for (const auto& seat : mSeats) {
-    serving += seat->mWorker.ServingSeconds();
-    outcome.mPressed += seat->mWorker.PressedSeconds();
+  for (const auto& worker : mManaged) {
+    serving += worker->mModel.ServingSeconds();
+    outcome.mPressed += worker->mModel.PressedSeconds();
   }
   outcome.mPressed /= serving;
   return outcome;
@@ -241,7 +241,7 @@
 LearnedInterference LoadReplay::Learned() const
 {
   constexpr std::size_t kAll = 1000;
-  return mScheduler.Learned().Learned(kAll);
+  return mScheduler.Learned().WellKnown(kAll);
 }
 
 double MeanWorth(const LoadPolicy& aPolicy, int aSeeds)
--- a/tests/load/LoadReplay.h
+++ b/tests/load/LoadReplay.h
@@ -37,10 +37,11 @@
   }
 
 private:
-  struct Seat
+  /// A worker with the state of its agent.
+  struct ManagedWorker
   {
     AgentId mAgent;
-    ModelWorker mWorker;
+    ModelWorker mModel;
     PaceGovernor mGovernor;
     std::int64_t mSequence = 0;
   };
@@ -59,16 +60,16 @@
   void Arrive(double aSeconds);
   void Add(const JobGraph& aGraph);
   void Record();
-  void Report(Seat& aSeat);
-  void CarryOut(Seat& aSeat);
-  void NoteEnds();
+  void Report(ManagedWorker& aWorker);
+  void CarryOut(ManagedWorker& aWorker);
+  void NoteFinished();
   double WorkOf(const TaskRef& aTask, const StepSpec& aSpec);
 
   LoadPattern mPattern;
   std::mt19937 mRandom;
   HiddenWeights mWeights;
   CellScheduler mScheduler;
-  std::vector<std::unique_ptr<Seat>> mSeats;
+  std::vector<std::unique_ptr<ManagedWorker>> mManaged;
   std::map<JobId, LeftoverJob> mLeftoverJobs;
   double mSeconds = 0;
   Revision mRevision = 1;
