Tell only what changed in reports; an owner says how far it is behind

Cause looked for: the owner of 160 workers stands at the knee of its queue. Every report carried all tasks of its worker as JSON objects, although most come because one task ended.

Change: WorkerChange and ReportBase: a report tells what changed since the last one that the owner took in this session, and all when that is not known. Rows instead of objects for running and ended tasks. OwnerLoad: a line and figures each second on where the owner's processor time goes and how long others wait for it. Ruled out so far: nothing.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -12,6 +12,7 @@
 #include "src/core/message/Codec.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
+#include "src/telemetry/ProcessMetrics.h"
 
 namespace foxtailbarrow::scheduler {
 
@@ -25,17 +26,6 @@
 constexpr Duration kGather = std::chrono::milliseconds(2);
 constexpr Duration kStoreRetry = std::chrono::milliseconds(100);
 
-void LogDecision(const CellDecision& aDecision)
-{
-  LogChange(aDecision.mEvent,
-            { { "job", aDecision.mJob },
-              { "task", aDecision.mTask },
-              { "agent", aDecision.mAgent },
-              { "run", aDecision.mRun },
-              { "reason", aDecision.mReason },
-              { "ms", aDecision.mAgeMs } });
-}
-
 template<typename Record>
 std::optional<Record> ReadRecord(std::string_view aKey, std::string_view aText)
 {
@@ -57,11 +47,26 @@
   : mParts(std::move(aParts))
   , mTerm(aTerm)
   , mSettings(aSettings)
-  , mLogic(aTerm.OwnGeneration(), aSettings, LogDecision)
+  , mLogic(aTerm.OwnGeneration(),
+           aSettings,
+           [this](const CellDecision& aDecision) { LogDecision(aDecision); })
 {
   TakeQueues(aQueues);
 }
 
+void CellOwner::LogDecision(const CellDecision& aDecision)
+{
+  const Instant begin = MonotonicNow();
+  LogChange(aDecision.mEvent,
+            { { "job", aDecision.mJob },
+              { "task", aDecision.mTask },
+              { "agent", aDecision.mAgent },
+              { "run", aDecision.mRun },
+              { "reason", aDecision.mReason },
+              { "ms", aDecision.mAgeMs } });
+  mLoad.NoteWork(OwnerWork::Logs, MonotonicNow() - begin);
+}
+
 void CellOwner::TakeQueues(const std::vector<QueuePolicy>& aQueues)
 {
   mAdviceWanted = std::ranges::any_of(aQueues, [](const QueuePolicy& aQueue) {
@@ -238,23 +243,54 @@
 {
   while (!mEnded) {
     mSchedulePoke.Wait(kTick);
+    const Instant due = MonotonicNow() + kGather;
     boost::this_fiber::sleep_for(kGather);
     if (mEnded) {
       return;
     }
-    mLogic.Schedule(Clock());
-    for (const AgentId& agent : mLogic.AgentsWithOrders()) {
-      if (const auto desk = mDesks.find(agent); desk != mDesks.end()) {
-        desk->second->mPoke.Now();
-      }
-    }
-    if (mLogic.HasUnrecorded()) {
-      mRecordPoke.Now();
+    mLoad.NoteWait(OwnerWait::Loop, MonotonicNow() - due);
+    RunRound();
+    TellLoad();
+  }
+}
+
+void CellOwner::RunRound()
+{
+  const Instant begin = MonotonicNow();
+  mLogic.Schedule(Clock());
+  mLoad.NoteRound(MonotonicNow() - begin);
+  for (const AgentId& agent : mLogic.AgentsWithOrders()) {
+    if (const auto desk = mDesks.find(agent); desk != mDesks.end()) {
+      desk->second->mPoke.Now();
     }
   }
+  if (mLogic.HasUnrecorded()) {
+    mRecordPoke.Now();
+  }
 }
 
-/// What is believed of the images, for whoever asks why a task was placed or
-/// slowed down.
+/// An owner that is behind must say so: how long it lets others wait, and where
+/// its processor time goes.
+void CellOwner::TellLoad()
+{
+  const Instant now = MonotonicNow();
+  const Duration text = mParts.mTextTime();
+  mLoad.NoteWork(OwnerWork::Text, text - std::exchange(mTextTimeBefore, text));
+  const auto summary = mLoad.Take(now, ProcessorTime());
+  if (!summary) {
+    return;
+  }
+  mLastLoad = *summary;
+  const auto longestRound =
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      summary->mLongestRound);
+  LogChange("owner-load",
+            { { "waitMs", WaitsText(*summary) },
+              { "perMille", SharesText(*summary) },
+              { "reports", summary->mReports },
+              { "rounds", summary->mRounds },
+              { "roundsPutOff", summary->mRoundsPutOff },
+              { "longestRoundUs", longestRound.count() } });
+}
 
 } // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -11,6 +11,7 @@
 
 #include "foxtailbarrow/Store.h"
 #include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/OwnerLoad.h"
 #include "src/core/cell/OwnerTerm.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Poke.h"
@@ -42,6 +43,8 @@
     Duration mKeepEnded;
     cell::PlacementAdvisor* mAdvisor; ///< Null where there is none.
     std::function<void()> mOnSuperseded;
+    /// Spent on the text of messages by this process so far.
+    std::function<Duration()> mTextTime;
   };
 
   CellOwner(Parts aParts,
@@ -67,6 +70,7 @@
   /// The same when nobody can be asked who may know better.
   std::optional<cell::JobPhase> LastKnownPhase(const JobId& aJob) const;
 
+  /// Does not suspend its fiber.
   cell::ReportReply OnReport(const cell::ReportRequest& aReport);
   void OnRecordChanged(const cell::StoredJob& aJob);
   void SetQueues(const std::vector<cell::QueuePolicy>& aQueues);
@@ -78,6 +82,8 @@
   const cell::OwnerTerm& Term() const { return mTerm; }
   const cell::CellScheduler& Logic() const { return mLogic; }
   const OwnerFigures& Figures() const { return mFigures; }
+  /// Of the last whole second; zeros before it.
+  const cell::OwnerLoadSummary& LastLoad() const { return mLastLoad; }
 
 private:
   /// The owner's side of one agent.
@@ -99,6 +105,9 @@
   void Spawn(void (CellOwner::*aBody)());
   void RunJobWatch();
   void RunSchedule();
+  void RunRound();
+  void TellLoad();
+  void LogDecision(const cell::CellDecision& aDecision);
   void RunRecords();
   void RunCleanup();
   void RunBeliefs();
@@ -110,6 +119,7 @@
   absl::Status LoadJobs();
   absl::Status LoadAgents();
   void TakeJobEvent(const StoreEvent& aEvent);
+  cell::ReportReply TakeReport(const cell::ReportRequest& aReport);
   Desk& DeskOf(const AgentId& aAgent, const Endpoint& aEndpoint);
   bool Attached(const AgentId& aAgent) const;
   bool RecordAgent(const AgentId& aAgent, Desk& aDesk);
@@ -129,6 +139,9 @@
   Parts mParts;
   cell::OwnerTerm mTerm;
   cell::CellSettings mSettings;
+  cell::OwnerLoad mLoad;
+  cell::OwnerLoadSummary mLastLoad;
+  Duration mTextTimeBefore{};
   cell::CellScheduler mLogic;
   std::map<AgentId, std::unique_ptr<Desk>> mDesks;
   std::int64_t mSessions = 0;
--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -37,6 +37,16 @@
 } // namespace
 
 ReportReply CellOwner::OnReport(const ReportRequest& aReport)
+{
+  const Instant begin = MonotonicNow();
+  mLoad.NoteReport();
+  mLoad.NoteWait(OwnerWait::Report, aReport.mReplyTook);
+  ReportReply reply = TakeReport(aReport);
+  mLoad.NoteWork(OwnerWork::Reports, MonotonicNow() - begin);
+  return reply;
+}
+
+ReportReply CellOwner::TakeReport(const ReportRequest& aReport)
 {
   ++mFigures.mReports;
   ReportReply reply;
@@ -54,6 +64,7 @@
     desk.mPoke.Now();
     return reply;
   }
+  reply.mSendWhole = mLogic.SendsWhole(aReport.mAgent);
   const Instant now = MonotonicNow();
   reply.mGrant = mTerm.GrantAt(now);
   mLogic.NoteGrant(aReport.mAgent, now + reply.mGrant);
@@ -211,6 +222,7 @@
       orders.mTraits.empty()) {
     return kOrderWait;
   }
+  const Instant oldest = mLogic.OrderedAt(orders).value_or(MonotonicNow());
   ++mFigures.mOrders;
   mFigures.mStarts += orders.mStarts.size();
   const auto reply = net::CallTyped<OrderReply>(
@@ -233,6 +245,7 @@
     }
     return Duration::zero();
   }
+  mLoad.NoteWait(OwnerWait::Order, MonotonicNow() - oldest);
   mLogic.TakeStartResults(aAgent, orders.mSession, reply->mStarts, Clock());
   mSchedulePoke.Now();
   return Duration::zero();
--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -46,6 +46,7 @@
 
 bool CellOwner::RecordBatch()
 {
+  const Instant begin = MonotonicNow();
   const std::vector<UnrecordedProgress> batch =
     mLogic.Unrecorded(kJobsPerRecord);
   StoreTransaction transaction;
@@ -58,10 +59,12 @@
     mLogic.NoteRecordInDoubt(job.mJob);
   }
   const Instant sentAt = MonotonicNow();
+  mLoad.NoteWork(OwnerWork::Records, sentAt - begin);
   const auto result = mParts.mStore.Commit(transaction);
   if (mEnded) {
     return false;
   }
+  mLoad.NoteWait(OwnerWait::Record, MonotonicNow() - batch.front().mSince);
   if (!result.ok()) {
     LogWarning("record-failed",
                { { "jobs", batch.size() },
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -123,7 +123,11 @@
                       mSettings.mAdvertised,
                       mSettings.mKeepEnded,
                       mSettings.mAdvice.mPort == 0 ? nullptr : &mAdvice,
-                      [this] { mElection.Superseded(); } },
+                      [this] { mElection.Superseded(); },
+                      [this] {
+                        return mDispatcher.TextWork().Total() +
+                               mRpc.TextWork().Total();
+                      } },
     aTerm,
     mCellSettings,
     QueuesOf(mConfiguration.Current().get()));
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -76,11 +76,12 @@
   });
 }
 
-void OwnerLink::Report()
+ReportRequest OwnerLink::NextReport(Instant aNow)
 {
   const Session session = mWorker.CurrentSession();
   if (session != std::exchange(mReportedSession, session)) {
     mSequence = 0;
+    mBase.Forget();
   }
   WorkerSnapshot snapshot = mWorker.Snapshot();
   ReportRequest report;
@@ -89,21 +90,32 @@
   report.mSession = session;
   report.mSequence = ++mSequence;
   report.mOrdersDone = snapshot.mOrdersDone;
-  report.mState = std::move(snapshot.mState);
+  mBase.Fill(std::move(snapshot.mState), aNow, report);
   report.mWorkerAnswers = snapshot.mAnswers;
   report.mLeaseLeft = snapshot.mLeaseLeft;
+  report.mReplyTook = mReplyTook;
+  return report;
+}
+
+void OwnerLink::Report()
+{
   const Instant sentAt = MonotonicNow();
+  const ReportRequest report = NextReport(sentAt);
+  const Session session = report.mSession;
   ++mReports;
   const Endpoint owner = *mOwner;
   const auto reply =
     CallTyped<ReportReply>(mRpc, owner, kReportMethod, report, kReportTimeout);
   if (!reply.ok()) {
+    mBase.Forget();
     LogWarning("report-failed",
                { { "owner", owner },
                  { "session", session },
                  { "error", reply.status().ToString() } });
+    mReplyTook = MonotonicNow() - sentAt;
     return;
   }
+  mReplyTook = MonotonicNow() - sentAt;
   TakeReply(*reply, owner, report, sentAt);
 }
 
@@ -112,6 +124,13 @@
                           const ReportRequest& aReport,
                           Instant aSentAt)
 {
+  if (aReport.mSession == mReportedSession) {
+    if (aReply.mAttached && !aReply.mSendWhole) {
+      mBase.NoteTaken(aReport);
+    } else {
+      mBase.Forget();
+    }
+  }
   if (!aReply.mOwner) {
     const bool moved = !aReply.mOwnerAt.empty() &&
                        TakeOwner(aReply.mGeneration, aReply.mOwnerAt.front());
@@ -128,8 +147,7 @@
     LogChange("owner-found",
               { { "owner", aOwner }, { "generation", aReply.mGeneration } });
   }
-  if (aReply.mAttached &&
-      aReport.mState.mInfo.mIncarnation == mWorker.Info().mIncarnation) {
+  if (aReply.mAttached && mBase.Incarnation() == mWorker.Info().mIncarnation) {
     mWorker.TakeGrant(
       aReport.mSession, aSentAt, aReply.mGrant, aReply.mAcknowledged);
     mWorker.TakePressures(aReply.mPressures);
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -8,6 +8,7 @@
 #include "apps/taskagent/WorkerControl.h"
 #include "foxtailbarrow/Store.h"
 #include "src/core/cell/CellMessages.h"
+#include "src/core/cell/ReportBase.h"
 #include "src/net/Poke.h"
 #include "src/net/Rpc.h"
 
@@ -49,6 +50,7 @@
   /// not delay the first report to the next one.
   void StartReport();
   void Report();
+  cell::ReportRequest NextReport(Instant aNow);
   void TakeReply(const cell::ReportReply& aReply,
                  const Endpoint& aOwner,
                  const cell::ReportRequest& aReport,
@@ -70,6 +72,8 @@
   std::optional<cell::Session> mReporting; ///< Session of a report on its way.
   bool mNews = false;                      ///< Came while one was on its way.
   std::int64_t mSequence = 0;
+  Duration mReplyTook{}; ///< Of the newest report with a reply.
+  cell::ReportBase mBase;
   Instant mContactAt{};
   bool mInContact = false;
   std::uint64_t mReports = 0;
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/Interference.h"
 #include "src/core/cell/JobGraph.h"
+#include "src/core/cell/WorkerChange.h"
 #include "src/core/cell/WorkerState.h"
 
 /// Requests and replies between schedulers and task agents (JSON-RPC).
@@ -116,11 +118,17 @@
   /// Orders of the session up to this number were carried out before the state
   /// was taken: what they started and the state does not show is not there.
   std::int64_t mOrdersDone = 0;
-  WorkerState mState;
+  /// Number of the report of this session that `mChange` builds on; 0 = the
+  /// state is told whole.
+  std::int64_t mBase = 0;
+  WorkerState mState;                  ///< Where there is no base.
+  std::optional<WorkerChange> mChange; ///< Where there is one.
   /// The worker has answered lately. While it does not, its leases are not
   /// extended.
   bool mWorkerAnswers = true;
   Duration mLeaseLeft{}; ///< Until the last lease that it may hold is over.
+  /// How long the reply to the report before took: it waited in the owner.
+  Duration mReplyTook{};
 };
 
 struct ReportReply
@@ -132,6 +140,9 @@
   /// Leases may be held so much longer, from the sending of the request.
   Duration mGrant{};
   std::int64_t mAcknowledged = 0;   ///< Ends up to this one are recorded.
+  /// The report's base was not the newest report taken: the next one must tell
+  /// the whole state.
+  bool mSendWhole = false;
   std::vector<Pressure> mPressures; ///< Of the images on the agent's worker.
 };
 
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -95,7 +95,7 @@
   if (aStored.mCancelled) {
     CancelJob(id, aClock);
   } else if (!job.mInherited) {
-    MarkChanged(job);
+    MarkChanged(job, aClock.mNow);
   }
 }
 
@@ -116,10 +116,12 @@
   mUnrecorded.erase(aJob);
 }
 
-void CellScheduler::MarkChanged(JobEntry& aJob)
+void CellScheduler::MarkChanged(JobEntry& aJob, Instant aNow)
 {
   ++aJob.mVersion;
-  mUnrecorded.insert(aJob.Graph().mId);
+  if (mUnrecorded.insert(aJob.Graph().mId).second) {
+    aJob.mUnrecordedSince = aNow;
+  }
 }
 
 void CellScheduler::FinishJob(JobEntry& aJob,
@@ -136,7 +138,7 @@
           .mReason = ToString(aPhase),
           .mAgeMs = age.count() });
   StopRuns(aJob, aClock);
-  MarkChanged(aJob);
+  MarkChanged(aJob, aClock.mNow);
 }
 
 void CellScheduler::StopRuns(JobEntry& aJob, const CellClock& aClock)
@@ -166,8 +168,11 @@
       break;
     }
     const JobEntry& job = mJobs.at(id);
-    unrecorded.push_back(
-      { id, job.mVersion, ProgressOf(job), job.mProgressRevision });
+    unrecorded.push_back({ id,
+                           job.mVersion,
+                           ProgressOf(job),
+                           job.mProgressRevision,
+                           job.mUnrecordedSince });
   }
   return unrecorded;
 }
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -24,6 +24,7 @@
   std::uint64_t mVersion = 0;
   StoredProgress mProgress;
   Revision mRevision = 0; ///< Of the record that it replaces; 0 = none.
+  Instant mSince{};       ///< Since when the store lacks a part of it.
 };
 
 /// Moments as both clocks show them: intervals are judged by the monotonic
@@ -84,9 +85,13 @@
                     const CellClock& aClock);
 
   /// False when the report belongs to no session in force, and when the worker
-  /// has left for good, which ends its session.
+  /// has left for good, which ends its session. One that builds on another
+  /// report than the newest is not taken: SendsWhole() then is true.
   bool TakeReport(const ReportRequest& aReport, const CellClock& aClock);
 
+  /// The agent's next report must tell the whole state.
+  bool SendsWhole(const AgentId& aAgent) const;
+
   /// The session broke; tasks may run until their leases are over.
   void DetachWorker(const AgentId& aAgent, const CellClock& aClock);
 
@@ -123,6 +128,9 @@
   /// Removes and returns the orders of an agent, in its session.
   OrderRequest TakeOrders(const AgentId& aAgent);
 
+  /// When the first of the orders' starts was decided on.
+  std::optional<Instant> OrderedAt(const OrderRequest& aOrders);
+
   /// At most `aMost` jobs whose progress must be recorded.
   std::vector<UnrecordedProgress> Unrecorded(std::size_t aMost) const;
   bool HasUnrecorded() const { return !mUnrecorded.empty(); }
@@ -162,7 +170,7 @@
   struct Candidate;
 
   // Jobs (CellScheduler.cpp).
-  void MarkChanged(JobEntry& aJob);
+  void MarkChanged(JobEntry& aJob, Instant aNow);
   void StopRuns(JobEntry& aJob, const CellClock& aClock);
   void FinishJob(JobEntry& aJob, JobPhase aPhase, const CellClock& aClock);
   std::uint64_t RecordedVersion(const JobId& aJob) const;
@@ -245,6 +253,10 @@
   void TakeInfo(WorkerEntry& aWorker,
                 const WorkerInfo& aInfo,
                 const CellClock& aClock);
+  /// What the worker's newest report, already carried out, says.
+  void TakeState(WorkerEntry& aWorker,
+                 const ReportRequest& aReport,
+                 const CellClock& aClock);
   void Learn(WorkerEntry& aWorker,
              const std::vector<RunningTask>& aRunning,
              const CellClock& aClock);
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -144,7 +144,7 @@
       StopRun(run, aTask, "copy-done", aClock);
     }
   }
-  MarkChanged(aJob);
+  MarkChanged(aJob, aClock.mNow);
   if (--aJob.StepOf(aTask).mLeft > 0) {
     return;
   }
@@ -173,7 +173,7 @@
   }
   task.mFailedRuns.push_back(aEnded.mRun);
   task.mFailedOn.push_back(aAgent);
-  MarkChanged(aJob);
+  MarkChanged(aJob, aClock.mNow);
   const auto failures = FailuresOf(aJob, aEnded.mTask);
   if (failures >= static_cast<std::size_t>(aJob.mPolicy.mAttempts)) {
     FinishJob(aJob, JobPhase::Failed, aClock);
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -315,6 +315,20 @@
   return agents;
 }
 
+std::optional<Instant> CellScheduler::OrderedAt(const OrderRequest& aOrders)
+{
+  if (aOrders.mStarts.empty()) {
+    return std::nullopt;
+  }
+  const StartOrder& first = aOrders.mStarts.front();
+  const auto job = mJobs.find(first.mTask.mJob);
+  const TaskEntry* task =
+    job == mJobs.end() ? nullptr : job->second.Find(first.mTask);
+  return task == nullptr || task->mRuns.empty()
+           ? std::nullopt
+           : std::optional(task->mRuns.back().mOrderedAt);
+}
+
 OrderRequest CellScheduler::TakeOrders(const AgentId& aAgent)
 {
   OrderRequest orders;
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "src/core/cell/CellScheduler.h"
@@ -202,20 +201,28 @@
                                    std::int64_t aOrdersDone,
                                    const CellClock& aClock)
 {
-  std::set<std::pair<TaskRef, RunNumber>> present;
-  for (const RunningTask& running : aRunning) {
-    present.emplace(running.mTask, running.mRun);
+  std::vector<RunRef> missing;
+  for (const auto& [task, number] : aWorker.mRuns) {
+    const bool shown =
+      std::ranges::any_of(aRunning, [&](const RunningTask& aShown) {
+        return aShown.mRun == number && aShown.mTask == task;
+      });
+    if (!shown) {
+      missing.push_back({ task, number });
+    }
   }
-  const auto runs = aWorker.mRuns;
-  for (const auto& [task, number] : runs) {
+  for (const auto& [task, number] : missing) {
     JobEntry& job = mJobs.at(task.mJob);
     const TaskRun* run = job.Find(task)->FindRun(aWorker.mId, number);
+    if (run == nullptr) {
+      continue; // It went with another member of its gang.
+    }
     // A report may be older than the orders that started the run; one whose
     // orders are not answered yet is judged by the answer.
     const bool open =
       run->mOrderNumber > aOrdersDone ||
       (run->mPhase == RunPhase::Ordered && aOrdersDone != kAllOrders);
-    if (open || present.contains({ task, number })) {
+    if (open) {
       continue;
     }
     Tell("task-lost", task, aWorker.mId, number, "not-there");
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -24,6 +24,8 @@
   worker.mLink = WorkerLink::Attached;
   worker.mSession = aSession;
   worker.mLastSequence = 0;
+  worker.mReported = aState;
+  worker.mSendWhole = false;
   worker.mLastOrder = 0;
   worker.mForeign.clear();
   worker.mAnswers = true;
@@ -63,19 +65,44 @@
   if (aReport.mSequence <= worker.mLastSequence) {
     return true; // Overtaken by a newer one.
   }
+  worker.mSendWhole =
+    aReport.mBase != 0 && aReport.mBase != worker.mLastSequence;
+  if (worker.mSendWhole) {
+    return true;
+  }
   worker.mLastSequence = aReport.mSequence;
   TakeSilence(worker, aReport, aClock);
-  TakeInfo(worker, aReport.mState.mInfo, aClock);
-  if (!aReport.mState.mInfo.mIncarnation.Empty()) {
-    mExpected.erase(aReport.mAgent);
+  if (aReport.mBase == 0) {
+    worker.mReported = aReport.mState;
+  } else if (aReport.mChange) {
+    Apply(*aReport.mChange, worker.mReported);
   }
-  TakeEnds(worker, aReport.mState.mEnded, aClock);
-  TakeRunning(worker, aReport.mState.mRunning, aClock);
-  DropAbsentRuns(worker, aReport.mState.mRunning, aReport.mOrdersDone, aClock);
-  Learn(worker, aReport.mState.mRunning, aClock);
+  TakeState(worker, aReport, aClock);
   return true;
 }
 
+void CellScheduler::TakeState(WorkerEntry& aWorker,
+                              const ReportRequest& aReport,
+                              const CellClock& aClock)
+{
+  const bool whole = aReport.mBase == 0;
+  const WorkerState& state = aWorker.mReported;
+  if (whole || (aReport.mChange && aReport.mChange->mInfo)) {
+    TakeInfo(aWorker, state.mInfo, aClock);
+  }
+  if (!state.mInfo.mIncarnation.Empty()) {
+    mExpected.erase(aReport.mAgent);
+  }
+  if (whole || (aReport.mChange && !aReport.mChange->mEnded.empty())) {
+    TakeEnds(aWorker, state.mEnded, aClock);
+  }
+  TakeRunning(aWorker, state.mRunning, aClock);
+  DropAbsentRuns(aWorker, state.mRunning, aReport.mOrdersDone, aClock);
+  if (whole || (aReport.mChange && aReport.mChange->mFigures)) {
+    Learn(aWorker, state.mRunning, aClock);
+  }
+}
+
 /// Its last ends count; what else it ran is over, without a wait for leases.
 void CellScheduler::TakeDeparture(const ReportRequest& aReport,
                                   bool aInSession,
@@ -104,6 +131,12 @@
   mOrders.erase(worker.mId);
 }
 
+bool CellScheduler::SendsWhole(const AgentId& aAgent) const
+{
+  const auto found = mWorkers.find(aAgent);
+  return found != mWorkers.end() && found->second.mSendWhole;
+}
+
 bool CellScheduler::RunsNothing(const AgentId& aAgent) const
 {
   const auto found = mWorkers.find(aAgent);
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -45,6 +45,7 @@
 
   std::uint64_t mVersion = 0;     ///< Of what the progress record must say.
   std::uint64_t mRecorded = 0;    ///< Version that the store has.
+  Instant mUnrecordedSince{};     ///< While the store has an older version.
   Revision mProgressRevision = 0; ///< Of the progress record; 0 = none.
   /// A write of the record is not answered yet: the store may have it.
   bool mRecordInDoubt = false;
--- a/src/core/cell/TaskRef.h
+++ b/src/core/cell/TaskRef.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "foxtailbarrow/Id.h"
@@ -41,7 +43,31 @@
   }
 };
 
-/// "job.occurrence.step.index", for logs and state.
+/// Names one run of a task.
+struct RunRef
+{
+  TaskRef mTask;
+  RunNumber mRun = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false positive of clang-tidy 14.
+  auto operator<=>(const RunRef&) const = default;
+};
+
+/// "job.occurrence.step.index", in messages and logs.
 std::string ToString(const TaskRef& aTask);
 
+/// Reverse of ToString(); nullopt for any other text. The job's identifier may
+/// hold dots itself.
+std::optional<TaskRef> ParseTaskRef(std::string_view aText);
+
+/// The same for messages; false leaves the task as it was.
+inline bool ParseText(std::string_view aText, TaskRef& aTask)
+{
+  auto task = ParseTaskRef(aText);
+  if (task) {
+    aTask = *std::move(task);
+  }
+  return task.has_value();
+}
+
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/WorkerState.h
+++ b/src/core/cell/WorkerState.h
@@ -79,6 +79,9 @@
   std::vector<RunningTask> mRunning;
   std::vector<EndedTask> mEnded; ///< Not acknowledged yet, by number.
 
+  /// True when not even the worker is known.
+  bool Empty() const { return *this == WorkerState(); }
+
   bool operator==(const WorkerState&) const = default;
 };
 
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -113,15 +113,6 @@
   aVisitor.Required("endpoint", aMessage.mEndpoint);
 }
 
-template<typename Visitor, Is<cell::TaskRef> Message>
-void Fields(Visitor& aVisitor, Message& aMessage)
-{
-  aVisitor.Required("job", aMessage.mJob);
-  aVisitor.Required("occurrence", aMessage.mOccurrence);
-  aVisitor.Required("step", aMessage.mStep);
-  aVisitor.Required("index", aMessage.mIndex);
-}
-
 template<typename Visitor, Is<cell::WorkerInfo> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
@@ -137,23 +128,30 @@
 }
 
 template<typename Visitor, Is<cell::RunningTask> Message>
-void Fields(Visitor& aVisitor, Message& aMessage)
+void Columns(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Required("task", aMessage.mTask);
-  aVisitor.Required("run", aMessage.mRun);
-  aVisitor.Optional("checkpoint", aMessage.mCheckpoint);
-  aVisitor.Optional("percent", aMessage.mPercent);
-  aVisitor.Optional("figure", aMessage.mFigure);
+  aVisitor.Required(aMessage.mTask);
+  aVisitor.Required(aMessage.mRun);
+  aVisitor.Required(aMessage.mPercent);
+  aVisitor.Required(aMessage.mFigure);
+  aVisitor.Optional(aMessage.mCheckpoint);
 }
 
 template<typename Visitor, Is<cell::EndedTask> Message>
-void Fields(Visitor& aVisitor, Message& aMessage)
+void Columns(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Required("number", aMessage.mNumber);
-  aVisitor.Required("task", aMessage.mTask);
-  aVisitor.Required("run", aMessage.mRun);
-  aVisitor.Required("end", aMessage.mEnd);
-  aVisitor.Optional("checkpoint", aMessage.mCheckpoint);
+  aVisitor.Required(aMessage.mNumber);
+  aVisitor.Required(aMessage.mTask);
+  aVisitor.Required(aMessage.mRun);
+  aVisitor.Required(aMessage.mEnd);
+  aVisitor.Optional(aMessage.mCheckpoint);
+}
+
+template<typename Visitor, Is<cell::RunRef> Message>
+void Columns(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required(aMessage.mTask);
+  aVisitor.Required(aMessage.mRun);
 }
 
 template<typename Visitor, Is<cell::WorkerState> Message>
@@ -164,6 +162,16 @@
   aVisitor.Optional("ended", aMessage.mEnded);
 }
 
+template<typename Visitor, Is<cell::WorkerChange> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Optional("info", aMessage.mInfo);
+  aVisitor.Optional("running", aMessage.mRunning);
+  aVisitor.Optional("gone", aMessage.mGone);
+  aVisitor.Optional("ended", aMessage.mEnded);
+  aVisitor.Optional("figures", aMessage.mFigures);
+}
+
 template<typename Visitor, Is<cell::StartOrder> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
@@ -243,9 +251,12 @@
   aVisitor.Required("session", aMessage.mSession);
   aVisitor.Required("sequence", aMessage.mSequence);
   aVisitor.Optional("ordersDone", aMessage.mOrdersDone);
+  aVisitor.Optional("base", aMessage.mBase);
   aVisitor.Optional("state", aMessage.mState);
+  aVisitor.Optional("change", aMessage.mChange);
   aVisitor.Optional("workerAnswers", aMessage.mWorkerAnswers);
   aVisitor.Optional("leaseLeftUs", aMessage.mLeaseLeft);
+  aVisitor.Optional("replyTookUs", aMessage.mReplyTook);
 }
 
 template<typename Visitor, Is<cell::Pressure> Message>
@@ -279,6 +290,7 @@
   aVisitor.Optional("ownerAt", aMessage.mOwnerAt);
   aVisitor.Optional("grantUs", aMessage.mGrant);
   aVisitor.Optional("acknowledged", aMessage.mAcknowledged);
+  aVisitor.Optional("sendWhole", aMessage.mSendWhole);
   aVisitor.Optional("pressures", aMessage.mPressures);
 }
 
--- a/src/core/message/detail/ObjectReader.h
+++ b/src/core/message/detail/ObjectReader.h
@@ -20,6 +20,23 @@
 /// Most messages have no more, so that reading one allocates nothing for names.
 inline constexpr std::size_t kUsualFields = 16;
 
+class RowReader;
+
+/// A message that is written as one text: ToString() and Parse() of its own.
+template<typename T>
+concept HasTextForm = requires(const T& aMessage, T& aTarget)
+{
+  { ParseText(std::string_view(), aTarget) } -> std::same_as<bool>;
+};
+
+/// A message that is written as a row, an array of its columns: where a list of
+/// many is sent often, a tenth of the time of objects.
+template<typename T>
+concept HasColumns = requires(RowReader& aReader, T& aTarget)
+{
+  Columns(aReader, aTarget);
+};
+
 /// Fills the fields of one message from a JSON object: the reading visitor of
 /// the Fields() tables. Collects problems instead of stopping at the first.
 class ObjectReader
@@ -74,6 +91,8 @@
   }
 
 private:
+  friend class RowReader;
+
   /// Null where the object has no such field.
   const Json::Value* Find(std::string_view aName);
 
@@ -215,9 +234,28 @@
     }
   }
 
+  template<HasTextForm T>
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            T& aTarget,
+            NoRule)
+  {
+    std::string text;
+    if (ReadText(aValue, aPath, TextRule{}, text, mProblems) &&
+        !ParseText(text, aTarget)) {
+      Complain(aValue, aPath, "a text of its form", mProblems);
+    }
+  }
+
+  template<HasColumns T>
+  void Read(const Json::Value& aValue,
+            const FieldPath& aPath,
+            T& aTarget,
+            NoRule);
+
   /// A message with a Fields() table of its own.
   template<typename T>
-  requires(std::is_class_v<T>) void Read(const Json::Value& aValue,
+  requires(std::is_class_v<T> && !HasTextForm<T> && !HasColumns<T>) void Read(const Json::Value& aValue,
                                          const FieldPath& aPath,
                                          T& aTarget,
                                          NoRule)
@@ -238,4 +276,71 @@
   std::size_t mPresent = 0;
 };
 
+/// Fills a message from the columns of a row: the reading visitor of the
+/// Columns() tables.
+class RowReader
+{
+public:
+  RowReader(const Json::Value& aRow,
+            const FieldPath& aPath,
+            FieldProblems& aProblems)
+    : mRow(aRow)
+    , mPath(aPath)
+    , mValues(aRow, aPath, aProblems)
+  {
+  }
+
+  /// Reads the next column, or notes that it is missing.
+  template<typename T, typename Rule = decltype(DefaultRule<T>::kValue)>
+  void Required(T& aField, const Rule& aRule = DefaultRule<T>::kValue)
+  {
+    if (mNext >= mRow.size()) {
+      mValues.mProblems.push_back(
+        { FieldPath(mPath, std::size_t{ mNext }).Text(),
+          "nothing",
+          "a value, required" });
+    }
+    Optional(aField, aRule);
+  }
+
+  /// Reads the next column where the row is that long.
+  template<typename T, typename Rule = decltype(DefaultRule<T>::kValue)>
+  void Optional(T& aField, const Rule& aRule = DefaultRule<T>::kValue)
+  {
+    if (mNext < mRow.size()) {
+      mValues.Read(mRow[mNext],
+                   FieldPath(mPath, std::size_t{ mNext }),
+                   aField,
+                   aRule);
+    }
+    ++mNext;
+  }
+
+  /// True when the row had no more columns than were asked for.
+  bool AtEnd() const { return mNext >= mRow.size(); }
+
+private:
+  const Json::Value& mRow;
+  const FieldPath& mPath;
+  ObjectReader mValues;
+  Json::ArrayIndex mNext = 0;
+};
+
+template<HasColumns T>
+void ObjectReader::Read(const Json::Value& aValue,
+                        const FieldPath& aPath,
+                        T& aTarget,
+                        NoRule)
+{
+  if (!aValue.isArray()) {
+    Complain(aValue, aPath, "a row: an array of columns", mProblems);
+    return;
+  }
+  RowReader reader(aValue, aPath, mProblems);
+  Columns(reader, aTarget);
+  if (!reader.AtEnd()) {
+    Complain(aValue, aPath, "a row without further columns", mProblems);
+  }
+}
+
 } // namespace foxtailbarrow::detail
--- a/src/core/message/detail/ObjectWriter.h
+++ b/src/core/message/detail/ObjectWriter.h
@@ -15,6 +15,8 @@
 
 namespace foxtailbarrow::detail {
 
+class RowWriter;
+
 /// Builds a JSON object from the fields of one message: the writing visitor of
 /// the Fields() tables. Rules are the reader's business and ignored here.
 class ObjectWriter
@@ -55,6 +57,8 @@
   }
 
 private:
+  friend class RowWriter;
+
   template<typename Tag>
   static Json::Value WriteClass(const Id<Tag>& aId)
   {
@@ -77,6 +81,25 @@
     return list;
   }
 
+  /// One with a text form.
+  template<typename T>
+  requires requires(T& aTarget)
+  {
+    ParseText(std::string_view(), aTarget);
+  }
+  static Json::Value WriteClass(const T& aMessage)
+  {
+    return Json::Value(ToString(aMessage));
+  }
+
+  /// One with columns.
+  template<typename T>
+  requires requires(RowWriter& aWriter, const T& aMessage)
+  {
+    Columns(aWriter, aMessage);
+  }
+  static Json::Value WriteClass(const T& aMessage);
+
   template<typename T>
   static Json::Value WriteClass(const T& aMessage)
   {
@@ -90,11 +113,6 @@
   {
     return aAmount == Resources{};
   }
-  template<typename Tag>
-  static bool IsEmpty(const Id<Tag>& aId)
-  {
-    return aId.Empty();
-  }
   template<typename T>
   static bool IsEmpty(const std::optional<T>& aValue)
   {
@@ -105,14 +123,61 @@
   {
     return aItems.empty();
   }
-  /// Numbers and flags have no empty value: zero is a value.
+  /// A message that says itself when there is nothing in it. Numbers and flags
+  /// have no empty value: zero is a value.
   template<typename T>
-  static bool IsEmpty(const T&)
+  static bool IsEmpty(const T& aValue)
   {
-    return false;
+    if constexpr (requires { aValue.Empty(); }) {
+      return aValue.Empty();
+    } else {
+      return false;
+    }
   }
 
   Json::Value mObject{ Json::objectValue };
 };
 
+/// Builds a row, an array of columns: the writing visitor of the Columns()
+/// tables. Empty optional columns at the end are left out.
+class RowWriter
+{
+public:
+  template<typename T, typename... Rule>
+  void Required(const T& aField, const Rule&...)
+  {
+    mRow.append(ObjectWriter::Write(aField));
+    mUsed = mRow.size();
+  }
+
+  template<typename T, typename... Rule>
+  void Optional(const T& aField, const Rule&...)
+  {
+    mRow.append(ObjectWriter::Write(aField));
+    mUsed = ObjectWriter::IsEmpty(aField) ? mUsed : mRow.size();
+  }
+
+  Json::Value Take()
+  {
+    mRow.resize(mUsed);
+    return std::move(mRow);
+  }
+
+private:
+  Json::Value mRow{ Json::arrayValue };
+  Json::ArrayIndex mUsed = 0;
+};
+
+template<typename T>
+requires requires(RowWriter& aWriter, const T& aMessage)
+{
+  Columns(aWriter, aMessage);
+}
+Json::Value ObjectWriter::WriteClass(const T& aMessage)
+{
+  RowWriter writer;
+  Columns(writer, aMessage);
+  return writer.Take();
+}
+
 } // namespace foxtailbarrow::detail
--- a/src/net/Rpc.h
+++ b/src/net/Rpc.h
@@ -13,6 +13,7 @@
 #include "foxtailbarrow/Time.h"
 #include "src/net/HttpClient.h"
 #include "src/net/HttpMessage.h"
+#include "src/net/TextTime.h"
 
 namespace foxtailbarrow::net {
 
@@ -37,6 +38,9 @@
   /// Handles the HTTP body of one call.
   HttpResponse Handle(const HttpRequest& aRequest);
 
+  /// Spent on the text of all calls so far.
+  TextTime& TextWork();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
@@ -54,8 +58,12 @@
                                    const Json::Value& aParams,
                                    Duration aTimeout);
 
+  /// Spent on the text of all calls so far.
+  TextTime& TextWork() { return mTextWork; }
+
 private:
   HttpClient& mClient;
+  TextTime mTextWork;
 };
 
 } // namespace foxtailbarrow::net
--- a/src/net/RpcDispatcher.cpp
+++ b/src/net/RpcDispatcher.cpp
@@ -14,6 +14,10 @@
 
 constexpr unsigned kMethodNotAllowed = 405;
 
+/// When work on the text of this thread's present call began. No other fiber
+/// of the thread runs between this and the end of that work.
+thread_local Instant sTextBegan{};
+
 RpcError ToError(const absl::Status& aStatus)
 {
   Json::Value data(Json::objectValue);
@@ -45,7 +49,7 @@
   {
   }
 
-  Json::Value Invoke(const std::string& aName, const Json::Value& aParams) const
+  Json::Value Invoke(const std::string& aName, const Json::Value& aParams)
   {
     if (!aParams.isObject() && !aParams.isNull()) {
       throw RpcError(rpcshim::kInvalidParamsCode,
@@ -54,8 +58,10 @@
     }
     const Json::Value empty(Json::objectValue);
     const auto& method = mMethods.find(aName)->second;
+    mTextWork.Add(MonotonicNow() - sTextBegan);
     absl::StatusOr<Json::Value> result =
       method(aParams.isNull() ? empty : aParams);
+    sTextBegan = MonotonicNow();
     if (!result.ok()) {
       throw ToError(result.status());
     }
@@ -64,6 +70,7 @@
 
   absl::flat_hash_map<std::string, Method> mMethods;
   rpcshim::Server mServer;
+  TextTime mTextWork;
 };
 
 RpcDispatcher::RpcDispatcher()
@@ -79,6 +86,11 @@
   mImpl->mMethods.insert_or_assign(std::move(aName), std::move(aMethod));
 }
 
+TextTime& RpcDispatcher::TextWork()
+{
+  return mImpl->mTextWork;
+}
+
 HttpResponse RpcDispatcher::Handle(const HttpRequest& aRequest)
 {
   HttpResponse response;
@@ -89,6 +101,7 @@
     return response;
   }
   response.mHeaders.Append("Content-Type", "application/json");
+  sTextBegan = MonotonicNow();
   if (rpcshim::NestsTooDeep(aRequest.mBody)) {
     response.mBody = kTooDeepError;
     return response;
@@ -98,6 +111,7 @@
   } catch (const std::exception&) {
     response.mBody = kInternalError;
   }
+  mImpl->mTextWork.Add(MonotonicNow() - sTextBegan);
   return response;
 }
 
--- a/src/net/TypedRpc.h
+++ b/src/net/TypedRpc.h
@@ -24,10 +24,10 @@
               Handler aHandler)
 {
   aDispatcher.Add(std::string(aName),
-                  [handler = std::move(aHandler)](
+                  [handler = std::move(aHandler), &text = aDispatcher.TextWork()](
                     const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
-                    absl::StatusOr<Request> request =
-                      FromJson<Request>(aParams);
+                    absl::StatusOr<Request> request = text.Measure(
+                      [&] { return FromJson<Request>(aParams); });
                     if (!request.ok()) {
                       return WithVerdict(request.status(), Verdict::NotRun);
                     }
@@ -36,9 +36,9 @@
                       if (!reply.ok()) {
                         return reply.status();
                       }
-                      return ToJson(*reply);
+                      return text.Measure([&] { return ToJson(*reply); });
                     } else {
-                      return ToJson(reply);
+                      return text.Measure([&] { return ToJson(reply); });
                     }
                   });
 }
@@ -51,12 +51,15 @@
                                 const Request& aRequest,
                                 Duration aTimeout)
 {
+  const Json::Value params =
+    aClient.TextWork().Measure([&] { return ToJson(aRequest); });
   const absl::StatusOr<Json::Value> reply =
-    aClient.Call(aEndpoint, aMethod, ToJson(aRequest), aTimeout);
+    aClient.Call(aEndpoint, aMethod, params, aTimeout);
   if (!reply.ok()) {
     return reply.status();
   }
-  absl::StatusOr<Reply> typed = FromJson<Reply>(*reply);
+  absl::StatusOr<Reply> typed =
+    aClient.TextWork().Measure([&] { return FromJson<Reply>(*reply); });
   if (!typed.ok()) {
     return WithVerdict(typed.status(), Verdict::MayHaveRun);
   }
--- a/src/telemetry/ProcessMetrics.cpp
+++ b/src/telemetry/ProcessMetrics.cpp
@@ -1,5 +1,6 @@
 #include "src/telemetry/ProcessMetrics.h"
 
+#include <chrono>
 #include <fstream>
 
 #include <sys/resource.h>
@@ -9,20 +10,12 @@
 
 namespace {
 
-constexpr double kMicrosecondsPerSecond = 1e6;
-
-double Seconds(const timeval& aTime)
+Duration Span(const timeval& aTime)
 {
-  return static_cast<double>(aTime.tv_sec) +
-         static_cast<double>(aTime.tv_usec) / kMicrosecondsPerSecond;
+  return std::chrono::seconds(aTime.tv_sec) +
+         std::chrono::microseconds(aTime.tv_usec);
 }
 
-double CpuSeconds()
-{
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  return Seconds(usage.ru_utime) + Seconds(usage.ru_stime);
-}
 
 /// 0 when the system does not tell.
 double ResidentBytes()
@@ -37,11 +30,21 @@
 
 } // namespace
 
+Duration ProcessorTime()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return Span(usage.ru_utime) + Span(usage.ru_stime);
+}
+
 void AddProcessMetrics(Metrics& aMetrics)
 {
   aMetrics.SampledGauge("process_cpu_seconds",
                         "Processor time of this process, in seconds.",
-                        CpuSeconds);
+                        [] {
+                          return std::chrono::duration<double>(ProcessorTime())
+                            .count();
+                        });
   aMetrics.SampledGauge("process_resident_bytes",
                         "Resident memory of this process, in bytes.",
                         ResidentBytes);
--- a/tests/scheduler/ElectionTest.cpp
+++ b/tests/scheduler/ElectionTest.cpp
@@ -104,7 +104,9 @@
   Election election(settings, {}, store, [&](const cell::OwnerTerm& aTerm) {
     return std::make_shared<CellOwner>(
       CellOwner::Parts{
-        runtime, store, rpc, {}, std::chrono::hours(1), nullptr, [] {} },
+        runtime, store, rpc, {}, std::chrono::hours(1), nullptr, [] {}, [] {
+          return Duration::zero();
+        } },
       aTerm,
       cell::CellSettings{},
       std::vector<cell::QueuePolicy>{});
@@ -155,7 +157,9 @@
   Election election(settings, {}, store, [&](const cell::OwnerTerm& aTerm) {
     return std::make_shared<CellOwner>(
       CellOwner::Parts{
-        runtime, store, rpc, {}, std::chrono::hours(1), nullptr, [] {} },
+        runtime, store, rpc, {}, std::chrono::hours(1), nullptr, [] {}, [] {
+          return Duration::zero();
+        } },
       aTerm,
       cell::CellSettings{},
       std::vector<cell::QueuePolicy>{});
