--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -139,7 +139,7 @@
   std::vector<Endpoint> mOwnerAt; ///< Where the owner is; empty = unknown.
   /// Leases may be held so much longer, from the sending of the request.
   Duration mGrant{};
-  std::int64_t mAcknowledged = 0;   ///< Ends up to this one are recorded.
+  std::int64_t mAcknowledged = 0; ///< Ends up to this one are recorded.
   /// The report's base was not the newest report taken: the next one must tell
   /// the whole state.
   bool mSendWhole = false;
--- a/src/core/cell/OwnerLoad.cpp
+++ b/src/core/cell/OwnerLoad.cpp
@@ -59,8 +59,7 @@
                     Thousandths(spent, aSummary.mInterval),
                     " ");
   }
-  const Duration rest =
-    std::max(Duration::zero(), aSummary.mProcessor - known);
+  const Duration rest = std::max(Duration::zero(), aSummary.mProcessor - known);
   absl::StrAppend(&text,
                   "rest=",
                   Thousandths(rest, aSummary.mInterval),
--- a/src/core/cell/TaskRef.cpp
+++ b/src/core/cell/TaskRef.cpp
@@ -19,8 +19,7 @@
   const char* end = digits.data() + digits.size();
   const auto [read, error] = std::from_chars(digits.data(), end, aNumber);
   aText = aText.substr(0, dot);
-  return error == std::errc() && read == end && !digits.empty() &&
-         aNumber >= 0;
+  return error == std::errc() && read == end && !digits.empty() && aNumber >= 0;
 }
 
 } // namespace
--- a/src/core/cell/WorkerChange.cpp
+++ b/src/core/cell/WorkerChange.cpp
@@ -18,11 +18,9 @@
 /// Refers to the task's own text, which must outlive it.
 RunKey KeyOf(const TaskRef& aTask, RunNumber aRun)
 {
-  return { aTask.mJob.Value(),
-           aTask.mOccurrence,
-           aTask.mStep,
-           aTask.mIndex,
-           aRun };
+  return {
+    aTask.mJob.Value(), aTask.mOccurrence, aTask.mStep, aTask.mIndex, aRun
+  };
 }
 
 std::map<RunKey, const RunningTask*> ByKey(
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -52,8 +52,8 @@
   WorkerLink mLink = WorkerLink::Detached;
   Session mSession = 0;
   std::int64_t mLastSequence = 0;
-  WorkerState mReported;   ///< As of that report.
-  bool mSendWhole = false; ///< The last report built on another one.
+  WorkerState mReported;       ///< As of that report.
+  bool mSendWhole = false;     ///< The last report built on another one.
   std::int64_t mLastOrder = 0; ///< Number of the newest orders of the session.
   WorkerInfo mInfo;
   WorkerUse mUse;
--- a/src/core/message/detail/ObjectReader.h
+++ b/src/core/message/detail/ObjectReader.h
@@ -26,7 +26,9 @@
 template<typename T>
 concept HasTextForm = requires(const T& aMessage, T& aTarget)
 {
-  { ParseText(std::string_view(), aTarget) } -> std::same_as<bool>;
+  {
+    ParseText(std::string_view(), aTarget)
+    } -> std::same_as<bool>;
 };
 
 /// A message that is written as a row, an array of its columns: where a list of
@@ -255,10 +257,11 @@
 
   /// A message with a Fields() table of its own.
   template<typename T>
-  requires(std::is_class_v<T> && !HasTextForm<T> && !HasColumns<T>) void Read(const Json::Value& aValue,
-                                         const FieldPath& aPath,
-                                         T& aTarget,
-                                         NoRule)
+  requires(std::is_class_v<T> && !HasTextForm<T> &&
+           !HasColumns<T>) void Read(const Json::Value& aValue,
+                                     const FieldPath& aPath,
+                                     T& aTarget,
+                                     NoRule)
   {
     if (!aValue.isObject()) {
       Complain(aValue, aPath, "an object", mProblems);
@@ -308,10 +311,8 @@
   void Optional(T& aField, const Rule& aRule = DefaultRule<T>::kValue)
   {
     if (mNext < mRow.size()) {
-      mValues.Read(mRow[mNext],
-                   FieldPath(mPath, std::size_t{ mNext }),
-                   aField,
-                   aRule);
+      mValues.Read(
+        mRow[mNext], FieldPath(mPath, std::size_t{ mNext }), aField, aRule);
     }
     ++mNext;
   }
--- a/src/core/message/detail/ObjectWriter.h
+++ b/src/core/message/detail/ObjectWriter.h
@@ -83,10 +83,7 @@
 
   /// One with a text form.
   template<typename T>
-  requires requires(T& aTarget)
-  {
-    ParseText(std::string_view(), aTarget);
-  }
+  requires requires(T& aTarget) { ParseText(std::string_view(), aTarget); }
   static Json::Value WriteClass(const T& aMessage)
   {
     return Json::Value(ToString(aMessage));
--- a/src/net/TypedRpc.h
+++ b/src/net/TypedRpc.h
@@ -23,24 +23,25 @@
               std::string_view aName,
               Handler aHandler)
 {
-  aDispatcher.Add(std::string(aName),
-                  [handler = std::move(aHandler), &text = aDispatcher.TextWork()](
-                    const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
-                    absl::StatusOr<Request> request = text.Measure(
-                      [&] { return FromJson<Request>(aParams); });
-                    if (!request.ok()) {
-                      return WithVerdict(request.status(), Verdict::NotRun);
-                    }
-                    auto reply = handler(*request);
-                    if constexpr (requires { reply.status(); }) {
-                      if (!reply.ok()) {
-                        return reply.status();
-                      }
-                      return text.Measure([&] { return ToJson(*reply); });
-                    } else {
-                      return text.Measure([&] { return ToJson(reply); });
-                    }
-                  });
+  aDispatcher.Add(
+    std::string(aName),
+    [handler = std::move(aHandler), &text = aDispatcher.TextWork()](
+      const Json::Value& aParams) -> absl::StatusOr<Json::Value> {
+      absl::StatusOr<Request> request =
+        text.Measure([&] { return FromJson<Request>(aParams); });
+      if (!request.ok()) {
+        return WithVerdict(request.status(), Verdict::NotRun);
+      }
+      auto reply = handler(*request);
+      if constexpr (requires { reply.status(); }) {
+        if (!reply.ok()) {
+          return reply.status();
+        }
+        return text.Measure([&] { return ToJson(*reply); });
+      } else {
+        return text.Measure([&] { return ToJson(reply); });
+      }
+    });
 }
 
 /// Calls a method. A reply that cannot be read is an error with MayHaveRun.
--- a/src/telemetry/ProcessMetrics.cpp
+++ b/src/telemetry/ProcessMetrics.cpp
@@ -16,7 +16,6 @@
          std::chrono::microseconds(aTime.tv_usec);
 }
 
-
 /// 0 when the system does not tell.
 double ResidentBytes()
 {
@@ -39,12 +38,10 @@
 
 void AddProcessMetrics(Metrics& aMetrics)
 {
-  aMetrics.SampledGauge("process_cpu_seconds",
-                        "Processor time of this process, in seconds.",
-                        [] {
-                          return std::chrono::duration<double>(ProcessorTime())
-                            .count();
-                        });
+  aMetrics.SampledGauge(
+    "process_cpu_seconds", "Processor time of this process, in seconds.", [] {
+      return std::chrono::duration<double>(ProcessorTime()).count();
+    });
   aMetrics.SampledGauge("process_resident_bytes",
                         "Resident memory of this process, in bytes.",
                         ResidentBytes);
--- a/tests/cell/WorkerChangeTest.cpp
+++ b/tests/cell/WorkerChangeTest.cpp
@@ -224,8 +224,7 @@
 };
 
 class TaskTextTest : public testing::TestWithParam<TaskText>
-{
-};
+{};
 
 TEST_P(TaskTextTest, IsReadOrRefused)
 {
--- a/tests/scheduler/ElectionTest.cpp
+++ b/tests/scheduler/ElectionTest.cpp
@@ -103,10 +103,14 @@
   settings.mAdvertised = { "10.0.0.1", 7000 };
   Election election(settings, {}, store, [&](const cell::OwnerTerm& aTerm) {
     return std::make_shared<CellOwner>(
-      CellOwner::Parts{
-        runtime, store, rpc, {}, std::chrono::hours(1), nullptr, [] {}, [] {
-          return Duration::zero();
-        } },
+      CellOwner::Parts{ runtime,
+                        store,
+                        rpc,
+                        {},
+                        std::chrono::hours(1),
+                        nullptr,
+                        [] {},
+                        [] { return Duration::zero(); } },
       aTerm,
       cell::CellSettings{},
       std::vector<cell::QueuePolicy>{});
@@ -156,10 +160,14 @@
   settings.mId = EntryId("scheduler");
   Election election(settings, {}, store, [&](const cell::OwnerTerm& aTerm) {
     return std::make_shared<CellOwner>(
-      CellOwner::Parts{
-        runtime, store, rpc, {}, std::chrono::hours(1), nullptr, [] {}, [] {
-          return Duration::zero();
-        } },
+      CellOwner::Parts{ runtime,
+                        store,
+                        rpc,
+                        {},
+                        std::chrono::hours(1),
+                        nullptr,
+                        [] {},
+                        [] { return Duration::zero(); } },
       aTerm,
       cell::CellSettings{},
       std::vector<cell::QueuePolicy>{});
