Refuse at once while the store is silent; learn from every report of figures

Change: a write is given up as soon as the store is known to be silent (504, fate unknown); then refusals come at once, not run, with a Retry-After that follows the outage's age and is spread; a job in doubt here is not said to have not run; other schedulers that refused are not asked again for 300 ms.

--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -20,7 +20,7 @@
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(2500);
 constexpr Duration kOrderWait = std::chrono::milliseconds(200);
 /// Three reports missed.
-constexpr Duration kSilentAfter = std::chrono::milliseconds(1300);
+constexpr Duration kSilentAfter = std::chrono::milliseconds(1400);
 /// A report may have been sent so long before an attachment that it follows.
 /// The agent's own timeout of reports.
 constexpr Duration kReportTime = std::chrono::milliseconds(700);
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -26,9 +26,7 @@
 /// Refusals of the store after which the caller is told to come back: an
 /// outage lasts longer than the caller waits.
 constexpr int kMaxRefusals = 2;
-/// How long a request waits for a silent store before it is refused as not run.
-/// Short: the caller is told when to come back.
-constexpr Duration kSilenceWait = std::chrono::milliseconds(100);
+/// Between two looks whether the store has fallen silent during a write.
 constexpr Duration kSilencePoll = std::chrono::milliseconds(20);
 /// Of one other scheduler's answer.
 constexpr Duration kForwardTimeout = std::chrono::milliseconds(1200);
@@ -41,6 +39,13 @@
            std::string(aStatus.message()) };
 }
 
+/// A write on its way to the store.
+struct PendingWrite
+{
+  std::optional<absl::StatusOr<StoreTransactionResult>> mResult;
+  Poke mDone;
+};
+
 JobRefused FateUnknown(const absl::Status& aStatus)
 {
   return { RefusalCause::Unknown,
@@ -58,15 +63,17 @@
   {
   }
 
+  void Note(const absl::Status& aStatus)
+  {
+    mLast = aStatus;
+    mMayHaveRun = mMayHaveRun || VerdictOf(aStatus) != Verdict::NotRun;
+  }
+
   /// Notes a failed try. True when there is time for another.
   bool Again(const absl::Status& aStatus)
   {
-    mLast = aStatus;
-    if (VerdictOf(aStatus) == Verdict::NotRun) {
-      ++mRefusals;
-    } else {
-      mMayHaveRun = true;
-    }
+    Note(aStatus);
+    mRefusals += VerdictOf(aStatus) == Verdict::NotRun ? 1 : 0;
     const Duration next = mMayHaveRun ? kRetryPause + kSilentCall : kRetryPause;
     if (MonotonicNow() + next >= mDeadline ||
         (!mMayHaveRun && mRefusals >= kMaxRefusals)) {
@@ -107,9 +114,12 @@
 {
   const Instant deadline = MonotonicNow() + aRequest.mTimeout - kAnswerTime;
   JobAnswer answer = AnswerHere(aRequest);
-  return WorthForwarding(answer)
+  if (!WorthForwarding(answer)) {
+    return answer;
+  }
+  return mOutage.MayForward(MonotonicNow())
            ? Forward(aRequest, std::move(answer), deadline)
-           : answer;
+           : LastResort(aRequest, std::move(answer));
 }
 
 /// Asks one scheduler after the other until one does more than refuse.
@@ -140,6 +150,7 @@
       return answer;
     }
   }
+  mOutage.NotePeersRefused(MonotonicNow());
   return LastResort(aRequest, std::move(aRefusal));
 }
 
@@ -150,13 +161,59 @@
                     aRequest.mBody);
 }
 
-bool JobDesk::AwaitStore() const
+Duration JobDesk::RetryAfter()
+{
+  std::uniform_real_distribution<double> any(0.0, 1.0);
+  return ReturnAfter(mStore.SilentFor(), any(mRandom));
+}
+
+JobRefused JobDesk::RefusalOf(const JobId& aJob, JobRefused aRefusal)
 {
-  const Instant end = MonotonicNow() + kSilenceWait;
-  while (!mStore.Answers() && MonotonicNow() < end) {
-    boost::this_fiber::sleep_for(kSilencePoll);
+  if (aRefusal.mVerdict != Verdict::NotRun) {
+    mOutage.NoteInDoubt(aJob, MonotonicNow());
   }
-  return mStore.Answers();
+  aRefusal.mRetryAfter = RetryAfter();
+  return aRefusal;
+}
+
+std::optional<JobRefused> JobDesk::RefuseWhileSilent(const JobId& aJob)
+{
+  if (mStore.Answers()) {
+    return std::nullopt;
+  }
+  const absl::Status silent =
+    absl::UnavailableError("the store does not answer");
+  JobRefused refusal = mOutage.InDoubt(aJob, MonotonicNow())
+                         ? FateUnknown(silent)
+                         : StoreAway(silent);
+  refusal.mRetryAfter = RetryAfter();
+  return refusal;
+}
+
+absl::StatusOr<StoreTransactionResult> JobDesk::Commit(
+  StoreTransaction aTransaction,
+  std::function<void()> aOnApplied)
+{
+  const auto write = std::make_shared<PendingWrite>();
+  mRuntime.Spawn([this,
+                  write,
+                  transaction = std::move(aTransaction),
+                  onApplied = std::move(aOnApplied)] {
+    write->mResult = mStore.Commit(transaction);
+    if (write->mResult->ok() && (*write->mResult)->mApplied) {
+      onApplied();
+    }
+    write->mDone.Now();
+  });
+  while (!write->mResult) {
+    write->mDone.Wait(kSilencePoll);
+    if (!write->mResult && !mStore.Answers()) {
+      return WithVerdict(
+        absl::DeadlineExceededError("the store fell silent during a write"),
+        Verdict::MayHaveRun);
+    }
+  }
+  return *std::move(write->mResult);
 }
 
 JobAnswer JobDesk::Handle(const SubmitJob& aSubmit, Instant aDeadline)
@@ -166,8 +223,9 @@
                        Verdict::NotRun,
                        "a job without steps" };
   }
-  if (!AwaitStore()) {
-    return StoreAway(absl::UnavailableError("the store does not answer"));
+  const JobId& id = aSubmit.mGraph.mId;
+  if (auto refusal = RefuseWhileSilent(id)) {
+    return *std::move(refusal);
   }
   const StoredJob job{ aSubmit.mGraph, UnixMsNow(), false };
   const std::string key = JobKey(job.mGraph.mId);
@@ -176,24 +234,23 @@
   transaction.mWrites.push_back({ key, ToJsonText(job) });
   WriteTries tries(aDeadline);
   for (;;) {
-    const auto result = mStore.Commit(transaction);
+    const auto result = Commit(transaction, [this, job] { TellOwner(job); });
     if (result.ok()) {
       // A record that is there already is the same job, asked for again.
-      if (result->mApplied) {
-        TellOwner(job);
-      }
+      mOutage.NoteSettled(id);
       return JobAccepted{};
     }
-    if (!tries.Again(result.status())) {
-      return tries.Refusal();
+    if (!mStore.Answers() || !tries.Again(result.status())) {
+      tries.Note(result.status());
+      return RefusalOf(id, tries.Refusal());
     }
   }
 }
 
 JobAnswer JobDesk::Handle(const CancelJob& aCancel, Instant aDeadline)
 {
-  if (!AwaitStore()) {
-    return StoreAway(absl::UnavailableError("the store does not answer"));
+  if (auto refusal = RefuseWhileSilent(aCancel.mJob)) {
+    return *std::move(refusal);
   }
   const std::string key = JobKey(aCancel.mJob);
   WriteTries tries(aDeadline);
@@ -215,9 +272,9 @@
       StoreTransaction transaction;
       transaction.mCompares.push_back({ key, entry->mModRevision });
       transaction.mWrites.push_back({ key, ToJsonText(*job) });
-      const auto result = mStore.Commit(transaction);
+      const auto result =
+        Commit(transaction, [this, changed = *job] { TellOwner(changed); });
       if (result.ok() && result->mApplied) {
-        TellOwner(*job);
         return JobCancelled{};
       }
       if (result.ok()) {
@@ -227,8 +284,9 @@
     } else {
       failed = WithVerdict(failed, Verdict::NotRun); // A read changes nothing.
     }
-    if (!tries.Again(failed)) {
-      return tries.Refusal();
+    if (!mStore.Answers() || !tries.Again(failed)) {
+      tries.Note(failed);
+      return RefusalOf(aCancel.mJob, tries.Refusal());
     }
   }
 }
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -2,11 +2,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <random>
 #include <vector>
 
 #include "apps/scheduler/Election.h"
 #include "src/core/cell/CellConfiguration.h"
 #include "src/core/cell/JobRequest.h"
+#include "src/core/cell/OutageAnswers.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Rpc.h"
 #include "src/platform/store/PulsedStore.h"
@@ -42,8 +45,17 @@
                           cell::JobAnswer aRefusal,
                           Instant aDeadline);
 
-  /// False when the store is silent: a write would leave the request in doubt.
-  bool AwaitStore() const;
+  /// The refusal of a change while the store is silent, where a write would
+  /// leave it in doubt; nothing while the store answers.
+  std::optional<cell::JobRefused> RefuseWhileSilent(const JobId& aJob);
+  /// Sends a write and waits for its answer, but not longer than the store is
+  /// silent: then the fate of the write is unknown and the caller is told so
+  /// at once. `aOnApplied` is called when it was applied, also later than that.
+  absl::StatusOr<StoreTransactionResult> Commit(
+    StoreTransaction aTransaction,
+    std::function<void()> aOnApplied);
+  cell::JobRefused RefusalOf(const JobId& aJob, cell::JobRefused aRefusal);
+  Duration RetryAfter();
   /// For a read that nobody could answer: what this process knows as the owner
   /// of the cell, although it may have been replaced.
   cell::JobAnswer LastResort(const cell::JobRequest& aRequest,
@@ -57,6 +69,8 @@
   net::RpcClient& mRpc;
   const Election& mElection;
   std::vector<Endpoint> mPeers; ///< Other schedulers.
+  cell::OutageAnswers mOutage;
+  std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
 } // namespace foxtailbarrow::scheduler
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -14,8 +14,9 @@
 
 namespace {
 
-/// Between reports without news. Several fit into the shortest lease.
-constexpr Duration kInterval = std::chrono::milliseconds(400);
+/// Between reports without news. Several fit into the shortest lease, and each
+/// brings figures, which cover half a second.
+constexpr Duration kInterval = std::chrono::milliseconds(450);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(700);
 /// Without an owner or a session, until the next try.
 constexpr Duration kRetry = std::chrono::milliseconds(150);
--- a/src/core/cell/JobRequest.h
+++ b/src/core/cell/JobRequest.h
@@ -78,6 +78,8 @@
   RefusalCause mCause = RefusalCause::Unknown;
   Verdict mVerdict = Verdict::NotRun;
   std::string mMessage;
+  /// Until the caller is to ask again; 0 = this answer does not say.
+  Duration mRetryAfter{};
 };
 
 using JobAnswer = std::variant<JobAccepted,
--- a/src/core/cell/StorePulse.h
+++ b/src/core/cell/StorePulse.h
@@ -41,6 +41,18 @@
            aNow - std::max(*mSent.begin(), mAnsweredAt) < kSilentAfter;
   }
 
+  /// For how long the store has not answered; 0 while it does.
+  Duration SilentFor(Instant aNow) const
+  {
+    if (Answers(aNow)) {
+      return Duration::zero();
+    }
+    const Instant since = mSilentSince != Instant{}
+                            ? mSilentSince
+                            : std::max(*mSent.begin(), mAnsweredAt);
+    return aNow - since;
+  }
+
 private:
   std::multiset<Instant> mSent;
   Instant mAnsweredAt{};
--- a/src/platform/store/PulsedStore.h
+++ b/src/platform/store/PulsedStore.h
@@ -40,6 +40,7 @@
   }
 
   bool Answers() const { return mPulse.Answers(MonotonicNow()); }
+  Duration SilentFor() const { return mPulse.SilentFor(MonotonicNow()); }
 
   absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
   {
--- /dev/null
+++ b/tests/cell/OwnerLoadTest.cpp
@@ -0,0 +1,74 @@
+#include <gtest/gtest.h>
+
+#include "src/core/cell/OwnerLoad.h"
+#include "src/core/cell/RoundPacing.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kBegin{ seconds(100) };
+
+TEST(OwnerLoadTest, TellsEachSecondWhereTheTimeWent)
+{
+  OwnerLoad load;
+  EXPECT_FALSE(load.Take(kBegin, seconds(5)).has_value());
+  load.NoteReport();
+  load.NoteWork(OwnerWork::Text, milliseconds(100));
+  load.NoteWork(OwnerWork::Reports, milliseconds(20));
+  load.NoteWork(OwnerWork::Logs, milliseconds(10));
+  load.NoteRound(milliseconds(30));
+  load.NoteRound(milliseconds(50));
+  load.NoteWait(OwnerWait::Order, milliseconds(70));
+  load.NoteWait(OwnerWait::Order, milliseconds(40));
+  EXPECT_FALSE(load.Take(kBegin + milliseconds(999), seconds(5)).has_value());
+  const auto summary =
+    load.Take(kBegin + seconds(1), seconds(5) + milliseconds(300));
+  ASSERT_TRUE(summary.has_value());
+  EXPECT_EQ(summary->mReports, 1);
+  EXPECT_EQ(summary->mRounds, 2);
+  EXPECT_EQ(summary->mLongestRound, milliseconds(50));
+  EXPECT_EQ(SharesText(*summary),
+            "text=100 reports=20 rounds=80 records=0 logs=10 rest=100 all=300");
+  EXPECT_EQ(WaitsText(*summary), "loop=0 report=0 order=70 record=0");
+  const auto next = load.Take(kBegin + seconds(2), seconds(6));
+  ASSERT_TRUE(next.has_value());
+  EXPECT_EQ(next->mReports, 0);
+}
+
+struct PacingCase
+{
+  const char* mName;
+  Duration mRound;
+  Duration mLeast;
+  Duration mMost;
+};
+
+class RoundPacingTest : public testing::TestWithParam<PacingCase>
+{};
+
+/// Rounds of 3 ms after each of 500 reports a second would take more than
+/// there is.
+TEST_P(RoundPacingTest, GivesRoundsABoundedShareOfTheTime)
+{
+  RoundPacing pacing;
+  pacing.NoteRound(GetParam().mRound);
+  EXPECT_GE(pacing.Pause(), GetParam().mLeast);
+  EXPECT_LE(pacing.Pause(), GetParam().mMost);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  All,
+  RoundPacingTest,
+  testing::Values(
+    PacingCase{ "Short", Duration(100), milliseconds(2), milliseconds(2) },
+    PacingCase{ "Long", milliseconds(3), milliseconds(16), milliseconds(18) },
+    PacingCase{ "TooLong", seconds(1), milliseconds(100), milliseconds(100) }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
--- a/tests/scheduler/ElectionTest.cpp
+++ b/tests/scheduler/ElectionTest.cpp
@@ -6,6 +6,7 @@
 #include "src/core/message/Codec.h"
 #include "src/net/HttpClient.h"
 #include "src/platform/store/MemoryStore.h"
+#include "tests/scheduler/SilentStore.h"
 
 namespace foxtailbarrow::scheduler::test {
 
@@ -13,65 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/// A store whose lists wait until they are let.
-class GatedStore final : public Store
-{
-public:
-  explicit GatedStore(Store& aStore)
-    : mStore(aStore)
-  {
-  }
-
-  bool mOpen = false;
-  bool mWaits = false;
-
-  absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
-  {
-    return mStore.Read(aKey);
-  }
-
-  absl::StatusOr<StoreListing> List(std::string_view aPrefix) override
-  {
-    while (!mOpen) {
-      mWaits = true;
-      boost::this_fiber::sleep_for(milliseconds(1));
-    }
-    return mStore.List(aPrefix);
-  }
-
-  absl::StatusOr<StoreTransactionResult> Commit(
-    const StoreTransaction& aTransaction) override
-  {
-    return mStore.Commit(aTransaction);
-  }
-
-  absl::StatusOr<StoreLease> GrantLease(Duration aTtl) override
-  {
-    return mStore.GrantLease(aTtl);
-  }
-
-  absl::StatusOr<Duration> KeepAlive(StoreLease aLease) override
-  {
-    return mStore.KeepAlive(aLease);
-  }
-
-  absl::Status RevokeLease(StoreLease aLease) override
-  {
-    return mStore.RevokeLease(aLease);
-  }
-
-  absl::Status Watch(std::string_view aPrefix,
-                     Revision aFrom,
-                     const std::function<bool(const std::vector<StoreEvent>&)>&
-                       aOnEvents) override
-  {
-    return mStore.Watch(aPrefix, aFrom, aOnEvents);
-  }
-
-private:
-  Store& mStore;
-};
-
 template<typename Condition>
 void Await(Condition aCondition)
 {
@@ -153,7 +95,8 @@
 {
   net::FiberRuntime runtime(1);
   MemoryStore memory;
-  GatedStore store(memory);
+  SilentStore store(memory);
+  store.mHoldLists = true;
   net::HttpClient client(runtime);
   net::RpcClient rpc(client);
   SchedulerSettings settings;
@@ -182,14 +125,14 @@
         .Commit({ {}, { { cell::JobKey(job.mGraph.mId), ToJsonText(job) } } })
         .ok());
     runtime.Spawn([&] { election.Round(); });
-    Await([&] { return store.mWaits; });
+    Await([&] { return store.mListWaits; });
     EXPECT_EQ(election.Owner(), nullptr);
     ASSERT_NE(election.Term(), nullptr);
     cell::QueuePolicy policy;
     policy.mQueue = cell::QueueId("queue");
     policy.mService = ServiceId("service");
     election.Term()->SetQueues({ policy });
-    store.mOpen = true;
+    store.mHoldLists = false;
     Await([&] { return election.Owner() != nullptr; });
     EXPECT_EQ(
       election.Owner()->Logic().Jobs().at(job.mGraph.mId).mPolicy.mService,
--- /dev/null
+++ b/tests/scheduler/JobDeskTest.cpp
@@ -0,0 +1,148 @@
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include "apps/scheduler/JobDesk.h"
+#include "src/core/cell/CellRecords.h"
+#include "src/net/HttpClient.h"
+#include "src/platform/store/MemoryStore.h"
+#include "tests/scheduler/SilentStore.h"
+
+namespace foxtailbarrow::scheduler::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Above a few switches between fibers, below any timeout of a call.
+constexpr Duration kAtOnce = milliseconds(50);
+/// Until a silent store is known to be silent, and the next look.
+constexpr Duration kNoticed =
+  cell::StorePulse::kSilentAfter + milliseconds(150);
+
+cell::JobRequest Submission(const std::string& aId)
+{
+  cell::SubmitJob submit;
+  submit.mGraph.mId = JobId(aId);
+  submit.mGraph.mQueue = cell::QueueId("queue");
+  submit.mGraph.mSteps.resize(1);
+  return { std::move(submit), seconds(3) };
+}
+
+/// A scheduler's desk over a store that may fall silent.
+class JobDeskTest : public testing::Test
+{
+protected:
+  JobDeskTest()
+    : mStore(mMemory)
+    , mPulsed(mStore)
+    , mClient(mRuntime)
+    , mRpc(mClient)
+    , mElection(
+        mSettings,
+        {},
+        mPulsed,
+        [](const cell::OwnerTerm&) { return std::shared_ptr<CellOwner>(); })
+    , mDesk(mRuntime, mPulsed, mRpc, mElection, {})
+  {
+  }
+
+  /// The answer and how long it took.
+  std::pair<cell::JobAnswer, Duration> Ask(const cell::JobRequest& aRequest)
+  {
+    std::pair<cell::JobAnswer, Duration> result;
+    mRuntime.RunAndWait([&] {
+      const Instant begin = MonotonicNow();
+      result.first = mDesk.Answer(aRequest);
+      result.second = MonotonicNow() - begin;
+    });
+    return result;
+  }
+
+  void FallSilent()
+  {
+    mRuntime.RunAndWait([this] { mStore.mSilent = true; });
+  }
+
+  /// All that waits is carried out and answered.
+  void Return()
+  {
+    mRuntime.RunAndWait([this] {
+      mStore.mSilent = false;
+      boost::this_fiber::sleep_for(milliseconds(50));
+    });
+  }
+
+  bool Stored(const std::string& aId)
+  {
+    bool stored = false;
+    mRuntime.RunAndWait(
+      [&] { stored = mMemory.Read(cell::JobKey(JobId(aId))).ok(); });
+    return stored;
+  }
+
+  net::FiberRuntime mRuntime{ 1 };
+  MemoryStore mMemory;
+  SilentStore mStore;
+  PulsedStore mPulsed;
+  net::HttpClient mClient;
+  net::RpcClient mRpc;
+  SchedulerSettings mSettings;
+  Election mElection;
+  JobDesk mDesk;
+};
+
+Verdict VerdictOf(const cell::JobAnswer& aAnswer)
+{
+  const auto* refused = std::get_if<cell::JobRefused>(&aAnswer);
+  return refused == nullptr ? Verdict::Ran : refused->mVerdict;
+}
+
+TEST_F(JobDeskTest, AnAcceptedJobIsStored)
+{
+  const auto [answer, took] = Ask(Submission("a"));
+  EXPECT_TRUE(std::holds_alternative<cell::JobAccepted>(answer));
+  EXPECT_TRUE(Stored("a"));
+}
+
+/// The first request after the store fell silent used to be held for two
+/// seconds of its three, for a second try that could only fail.
+TEST_F(JobDeskTest, AWriteIntoSilenceIsGivenUpAsSoonAsTheSilenceIsNoticed)
+{
+  FallSilent();
+  const auto [answer, took] = Ask(Submission("a"));
+  EXPECT_EQ(VerdictOf(answer), Verdict::MayHaveRun);
+  EXPECT_LT(took, kNoticed);
+  Return();
+  EXPECT_TRUE(Stored("a")); // It may have run, and it has.
+}
+
+TEST_F(JobDeskTest, WhileTheStoreIsSilentAJobIsRefusedAtOnceAsNotRun)
+{
+  FallSilent();
+  Ask(Submission("a"));
+  const auto [answer, took] = Ask(Submission("b"));
+  EXPECT_EQ(VerdictOf(answer), Verdict::NotRun);
+  EXPECT_LT(took, kAtOnce);
+  EXPECT_GE(std::get<cell::JobRefused>(answer).mRetryAfter, seconds(1));
+  Return();
+  EXPECT_FALSE(Stored("b"));
+}
+
+/// Its first submission may be stored yet: to say that it has not run would be
+/// untrue.
+TEST_F(JobDeskTest, AJobInDoubtIsNotSaidToHaveNotRun)
+{
+  FallSilent();
+  Ask(Submission("a"));
+  const auto [answer, took] = Ask(Submission("a"));
+  EXPECT_EQ(VerdictOf(answer), Verdict::MayHaveRun);
+  EXPECT_LT(took, kAtOnce);
+  Return();
+  EXPECT_TRUE(
+    std::holds_alternative<cell::JobAccepted>(Ask(Submission("a")).first));
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::scheduler::test
--- /dev/null
+++ b/tests/scheduler/SilentStore.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <boost/fiber/operations.hpp>
+
+#include "foxtailbarrow/Store.h"
+
+namespace foxtailbarrow::scheduler::test {
+
+/// A store whose calls, but for watches, wait until they are let: while it is
+/// silent all of them, else lists while they are held.
+class SilentStore final : public Store
+{
+public:
+  explicit SilentStore(Store& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  bool mSilent = false;
+  bool mHoldLists = false;
+  bool mListWaits = false; ///< A list came while they are held.
+
+  absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
+  {
+    AwaitReturn();
+    return mStore.Read(aKey);
+  }
+
+  absl::StatusOr<StoreListing> List(std::string_view aPrefix) override
+  {
+    while (mHoldLists) {
+      mListWaits = true;
+      Pause();
+    }
+    AwaitReturn();
+    return mStore.List(aPrefix);
+  }
+
+  absl::StatusOr<StoreTransactionResult> Commit(
+    const StoreTransaction& aTransaction) override
+  {
+    AwaitReturn();
+    return mStore.Commit(aTransaction);
+  }
+
+  absl::StatusOr<StoreLease> GrantLease(Duration aTtl) override
+  {
+    AwaitReturn();
+    return mStore.GrantLease(aTtl);
+  }
+
+  absl::StatusOr<Duration> KeepAlive(StoreLease aLease) override
+  {
+    AwaitReturn();
+    return mStore.KeepAlive(aLease);
+  }
+
+  absl::Status RevokeLease(StoreLease aLease) override
+  {
+    AwaitReturn();
+    return mStore.RevokeLease(aLease);
+  }
+
+  absl::Status Watch(std::string_view aPrefix,
+                     Revision aFrom,
+                     const std::function<bool(const std::vector<StoreEvent>&)>&
+                       aOnEvents) override
+  {
+    return mStore.Watch(aPrefix, aFrom, aOnEvents);
+  }
+
+private:
+  static void Pause()
+  {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+  }
+
+  void AwaitReturn() const
+  {
+    while (mSilent) {
+      Pause();
+    }
+  }
+
+  Store& mStore;
+};
+
+} // namespace foxtailbarrow::scheduler::test
