--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -205,13 +205,14 @@
                                    const CellClock& aClock)
 {
   std::vector<RunRef> missing;
-  for (const auto& [task, number] : aWorker.mRuns) {
+  for (const auto& entry : aWorker.mRuns) {
+    const RunRef ours{ entry.first, entry.second };
     const bool shown =
-      std::ranges::any_of(aRunning, [&](const RunningTask& aShown) {
-        return aShown.mRun == number && aShown.mTask == task;
+      std::ranges::any_of(aRunning, [&ours](const RunningTask& aShown) {
+        return aShown.mRun == ours.mRun && aShown.mTask == ours.mTask;
       });
     if (!shown) {
-      missing.push_back({ task, number });
+      missing.push_back(ours);
     }
   }
   for (const auto& [task, number] : missing) {
--- a/src/core/cell/TaskRef.h
+++ b/src/core/cell/TaskRef.h
@@ -63,11 +63,11 @@
 /// The same for messages; false leaves the task as it was.
 inline bool ParseText(std::string_view aText, TaskRef& aTask)
 {
-  auto task = ParseTaskRef(aText);
-  if (task) {
+  if (auto task = ParseTaskRef(aText)) {
     aTask = *std::move(task);
+    return true;
   }
-  return task.has_value();
+  return false;
 }
 
 } // namespace foxtailbarrow::cell
