--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -45,6 +45,7 @@
   absl::Status ListenAll();
   void AddMethods();
   void AddViews();
+  void AddLoadMetrics();
   bool Unadvised(const cell::JobRequest& aRequest,
                  const cell::CellConfiguration& aConfiguration) const;
   cell::JobAnswer Refuse(const absl::Status& aStatus) const;
--- a/apps/scheduler/SchedulerPages.cpp
+++ b/apps/scheduler/SchedulerPages.cpp
@@ -1,3 +1,5 @@
+#include <chrono>
+
 #include "apps/scheduler/RequestText.h"
 #include "apps/scheduler/Scheduler.h"
 #include "src/core/cell/JobForward.h"
@@ -73,9 +75,43 @@
     });
 }
 
+/// The figures of the `owner-load` line, for graphs and alerts.
+void Scheduler::AddLoadMetrics()
+{
+  const auto load = [this] {
+    const auto owner = mElection.Owner();
+    return owner ? owner->LastLoad() : OwnerLoadSummary{};
+  };
+  for (std::size_t i = 0; i < kOwnerWorks; ++i) {
+    const auto work = static_cast<OwnerWork>(i);
+    mMetrics.SampledGauge(
+      "owner_work_seconds",
+      "Processor time by kind of work in the last second of owning the cell.",
+      [load, work] {
+        return std::chrono::duration<double>(load().Spent(work)).count();
+      },
+      { { "kind", std::string(ToString(work)) } });
+  }
+  for (std::size_t i = 0; i < kOwnerWaits; ++i) {
+    const auto wait = static_cast<OwnerWait>(i);
+    mMetrics.SampledGauge(
+      "owner_wait_seconds",
+      "Longest wait by kind in the last second of owning the cell.",
+      [load, wait] {
+        return std::chrono::duration<double>(load().Longest(wait)).count();
+      },
+      { { "kind", std::string(ToString(wait)) } });
+  }
+  mMetrics.SampledGauge(
+    "owner_rounds_put_off", "Rounds of placing that had to wait.", [load] {
+      return static_cast<double>(load().mRoundsPutOff);
+    });
+}
+
 void Scheduler::AddViews()
 {
   AddProcessMetrics(mMetrics);
+  AddLoadMetrics();
   mMetrics.SampledGauge("cell_owner", "1 while this process owns it.", [this] {
     return mElection.Owner() ? 1.0 : 0.0;
   });
