--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -49,6 +49,9 @@
   const Instant begin = MonotonicNow();
   const std::vector<UnrecordedProgress> batch =
     mLogic.Unrecorded(kJobsPerRecord);
+  if (batch.empty()) {
+    return true;
+  }
   StoreTransaction transaction;
   transaction.mCompares.push_back(CellUnchanged());
   for (const UnrecordedProgress& job : batch) {
