--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -16,7 +16,7 @@
 
 /// Between reports without news. Several fit into the shortest lease, and each
 /// brings figures, which cover half a second.
-constexpr Duration kInterval = std::chrono::milliseconds(450);
+constexpr Duration kInterval = ReportBase::kFiguresEvery;
 constexpr Duration kReportTimeout = std::chrono::milliseconds(700);
 /// Without an owner or a session, until the next try.
 constexpr Duration kRetry = std::chrono::milliseconds(150);
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -71,9 +71,9 @@
   /// How long the task is not placed there again.
   Duration mStalledAvoid = std::chrono::seconds(4);
   /// Between two looks at one worker that interference is learned from: its
-  /// figures cover half a second. Not longer than between two reports of
-  /// figures, or every second one would be passed over.
-  Duration mObserveEvery = std::chrono::milliseconds(400);
+  /// figures cover half a second. Shorter than between two reports of figures,
+  /// or every second one would be passed over.
+  Duration mObserveEvery = std::chrono::milliseconds(450);
   InterferenceSettings mInterference;
 };
 
--- a/src/core/cell/ReportBase.h
+++ b/src/core/cell/ReportBase.h
@@ -26,7 +26,7 @@
 
   /// Between two reports of figures. They cover half a second; reports that
   /// come because a task ended leave them out.
-  static constexpr Duration kFiguresEvery = std::chrono::milliseconds(400);
+  static constexpr Duration kFiguresEvery = std::chrono::milliseconds(460);
 
 private:
   struct Taken
