Ask other schedulers for a job's state also right after they refused a change

Cause, by reading: a request whose time was over before any other scheduler was asked noted that all had refused, and for 300 ms after that reads were not forwarded either, but answered from memory. Change: only asked schedulers count, and reads are always forwarded. No test of the process shows it.

--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -46,6 +46,12 @@
   Poke mDone;
 };
 
+bool ChangesJob(const JobRequest& aRequest)
+{
+  return std::holds_alternative<SubmitJob>(aRequest.mBody) ||
+         std::holds_alternative<CancelJob>(aRequest.mBody);
+}
+
 JobRefused FateUnknown(const absl::Status& aStatus)
 {
   return { RefusalCause::Unknown,
@@ -117,7 +123,9 @@
   if (!WorthForwarding(answer)) {
     return answer;
   }
-  return mOutage.MayForward(MonotonicNow())
+  // A read always asks the others: an owner that was replaced would tell what
+  // it last knew.
+  return !ChangesJob(aRequest) || mOutage.MayForward(MonotonicNow())
            ? Forward(aRequest, std::move(answer), deadline)
            : LastResort(aRequest, std::move(answer));
 }
@@ -127,13 +135,12 @@
                            JobAnswer aRefusal,
                            Instant aDeadline)
 {
-  const bool changes = std::holds_alternative<SubmitJob>(aRequest.mBody) ||
-                       std::holds_alternative<CancelJob>(aRequest.mBody);
+  const bool changes = ChangesJob(aRequest);
   for (const Endpoint& peer : mPeers) {
     const Duration left =
       std::min<Duration>(aDeadline - MonotonicNow(), kForwardTimeout);
     if (left <= Duration::zero()) {
-      break;
+      return LastResort(aRequest, std::move(aRefusal));
     }
     JobRequest request = aRequest;
     request.mTimeout = left;
