Tell how long a run had lived when it was lost with its worker

Reports carry the age of the worker's newest answer; task-lost tells the run's known life, worker-crashed and worker-replaced the incarnation and its runs, the agent's line what ran.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -68,9 +68,12 @@
     return false;
   }
   if (aInfo.mIncarnation != mInfo.mIncarnation) {
-    LogChange("worker-incarnation",
-              { { "incarnation", aInfo.mIncarnation },
-                { "before", mInfo.mIncarnation } });
+    LogChange(
+      "worker-incarnation",
+      { { "incarnation", aInfo.mIncarnation },
+        { "before", mInfo.mIncarnation },
+        { "ran", mBook.Running().size() },
+        { "answerAgeMs", WholeMilliseconds(MonotonicNow() - mAnsweredAt) } });
     mWorker.Expect(aInfo.mIncarnation);
     mBook.Reset();
     mLease.ForgetWorker();
@@ -342,7 +345,9 @@
   snapshot.mState.mEnded = mBook.Ended();
   snapshot.mAnswers = mAnswers;
   snapshot.mOrdersDone = mOrdersDone;
-  snapshot.mLeaseLeft = mLease.LeaseLeft(MonotonicNow());
+  const Instant now = MonotonicNow();
+  snapshot.mAnswerAge = now - mAnsweredAt;
+  snapshot.mLeaseLeft = mLease.LeaseLeft(now);
   return snapshot;
 }
 
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -23,6 +23,7 @@
 {
   cell::WorkerState mState;
   bool mAnswers = false;
+  Duration mAnswerAge{}; ///< Since the newest answer.
   Duration mLeaseLeft{};
   std::int64_t mOrdersDone = 0; ///< Of the session in force.
 };
--- a/include/foxtailbarrow/Time.h
+++ b/include/foxtailbarrow/Time.h
@@ -12,6 +12,13 @@
 /// compared between processes.
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// Rounded down; for logs and messages.
+constexpr std::int64_t WholeMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
 /// Reads the process's monotonic clock. For shells only: decision logic takes
 /// the time as an argument.
 inline Instant MonotonicNow()
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -126,6 +126,7 @@
   /// The worker has answered lately. While it does not, its leases are not
   /// extended.
   bool mWorkerAnswers = true;
+  Duration mAnswerAge{}; ///< Since its newest answer, which the state is of.
   Duration mLeaseLeft{}; ///< Until the last lease that it may hold is over.
   /// How long the reply to the report before took: it waited in the owner.
   Duration mReplyTook{};
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -240,11 +240,14 @@
                  const TaskRef& aTask,
                  RunNumber aRun,
                  std::string_view aReason);
+  /// `aSeenAt`: of the worker's answer that shows them.
   void TakeRunning(WorkerEntry& aWorker,
                    const std::vector<RunningTask>& aRunning,
+                   Instant aSeenAt,
                    const CellClock& aClock);
   void TakeRunningTask(WorkerEntry& aWorker,
                        const RunningTask& aRunning,
+                       Instant aSeenAt,
                        const CellClock& aClock);
   bool Adopt(WorkerEntry& aWorker,
              const RunningTask& aRunning,
@@ -269,6 +272,7 @@
   void Learn(WorkerEntry& aWorker,
              const std::vector<RunningTask>& aRunning,
              const CellClock& aClock);
+  void TellReplaced(const WorkerEntry& aWorker) const;
   void LoseLapsedWorkers(const CellClock& aClock);
   void TakeDeparture(const ReportRequest& aReport,
                      bool aInSession,
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -10,12 +10,6 @@
 /// Ends of what was stopped for a job that has ended need no record.
 constexpr std::uint64_t kNeedsNoRecord = 0;
 
-std::int64_t Milliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 } // namespace
 
 void CellScheduler::TakeEnds(WorkerEntry& aWorker,
@@ -54,7 +48,7 @@
   const TaskRun* run = task->FindRun(aWorker.mId, aEnded.mRun);
   const bool ours = run != nullptr || CountsAsOurs(job, *task, aEnded);
   const std::int64_t ageMs =
-    run == nullptr ? 0 : Milliseconds(aClock.mNow - run->mOrderedAt);
+    run == nullptr ? 0 : WholeMilliseconds(aClock.mNow - run->mOrderedAt);
   Tell(ours ? "task-end" : "task-end-ignored",
        aEnded.mTask,
        aWorker.mId,
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -103,6 +103,7 @@
 
 void CellScheduler::TakeRunning(WorkerEntry& aWorker,
                                 const std::vector<RunningTask>& aRunning,
+                                Instant aSeenAt,
                                 const CellClock& aClock)
 {
   std::erase_if(aWorker.mForeign, [&](const auto& aForeign) {
@@ -111,12 +112,13 @@
     });
   });
   for (const RunningTask& running : aRunning) {
-    TakeRunningTask(aWorker, running, aClock);
+    TakeRunningTask(aWorker, running, aSeenAt, aClock);
   }
 }
 
 void CellScheduler::TakeRunningTask(WorkerEntry& aWorker,
                                     const RunningTask& aRunning,
+                                    Instant aSeenAt,
                                     const CellClock& aClock)
 {
   const auto found = mJobs.find(aRunning.mTask.mJob);
@@ -136,6 +138,7 @@
     run->mRunningSince = aClock.mNow;
     run->mPercentChangedAt = aClock.mNow;
   }
+  run->mSeenAt = std::max(run->mSeenAt, aSeenAt);
   if (run->mPercent != aRunning.mPercent) {
     run->mPercent = aRunning.mPercent;
     run->mPercentChangedAt = aClock.mNow;
@@ -241,7 +244,14 @@
 {
   const auto runs = aWorker.mRuns;
   for (const auto& [task, number] : runs) {
-    Tell("task-lost", task, aWorker.mId, number, aReason);
+    const TaskRun& run =
+      *mJobs.at(task.mJob).Find(task)->FindRun(aWorker.mId, number);
+    Tell("task-lost",
+         task,
+         aWorker.mId,
+         number,
+         aReason,
+         WholeMilliseconds(run.KnownLife()));
     if (number < FirstRunOf(mGeneration)) {
       mJobs.at(task.mJob).Find(task)->mWrittenOff.push_back(number);
     }
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -36,7 +36,7 @@
   Tell("worker-attached", {}, aAgent, aSession, "session");
   TakeInfo(worker, aState.mInfo, aClock);
   TakeEnds(worker, aState.mEnded, aClock);
-  TakeRunning(worker, aState.mRunning, aClock);
+  TakeRunning(worker, aState.mRunning, aClock.mNow, aClock);
   // Orders of earlier sessions are dead, so that what is not there never comes.
   DropAbsentRuns(worker, aState.mRunning, kAllOrders, aClock);
   for (const auto& [task, number] : worker.mRuns) {
@@ -96,7 +96,8 @@
   if (whole || (aReport.mChange && !aReport.mChange->mEnded.empty())) {
     TakeEnds(aWorker, state.mEnded, aClock);
   }
-  TakeRunning(aWorker, state.mRunning, aClock);
+  TakeRunning(
+    aWorker, state.mRunning, aClock.mNow - aReport.mAnswerAge, aClock);
   DropAbsentRuns(aWorker, state.mRunning, aReport.mOrdersDone, aClock);
   if (whole || (aReport.mChange && aReport.mChange->mFigures)) {
     Learn(aWorker, state.mRunning, aClock);
@@ -237,6 +238,7 @@
     return; // An agent that has just started; the worker tells within seconds.
   }
   if (aWorker.mEnds.Incarnation() != aInfo.mIncarnation) {
+    TellReplaced(aWorker);
     LoseRuns(aWorker, "worker-restarted", aClock);
     aWorker.mEnds.Reset(aInfo.mIncarnation);
     aWorker.mForeign.clear();
@@ -254,6 +256,20 @@
   aWorker.mInfo = aInfo;
 }
 
+/// How many runs are lost with the incarnation that was there before, and
+/// whether it had said that it leaves.
+void CellScheduler::TellReplaced(const WorkerEntry& aWorker) const
+{
+  if (aWorker.mInfo.mIncarnation.Empty()) {
+    return;
+  }
+  Tell(aWorker.mInfo.mDraining ? "worker-replaced" : "worker-crashed",
+       {},
+       aWorker.mId,
+       static_cast<RunNumber>(aWorker.mRuns.size()),
+       aWorker.mInfo.mIncarnation.Value());
+}
+
 void CellScheduler::LoseLapsedWorkers(const CellClock& aClock)
 {
   for (auto& [id, worker] : mWorkers) {
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -31,12 +31,20 @@
   /// when the session began.
   std::int64_t mOrderNumber = 0;
   Instant mRunningSince{};
+  /// Its worker's newest answer that showed it.
+  Instant mSeenAt{};
   std::int32_t mPercent = 0;
   Instant mPercentChangedAt{};
   Instant mStopOrderedAt{};
   /// A leftover task's, that is hardly at work; nullopt while it is.
   std::optional<Instant> mStalledSince{};
   Instant mFigureAt{}; ///< Its newest figure was counted.
+
+  /// How long it is known to have run: it was alive at least so long.
+  Duration KnownLife() const
+  {
+    return std::max(Duration::zero(), mSeenAt - mRunningSince);
+  }
 };
 
 /// What the owner knows of one task.
--- a/src/core/cell/TaskTime.cpp
+++ b/src/core/cell/TaskTime.cpp
@@ -11,12 +11,6 @@
 constexpr double kStalledBelow = 0.3;
 constexpr double kSlowedBelow = 0.8;
 
-std::int64_t Milliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 } // namespace
 
 void TaskTime::AddRunning(double aShare, Duration aInterval)
@@ -33,13 +27,13 @@
 std::string ToString(const TaskTime& aTime)
 {
   return absl::StrCat("waited=",
-                      Milliseconds(aTime.mWaited),
+                      WholeMilliseconds(aTime.mWaited),
                       " stalled=",
-                      Milliseconds(aTime.mStalled),
+                      WholeMilliseconds(aTime.mStalled),
                       " slowed=",
-                      Milliseconds(aTime.mSlowed),
+                      WholeMilliseconds(aTime.mSlowed),
                       " worked=",
-                      Milliseconds(aTime.mWorked));
+                      WholeMilliseconds(aTime.mWorked));
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -255,6 +255,7 @@
   aVisitor.Optional("state", aMessage.mState);
   aVisitor.Optional("change", aMessage.mChange);
   aVisitor.Optional("workerAnswers", aMessage.mWorkerAnswers);
+  aVisitor.Optional("answerAgeUs", aMessage.mAnswerAge);
   aVisitor.Optional("leaseLeftUs", aMessage.mLeaseLeft);
   aVisitor.Optional("replyTookUs", aMessage.mReplyTook);
 }
