--- a/tests/cell/CrashingTaskTest.cpp
+++ b/tests/cell/CrashingTaskTest.cpp
@@ -166,34 +166,14 @@
   return step;
 }
 
-StepSpec StandingStep()
-{
-  StepSpec step = ShortStep();
-  step.mStanding = true;
-  return step;
-}
-
-StepSpec CopiedStep()
-{
-  StepSpec step = ShortStep();
-  step.mSpeculative = true;
-  return step;
-}
-
-StepSpec LeftoverStep()
-{
-  StepSpec step = ShortStep();
-  step.mLeftover = true;
-  step.mCheckpoints = true;
-  return step;
-}
-
-INSTANTIATE_TEST_SUITE_P(
-  Table,
-  CrashingTaskTest,
-  testing::Values(
-    CrashCase{ "HeardByAttachment", HeardBy::Attachment, ShortStep }),
-  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+INSTANTIATE_TEST_SUITE_P(Table,
+                         CrashingTaskTest,
+                         testing::Values(CrashCase{ "HeardByAttachment",
+                                                    HeardBy::Attachment,
+                                                    ShortStep }),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.mName);
+                         });
 
 } // namespace
 
