--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -34,6 +34,9 @@
 constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
 /// Without an answer for so long, the worker counts as silent.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
+/// Crashes that are remembered for an owner that has not heard of them: at four
+/// seconds a crash, those of the last half minute.
+constexpr std::size_t kCrashesKept = 8;
 constexpr int kStopTries = 3;
 constexpr double kPercent = 100.0;
 constexpr double kPerMille = 1000.0;
@@ -74,6 +77,7 @@
         { "before", mInfo.mIncarnation },
         { "ran", mBook.Running().size() },
         { "answerAgeMs", WholeMilliseconds(MonotonicNow() - mAnsweredAt) } });
+    NoteReplaced();
     mWorker.Expect(aInfo.mIncarnation);
     mBook.Reset();
     mLease.ForgetWorker();
@@ -90,6 +94,20 @@
   return true;
 }
 
+/// A worker that did not say that it leaves has crashed.
+void WorkerControl::NoteReplaced()
+{
+  if (mInfo.mIncarnation.Empty() || mInfo.mDraining) {
+    return;
+  }
+  if (auto crash = mBook.CrashAfter(mAnsweredAt); !crash.mRuns.empty()) {
+    mCrashes.push_back(std::move(crash));
+  }
+  if (mCrashes.size() > kCrashesKept) {
+    mCrashes.pop_front();
+  }
+}
+
 bool WorkerControl::IsThere(const cell::WorkerIncarnation& aIncarnation)
 {
   const auto there = mWorker.IsThere(aIncarnation, mFence, kLookTimeout);
@@ -196,6 +214,7 @@
   }
   mGovernor.NoteTraits(
     { aOrder.mTask, aOrder.mLatencyTarget, aOrder.mLeftover, aOrder.mImage });
+  mBook.NoteSent(aOrder.mTask, aOrder.mRun);
   const auto reply = mWorker.Start({ aOrder.mTask,
                                      aOrder.mRun,
                                      aOrder.mPayload,
@@ -205,23 +224,27 @@
                                      mFence },
                                    kOrderTimeout);
   StartOutcome outcome = StartOutcome::NotStarted;
+  bool fateKnown = true;
   if (reply.ok()) {
     outcome = reply->mOutcome;
   } else if (VerdictOf(reply.status()) == Verdict::NotRun) {
     outcome = OutcomeOf(reply.status());
   } else if (!Settle(aOrders.mSession)) {
+    fateKnown = false;
     aSettled = false;
   } else if (mBook.Knows(aOrder.mTask, aOrder.mRun)) {
     outcome = StartOutcome::Started;
   }
   if (outcome == StartOutcome::Started) {
     mBook.TakeStart(aOrder.mTask, aOrder.mRun, MonotonicNow());
+  } else if (fateKnown) {
+    mBook.NoteNotStarted(aOrder.mTask, aOrder.mRun);
   }
   LogChange("task-started",
             { { "task", ToString(aOrder.mTask) },
               { "run", aOrder.mRun },
               { "outcome", ToString(outcome) },
-              { "settled", aSettled ? 1 : 0 },
+              { "settled", fateKnown ? 1 : 0 },
               { "error", reply.ok() ? "" : reply.status().ToString() } });
   return outcome;
 }
@@ -343,6 +366,7 @@
   snapshot.mState.mInfo = mInfo;
   snapshot.mState.mRunning = mBook.Running();
   snapshot.mState.mEnded = mBook.Ended();
+  snapshot.mState.mCrashes = { mCrashes.begin(), mCrashes.end() };
   snapshot.mAnswers = mAnswers;
   snapshot.mOrdersDone = mOrdersDone;
   const Instant now = MonotonicNow();
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <span>
@@ -87,11 +88,13 @@
   bool Settle(cell::Session aSession);
   absl::StatusOr<cell::LookReply> LookOnce(Duration aWait, bool aExtend);
   void SetPaces();
+  void NoteReplaced();
 
   cell::TaskWorker& mWorker;
   std::function<void()> mOnNews;
   cell::WorkerInfo mInfo;
   cell::WorkerBook mBook;
+  std::deque<cell::CrashedWorker> mCrashes; ///< The newest ones, oldest first.
   cell::LeaseGrant mLease;
   cell::PaceGovernor mGovernor;
   cell::Session mSession = 0;
--- a/src/core/cell/CellRecords.h
+++ b/src/core/cell/CellRecords.h
@@ -52,6 +52,17 @@
   bool operator==(const StoredCheckpoint&) const = default;
 };
 
+/// Crashes of workers that speak against a task, by run (CrashHistory).
+struct StoredCrashes
+{
+  std::int32_t mIndex = 0;
+  std::vector<RunNumber> mLikely;
+  std::vector<RunNumber> mBeside;
+  RunNumber mClearedTo = 0;
+
+  bool operator==(const StoredCrashes&) const = default;
+};
+
 /// What is recorded of the tasks of one step.
 struct StoredStep
 {
@@ -60,6 +71,7 @@
   std::string mDone; ///< A character a task: '1' = ended done, '0' = not.
   std::vector<StoredFailures> mFailures;
   std::vector<StoredCheckpoint> mCheckpoints;
+  std::vector<StoredCrashes> mCrashes{};
 
   bool operator==(const StoredStep&) const = default;
 };
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -10,6 +10,8 @@
 #include "src/core/cell/CellDecision.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/CellSettings.h"
+#include "src/core/cell/CrashTrials.h"
+#include "src/core/cell/CrashedWorker.h"
 #include "src/core/cell/FullFor.h"
 #include "src/core/cell/JobEntry.h"
 #include "src/core/cell/WorkerChoice.h"
@@ -35,6 +37,22 @@
   std::int64_t mUnixMs = 0;
 };
 
+/// Whether it is known why the runs of a worker are over.
+enum class LossCause : std::uint8_t
+{
+  Known,
+  Unexplained,
+};
+
+/// What the owner has made of crashes in its term, for the metrics.
+struct CrashFigures
+{
+  std::uint64_t mWorkers = 0;   ///< Crashes of workers.
+  std::uint64_t mSuspected = 0; ///< Times that a crash counted for a task.
+  std::uint64_t mCleared = 0;
+  std::uint64_t mGivenUp = 0;
+};
+
 /// Decides what runs where in one cell, as its one owner: jobs, workers and
 /// their reports go in; orders for agents, progress to record and ends to
 /// acknowledge come out. Pure: no I/O, the clock is passed in.
@@ -174,6 +192,8 @@
     mInterference.Adopt(aLearned);
   }
   Generation OwnGeneration() const { return mGeneration; }
+  const CrashFigures& Crashes() const { return mCrashFigures; }
+  std::size_t Trials() const { return mTrials.Count(); }
 
 private:
   struct Candidate;
@@ -256,8 +276,10 @@
                       const std::vector<RunningTask>& aRunning,
                       std::int64_t aOrdersDone,
                       const CellClock& aClock);
+  /// Nothing runs on the worker any more. Unexplained: it may have crashed.
   void LoseRuns(WorkerEntry& aWorker,
                 std::string_view aReason,
+                LossCause aCause,
                 const CellClock& aClock);
   RunNumber NextRun(const TaskEntry& aTask) const;
 
@@ -272,7 +294,10 @@
   void Learn(WorkerEntry& aWorker,
              const std::vector<RunningTask>& aRunning,
              const CellClock& aClock);
-  void TellReplaced(const WorkerEntry& aWorker) const;
+  void TakeTold(const WorkerEntry& aWorker,
+                const std::vector<CrashedWorker>& aCrashes,
+                const CellClock& aClock);
+  void TakeReplaced(WorkerEntry& aWorker, const CellClock& aClock);
   void LoseLapsedWorkers(const CellClock& aClock);
   void TakeDeparture(const ReportRequest& aReport,
                      bool aInSession,
@@ -282,6 +307,39 @@
                    const CellClock& aClock);
   void Evacuate(WorkerEntry& aWorker, const CellClock& aClock);
 
+  // Crashes (CellSchedulerCrashes.cpp).
+  TaskEntry* FindOpenTask(const TaskRef& aTask);
+  CrashedWorker CrashOf(const WorkerEntry& aWorker);
+  void TakeCrash(const AgentId& aAgent,
+                 const CrashedWorker& aCrash,
+                 const CellClock& aClock);
+  void NoteCrash(const AgentId& aAgent,
+                 const CrashedRun& aRun,
+                 CrashBlame aBlame,
+                 const CellClock& aClock);
+  void GiveUp(JobEntry& aJob,
+              const CrashedRun& aRun,
+              const AgentId& aAgent,
+              const CellClock& aClock);
+  void ClearCrashes(JobEntry& aJob,
+                    const TaskRef& aTask,
+                    const AgentId& aAgent,
+                    RunNumber aRun,
+                    const CellClock& aClock);
+  void NoteAlive(JobEntry& aJob,
+                 const TaskRef& aTask,
+                 const TaskRun& aRun,
+                 const CellClock& aClock);
+  void NoteUnexplained(WorkerEntry& aWorker,
+                       const TaskRef& aTask,
+                       const TaskRun& aRun,
+                       Instant aNow);
+  void ExplainLosses(WorkerEntry& aWorker);
+  bool CrashesAllowStart(const JobEntry& aJob,
+                         const TaskRef& aTask,
+                         const TaskEntry& aEntry,
+                         Instant aNow) const;
+
   // Advice (CellSchedulerAdvice.cpp).
   std::vector<WorkerIncarnation> WorkersToAskAbout(JobEntry& aJob,
                                                    const TaskRef& aStep,
@@ -325,6 +383,7 @@
                  const TaskRef& aTask,
                  RunNumber aRun,
                  const CellClock& aClock);
+  TaskRun* FindRun(const AgentId& aAgent, const StartOrder& aOrder);
   StartOrder OrderFor(const JobEntry& aJob,
                       const TaskRef& aTask,
                       RunNumber aRun,
@@ -342,6 +401,8 @@
   std::set<JobId> mUnrecorded;
   WorkerTable mWorkers;
   Interference mInterference;
+  CrashTrials mTrials;
+  CrashFigures mCrashFigures;
   Instant mRunsJudgedAt{};
   Instant mWaitingToldAt{};
   FullFor mFullFor;          ///< Of the present round of placing.
--- /dev/null
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -0,0 +1,181 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/CrashBlame.h"
+
+namespace foxtailbarrow::cell {
+
+/// The task, where a crash may count against it.
+TaskEntry* CellScheduler::FindOpenTask(const TaskRef& aTask)
+{
+  const auto found = mJobs.find(aTask.mJob);
+  if (found == mJobs.end() || found->second.Final()) {
+    return nullptr;
+  }
+  TaskEntry* task = found->second.Find(aTask);
+  return task == nullptr || task->mDone ? nullptr : task;
+}
+
+/// What the owner itself knows of the runs that a crashed worker took along.
+CrashedWorker CellScheduler::CrashOf(const WorkerEntry& aWorker)
+{
+  CrashedWorker crash{ aWorker.mUnexplained };
+  for (const auto& [ref, number] : aWorker.mRuns) {
+    const TaskRun* run =
+      mJobs.at(ref.mJob).Find(ref)->FindRun(aWorker.mId, number);
+    if (run != nullptr && run->mSent) {
+      crash.mRuns.push_back({ ref, number, run->KnownLife() });
+    }
+  }
+  return crash;
+}
+
+void CellScheduler::TakeCrash(const AgentId& aAgent,
+                              const CrashedWorker& aCrash,
+                              const CellClock& aClock)
+{
+  std::vector<CrashWitness> witnesses;
+  witnesses.reserve(aCrash.mRuns.size());
+  for (const CrashedRun& run : aCrash.mRuns) {
+    const TaskEntry* task = FindOpenTask(run.mTask);
+    witnesses.push_back(
+      { run.mLived, task != nullptr && task->mCrashes.Suspect() });
+  }
+  const std::vector<CrashBlame> blames = JudgeCrash(witnesses);
+  for (std::size_t i = 0; i < blames.size(); ++i) {
+    NoteCrash(aAgent, aCrash.mRuns[i], blames[i], aClock);
+  }
+}
+
+void CellScheduler::NoteCrash(const AgentId& aAgent,
+                              const CrashedRun& aRun,
+                              CrashBlame aBlame,
+                              const CellClock& aClock)
+{
+  TaskEntry* task = FindOpenTask(aRun.mTask);
+  if (task == nullptr || !task->mCrashes.NoteCrash(aRun.mRun, aBlame)) {
+    return;
+  }
+  JobEntry& job = mJobs.at(aRun.mTask.mJob);
+  MarkChanged(job, aClock.mNow);
+  // The first one may be lost with the owner: four starts instead of three.
+  if (task->mCrashes.Count() > 1) {
+    task->mCrashVersion = job.mVersion;
+  }
+  if (aBlame == CrashBlame::Likely) {
+    task->mFailedOn.push_back(aAgent);
+    job.mSuspects.insert(aRun.mTask);
+  }
+  ++mCrashFigures.mSuspected;
+  Tell(aBlame == CrashBlame::Likely ? "task-suspected" : "task-beside-crash",
+       aRun.mTask,
+       aAgent,
+       aRun.mRun,
+       task->mCrashes.StrongSuspect() ? "crashed-again" : "worker-crashed",
+       WholeMilliseconds(aRun.mLived));
+  if (task->mCrashes.GivenUp()) {
+    GiveUp(job, aRun, aAgent, aClock);
+  }
+}
+
+void CellScheduler::GiveUp(JobEntry& aJob,
+                           const CrashedRun& aRun,
+                           const AgentId& aAgent,
+                           const CellClock& aClock)
+{
+  ++mCrashFigures.mGivenUp;
+  const CrashHistory& crashes = aJob.Find(aRun.mTask)->mCrashes;
+  Tell("task-given-up",
+       aRun.mTask,
+       aAgent,
+       aRun.mRun,
+       absl::StrCat("workers-crashed likely=",
+                    crashes.Likely().size(),
+                    " beside=",
+                    crashes.Beside().size()),
+       WholeMilliseconds(aClock.mNow - aJob.mAcceptedAt));
+  FinishJob(aJob, JobPhase::Failed, aClock);
+}
+
+/// The run ended by itself, or has lived for long.
+void CellScheduler::ClearCrashes(JobEntry& aJob,
+                                 const TaskRef& aTask,
+                                 const AgentId& aAgent,
+                                 RunNumber aRun,
+                                 const CellClock& aClock)
+{
+  if (!aJob.Find(aTask)->mCrashes.Clear(aRun)) {
+    return;
+  }
+  ++mCrashFigures.mCleared;
+  aJob.mSuspects.erase(aTask);
+  mPlacingChanged = true;
+  MarkChanged(aJob, aClock.mNow);
+  Tell("task-cleared", aTask, aAgent, aRun, "lives");
+}
+
+/// A report shows the run alive.
+void CellScheduler::NoteAlive(JobEntry& aJob,
+                              const TaskRef& aTask,
+                              const TaskRun& aRun,
+                              const CellClock& aClock)
+{
+  const Duration lived = aRun.KnownLife();
+  if (lived >= kFreshLife &&
+      mTrials.IsTrial(aRun.mAgent, { aTask, aRun.mNumber })) {
+    mTrials.End(aRun.mAgent, { aTask, aRun.mNumber });
+    mPlacingChanged = true;
+  }
+  if (lived >= kProvenLife) {
+    ClearCrashes(aJob, aTask, aRun.mAgent, aRun.mNumber, aClock);
+  }
+}
+
+/// The worker fell silent and its leases were waited out: whether it crashed is
+/// known when it is there again.
+void CellScheduler::NoteUnexplained(WorkerEntry& aWorker,
+                                    const TaskRef& aTask,
+                                    const TaskRun& aRun,
+                                    Instant aNow)
+{
+  if (!aRun.mSent || aRun.KnownLife() >= kProvenLife) {
+    return;
+  }
+  aWorker.mUnexplained.push_back({ aTask, aRun.mNumber, aRun.KnownLife() });
+  if (aRun.KnownLife() < kFreshLife) {
+    mJobs.at(aTask.mJob)
+      .Find(aTask)
+      ->mCrashes.NoteUnexplained(aRun.mNumber, aNow);
+  }
+}
+
+void CellScheduler::ExplainLosses(WorkerEntry& aWorker)
+{
+  for (const CrashedRun& run : aWorker.mUnexplained) {
+    if (TaskEntry* task = FindOpenTask(run.mTask)) {
+      task->mCrashes.Explain(run.mRun);
+    }
+  }
+  aWorker.mUnexplained.clear();
+}
+
+/// False while another start of the task could be one too many, or while the
+/// store, and so a next owner, lacks a crash of it.
+bool CellScheduler::CrashesAllowStart(const JobEntry& aJob,
+                                      const TaskRef& aTask,
+                                      const TaskEntry& aEntry,
+                                      Instant aNow) const
+{
+  if (aEntry.mCrashVersion > aJob.mRecorded ||
+      !aEntry.mCrashes.MayStart(aNow)) {
+    return false;
+  }
+  // A job that will likely be given up takes down no further worker.
+  return std::ranges::none_of(aJob.mSuspects, [&](const TaskRef& aSuspect) {
+    return aSuspect != aTask && aJob.Find(aSuspect)->mCrashes.StrongSuspect();
+  });
+}
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -62,6 +62,9 @@
     RemoveRun(job, aEnded.mTask, aWorker.mId, aEnded.mRun, aClock);
   }
   if (ours && !job.Final()) {
+    if (aEnded.mEnd == RunEnd::Done) {
+      ClearCrashes(job, aEnded.mTask, aWorker.mId, aEnded.mRun, aClock);
+    }
     JudgeWorker(aWorker, aEnded, aClock);
     ApplyEnd(job, aEnded, aWorker.mId, aClock);
   }
--- a/src/core/cell/CellSchedulerMoves.cpp
+++ b/src/core/cell/CellSchedulerMoves.cpp
@@ -37,7 +37,9 @@
   return run->mPhase == RunPhase::Running && run->mStalledSince &&
          aNow - *run->mStalledSince >= mSettings.mMoveStalledAfter &&
          ChooseWorker(
-           { mWorkers, mInterference, mSettings, aNow, false }, job, aTask);
+           { mWorkers, mInterference, mSettings, mTrials, aNow, false },
+           job,
+           aTask);
 }
 
 /// Stops stalled tasks that can run elsewhere; they are placed again when their
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -57,7 +57,7 @@
                               const TaskEntry& aTask,
                               Instant aNow) const
 {
-  if (aTask.mDone || aTask.mRuns.size() != 1) {
+  if (aTask.mDone || aTask.mRuns.size() != 1 || aTask.mCrashes.Suspect()) {
     return false;
   }
   const TaskRun& run = aTask.mRuns.front();
@@ -210,10 +210,12 @@
   TaskRef task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     const TaskEntry& entry = *aJob.Find(task);
-    if (!entry.Idle() || entry.mNotBefore > aClock.mNow) {
+    if (!entry.Idle() || entry.mNotBefore > aClock.mNow ||
+        !CrashesAllowStart(aJob, task, entry, aClock.mNow)) {
       continue;
     }
-    if (!PlaceTask(aJob, task, NextRun(entry), aClock)) {
+    if (!PlaceTask(aJob, task, NextRun(entry), aClock) &&
+        !entry.mCrashes.Suspect()) {
       return; // The tasks of a step are alike: no other one fits either.
     }
   }
@@ -226,13 +228,16 @@
 {
   const std::vector<TaskEntry>& members = aJob.StepOf(aFirst).mTasks;
   RunNumber run = 0;
+  TaskRef task = aFirst;
   for (const TaskEntry& member : members) {
-    if (!member.Idle() || member.mNotBefore > aClock.mNow) {
+    if (!member.Idle() || member.mNotBefore > aClock.mNow ||
+        !CrashesAllowStart(aJob, task, member, aClock.mNow)) {
       return;
     }
     run = std::max(run, NextRun(member));
+    ++task.mIndex;
   }
-  TaskRef task = aFirst;
+  task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     if (!PlaceTask(aJob, task, run, aClock)) {
       break;
@@ -258,12 +263,18 @@
 {
   const StepSpec& spec = aJob.Spec(aTask);
   const bool starving = Starving(aJob, aTask, aClock.mNow);
-  const bool compared = !starving && FullFor::Covers(aJob, spec);
+  const bool suspect = aJob.Find(aTask)->mCrashes.Suspect();
+  if (suspect && !mTrials.MayBegin({ aTask, aRun }, mWorkers.size())) {
+    return false;
+  }
+  const bool compared = !starving && !suspect && FullFor::Covers(aJob, spec);
   if (compared && mFullFor.Refuses(aJob, spec)) {
     return false;
   }
   const auto agent = ChooseWorker(
-    { mWorkers, mInterference, mSettings, aClock.mNow, starving }, aJob, aTask);
+    { mWorkers, mInterference, mSettings, mTrials, aClock.mNow, starving },
+    aJob,
+    aTask);
   if (!agent) {
     if (compared && aJob.Find(aTask)->mStalledUntil <= aClock.mNow) {
       mFullFor.NoteRefused(aJob, spec);
@@ -316,6 +327,14 @@
            .mImage = spec.mImage };
 }
 
+TaskRun* CellScheduler::FindRun(const AgentId& aAgent, const StartOrder& aOrder)
+{
+  const auto job = mJobs.find(aOrder.mTask.mJob);
+  TaskEntry* task =
+    job == mJobs.end() ? nullptr : job->second.Find(aOrder.mTask);
+  return task == nullptr ? nullptr : task->FindRun(aAgent, aOrder.mRun);
+}
+
 std::vector<AgentId> CellScheduler::AgentsWithOrders() const
 {
   std::vector<AgentId> agents;
@@ -354,6 +373,11 @@
     orders.mNumber = ++worker->second.mLastOrder;
     orders.mIncarnation = worker->second.mInfo.mIncarnation;
   }
+  for (const StartOrder& start : orders.mStarts) {
+    if (TaskRun* run = FindRun(aAgent, start)) {
+      run->mSent = true;
+    }
+  }
   return orders;
 }
 
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -21,6 +21,9 @@
   TaskEntry& task = *aJob.Find(aTask);
   task.mLastRun = std::max(task.mLastRun, aRun.mNumber);
   aWorker.mRuns[aTask] = aRun.mNumber;
+  if (task.mCrashes.Suspect()) {
+    mTrials.Begin(aWorker.mId, { aTask, aRun.mNumber });
+  }
   CountUse(aWorker.mUse, aTask.mJob, aJob.Spec(aTask), 1);
   aWorker.mPressure.Forget();
   task.mRuns.push_back(std::move(aRun));
@@ -42,6 +45,7 @@
   task.mIdleSince = aClock.mNow;
   WorkerEntry& worker = mWorkers.at(aAgent);
   worker.mRuns.erase(aTask);
+  mTrials.End(aAgent, { aTask, aRun });
   CountUse(worker.mUse, aTask.mJob, aJob.Spec(aTask), -1);
   worker.mPressure.Forget();
   mPlacingChanged = true;
@@ -139,6 +143,7 @@
     run->mPercentChangedAt = aClock.mNow;
   }
   run->mSeenAt = std::max(run->mSeenAt, aSeenAt);
+  NoteAlive(found->second, aRunning.mTask, *run, aClock);
   if (run->mPercent != aRunning.mPercent) {
     run->mPercent = aRunning.mPercent;
     run->mPercentChangedAt = aClock.mNow;
@@ -187,6 +192,7 @@
            .mNumber = aRunning.mRun,
            .mPhase = RunPhase::Running,
            .mOrderedAt = aClock.mNow,
+           .mSent = true,
            .mRunningSince = aClock.mNow,
            .mPercent = aRunning.mPercent,
            .mPercentChangedAt = aClock.mNow });
@@ -240,6 +246,7 @@
 
 void CellScheduler::LoseRuns(WorkerEntry& aWorker,
                              std::string_view aReason,
+                             LossCause aCause,
                              const CellClock& aClock)
 {
   const auto runs = aWorker.mRuns;
@@ -252,6 +259,9 @@
          number,
          aReason,
          WholeMilliseconds(run.KnownLife()));
+    if (aCause == LossCause::Unexplained) {
+      NoteUnexplained(aWorker, task, run, aClock.mNow);
+    }
     if (number < FirstRunOf(mGeneration)) {
       mJobs.at(task.mJob).Find(task)->mWrittenOff.push_back(number);
     }
--- a/src/core/cell/CellSchedulerWaiting.cpp
+++ b/src/core/cell/CellSchedulerWaiting.cpp
@@ -111,7 +111,9 @@
     TaskRef task = candidate.mFirst;
     task.mIndex = static_cast<std::int32_t>(idle - tasks.begin());
     const RefusalCounts refusals = CountRefusals(
-      { mWorkers, mInterference, mSettings, aClock.mNow, false }, job, task);
+      { mWorkers, mInterference, mSettings, mTrials, aClock.mNow, false },
+      job,
+      task);
     Tell("step-waits",
          task,
          {},
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -36,7 +36,9 @@
   Tell("worker-attached", {}, aAgent, aSession, "session");
   TakeInfo(worker, aState.mInfo, aClock);
   TakeEnds(worker, aState.mEnded, aClock);
+  TakeTold(worker, aState.mCrashes, aClock);
   TakeRunning(worker, aState.mRunning, aClock.mNow, aClock);
+  ExplainLosses(worker);
   // Orders of earlier sessions are dead, so that what is not there never comes.
   DropAbsentRuns(worker, aState.mRunning, kAllOrders, aClock);
   for (const auto& [task, number] : worker.mRuns) {
@@ -96,6 +98,12 @@
   if (whole || (aReport.mChange && !aReport.mChange->mEnded.empty())) {
     TakeEnds(aWorker, state.mEnded, aClock);
   }
+  if (whole) {
+    TakeTold(aWorker, state.mCrashes, aClock);
+  }
+  if (aReport.mWorkerAnswers) {
+    ExplainLosses(aWorker);
+  }
   TakeRunning(
     aWorker, state.mRunning, aClock.mNow - aReport.mAnswerAge, aClock);
   DropAbsentRuns(aWorker, state.mRunning, aReport.mOrdersDone, aClock);
@@ -104,6 +112,17 @@
   }
 }
 
+/// What the agent remembers of crashes: an owner that took the cell over in
+/// between has not seen these runs.
+void CellScheduler::TakeTold(const WorkerEntry& aWorker,
+                             const std::vector<CrashedWorker>& aCrashes,
+                             const CellClock& aClock)
+{
+  for (const CrashedWorker& crash : aCrashes) {
+    TakeCrash(aWorker.mId, crash, aClock);
+  }
+}
+
 /// Its last ends count; what else it ran is over, without a wait for leases.
 void CellScheduler::TakeDeparture(const ReportRequest& aReport,
                                   bool aInSession,
@@ -127,7 +146,7 @@
     TakeEnds(worker, aReport.mState.mEnded, aClock);
   }
   Tell("worker-lost", {}, worker.mId, worker.mSession, "left");
-  LoseRuns(worker, "worker-left", aClock);
+  LoseRuns(worker, "worker-left", LossCause::Known, aClock);
   worker.mLink = WorkerLink::Lost;
   mOrders.erase(worker.mId);
 }
@@ -162,7 +181,7 @@
   aWorker.mAnswers = aReport.mWorkerAnswers;
   if (!aWorker.mAnswers &&
       aClock.mNow > aWorker.mSilentLeaseEnd + mSettings.mLeaseMargin) {
-    LoseRuns(aWorker, "worker-silent", aClock);
+    LoseRuns(aWorker, "worker-silent", LossCause::Unexplained, aClock);
   }
 }
 
@@ -238,8 +257,7 @@
     return; // An agent that has just started; the worker tells within seconds.
   }
   if (aWorker.mEnds.Incarnation() != aInfo.mIncarnation) {
-    TellReplaced(aWorker);
-    LoseRuns(aWorker, "worker-restarted", aClock);
+    TakeReplaced(aWorker, aClock);
     aWorker.mEnds.Reset(aInfo.mIncarnation);
     aWorker.mForeign.clear();
     aWorker.mAvoidUntil = {};
@@ -256,18 +274,26 @@
   aWorker.mInfo = aInfo;
 }
 
-/// How many runs are lost with the incarnation that was there before, and
-/// whether it had said that it leaves.
-void CellScheduler::TellReplaced(const WorkerEntry& aWorker) const
+/// Another incarnation answers. Unless the one before had said that it leaves,
+/// it has crashed.
+void CellScheduler::TakeReplaced(WorkerEntry& aWorker, const CellClock& aClock)
 {
   if (aWorker.mInfo.mIncarnation.Empty()) {
     return;
   }
-  Tell(aWorker.mInfo.mDraining ? "worker-replaced" : "worker-crashed",
+  const bool crashed = !aWorker.mInfo.mDraining;
+  Tell(crashed ? "worker-crashed" : "worker-replaced",
        {},
        aWorker.mId,
        static_cast<RunNumber>(aWorker.mRuns.size()),
        aWorker.mInfo.mIncarnation.Value());
+  const CrashedWorker crash = CrashOf(aWorker);
+  aWorker.mUnexplained.clear();
+  LoseRuns(aWorker, "worker-restarted", LossCause::Known, aClock);
+  if (crashed) {
+    ++mCrashFigures.mWorkers;
+    TakeCrash(aWorker.mId, crash, aClock);
+  }
 }
 
 void CellScheduler::LoseLapsedWorkers(const CellClock& aClock)
@@ -279,7 +305,7 @@
     }
     worker.mLink = WorkerLink::Lost;
     Tell("worker-lost", {}, id, worker.mSession, "leases-over");
-    LoseRuns(worker, "leases-over", aClock);
+    LoseRuns(worker, "leases-over", LossCause::Unexplained, aClock);
   }
 }
 
--- /dev/null
+++ b/src/core/cell/CrashBlame.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::cell {
+
+/// What a crash of a worker says of one run that was there.
+enum class CrashBlame : std::uint8_t
+{
+  None,   ///< It had lived for long: it is not the cause.
+  Beside, ///< It may be the cause, but others are likelier.
+  Likely, ///< It is one of the likeliest causes.
+};
+
+/// A run at the moment of the crash.
+struct CrashWitness
+{
+  Duration mLived{};     ///< It is known to have run for.
+  bool mSuspect = false; ///< Its task was likely to have caused another crash.
+};
+
+/// Whom one crash speaks against, in the order of the witnesses. Workers also
+/// crash by themselves, so that this is evidence and no proof. The likeliest
+/// are those that had just started; among them, tasks that were there when
+/// another worker crashed. Without any fresh one, all that are not proven are
+/// as likely.
+std::vector<CrashBlame> JudgeCrash(std::span<const CrashWitness> aWitnesses);
+
+} // namespace foxtailbarrow::cell
--- /dev/null
+++ b/src/core/cell/CrashedWorker.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <vector>
+
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/TaskRef.h"
+
+namespace foxtailbarrow::cell {
+
+/// A run that was lost when its worker crashed.
+struct CrashedRun
+{
+  TaskRef mTask;
+  RunNumber mRun = 0;
+  /// How long it is known to have run before: until the worker's last answer.
+  Duration mLived{};
+
+  bool operator==(const CrashedRun&) const = default;
+};
+
+/// The runs that one crash of a worker took along, as far as they may have
+/// caused it: all that had not lived for kProvenLife.
+struct CrashedWorker
+{
+  std::vector<CrashedRun> mRuns;
+
+  bool operator==(const CrashedWorker&) const = default;
+};
+
+/// Tasks that take their worker down do it as they start: 10 ms to 50 ms after
+/// the start in 16 crashes of one day. Ten times that, since an agent sees its
+/// worker alive every 0.4 s.
+inline constexpr Duration kFreshLife = std::chrono::milliseconds(500);
+
+/// A run that has lived for so long is not what takes its worker down.
+inline constexpr Duration kProvenLife = std::chrono::seconds(2);
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -54,6 +54,12 @@
         saved.mCheckpoint;
     }
   }
+  for (const StoredCrashes& crashes : aStored.mCrashes) {
+    if (InRange(crashes.mIndex, aStep.mTasks.size())) {
+      aStep.mTasks[static_cast<std::size_t>(crashes.mIndex)].mCrashes =
+        CrashHistory(crashes.mLikely, crashes.mBeside, crashes.mClearedTo);
+    }
+  }
 }
 
 void Restore(const StoredProgress& aProgress, JobEntry& aJob)
@@ -70,6 +76,14 @@
     if (step.mLeft == 0) {
       --occurrence.mStepsLeft;
     }
+    for (const StoredCrashes& crashes : stored.mCrashes) {
+      const TaskRef task{
+        aJob.Graph().mId, stored.mOccurrence, stored.mStep, crashes.mIndex
+      };
+      if (!crashes.mLikely.empty() && aJob.Find(task) != nullptr) {
+        aJob.mSuspects.insert(task);
+      }
+    }
   }
 }
 
@@ -107,6 +121,12 @@
       stored.mCheckpoints.push_back(
         { static_cast<std::int32_t>(index), task.mCheckpoint });
     }
+    if (!task.mDone && !task.mCrashes.Empty()) {
+      stored.mCrashes.push_back({ static_cast<std::int32_t>(index),
+                                  task.mCrashes.Likely(),
+                                  task.mCrashes.Beside(),
+                                  task.mCrashes.ClearedTo() });
+    }
   }
   if (!anyDone) {
     stored.mDone.clear();
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 #include "foxtailbarrow/Contract.h"
@@ -42,6 +43,7 @@
   /// reported yet may run them.
   bool mInherited = false;
   std::int64_t mEndedUnixMs = 0;
+  std::set<TaskRef> mSuspects; ///< Tasks that crashes speak against.
 
   std::uint64_t mVersion = 0;     ///< Of what the progress record must say.
   std::uint64_t mRecorded = 0;    ///< Version that the store has.
@@ -60,6 +62,10 @@
 
   /// Null when the job has no such task.
   TaskEntry* Find(const TaskRef& aTask);
+  const TaskEntry* Find(const TaskRef& aTask) const
+  {
+    return const_cast<JobEntry*>(this)->Find(aTask);
+  }
   StepEntry& StepOf(const TaskRef& aTask)
   {
     return mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
--- a/src/core/cell/PlacementRefusal.cpp
+++ b/src/core/cell/PlacementRefusal.cpp
@@ -11,6 +11,8 @@
       return "no-room";
     case PlacementRefusal::StalledHere:
       return "stalled-here";
+    case PlacementRefusal::OnTrial:
+      return "on-trial";
     case PlacementRefusal::Full:
       return "full";
     case PlacementRefusal::Pressed:
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -8,6 +8,7 @@
 
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/CrashHistory.h"
 #include "src/core/cell/TaskRef.h"
 #include "src/core/cell/TaskTime.h"
 
@@ -30,6 +31,7 @@
   /// Of the orders that started it in the session in force; 0 = it was there
   /// when the session began.
   std::int64_t mOrderNumber = 0;
+  bool mSent = false; ///< The order has left: it may have run.
   Instant mRunningSince{};
   /// Its worker's newest answer that showed it.
   Instant mSeenAt{};
@@ -63,6 +65,11 @@
   Instant mStalledUntil{}; ///< before this.
   /// Runs of earlier owners whose leases this owner has waited out.
   std::vector<RunNumber> mWrittenOff;
+  /// A task that took its worker down at each start was started without end,
+  /// nine times in 17 s, as a run that is lost with its worker is no end.
+  CrashHistory mCrashes;
+  /// Version of the job's progress that must be recorded before a start.
+  std::uint64_t mCrashVersion = 0;
 
   bool Idle() const { return !mDone && mRuns.empty(); }
 
--- a/src/core/cell/WorkerBook.cpp
+++ b/src/core/cell/WorkerBook.cpp
@@ -9,18 +9,33 @@
   *this = WorkerBook();
 }
 
+void WorkerBook::NoteSent(const TaskRef& aTask, RunNumber aRun)
+{
+  mSent.insert({ aTask, aRun });
+}
+
+void WorkerBook::NoteNotStarted(const TaskRef& aTask, RunNumber aRun)
+{
+  mSent.erase({ aTask, aRun });
+}
+
 void WorkerBook::TakeStart(const TaskRef& aTask,
                            RunNumber aRun,
                            Instant aAnsweredAt)
 {
+  mSent.erase({ aTask, aRun });
   if (!Knows(aTask, aRun)) {
     mStarted[{ aTask, aRun }] = aAnsweredAt;
+    mSince.try_emplace({ aTask, aRun }, aAnsweredAt);
   }
 }
 
 bool WorkerBook::TakeLook(const LookReply& aReply, Instant aSentAt)
 {
   mLooked = aReply.mRunning;
+  for (const RunningTask& task : mLooked) {
+    mSince.try_emplace({ task.mTask, task.mRun }, aSentAt);
+  }
   std::int64_t newest = mSeen;
   for (const EndedTask& ended : aReply.mEnded) {
     if (ended.mNumber > mSeen) {
@@ -40,6 +55,13 @@
              return RunKey(aTask.mTask, aTask.mRun) == aStarted.first;
            });
   });
+  std::erase_if(mSince, [&](const auto& aSince) {
+    const auto& [task, run] = aSince.first;
+    return !mStarted.contains(aSince.first) &&
+           std::ranges::none_of(mLooked, [&](const RunningTask& aTask) {
+             return aTask.mRun == run && aTask.mTask == task;
+           });
+  });
   return fresh;
 }
 
@@ -61,6 +83,21 @@
          mStarted.contains({ aTask, aRun });
 }
 
+CrashedWorker WorkerBook::CrashAfter(Instant aAnsweredAt) const
+{
+  CrashedWorker crash;
+  for (const auto& [task, run] : mSent) {
+    crash.mRuns.push_back({ task, run, Duration::zero() });
+  }
+  for (const auto& [key, since] : mSince) {
+    const Duration lived = std::max(Duration::zero(), aAnsweredAt - since);
+    if (lived < kProvenLife) {
+      crash.mRuns.push_back({ key.first, key.second, lived });
+    }
+  }
+  return crash;
+}
+
 std::vector<RunningTask> WorkerBook::Running() const
 {
   std::vector<RunningTask> running = mLooked;
--- a/src/core/cell/WorkerBook.h
+++ b/src/core/cell/WorkerBook.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/CrashedWorker.h"
 #include "src/core/cell/TaskWorker.h"
 #include "src/core/cell/WorkerState.h"
 
@@ -20,6 +22,10 @@
   /// A worker of another incarnation runs nothing and numbers ends from 1.
   void Reset();
 
+  /// A start is sent, and may be carried out until it is answered.
+  void NoteSent(const TaskRef& aTask, RunNumber aRun);
+  /// It was not carried out, and will not be.
+  void NoteNotStarted(const TaskRef& aTask, RunNumber aRun);
   void TakeStart(const TaskRef& aTask, RunNumber aRun, Instant aAnsweredAt);
 
   /// Returns true when the look brought an end that was not known.
@@ -33,6 +39,11 @@
   bool Knows(const TaskRef& aTask, RunNumber aRun) const;
 
   std::vector<RunningTask> Running() const;
+
+  /// The worker has crashed after its last answer at `aAnsweredAt`: what it may
+  /// have crashed of.
+  CrashedWorker CrashAfter(Instant aAnsweredAt) const;
+
   const std::vector<EndedTask>& Ended() const { return mEnded; }
 
 private:
@@ -40,6 +51,8 @@
 
   std::vector<RunningTask> mLooked;
   std::map<RunKey, Instant> mStarted; ///< Not seen in a look yet.
+  std::set<RunKey> mSent;             ///< Starts without an answer.
+  std::map<RunKey, Instant> mSince;   ///< What runs was first known to.
   std::vector<EndedTask> mEnded;
   std::int64_t mSeen = 0;
   std::int64_t mAcknowledged = 0;
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -237,6 +237,15 @@
          LeftoverRatio(aWorker, 0, aView.mSettings) / 2;
 }
 
+/// Of a task that may crash the worker: what would be lost with it.
+double LossScore(const WorkerEntry& aWorker)
+{
+  const auto capacity = static_cast<double>(
+    std::max<std::int64_t>(1, aWorker.mInfo.mCapacity.mMillicores));
+  return ReservedShare(aWorker) +
+         static_cast<double>(aWorker.mUse.mLeftover) / capacity;
+}
+
 ScoreOrRefusal Score(const PlacementView& aView,
                      const WorkerEntry& aWorker,
                      JobEntry& aJob,
@@ -248,6 +257,9 @@
   if (task.mStalledOn == aWorker.mId && aView.mNow < task.mStalledUntil) {
     return PlacementRefusal::StalledHere;
   }
+  if (aView.mTrials.On(aWorker.mId)) {
+    return PlacementRefusal::OnTrial;
+  }
   const bool runsHere = !task.mRuns.empty() && aWorker.mRuns.contains(aTask);
   if (runsHere || !MayTake(aWorker, aJob, aTask, aView.mNow)) {
     return HasRoom(aWorker, spec) ? PlacementRefusal::Unfit
@@ -258,7 +270,8 @@
   if (std::holds_alternative<PlacementRefusal>(byUse)) {
     return byUse;
   }
-  double score = std::get<double>(byUse);
+  double score =
+    task.mCrashes.Suspect() ? LossScore(aWorker) : std::get<double>(byUse);
   if (std::ranges::find(task.mFailedOn, aWorker.mId) != task.mFailedOn.end()) {
     score += kFailedHerePenalty;
   }
--- a/src/core/cell/WorkerChoice.h
+++ b/src/core/cell/WorkerChoice.h
@@ -5,6 +5,7 @@
 
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellSettings.h"
+#include "src/core/cell/CrashTrials.h"
 #include "src/core/cell/Interference.h"
 #include "src/core/cell/JobEntry.h"
 #include "src/core/cell/PlacementRefusal.h"
@@ -42,6 +43,7 @@
   const WorkerTable& mWorkers;
   const Interference& mInterference;
   const CellSettings& mSettings;
+  const CrashTrials& mTrials;
   Instant mNow{};
   /// Nothing of the job has run for a while: any worker with room is better
   /// than none, however loaded.
@@ -51,7 +53,8 @@
 /// Picks the worker for one more run of a task, or none when no worker may take
 /// it now. Serving tasks are packed together by image; leftover tasks go where
 /// most is left for them and where they disturb the serving tasks least; other
-/// tasks go to the least used worker. Workers on which the task failed before
+/// tasks go to the least used worker; one that may crash its worker goes where
+/// the least would be lost. Workers on which the task failed before
 /// come last; one that holds another run of it is not taken.
 std::optional<AgentId> ChooseWorker(const PlacementView& aView,
                                     JobEntry& aJob,
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Time.h"
@@ -41,6 +42,8 @@
   /// stopped, and nothing is started while there is any.
   std::map<TaskRef, RunNumber> mForeign;
   EndLedger mEnds;
+  /// Runs lost while it was silent; whether it crashed is not known yet.
+  std::vector<CrashedRun> mUnexplained;
   Instant mGrantedUntil{}; ///< End of the newest grant of this owner.
   /// Latest end of a lease that this or an earlier owner may have granted.
   Instant mHeldUntil{};
--- a/src/core/cell/WorkerState.h
+++ b/src/core/cell/WorkerState.h
@@ -8,6 +8,7 @@
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Resources.h"
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/CrashedWorker.h"
 #include "src/core/cell/TaskRef.h"
 
 namespace foxtailbarrow::cell {
@@ -78,6 +79,9 @@
   WorkerInfo mInfo;
   std::vector<RunningTask> mRunning;
   std::vector<EndedTask> mEnded; ///< Not acknowledged yet, by number.
+  /// Of the worker's earlier incarnations, oldest first: so that an owner which
+  /// did not see them run counts them too. Told whenever all is told.
+  std::vector<CrashedWorker> mCrashes{};
 
   /// True when not even the worker is known.
   bool Empty() const { return *this == WorkerState(); }
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -72,6 +72,15 @@
   aVisitor.Required("checkpoint", aMessage.mCheckpoint);
 }
 
+template<typename Visitor, Is<cell::StoredCrashes> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("index", aMessage.mIndex);
+  aVisitor.Optional("likely", aMessage.mLikely);
+  aVisitor.Optional("beside", aMessage.mBeside);
+  aVisitor.Optional("clearedTo", aMessage.mClearedTo);
+}
+
 template<typename Visitor, Is<cell::StoredStep> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
@@ -80,6 +89,7 @@
   aVisitor.Optional("done", aMessage.mDone, kBitmapRule);
   aVisitor.Optional("failures", aMessage.mFailures);
   aVisitor.Optional("checkpoints", aMessage.mCheckpoints);
+  aVisitor.Optional("crashes", aMessage.mCrashes);
 }
 
 template<typename Visitor, Is<cell::StoredProgress> Message>
@@ -154,12 +164,27 @@
   aVisitor.Required(aMessage.mRun);
 }
 
+template<typename Visitor, Is<cell::CrashedRun> Message>
+void Columns(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required(aMessage.mTask);
+  aVisitor.Required(aMessage.mRun);
+  aVisitor.Optional(aMessage.mLived);
+}
+
+template<typename Visitor, Is<cell::CrashedWorker> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("runs", aMessage.mRuns);
+}
+
 template<typename Visitor, Is<cell::WorkerState> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("info", aMessage.mInfo);
   aVisitor.Optional("running", aMessage.mRunning);
   aVisitor.Optional("ended", aMessage.mEnded);
+  aVisitor.Optional("crashes", aMessage.mCrashes);
 }
 
 template<typename Visitor, Is<cell::WorkerChange> Message>
--- /dev/null
+++ b/tests/cell/CrashedWorkerTest.cpp
@@ -0,0 +1,231 @@
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+const TaskRef kFirst{ JobId("job"), 0, 0, 0 };
+
+/// What a crash of a worker does to the tasks that were there.
+class CrashedWorkerTest : public CellFixture
+{
+protected:
+  static constexpr int kReportMs = 460;
+
+  /// Starts what the agent is ordered to, and shows it running for so long.
+  OrderRequest RunFor(const std::string& aAgent, int aMs)
+  {
+    const OrderRequest orders = Orders(aAgent);
+    Started(aAgent, orders);
+    for (const StartOrder& start : orders.mStarts) {
+      mRunning[aAgent].push_back(Running(start.mTask, start.mRun));
+    }
+    for (int passed = 0; passed < aMs; passed += kReportMs) {
+      Pass(milliseconds(kReportMs));
+      Grant("a");
+      Grant("b");
+      Report(aAgent, State(aAgent + "-life", mRunning[aAgent]));
+    }
+    return orders;
+  }
+
+  void Crash(const std::string& aAgent, const std::string& aNext)
+  {
+    mRunning[aAgent].clear();
+    Pass(milliseconds(kReportMs));
+    Report(aAgent, State(aNext));
+    Record();
+  }
+
+  const CrashHistory& Crashes(const TaskRef& aTask) const
+  {
+    return mScheduler.Jobs().at(aTask.mJob).Find(aTask)->mCrashes;
+  }
+
+  std::map<std::string, std::vector<RunningTask>> mRunning;
+};
+
+TEST_F(CrashedWorkerTest, WhatHadLivedIsNotSuspected)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  RunFor("a", 3000);
+  Crash("a", "next");
+  EXPECT_TRUE(Crashes(kFirst).Empty());
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+TEST_F(CrashedWorkerTest, OnlyWhatHadJustStartedIsSuspected)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("old", { Step(1) }));
+  RunFor("a", 3000);
+  AddRecorded(Graph("job", { Step(1) }));
+  RunFor("a", 0);
+  Crash("a", "next");
+  EXPECT_TRUE(Crashes(kFirst).Suspect());
+  EXPECT_TRUE(Crashes({ JobId("old"), 0, 0, 0 }).Empty());
+}
+
+TEST_F(CrashedWorkerTest, AWorkerThatSaidThatItLeavesHasNotCrashed)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  RunFor("a", 0);
+  WorkerState draining = State("a-life", mRunning["a"]);
+  draining.mInfo.mDraining = true;
+  Report("a", draining);
+  Crash("a", "next");
+  EXPECT_TRUE(Crashes(kFirst).Empty());
+}
+
+TEST_F(CrashedWorkerTest, AStartThatWasNotSentIsNotSuspected)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  mScheduler.Schedule(Clock());
+  Crash("a", "next");
+  EXPECT_TRUE(Crashes(kFirst).Empty());
+}
+
+TEST_F(CrashedWorkerTest, SuspectsAreTriedApart)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  AddRecorded(Graph("job2", { Step(1) }));
+  RunFor("a", 0);
+  Crash("a", "next");
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+  AttachAndGrant("b");
+  EXPECT_EQ(Orders("b").mStarts.size(), 1U);
+  // Nor is anything else started beside a suspect.
+  AddRecorded(Graph("job3", { Step(1) }));
+  mScheduler.Schedule(Clock());
+  EXPECT_TRUE(mScheduler.AgentsWithOrders().empty());
+}
+
+TEST_F(CrashedWorkerTest, ASuspectIsTriedWhereLeastWouldBeLost)
+{
+  AttachAndGrant("a");
+  AttachAndGrant("b");
+  AddRecorded(Graph("job", { Step(1) }));
+  const std::string first = Orders("a").mStarts.empty() ? "b" : "a";
+  const std::string other = first == "a" ? "b" : "a";
+  Report(first, State("next"));
+  Record();
+  // The worker that has crashed is empty, but not tried again.
+  EXPECT_EQ(Orders(other).mStarts.size(), 1U);
+}
+
+TEST_F(CrashedWorkerTest, ATaskThatEndsDoneIsCleared)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  RunFor("a", 0);
+  Crash("a", "next");
+  EXPECT_EQ(mScheduler.Jobs().at(JobId("job")).mSuspects.size(), 2U);
+  const OrderRequest trial = Orders("a");
+  ASSERT_EQ(trial.mStarts.size(), 1U); // One suspect of a job at a time.
+  Started("a", trial);
+  Report("a",
+         State("next",
+               {},
+               { Ended(1, kFirst, trial.mStarts[0].mRun, RunEnd::Done) }));
+  Record();
+  EXPECT_EQ(mScheduler.Jobs().at(JobId("job")).mSuspects.size(), 1U);
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+TEST_F(CrashedWorkerTest, AStandingTaskThatLivesIsCleared)
+{
+  StepSpec standing = Step(1);
+  standing.mStanding = true;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { standing }));
+  RunFor("a", 0);
+  Crash("a", "a-life"); // Its incarnation is the same: no crash.
+  EXPECT_TRUE(Crashes(kFirst).Empty());
+  RunFor("a", 0);
+  Crash("a", "second");
+  ASSERT_TRUE(Crashes(kFirst).Suspect());
+  const OrderRequest trial = Orders("a");
+  Started("a", trial);
+  for (int tick = 0; tick < 6; ++tick) {
+    Pass(milliseconds(kReportMs));
+    Grant("a");
+    Report("a", State("second", { Running(kFirst, trial.mStarts[0].mRun) }));
+  }
+  EXPECT_FALSE(Crashes(kFirst).Suspect());
+  EXPECT_TRUE(Happened("task-cleared"));
+}
+
+TEST_F(CrashedWorkerTest, AJobThatWillLikelyBeGivenUpStartsNothingElse)
+{
+  StoredProgress progress;
+  progress.mSteps.push_back({ 0, 0, "", {}, {}, { { 0, { 1, 2 }, {}, 0 } } });
+  AddInherited(Graph("job", { Step(3) }), progress);
+  AttachAndGrant("a");
+  const OrderRequest orders = Orders("a");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  EXPECT_EQ(orders.mStarts[0].mTask, kFirst);
+}
+
+TEST_F(CrashedWorkerTest, ANextOwnerCountsWhatTheAgentRemembers)
+{
+  StoredProgress progress;
+  progress.mSteps.push_back({ 0, 0, "", {}, {}, { { 0, { 1, 2 }, {}, 0 } } });
+  AddInherited(Graph("job", { Step(1) }), progress);
+  WorkerState state = State("a-life");
+  state.mCrashes = { { { { kFirst, 2, {} } } }, { { { kFirst, 3, {} } } } };
+  Attach("a", state);
+  Grant("a");
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Record();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Failed);
+}
+
+TEST_F(CrashedWorkerTest, FromTheSecondCrashOnTheRecordComesBeforeTheStart)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  RunFor("a", 0);
+  Crash("a", "second");
+  RunFor("a", 0);
+  mRunning["a"].clear();
+  Report("a", State("third"));
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Record();
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+TEST_F(CrashedWorkerTest, AGangWithSuspectsStartsOnWorkersOfTheirOwn)
+{
+  StepSpec gang = Step(2);
+  gang.mGang = true;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { gang }));
+  RunFor("a", 0);
+  Crash("a", "next");
+  EXPECT_TRUE(Orders("a").mStarts.empty()); // Two suspects, one worker.
+  AttachAndGrant("b");
+  mScheduler.Schedule(Clock());
+  EXPECT_EQ(mScheduler.AgentsWithOrders().size(), 2U);
+}
+
+TEST_F(CrashedWorkerTest, ASilentWorkerThatIsThereAgainHasNotCrashed)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  RunFor("a", 0);
+  mScheduler.DetachWorker(AgentId("a"), Clock());
+  Pass(seconds(5));
+  mScheduler.Schedule(Clock());
+  EXPECT_TRUE(Happened("task-lost"));
+  Attach("a", State("a-life"));
+  EXPECT_TRUE(Crashes(kFirst).Empty());
+  EXPECT_TRUE(Crashes(kFirst).MayStart(mNow));
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
--- a/tests/cell/CrashingTaskTest.cpp
+++ b/tests/cell/CrashingTaskTest.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 const JobId kJob("job");
+const TaskRef kFirst{ kJob, 0, 0, 0 };
 const std::vector<std::string> kAgents = { "a", "b", "c", "d" };
 /// A task may be given up once so many workers have crashed under it.
 constexpr int kMostStarts = 3;
@@ -57,10 +58,11 @@
     for (const std::string& agent : kAgents) {
       const OrderRequest orders = mScheduler.TakeOrders(AgentId(agent));
       CellFixture::Started(agent, orders);
-      if (std::ranges::any_of(orders.mStarts, [](const StartOrder& aStart) {
-            return aStart.mTask == TaskRef{ kJob, 0, 0, 0 };
-          })) {
-        return agent;
+      for (const StartOrder& start : orders.mStarts) {
+        if (start.mTask == kFirst) {
+          mRun = start.mRun;
+          return agent;
+        }
       }
     }
     return std::nullopt;
@@ -69,7 +71,7 @@
   /// The worker is gone 10 ms after the start and back 3 s later.
   void Crash(const std::string& aAgent)
   {
-    const WorkerState before = State(mLife[aAgent]);
+    const WorkerState before = State(mLife[aAgent], { Running(kFirst, mRun) });
     mLife[aAgent] += "'";
     switch (GetParam().mHeardBy) {
       case HeardBy::Attachment:
@@ -113,7 +115,6 @@
       report.mSequence = worker.mLastSequence + 1;
       report.mOrdersDone = kManyOrders;
       report.mState = aState;
-      report.mState.mRunning = worker.mReported.mRunning;
       report.mWorkerAnswers = false;
       report.mAnswerAge = milliseconds(460) * (tick + 1);
       mScheduler.TakeReport(report, Clock());
@@ -137,6 +138,7 @@
   }
 
   std::map<std::string, std::string> mLife; ///< Incarnations.
+  RunNumber mRun = 0;                       ///< Of the newest start.
   Generation mOwner = kGeneration;
 };
 
@@ -166,14 +168,40 @@
   return step;
 }
 
-INSTANTIATE_TEST_SUITE_P(Table,
-                         CrashingTaskTest,
-                         testing::Values(CrashCase{ "HeardByAttachment",
-                                                    HeardBy::Attachment,
-                                                    ShortStep }),
-                         [](const auto& aInfo) {
-                           return std::string(aInfo.param.mName);
-                         });
+StepSpec StandingStep()
+{
+  StepSpec step = ShortStep();
+  step.mStanding = true;
+  return step;
+}
+
+StepSpec CopiedStep()
+{
+  StepSpec step = ShortStep();
+  step.mSpeculative = true;
+  return step;
+}
+
+StepSpec LeftoverStep()
+{
+  StepSpec step = ShortStep();
+  step.mLeftover = true;
+  step.mCheckpoints = true;
+  return step;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  CrashingTaskTest,
+  testing::Values(
+    CrashCase{ "HeardByAttachment", HeardBy::Attachment, ShortStep },
+    CrashCase{ "HeardByReport", HeardBy::Report, ShortStep },
+    CrashCase{ "HeardAfterTheLeases", HeardBy::LateReport, ShortStep },
+    CrashCase{ "OwnersChange", HeardBy::AnotherOwner, ShortStep },
+    CrashCase{ "ThatLasts", HeardBy::Report, StandingStep },
+    CrashCase{ "WithCopies", HeardBy::Report, CopiedStep },
+    CrashCase{ "LeftoverWithCheckpoints", HeardBy::Report, LeftoverStep }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
 } // namespace
 
