--- /dev/null
+++ b/tests/cell/SuspendedMachineTest.cpp
@@ -0,0 +1,77 @@
+// A machine that was suspended for some seconds acts on what it believed
+// before: by the steady clock, which stands still meanwhile, its leases were
+// all in force. The other machines had waited them out.
+
+#include <ctime>
+#include <type_traits>
+
+#include <gtest/gtest.h>
+
+#include "src/core/cell/LeaseGrant.h"
+#include "src/core/cell/OwnerTerm.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kBefore{ seconds(1000) };
+
+TEST(BootClockTest, CountsTheTimeOfASuspension)
+{
+  static_assert(!std::is_same_v<Instant::clock, std::chrono::steady_clock>);
+  std::timespec time{};
+  ASSERT_EQ(clock_gettime(CLOCK_BOOTTIME, &time), 0);
+  const Instant now = MonotonicNow();
+  const auto counted =
+    std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+  EXPECT_GE(now.time_since_epoch(),
+            std::chrono::duration_cast<Duration>(counted));
+  EXPECT_LE(now.time_since_epoch(), counted + seconds(10));
+}
+
+struct SuspensionCase
+{
+  const char* mName;
+  Duration mSuspended;
+  bool mHolds;
+};
+
+class SuspendedMachineTest : public testing::TestWithParam<SuspensionCase>
+{};
+
+TEST_P(SuspendedMachineTest, AnAgentGivesNoLeaseThatOthersHaveWaitedOut)
+{
+  constexpr Duration kGrant = milliseconds(3500);
+  LeaseGrant lease;
+  lease.SampleClock(100'000, kBefore);
+  lease.Extend(kBefore, kGrant);
+  EXPECT_EQ(lease.LeaseEnd(kBefore + GetParam().mSuspended).has_value(),
+            GetParam().mHolds);
+}
+
+TEST_P(SuspendedMachineTest, AnOwnerGrantsNothingOnAnOldConfirmation)
+{
+  const CellSettings settings;
+  OwnerTerm term(1, 1, kBefore, settings);
+  term.KeepKey(kBefore, milliseconds(3000));
+  const Instant after = kBefore + GetParam().mSuspended;
+  EXPECT_EQ(term.IsSole(after), GetParam().mHolds);
+  if (GetParam().mSuspended > settings.mAuthority) {
+    EXPECT_EQ(term.GrantAt(after), Duration::zero());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  SuspendedMachineTest,
+  testing::Values(SuspensionCase{ "Shortly", milliseconds(1000), true },
+                  SuspensionCase{ "BeyondTheLease", milliseconds(4000), false },
+                  SuspensionCase{ "ForLong", seconds(60), false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
