--- /dev/null
+++ b/tests/cell/ShrinkingWorkerTest.cpp
@@ -0,0 +1,94 @@
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+/// A worker whose capacity changes while it runs: tasks of 1000 millicores are
+/// running, and as many wait.
+struct ShrinkCase
+{
+  const char* mName;
+  std::int64_t mBefore; ///< Millicores.
+  std::int64_t mAfter;
+  std::size_t mStarted;
+  std::size_t mMore; ///< Starts after the change.
+};
+
+class ShrinkingOrderTest : public CellFixture
+{
+protected:
+  static WorkerState Sized(std::int64_t aMillicores,
+                           std::vector<RunningTask> aRunning = {},
+                           std::vector<EndedTask> aEnded = {})
+  {
+    WorkerState state = State("a-life", std::move(aRunning), std::move(aEnded));
+    state.mInfo.mCapacity.mMillicores = aMillicores;
+    return state;
+  }
+
+  static std::vector<RunningTask> RunningOf(const OrderRequest& aOrders)
+  {
+    std::vector<RunningTask> running;
+    for (const StartOrder& start : aOrders.mStarts) {
+      running.push_back(Running(start.mTask, start.mRun));
+    }
+    return running;
+  }
+};
+
+class ShrinkingWorkerTest
+  : public ShrinkingOrderTest
+  , public testing::WithParamInterface<ShrinkCase>
+{};
+
+TEST_P(ShrinkingWorkerTest, TakesNoStartBeyondItsNewestCapacity)
+{
+  Attach("a", Sized(GetParam().mBefore));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(20) }));
+  const OrderRequest first = Orders("a");
+  ASSERT_EQ(first.mStarts.size(), GetParam().mStarted);
+  Started("a", first);
+  Report("a", Sized(GetParam().mAfter, RunningOf(first)));
+  EXPECT_EQ(Orders("a").mStarts.size(), GetParam().mMore);
+}
+
+TEST_P(ShrinkingWorkerTest, WhatIsBeingStoppedStillCounts)
+{
+  Attach("a", Sized(GetParam().mBefore));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(20) }));
+  const OrderRequest first = Orders("a");
+  Started("a", first);
+  mScheduler.CancelJob(JobId("job"), Clock());
+  AddRecorded(Graph("next", { Step(20) }));
+  Report("a", Sized(GetParam().mAfter, RunningOf(first)));
+  EXPECT_EQ(Orders("a").mStarts.size(), GetParam().mMore);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  ShrinkingWorkerTest,
+  testing::Values(ShrinkCase{ "Shrinks", 8000, 6000, 8, 0 },
+                  ShrinkCase{ "BelowOneTask", 4000, 500, 4, 0 },
+                  ShrinkCase{ "ToZero", 4000, 0, 4, 0 },
+                  ShrinkCase{ "Grows", 4000, 7000, 4, 3 },
+                  ShrinkCase{ "FromZero", 0, 2000, 0, 2 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+/// Room of an order that the agent has not carried out yet counts as taken.
+TEST_F(ShrinkingOrderTest, AnOrderOnItsWayCounts)
+{
+  Attach("a", Sized(4000));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  ASSERT_EQ(Orders("a").mStarts.size(), 2U);
+  Report("a", Sized(2000), 0);
+  AddRecorded(Graph("next", { Step(1) }));
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
