--- a/include/foxtailbarrow/Time.h
+++ b/include/foxtailbarrow/Time.h
@@ -20,9 +20,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, duration>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT: the standard's names.
 
-  static time_point now() noexcept
+  static time_point now() noexcept // NOLINT
   {
     std::timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time); // Cannot fail for this clock.
--- a/src/core/cell/WorkerBook.cpp
+++ b/src/core/cell/WorkerBook.cpp
@@ -56,10 +56,10 @@
            });
   });
   std::erase_if(mSince, [&](const auto& aSince) {
-    const auto& [task, run] = aSince.first;
-    return !mStarted.contains(aSince.first) &&
-           std::ranges::none_of(mLooked, [&](const RunningTask& aTask) {
-             return aTask.mRun == run && aTask.mTask == task;
+    const RunKey& key = aSince.first;
+    return !mStarted.contains(key) &&
+           std::ranges::none_of(mLooked, [&key](const RunningTask& aTask) {
+             return RunKey(aTask.mTask, aTask.mRun) == key;
            });
   });
   return fresh;
