Fail no job for crashes under starts that got no answer

A worker that went dark takes no start and answers none: starts sent to it before it counted as silent stood as crashes of theirs when it came back. Two of them and one crash by chance would have failed a sound job, which may be given up only after two workers crashed under it. They make a suspect now, and no more; a task of which no start is ever answered is given up after five. Found by reading, with a test; not seen in a run.

--- a/src/core/cell/CellRecords.h
+++ b/src/core/cell/CellRecords.h
@@ -8,6 +8,7 @@
 
 #include "foxtailbarrow/Endpoint.h"
 #include "src/core/cell/CellMessages.h"
+#include "src/core/cell/CrashHistory.h"
 #include "src/core/cell/JobGraph.h"
 
 /// Records that the cell keeps in the store, and their keys.
@@ -56,9 +57,7 @@
 struct StoredCrashes
 {
   std::int32_t mIndex = 0;
-  std::vector<RunNumber> mAlone;
-  std::vector<RunNumber> mLikely;
-  std::vector<RunNumber> mBeside;
+  CrashHistory::Runs mRuns;
   RunNumber mClearedTo = 0;
 
   bool operator==(const StoredCrashes&) const = default;
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -26,7 +26,8 @@
     const TaskRun* run =
       mJobs.at(ref.mJob).Find(ref)->FindRun(aWorker.mId, number);
     if (run != nullptr && run->mSent) {
-      crash.mRuns.push_back({ ref, number, run->KnownLife() });
+      crash.mRuns.push_back(
+        { ref, number, run->KnownLife(), run->Confirmed() });
     }
   }
   return crash;
@@ -45,7 +46,10 @@
   }
   const std::vector<CrashBlame> blames = JudgeCrash(witnesses);
   for (std::size_t i = 0; i < blames.size(); ++i) {
-    NoteCrash(aAgent, aCrash.mRuns[i], blames[i], aClock);
+    const CrashedRun& run = aCrash.mRuns[i];
+    const bool counts = run.mConfirmed || blames[i] == CrashBlame::None;
+    NoteCrash(
+      aAgent, run, counts ? blames[i] : CrashBlame::Unconfirmed, aClock);
   }
 }
 
@@ -87,17 +91,19 @@
                            const CellClock& aClock)
 {
   ++mCrashFigures.mGivenUp;
-  const CrashHistory& crashes = aJob.Find(aRun.mTask)->mCrashes;
+  const CrashHistory::Runs& crashes = aJob.Find(aRun.mTask)->mCrashes.Crashes();
   Tell("task-given-up",
        aRun.mTask,
        aAgent,
        aRun.mRun,
        absl::StrCat("workers-crashed alone=",
-                    crashes.Alone().size(),
+                    crashes.mAlone.size(),
                     " likely=",
-                    crashes.Likely().size(),
+                    crashes.mLikely.size(),
                     " beside=",
-                    crashes.Beside().size()),
+                    crashes.mBeside.size(),
+                    " unconfirmed=",
+                    crashes.mUnconfirmed.size()),
        WholeMilliseconds(aClock.mNow - aJob.mAcceptedAt));
   FinishJob(aJob, JobPhase::Failed, aClock);
 }
@@ -125,6 +131,9 @@
                               const TaskRun& aRun,
                               const CellClock& aClock)
 {
+  if (aJob.Find(aTask)->mCrashes.Count() == 0) {
+    return;
+  }
   const Duration lived = aRun.KnownLife();
   const Duration trial =
     aJob.Find(aTask)->mCrashes.Suspected() == Suspicion::Weak ? kFreshLife
@@ -148,7 +157,8 @@
   if (!aRun.mSent || aRun.KnownLife() >= kProvenLife) {
     return;
   }
-  aWorker.mUnexplained.push_back({ aTask, aRun.mNumber, aRun.KnownLife() });
+  aWorker.mUnexplained.push_back(
+    { aTask, aRun.mNumber, aRun.KnownLife(), aRun.Confirmed() });
   if (aRun.KnownLife() < kFreshLife) {
     mJobs.at(aTask.mJob)
       .Find(aTask)
--- a/src/core/cell/CrashBlame.h
+++ b/src/core/cell/CrashBlame.h
@@ -11,7 +11,9 @@
 /// What a crash of a worker says of one run that was there.
 enum class CrashBlame : std::uint8_t
 {
-  None,   ///< It had lived for long: it is not the cause.
+  None, ///< It had lived for long: it is not the cause.
+  /// It may not have run at all: its start got no answer.
+  Unconfirmed,
   Beside, ///< It may be the cause, but others are likelier.
   Likely, ///< It is one of the likeliest causes.
   Alone,  ///< It is the only likely cause.
--- a/src/core/cell/CrashHistory.cpp
+++ b/src/core/cell/CrashHistory.cpp
@@ -12,15 +12,30 @@
   return std::ranges::find(aRuns, aRun) != aRuns.end();
 }
 
+bool Contains(const CrashHistory::Runs& aRuns, RunNumber aRun)
+{
+  return Contains(aRuns.mAlone, aRun) || Contains(aRuns.mLikely, aRun) ||
+         Contains(aRuns.mBeside, aRun) || Contains(aRuns.mUnconfirmed, aRun);
+}
+
+std::vector<RunNumber>& RunsOf(CrashHistory::Runs& aRuns, CrashBlame aBlame)
+{
+  switch (aBlame) {
+    case CrashBlame::Alone:
+      return aRuns.mAlone;
+    case CrashBlame::Likely:
+      return aRuns.mLikely;
+    case CrashBlame::Unconfirmed:
+      return aRuns.mUnconfirmed;
+    default:
+      return aRuns.mBeside;
+  }
+}
+
 } // namespace
 
-CrashHistory::CrashHistory(std::vector<RunNumber> aAlone,
-                           std::vector<RunNumber> aLikely,
-                           std::vector<RunNumber> aBeside,
-                           RunNumber aClearedTo)
-  : mAlone(std::move(aAlone))
-  , mLikely(std::move(aLikely))
-  , mBeside(std::move(aBeside))
+CrashHistory::CrashHistory(Runs aRuns, RunNumber aClearedTo)
+  : mRuns(std::move(aRuns))
   , mClearedTo(aClearedTo)
 {
 }
@@ -29,14 +44,10 @@
 {
   Explain(aRun);
   if (aBlame == CrashBlame::None || aRun <= mClearedTo ||
-      Contains(mAlone, aRun) || Contains(mLikely, aRun) ||
-      Contains(mBeside, aRun)) {
+      Contains(mRuns, aRun)) {
     return false;
   }
-  auto& runs = aBlame == CrashBlame::Alone    ? mAlone
-               : aBlame == CrashBlame::Likely ? mLikely
-                                              : mBeside;
-  runs.push_back(aRun);
+  RunsOf(mRuns, aBlame).push_back(aRun);
   return true;
 }
 
@@ -57,9 +68,7 @@
   if (Count() == 0) {
     return false;
   }
-  mAlone.clear();
-  mLikely.clear();
-  mBeside.clear();
+  mRuns = {};
   mClearedTo = std::max(mClearedTo, aRun);
   return true;
 }
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -18,7 +18,9 @@
 /// others were likelier. Suspects are started apart from each other, but for
 /// weak ones apart from all (CrashTrials), so that a further crash speaks
 /// against them alone. A task is given up after two crashes, one of them alone,
-/// or three: each one takes a worker with all that runs there.
+/// or three: each one takes a worker with all that runs there. Starts that got
+/// no answer make a suspect only, as the worker may have been down before; but
+/// a task of which no start is ever answered is given up after five.
 ///
 /// Of the tasks that start, one in 10,000 of the sound ones that a crash made
 /// suspects is given up, where each worker crashes by chance once in 100 s (15
@@ -35,15 +37,31 @@
   /// A task that crashes its worker later than kFreshLife after the start, or
   /// always beside likelier ones, is tried alone after so many crashes.
   static constexpr std::size_t kMostBeside = 2;
+  /// In all, where most of the starts got no answer.
+  static constexpr std::size_t kMostInAll = 5;
+  static constexpr std::size_t kMostUnconfirmed = 3;
   /// A run that was lost for another reason than a known crash is taken for a
   /// crash so long: crashed workers were back within 4 s.
   static constexpr Duration kUnexplainedFor = std::chrono::seconds(12);
 
   CrashHistory() = default;
-  CrashHistory(std::vector<RunNumber> aAlone,
-               std::vector<RunNumber> aLikely,
-               std::vector<RunNumber> aBeside,
-               RunNumber aClearedTo);
+  /// The crashes of each kind, by run.
+  struct Runs
+  {
+    std::vector<RunNumber> mAlone{};
+    std::vector<RunNumber> mLikely{};
+    std::vector<RunNumber> mBeside{};
+    std::vector<RunNumber> mUnconfirmed{};
+
+    std::size_t Count() const
+    {
+      return mAlone.size() + mLikely.size() + mBeside.size() +
+             mUnconfirmed.size();
+    }
+    bool operator==(const Runs&) const = default;
+  };
+
+  CrashHistory(Runs aRuns, RunNumber aClearedTo);
 
   /// False when the crash is known already, or disproved by a later run.
   bool NoteCrash(RunNumber aRun, CrashBlame aBlame);
@@ -63,25 +81,26 @@
     if (Weight() > 1) {
       return Suspicion::Strong;
     }
-    if (mBeside.size() >= kMostBeside) {
+    if (mRuns.mBeside.size() + mRuns.mUnconfirmed.size() >= kMostBeside) {
       return Suspicion::Unclear;
     }
-    return Weight() == 0 ? Suspicion::None : Suspicion::Weak;
+    return Weight() + mRuns.mUnconfirmed.size() == 0 ? Suspicion::None
+                                                     : Suspicion::Weak;
   }
   bool Suspect() const { return Suspected() != Suspicion::None; }
-  bool GivenUp() const { return Weight() >= kMostWeight; }
-  /// Crashes that count.
-  std::size_t Count() const
+  bool GivenUp() const
   {
-    return mAlone.size() + mLikely.size() + mBeside.size();
+    return Weight() >= kMostWeight ||
+           (Count() >= kMostInAll &&
+            mRuns.mUnconfirmed.size() >= kMostUnconfirmed);
   }
+  /// Crashes that count.
+  std::size_t Count() const { return mRuns.Count(); }
   /// False while crashes that are not known yet may be the last ones allowed.
   bool MayStart(Instant aNow) const;
 
   bool Empty() const { return Count() == 0 && mClearedTo == 0; }
-  const std::vector<RunNumber>& Alone() const { return mAlone; }
-  const std::vector<RunNumber>& Likely() const { return mLikely; }
-  const std::vector<RunNumber>& Beside() const { return mBeside; }
+  const Runs& Crashes() const { return mRuns; }
   RunNumber ClearedTo() const { return mClearedTo; }
 
 private:
@@ -93,12 +112,10 @@
 
   std::size_t Weight() const
   {
-    return mLikely.size() + kAloneWeight * mAlone.size();
+    return mRuns.mLikely.size() + kAloneWeight * mRuns.mAlone.size();
   }
 
-  std::vector<RunNumber> mAlone;
-  std::vector<RunNumber> mLikely;
-  std::vector<RunNumber> mBeside;
+  Runs mRuns;
   RunNumber mClearedTo = 0; ///< Crashes of runs up to this are disproved.
   std::vector<Unexplained> mUnexplained;
 };
--- a/src/core/cell/CrashedWorker.h
+++ b/src/core/cell/CrashedWorker.h
@@ -14,6 +14,8 @@
   RunNumber mRun = 0;
   /// How long it is known to have run before: until the worker's last answer.
   Duration mLived{};
+  /// The worker had said that it runs; else its start got no answer.
+  bool mConfirmed = true;
 
   bool operator==(const CrashedRun&) const = default;
 };
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -57,8 +57,7 @@
   for (const StoredCrashes& crashes : aStored.mCrashes) {
     if (InRange(crashes.mIndex, aStep.mTasks.size())) {
       aStep.mTasks[static_cast<std::size_t>(crashes.mIndex)].mCrashes =
-        CrashHistory(
-          crashes.mAlone, crashes.mLikely, crashes.mBeside, crashes.mClearedTo);
+        CrashHistory(crashes.mRuns, crashes.mClearedTo);
     }
   }
 }
@@ -125,9 +124,7 @@
     }
     if (!task.mDone && !task.mCrashes.Empty()) {
       stored.mCrashes.push_back({ static_cast<std::int32_t>(index),
-                                  task.mCrashes.Alone(),
-                                  task.mCrashes.Likely(),
-                                  task.mCrashes.Beside(),
+                                  task.mCrashes.Crashes(),
                                   task.mCrashes.ClearedTo() });
     }
   }
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -42,6 +42,9 @@
   std::optional<Instant> mStalledSince{};
   Instant mFigureAt{}; ///< Its newest figure was counted.
 
+  /// Its worker has said that it runs.
+  bool Confirmed() const { return mRunningSince != Instant{}; }
+
   /// How long it is known to have run: it was alive at least so long.
   Duration KnownLife() const
   {
--- a/src/core/cell/WorkerBook.cpp
+++ b/src/core/cell/WorkerBook.cpp
@@ -87,12 +87,12 @@
 {
   CrashedWorker crash;
   for (const auto& [task, run] : mSent) {
-    crash.mRuns.push_back({ task, run, Duration::zero() });
+    crash.mRuns.push_back({ task, run, Duration::zero(), false });
   }
   for (const auto& [key, since] : mSince) {
     const Duration lived = std::max(Duration::zero(), aAnsweredAt - since);
     if (lived < kProvenLife) {
-      crash.mRuns.push_back({ key.first, key.second, lived });
+      crash.mRuns.push_back({ key.first, key.second, lived, true });
     }
   }
   return crash;
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -72,13 +72,20 @@
   aVisitor.Required("checkpoint", aMessage.mCheckpoint);
 }
 
-template<typename Visitor, Is<cell::StoredCrashes> Message>
+template<typename Visitor, Is<cell::CrashHistory::Runs> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Required("index", aMessage.mIndex);
   aVisitor.Optional("alone", aMessage.mAlone);
   aVisitor.Optional("likely", aMessage.mLikely);
   aVisitor.Optional("beside", aMessage.mBeside);
+  aVisitor.Optional("unconfirmed", aMessage.mUnconfirmed);
+}
+
+template<typename Visitor, Is<cell::StoredCrashes> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("index", aMessage.mIndex);
+  aVisitor.Optional("runs", aMessage.mRuns);
   aVisitor.Optional("clearedTo", aMessage.mClearedTo);
 }
 
@@ -171,6 +178,7 @@
   aVisitor.Required(aMessage.mTask);
   aVisitor.Required(aMessage.mRun);
   aVisitor.Optional(aMessage.mLived);
+  aVisitor.Optional(aMessage.mConfirmed);
 }
 
 template<typename Visitor, Is<cell::CrashedWorker> Message>
--- a/tests/cell/CrashEvidenceTest.cpp
+++ b/tests/cell/CrashEvidenceTest.cpp
@@ -129,6 +129,20 @@
                  { Beside, Beside, Alone, Alone },
                  Suspicion::Strong,
                  true },
+    HistoryCase{ "OneUnconfirmed", { Unconfirmed }, Suspicion::Weak, false },
+    HistoryCase{ "UnconfirmedThenAlone",
+                 { Unconfirmed, Alone },
+                 Suspicion::Strong,
+                 false },
+    HistoryCase{ "NeverConfirmed",
+                 { Unconfirmed, Unconfirmed, Unconfirmed, Unconfirmed },
+                 Suspicion::Unclear,
+                 false },
+    HistoryCase{
+      "FiveNeverConfirmed",
+      { Unconfirmed, Unconfirmed, Unconfirmed, Unconfirmed, Unconfirmed },
+      Suspicion::Unclear,
+      true },
     HistoryCase{ "BesideThenLikely",
                  { Beside, Beside, Likely, Likely },
                  Suspicion::Strong,
@@ -238,8 +252,10 @@
   book.NoteSent(third, 3);
   book.NoteNotStarted(third, 3);
   const CrashedWorker crash = book.CrashAfter(kNow + milliseconds(40));
-  const std::vector<CrashedRun> expected = { { kSecond, 2, Duration::zero() },
-                                             { kFirst, 1, milliseconds(40) } };
+  const std::vector<CrashedRun> expected = {
+    { kSecond, 2, Duration::zero(), false },
+    { kFirst, 1, milliseconds(40), true }
+  };
   EXPECT_EQ(crash.mRuns, expected);
   EXPECT_EQ(book.CrashAfter(kNow + kProvenLife).mRuns.size(), 1U);
 }
--- a/tests/cell/CrashedWorkerTest.cpp
+++ b/tests/cell/CrashedWorkerTest.cpp
@@ -37,6 +37,11 @@
     Record();
   }
 
+  static StoredCrashes Stored(std::int32_t aIndex, CrashHistory::Runs aRuns)
+  {
+    return { aIndex, std::move(aRuns), 0 };
+  }
+
   const CrashHistory& Crashes(const TaskRef& aTask) const
   {
     return mScheduler.Jobs().at(aTask.mJob).Find(aTask)->mCrashes;
@@ -88,6 +93,19 @@
   EXPECT_TRUE(Crashes(kFirst).Empty());
 }
 
+/// A worker that went dark before takes no start, and answers none.
+TEST_F(CrashedWorkerTest, StartsWithoutAnAnswerDoNotFailTheJob)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  for (int life = 0; life < 4; ++life) {
+    ASSERT_EQ(Orders("a").mStarts.size(), 1U);
+    Crash("a", "life" + std::to_string(life));
+  }
+  EXPECT_TRUE(Crashes(kFirst).Suspect());
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Queued);
+}
+
 TEST_F(CrashedWorkerTest, SuspectsAreTriedApart)
 {
   AttachAndGrant("a");
@@ -114,7 +132,7 @@
 {
   StoredProgress progress;
   progress.mSteps.push_back(
-    { 0, 0, "", {}, {}, { { 0, {}, { 1, 2 }, {}, 0 } } });
+    { 0, 0, "", {}, {}, { Stored(0, { .mLikely = { 1, 2 } }) } });
   AddInherited(Graph("job", { Step(1) }), progress);
   AttachAndGrant("a");
   EXPECT_EQ(Orders("a").mStarts.size(), 1U);
@@ -181,7 +199,7 @@
 {
   StoredProgress progress;
   progress.mSteps.push_back(
-    { 0, 0, "", {}, {}, { { 0, {}, { 1, 2 }, {}, 0 } } });
+    { 0, 0, "", {}, {}, { Stored(0, { .mLikely = { 1, 2 } }) } });
   AddInherited(Graph("job", { Step(3) }), progress);
   AttachAndGrant("a");
   const OrderRequest orders = Orders("a");
@@ -193,13 +211,13 @@
 TEST_F(CrashedWorkerTest, StrongSuspectsOfOneJobAreTriedOneByOne)
 {
   StoredProgress progress;
-  progress.mSteps.push_back(
-    { 0,
-      0,
-      "",
-      {},
-      {},
-      { { 0, {}, { 1, 2 }, {}, 0 }, { 1, {}, { 1, 2 }, {}, 0 } } });
+  progress.mSteps.push_back({ 0,
+                              0,
+                              "",
+                              {},
+                              {},
+                              { Stored(0, { .mLikely = { 1, 2 } }),
+                                Stored(1, { .mLikely = { 1, 2 } }) } });
   AddInherited(Graph("job", { Step(2) }), progress);
   AttachAndGrant("a");
   const OrderRequest orders = Orders("a");
@@ -216,10 +234,11 @@
 {
   StoredProgress progress;
   progress.mSteps.push_back(
-    { 0, 0, "", {}, {}, { { 0, {}, { 1, 2 }, {}, 0 } } });
+    { 0, 0, "", {}, {}, { Stored(0, { .mLikely = { 1, 2 } }) } });
   AddInherited(Graph("job", { Step(1) }), progress);
   WorkerState state = State("a-life");
-  state.mCrashes = { { { { kFirst, 2, {} } } }, { { { kFirst, 3, {} } } } };
+  state.mCrashes = { { { { kFirst, 2, {}, true } } },
+                     { { { kFirst, 3, {}, true } } } };
   Attach("a", state);
   Grant("a");
   EXPECT_TRUE(Orders("a").mStarts.empty());
@@ -230,7 +249,8 @@
 TEST_F(CrashedWorkerTest, FromTheSecondCrashOnTheRecordComesBeforeTheStart)
 {
   StoredProgress progress;
-  progress.mSteps.push_back({ 0, 0, "", {}, {}, { { 0, {}, {}, { 1 }, 0 } } });
+  progress.mSteps.push_back(
+    { 0, 0, "", {}, {}, { Stored(0, { .mBeside = { 1 } }) } });
   AddInherited(Graph("job", { Step(1) }), progress);
   AttachAndGrant("a");
   RunFor("a", 0);
