--- a/src/core/cell/WorkerChoice.h
+++ b/src/core/cell/WorkerChoice.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <optional>
 
 #include "foxtailbarrow/Time.h"
@@ -9,34 +8,16 @@
 #include "src/core/cell/Interference.h"
 #include "src/core/cell/JobEntry.h"
 #include "src/core/cell/PlacementRefusal.h"
-#include "src/core/cell/WorkerEntry.h"
+#include "src/core/cell/WorkerRoom.h"
 
 namespace foxtailbarrow::cell {
 
-using WorkerTable = std::map<AgentId, WorkerEntry>;
-
 /// True when the worker is of the kind that the task needs, whatever runs
 /// there.
 bool CouldRun(const WorkerEntry& aWorker,
               const JobEntry& aJob,
               const TaskRef& aTask);
 
-/// What a task of the step reserves on a worker.
-Resources Reservation(const StepSpec& aSpec);
-
-/// Adds the task to the worker's use, or with -1 takes it away.
-void CountUse(WorkerUse& aUse,
-              const JobId& aJob,
-              const StepSpec& aSpec,
-              int aSign);
-
-/// Millicores that the worker is expected to leave to leftover tasks.
-double LeftoverMillicores(const WorkerEntry& aWorker,
-                          const CellSettings& aSettings);
-
-/// Reserved share of the processors of all attached workers.
-double ReservedShareOf(const WorkerTable& aWorkers);
-
 /// What a choice rests on besides the job.
 struct PlacementView
 {
