--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -19,8 +19,8 @@
 /// weak ones apart from all (CrashTrials), so that a further crash speaks
 /// against them alone. A task is given up after two crashes, one of them alone,
 /// or three: each one takes a worker with all that runs there. Starts that got
-/// no answer make a suspect only, as the worker may have been down before; but
-/// a task of which no start is ever answered is given up after five.
+/// no answer make a suspect only, as the worker may have been down before, and
+/// so do crashes that come later; five in all are the end, too.
 ///
 /// Of the tasks that start, one in 10,000 of the sound ones that a crash made
 /// suspects is given up, where each worker crashes by chance once in 100 s (15
@@ -37,9 +37,8 @@
   /// A task that crashes its worker later than kFreshLife after the start, or
   /// always beside likelier ones, is tried alone after so many crashes.
   static constexpr std::size_t kMostBeside = 2;
-  /// In all, where most of the starts got no answer.
+  /// Crashes of all kinds: one more start after these is allowed at most.
   static constexpr std::size_t kMostInAll = 5;
-  static constexpr std::size_t kMostUnconfirmed = 3;
   /// A run that was lost for another reason than a known crash is taken for a
   /// crash so long: crashed workers were back within 4 s.
   static constexpr Duration kUnexplainedFor = std::chrono::seconds(12);
@@ -90,9 +89,7 @@
   bool Suspect() const { return Suspected() != Suspicion::None; }
   bool GivenUp() const
   {
-    return Weight() >= kMostWeight ||
-           (Count() >= kMostInAll &&
-            mRuns.mUnconfirmed.size() >= kMostUnconfirmed);
+    return Weight() >= kMostWeight || Count() >= kMostInAll;
   }
   /// Crashes that count.
   std::size_t Count() const { return mRuns.Count(); }
--- a/src/core/cell/CrashedWorker.h
+++ b/src/core/cell/CrashedWorker.h
@@ -35,6 +35,6 @@
 inline constexpr Duration kFreshLife = std::chrono::milliseconds(500);
 
 /// A run that has lived for so long is not what takes its worker down.
-inline constexpr Duration kProvenLife = std::chrono::seconds(2);
+inline constexpr Duration kProvenLife = std::chrono::seconds(1);
 
 } // namespace foxtailbarrow::cell
--- a/tests/cell/CrashedWorkerTest.cpp
+++ b/tests/cell/CrashedWorkerTest.cpp
@@ -24,7 +24,7 @@
       Pass(milliseconds(kReportMs));
       Grant("a");
       Grant("b");
-      Report(aAgent, State(aAgent + "-life", mRunning[aAgent]));
+      Report(aAgent, State(mLife, mRunning[aAgent]));
     }
     return orders;
   }
@@ -48,6 +48,7 @@
   }
 
   std::map<std::string, std::vector<RunningTask>> mRunning;
+  std::string mLife = "a-life"; ///< Incarnation of the worker that runs.
 };
 
 TEST_F(CrashedWorkerTest, WhatHadLivedIsNotSuspected)
@@ -93,6 +94,22 @@
   EXPECT_TRUE(Crashes(kFirst).Empty());
 }
 
+/// Two crashes by chance met a sound standing task about a second after its
+/// starts.
+TEST_F(CrashedWorkerTest, CrashesThatComeLaterDoNotFailTheJob)
+{
+  StepSpec standing = Step(1);
+  standing.mStanding = true;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { standing }));
+  for (int life = 0; life < 4; ++life) {
+    RunFor("a", 1000);
+    Crash("a", "a-life" + std::string(static_cast<std::size_t>(life) + 1, '+'));
+    mLife = "a-life" + std::string(static_cast<std::size_t>(life) + 1, '+');
+  }
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Running);
+}
+
 /// A worker that went dark before takes no start, and answers none.
 TEST_F(CrashedWorkerTest, StartsWithoutAnAnswerDoNotFailTheJob)
 {
