Let gangs with suspects start, and suspects that are done hold nothing back

Found by reading the diff, with a test, red on the commit before (no member was started): a strong suspect in a gang held back the other members, which start with it or never; and one that ended by another member's end would have held back the job's next steps for good.

--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -336,7 +336,7 @@
                        Instant aNow);
   void ExplainLosses(WorkerEntry& aWorker);
   bool CrashesAllowStart(const JobEntry& aJob,
-                         const TaskEntry& aEntry,
+                         const TaskRef& aTask,
                          Instant aNow) const;
 
   // Advice (CellSchedulerAdvice.cpp).
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -64,7 +64,8 @@
   }
   JobEntry& job = mJobs.at(aRun.mTask.mJob);
   MarkChanged(job, aClock.mNow);
-  // The first one may be lost with the owner: four starts instead of three.
+  // The first one alone fails no job: if it is lost with the owner, one more
+  // start follows.
   if (task->mCrashes.Count() > 1) {
     task->mCrashVersion = job.mVersion;
   }
@@ -179,19 +180,25 @@
 /// False while another start of the task could be one too many, or while the
 /// store, and so a next owner, lacks a crash of it.
 bool CellScheduler::CrashesAllowStart(const JobEntry& aJob,
-                                      const TaskEntry& aEntry,
+                                      const TaskRef& aTask,
                                       Instant aNow) const
 {
-  if (aEntry.mCrashVersion > aJob.mRecorded ||
-      !aEntry.mCrashes.MayStart(aNow)) {
+  const TaskEntry& task = *aJob.Find(aTask);
+  if (task.mCrashVersion > aJob.mRecorded || !task.mCrashes.MayStart(aNow)) {
     return false;
   }
-  // A job that will likely be given up takes down no further worker.
-  return aEntry.mCrashes.Suspected() == Suspicion::Strong ||
-         std::ranges::none_of(aJob.mSuspects, [&](const TaskRef& aSuspect) {
-           return aJob.Find(aSuspect)->mCrashes.Suspected() ==
-                  Suspicion::Strong;
-         });
+  if (task.mCrashes.Suspected() == Suspicion::Strong) {
+    return true;
+  }
+  // A job that will likely be given up takes down no further worker; but the
+  // members of a gang start together or never.
+  return std::ranges::none_of(aJob.mSuspects, [&](const TaskRef& aSuspect) {
+    const bool sameGang = aJob.Spec(aTask).mGang &&
+                          aSuspect.mOccurrence == aTask.mOccurrence &&
+                          aSuspect.mStep == aTask.mStep;
+    return !sameGang &&
+           aJob.Find(aSuspect)->mCrashes.Suspected() == Suspicion::Strong;
+  });
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -136,6 +136,7 @@
     return;
   }
   task.mDone = true;
+  aJob.mSuspects.erase(aTask); // A member of a gang may end by another's end.
   mPlacingChanged = true;
   if (!aJob.Spec(aTask).mGang) {
     for (TaskRun& run : task.mRuns) {
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -211,7 +211,7 @@
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     const TaskEntry& entry = *aJob.Find(task);
     if (!entry.Idle() || entry.mNotBefore > aClock.mNow ||
-        !CrashesAllowStart(aJob, entry, aClock.mNow)) {
+        !CrashesAllowStart(aJob, task, aClock.mNow)) {
       continue;
     }
     if (!PlaceTask(aJob, task, NextRun(entry), aClock) &&
@@ -228,14 +228,16 @@
 {
   const std::vector<TaskEntry>& members = aJob.StepOf(aFirst).mTasks;
   RunNumber run = 0;
+  TaskRef task = aFirst;
   for (const TaskEntry& member : members) {
     if (!member.Idle() || member.mNotBefore > aClock.mNow ||
-        !CrashesAllowStart(aJob, member, aClock.mNow)) {
+        !CrashesAllowStart(aJob, task, aClock.mNow)) {
       return;
     }
     run = std::max(run, NextRun(member));
+    ++task.mIndex;
   }
-  TaskRef task = aFirst;
+  task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     if (!PlaceTask(aJob, task, run, aClock)) {
       break;
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -22,11 +22,10 @@
 /// no answer make a suspect only, as the worker may have been down before, and
 /// so do crashes that come later; five in all are the end, too.
 ///
-/// Of the tasks that start, one in 10,000 of the sound ones that a crash made
-/// suspects is given up, where each worker crashes by chance once in 100 s (15
-/// of 100 workers three times in 48 s were seen): its trial must meet such a
-/// crash within kFreshLife, 0.005, and workers that have crashed lately are
-/// taken last.
+/// One in 200 of the sound tasks that a crash made suspects is given up, where
+/// each worker crashes by chance once in 100 s (15 of 100 workers three times
+/// in 48 s were seen): its trial must meet such a crash within kFreshLife.
+/// Workers that have crashed lately are taken last for trials.
 class CrashHistory
 {
 public:
@@ -43,7 +42,6 @@
   /// crash so long: crashed workers were back within 4 s.
   static constexpr Duration kUnexplainedFor = std::chrono::seconds(12);
 
-  CrashHistory() = default;
   /// The crashes of each kind, by run.
   struct Runs
   {
@@ -60,6 +58,7 @@
     bool operator==(const Runs&) const = default;
   };
 
+  CrashHistory() = default;
   CrashHistory(Runs aRuns, RunNumber aClearedTo);
 
   /// False when the crash is known already, or disproved by a later run.
--- a/src/core/cell/CrashTrials.cpp
+++ b/src/core/cell/CrashTrials.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr std::size_t kLeast = 2;
 constexpr std::size_t kWorkersPerStrong = 8;
 constexpr std::size_t kWorkersPerOther = 2;
 
@@ -13,7 +14,7 @@
 {
   const std::size_t each =
     aSuspicion == Suspicion::Strong ? kWorkersPerStrong : kWorkersPerOther;
-  return std::max<std::size_t>(1, aWorkers / each);
+  return std::max(kLeast, aWorkers / each);
 }
 
 } // namespace
--- a/src/core/cell/CrashTrials.h
+++ b/src/core/cell/CrashTrials.h
@@ -38,7 +38,7 @@
   /// number. Of strong suspects, which will likely crash their workers, an
   /// eighth of the workers; of each other kind, most of which only started
   /// beside the cause, half: with two at a time of five workers, crashes that
-  /// had made 150 suspects left 48 jobs waiting for over 25 s.
+  /// had made 150 suspects left 48 jobs waiting for over 25 s. Two at least.
   bool MayBegin(const RunRef& aRun,
                 Suspicion aSuspicion,
                 std::size_t aWorkers) const;
--- a/tests/cell/CrashedWorkerTest.cpp
+++ b/tests/cell/CrashedWorkerTest.cpp
@@ -247,6 +247,35 @@
   EXPECT_EQ(Orders("a").mStarts.size(), 1U);
 }
 
+/// The members of a gang end together, by the end of any of them.
+TEST_F(CrashedWorkerTest, ASuspectThatIsDoneHoldsNothingBack)
+{
+  StepSpec gang = Step(2);
+  gang.mGang = true;
+  StepSpec second = Step(1);
+  second.mAfter = { 0 };
+  StoredProgress progress;
+  progress.mSteps.push_back(
+    { 0, 0, "", {}, {}, { Stored(1, { .mLikely = { 1, 2 } }) } });
+  AddInherited(Graph("job", { gang, second }), progress);
+  AttachAndGrant("a");
+  AttachAndGrant("b");
+  mScheduler.Schedule(Clock());
+  RunNumber run = 0;
+  for (const char* agent : { "a", "b" }) {
+    const OrderRequest orders = mScheduler.TakeOrders(AgentId(agent));
+    ASSERT_EQ(orders.mStarts.size(), 1U);
+    run = orders.mStarts[0].mRun;
+    Started(agent, orders);
+  }
+  const JobEntry& job = mScheduler.Jobs().at(JobId("job"));
+  const std::string first = job.Find(kFirst)->mRuns.front().mAgent.Value();
+  Report(first,
+         State(first + "-life", {}, { Ended(1, kFirst, run, RunEnd::Done) }));
+  Record();
+  EXPECT_EQ(Orders(first).mStarts.size(), 1U);
+}
+
 TEST_F(CrashedWorkerTest, ANextOwnerCountsWhatTheAgentRemembers)
 {
   StoredProgress progress;
