--- a/tests/load/CrashingLoadTest.cpp
+++ b/tests/load/CrashingLoadTest.cpp
@@ -35,13 +35,10 @@
   return pattern;
 }
 
-class CrashingLoadTest : public testing::TestWithParam<CrashingLoad>
-{};
-
 /// The aims: no task starts a fourth time after three crashes, no sound job is
 /// given up, three workers at most are lost to one task, and all other work is
 /// worth 0.97 of what it is where the same tasks do no harm.
-TEST_P(CrashingLoadTest, FewWorkersAreLostAndSoundWorkGoesOn)
+void ExpectSoundWorkToGoOn(const CrashingLoad& aLoad)
 {
   constexpr int kSeeds = 8;
   constexpr int kMostCrashes = 3;
@@ -50,7 +47,7 @@
   double without = 0;
   int crashingJobs = 0;
   for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
-    LoadPattern pattern = PatternOf(GetParam(), seed);
+    LoadPattern pattern = PatternOf(aLoad, seed);
     const LoadOutcome crashing = LoadReplay(pattern, {}).Play();
     pattern.mCrashes = false;
     const LoadOutcome calm = LoadReplay(pattern, {}).Play();
@@ -64,15 +61,28 @@
   EXPECT_GE(worth, kLeastWorth * without);
 }
 
+class CrashingLoadTest : public testing::TestWithParam<CrashingLoad>
+{};
+
+TEST_P(CrashingLoadTest, FewWorkersAreLostAndSoundWorkGoesOn)
+{
+  ExpectSoundWorkToGoOn(GetParam());
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Table,
   CrashingLoadTest,
   testing::Values(CrashingLoad{ "OneIn100Of64", 64, 0.01, false },
-                  CrashingLoad{ "OneIn20Of64", 64, 0.05, false },
                   CrashingLoad{ "OneIn100Of64BesideARack", 64, 0.01, true },
                   CrashingLoad{ "OneIn100Of160", 160, 0.01, false }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
+/// Apart from the table, so that it can be listed by a name of its own.
+TEST(CrashingLoadAim, OneIn20Of64Workers)
+{
+  ExpectSoundWorkToGoOn({ "OneIn20Of64", 64, 0.05, false });
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::cell::test
