A test that fails: an owner replaced unawares tells what it last knew

The reply to a forwarded request gets the generation that its sender knows of, which nothing uses yet.

--- a/src/core/cell/JobForward.cpp
+++ b/src/core/cell/JobForward.cpp
@@ -52,23 +52,23 @@
 {
   ForwardedReply operator()(const JobAccepted&) const
   {
-    return { ForwardedOutcome::Accepted, {}, 0, {} };
+    return { ForwardedOutcome::Accepted, {}, 0, {}, 0 };
   }
   ForwardedReply operator()(const JobShown& aShown) const
   {
-    return { ForwardedOutcome::Shown, aShown.mPhase, 0, {} };
+    return { ForwardedOutcome::Shown, aShown.mPhase, 0, {}, 0 };
   }
   ForwardedReply operator()(const JobCancelled&) const
   {
-    return { ForwardedOutcome::Cancelled, {}, 0, {} };
+    return { ForwardedOutcome::Cancelled, {}, 0, {}, 0 };
   }
   ForwardedReply operator()(const WaitingCounted& aCounted) const
   {
-    return { ForwardedOutcome::Counted, {}, aCounted.mWaiting, {} };
+    return { ForwardedOutcome::Counted, {}, aCounted.mWaiting, {}, 0 };
   }
   ForwardedReply operator()(const NoSuchJob&) const
   {
-    return { ForwardedOutcome::NoSuchJob, {}, 0, {} };
+    return { ForwardedOutcome::NoSuchJob, {}, 0, {}, 0 };
   }
   ForwardedReply operator()(const JobRefused& aRefused) const
   {
@@ -76,7 +76,8 @@
                                                   : ForwardedOutcome::InDoubt,
              {},
              0,
-             aRefused.mMessage };
+             aRefused.mMessage,
+             0 };
   }
 };
 
--- a/src/core/cell/JobForward.h
+++ b/src/core/cell/JobForward.h
@@ -50,6 +50,9 @@
   JobPhase mPhase = JobPhase::Queued; ///< Of Shown.
   std::int64_t mWaiting = 0;          ///< Of Counted.
   std::string mMessage;               ///< Of NotRun and InDoubt.
+  /// Of the newest owner that the answering process knows of; 0 = it has seen
+  /// none since it started.
+  Generation mGeneration = 0;
 };
 
 inline constexpr std::string_view kForwardMethod = "cell.forward";
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -396,6 +396,7 @@
   aVisitor.Optional("phase", aMessage.mPhase);
   aVisitor.Optional("waiting", aMessage.mWaiting);
   aVisitor.Optional("message", aMessage.mMessage);
+  aVisitor.Optional("generation", aMessage.mGeneration);
 }
 
 } // namespace foxtailbarrow::detail
--- /dev/null
+++ b/tests/scheduler/OwnMemoryTest.cpp
@@ -0,0 +1,144 @@
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include "apps/scheduler/JobDesk.h"
+#include "src/core/cell/CellRecords.h"
+#include "src/core/cell/JobForward.h"
+#include "src/net/HttpClient.h"
+#include "src/net/HttpServer.h"
+#include "src/net/TypedRpc.h"
+#include "src/platform/store/MemoryStore.h"
+#include "tests/scheduler/SilentStore.h"
+
+namespace foxtailbarrow::scheduler::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Longer than the owner's key lasts, shorter than its last grants.
+constexpr Duration kKeyLapsed = milliseconds(2300);
+
+/// Another scheduler, which is not the owner and cannot reach the store.
+struct PeerCase
+{
+  const char* mName;
+  bool mAnswers;
+  /// Of the newest owner that it has seen, less that of the owner asked.
+  cell::Generation mNewer;
+  bool mSawAny;
+  bool mShown; ///< The owner's own memory is told.
+};
+
+class OwnMemoryTest : public testing::TestWithParam<PeerCase>
+{
+protected:
+  OwnMemoryTest()
+    : mStore(mMemory)
+    , mPulsed(mStore)
+    , mClient(mRuntime)
+    , mRpc(mClient)
+    , mElection(mSettings, {}, mPulsed, [this](const cell::OwnerTerm& aTerm) {
+      return std::make_shared<CellOwner>(
+        CellOwner::Parts{ mRuntime,
+                          mPulsed,
+                          mRpc,
+                          {},
+                          std::chrono::hours(1),
+                          nullptr,
+                          [] {},
+                          [] { return Duration::zero(); } },
+        aTerm,
+        cell::CellSettings{},
+        std::vector<cell::QueuePolicy>{});
+    })
+  {
+    net::AddTyped<cell::ForwardedRequest>(
+      mDispatcher, cell::kForwardMethod, [this](const cell::ForwardedRequest&) {
+        cell::ForwardedReply reply;
+        reply.mOutcome = cell::ForwardedOutcome::NotRun;
+        reply.mGeneration = mPeerKnows;
+        return reply;
+      });
+    auto server = net::HttpServer::Start(
+      mRuntime, { "127.0.0.1", 0 }, [this](net::HttpRequest& aRequest) {
+        return mDispatcher.Handle(aRequest);
+      });
+    EXPECT_TRUE(server.ok());
+    const Endpoint peer = (*server)->ListeningEndpoint();
+    if (GetParam().mAnswers) {
+      mPeer = *std::move(server);
+    }
+    mDesk = std::make_unique<JobDesk>(
+      mRuntime, mPulsed, mRpc, mElection, std::vector<Endpoint>{ peer });
+  }
+
+  void TearDown() override
+  {
+    mRuntime.RunAndWait([this] {
+      mStore.mSilent = false;
+      mElection.Superseded();
+      mMemory.Close();
+      boost::this_fiber::sleep_for(seconds(1));
+    });
+  }
+
+  cell::JobAnswer Submit(const std::string& aId)
+  {
+    cell::SubmitJob submit;
+    submit.mGraph.mId = JobId(aId);
+    submit.mGraph.mQueue = cell::QueueId("queue");
+    submit.mGraph.mSteps.resize(1);
+    return mDesk->Answer({ std::move(submit), seconds(3) });
+  }
+
+  net::FiberRuntime mRuntime{ 1 };
+  MemoryStore mMemory;
+  SilentStore mStore;
+  PulsedStore mPulsed;
+  net::HttpClient mClient;
+  net::RpcClient mRpc;
+  SchedulerSettings mSettings;
+  Election mElection;
+  cell::Generation mPeerKnows = 0;
+  net::RpcDispatcher mDispatcher;
+  std::unique_ptr<net::HttpServer> mPeer;
+  std::unique_ptr<JobDesk> mDesk;
+};
+
+/// An owner was cut off from the store and replaced unawares. The next one told
+/// a caller that a job had completed, and died; the third scheduler could not
+/// reach the store. Asked in the 3.6 s in which its own last grants ran on, the
+/// first one still told what it knew: the job was "shown as queued after
+/// completed".
+TEST_P(OwnMemoryTest, IsToldOnlyWhereNobodyCanKnowBetter)
+{
+  mRuntime.RunAndWait([this] {
+    mElection.Round();
+    ASSERT_NE(mElection.Owner(), nullptr);
+    const cell::Generation own = mElection.KnownGeneration();
+    mPeerKnows = GetParam().mSawAny ? own + GetParam().mNewer : 0;
+    ASSERT_TRUE(std::holds_alternative<cell::JobAccepted>(Submit("job")));
+    mStore.mSilent = true;
+    Submit("other"); // The silence is noticed.
+    boost::this_fiber::sleep_for(kKeyLapsed);
+    const auto answer =
+      mDesk->Answer({ cell::ReadJob{ JobId("job") }, seconds(3) });
+    EXPECT_EQ(std::holds_alternative<cell::JobShown>(answer),
+              GetParam().mShown);
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  OwnMemoryTest,
+  testing::Values(PeerCase{ "PeerKnowsOfNoNewer", true, 0, true, true },
+                  PeerCase{ "PeerKnowsOfANewer", true, 1, true, false },
+                  PeerCase{ "PeerHasRestarted", true, 0, false, false },
+                  PeerCase{ "PeerIsDead", false, 0, true, false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::scheduler::test
