An owner tells its memory only where no scheduler knows of a later one

Cause: LastResort told the memory of an owner whose key had lapsed as soon as the others refused, whatever the reason: the next owner may have told an end and died, restarted, or lost its own key as well. Two living former owners could contradict each other in the same way (found by the test's second case). Ruled out: telling nothing at all after the key; that refuses reads for 3.6 s of each silence of the store although nobody else can know better. Change: the reply to a forwarded request carries the newest generation that its sender has seen; OwnerSurvey allows the memory where all others answered, all have seen an owner, and none a later one than the one asked. Before: OwnMemoryTest failed in 3 of 4 cases. After: all 4 hold, with the other tests of the scheduler; OwnerSurveyTest, 7 cases.

--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -68,7 +68,7 @@
   /// What a caller is told of the job, as long as no other owner can know
   /// better: an end that is recorded stands for good.
   std::optional<cell::JobPhase> PhaseNow(const JobId& aJob) const;
-  /// The same when nobody can be asked who may know better.
+  /// The same where no scheduler knows of a later owner.
   std::optional<cell::JobPhase> LastKnownPhase(const JobId& aJob) const;
 
   /// Does not suspend its fiber.
--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -127,7 +127,7 @@
   // it last knew.
   return !ChangesJob(aRequest) || mOutage.MayForward(MonotonicNow())
            ? Forward(aRequest, std::move(answer), deadline)
-           : LastResort(aRequest, std::move(answer));
+           : answer;
 }
 
 /// Asks one scheduler after the other until one does more than refuse.
@@ -136,11 +136,12 @@
                            Instant aDeadline)
 {
   const bool changes = ChangesJob(aRequest);
+  OwnerSurvey survey(mPeers.size());
   for (const Endpoint& peer : mPeers) {
     const Duration left =
       std::min<Duration>(aDeadline - MonotonicNow(), kForwardTimeout);
     if (left <= Duration::zero()) {
-      return LastResort(aRequest, std::move(aRefusal));
+      return aRefusal;
     }
     JobRequest request = aRequest;
     request.mTimeout = left;
@@ -156,9 +157,10 @@
     if (!WorthForwarding(answer)) {
       return answer;
     }
+    survey.NoteAnswer(reply->mGeneration);
   }
   mOutage.NotePeersRefused(MonotonicNow());
-  return LastResort(aRequest, std::move(aRefusal));
+  return LastResort(aRequest, std::move(aRefusal), survey);
 }
 
 JobAnswer JobDesk::AnswerHere(const JobRequest& aRequest)
@@ -309,11 +311,14 @@
            : StoreAway(absl::UnavailableError("the store does not answer"));
 }
 
-JobAnswer JobDesk::LastResort(const JobRequest& aRequest, JobAnswer aRefusal)
+JobAnswer JobDesk::LastResort(const JobRequest& aRequest,
+                              JobAnswer aRefusal,
+                              const OwnerSurvey& aOthers)
 {
   const auto* read = std::get_if<ReadJob>(&aRequest.mBody);
   const auto owner = mElection.Owner();
-  if (read != nullptr && owner != nullptr) {
+  if (read != nullptr && owner != nullptr &&
+      aOthers.NobodyAfter(owner->Term().OwnGeneration())) {
     if (const auto phase = owner->LastKnownPhase(read->mJob)) {
       return JobShown{ *phase };
     }
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -10,6 +10,7 @@
 #include "src/core/cell/CellConfiguration.h"
 #include "src/core/cell/JobRequest.h"
 #include "src/core/cell/OutageAnswers.h"
+#include "src/core/cell/OwnerSurvey.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Rpc.h"
 #include "src/platform/store/PulsedStore.h"
@@ -57,9 +58,10 @@
   cell::JobRefused RefusalOf(const JobId& aJob, cell::JobRefused aRefusal);
   Duration RetryAfter();
   /// For a read that nobody could answer: what this process knows as the owner
-  /// of the cell, although it may have been replaced.
+  /// of the cell, where all others answered and none knows of a later owner.
   cell::JobAnswer LastResort(const cell::JobRequest& aRequest,
-                             cell::JobAnswer aRefusal);
+                             cell::JobAnswer aRefusal,
+                             const cell::OwnerSurvey& aOthers);
   std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
   cell::JobAnswer ReadFromStore(const JobId& aJob);
   void TellOwner(const cell::StoredJob& aJob);
--- a/apps/scheduler/SchedulerPages.cpp
+++ b/apps/scheduler/SchedulerPages.cpp
@@ -64,7 +64,9 @@
                     aRequest.mGraph.empty() ? aRequest.mJob
                                             : aRequest.mGraph.front().mId },
                   { "outcome", OutcomeOf(answer) } });
-      return ToForwarded(answer);
+      ForwardedReply reply = ToForwarded(answer);
+      reply.mGeneration = mElection.KnownGeneration();
+      return reply;
     });
   net::AddTyped<RecordChanged>(
     mDispatcher, kRecordChangedMethod, [this](const RecordChanged& aRequest) {
