Try strong suspects beside proven tasks only

Ruled out: more weight for a likely crash of a strong suspect (a sound one beside a bad one is then given up); to wait for a worker by chance (on a busy cell of five workers something starts every 50 ms). Change: CrashTrials reserves the worker where the least would be lost, for 2 s, until what started there has lived 0.5 s; members of a gang are exempt, as they start together or never. TaskRun::Confirm replaces the same lines in two places.

--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -273,11 +273,17 @@
   if (compared && mFullFor.Refuses(aJob, spec)) {
     return false;
   }
-  const auto agent = ChooseWorker(
-    { mWorkers, mInterference, mSettings, mTrials, aClock.mNow, starving },
-    aJob,
-    aTask);
+  // The members of a gang start together or never, wherever there is room.
+  const bool apart = TriedApart(suspected) && !spec.mGang;
+  PlacementView view{ mWorkers,    mInterference, mSettings, mTrials,
+                      aClock.mNow, starving,      apart };
+  const auto agent = ChooseWorker(view, aJob, aTask);
   if (!agent) {
+    view.mQuietOnly = false;
+    if (const auto best = apart ? ChooseWorker(view, aJob, aTask) : agent;
+        best && mTrials.Reserve(*best, aTask, mWorkers.size(), aClock.mNow)) {
+      Tell("worker-reserved", aTask, *best, aRun, "trial");
+    }
     if (compared && aJob.Find(aTask)->mStalledUntil <= aClock.mNow) {
       mFullFor.NoteRefused(aJob, spec);
     }
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -21,6 +21,7 @@
   TaskEntry& task = *aJob.Find(aTask);
   task.mLastRun = std::max(task.mLastRun, aRun.mNumber);
   aWorker.mRuns[aTask] = aRun.mNumber;
+  aWorker.mStartedAt = std::max(aWorker.mStartedAt, aRun.mOrderedAt);
   if (task.mCrashes.Suspect()) {
     mTrials.Begin(
       aWorker.mId, { aTask, aRun.mNumber }, task.mCrashes.Suspected());
@@ -116,6 +117,7 @@
       return aTask.mTask == aForeign.first;
     });
   });
+  aWorker.mSeenAt = std::max(aWorker.mSeenAt, aSeenAt);
   for (const RunningTask& running : aRunning) {
     TakeRunningTask(aWorker, running, aSeenAt, aClock);
   }
@@ -138,10 +140,8 @@
     }
     return;
   }
-  if (run->mPhase == RunPhase::Ordered) {
-    run->mPhase = RunPhase::Running;
-    run->mRunningSince = aClock.mNow;
-    run->mPercentChangedAt = aClock.mNow;
+  if (run->Confirm(aClock.mNow)) {
+    aWorker.mStartedAt = aClock.mNow;
   }
   run->mSeenAt = std::max(run->mSeenAt, aSeenAt);
   NoteAlive(found->second, aRunning.mTask, *run, aClock);
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -224,10 +224,8 @@
       continue; // Its end came first.
     }
     if (result.mOutcome == StartOutcome::Started) {
-      if (run->mPhase == RunPhase::Ordered) {
-        run->mPhase = RunPhase::Running;
-        run->mRunningSince = aClock.mNow;
-        run->mPercentChangedAt = aClock.mNow;
+      if (run->Confirm(aClock.mNow)) {
+        worker->second.mStartedAt = aClock.mNow;
       }
       if (found->second.mPhase == JobPhase::Queued) {
         found->second.mPhase = JobPhase::Running;
--- a/src/core/cell/CrashTrials.cpp
+++ b/src/core/cell/CrashTrials.cpp
@@ -24,6 +24,9 @@
                         Suspicion aSuspicion)
 {
   mTrials.insert_or_assign(aAgent, Trial{ aRun, aSuspicion });
+  std::erase_if(mReserved, [&](const auto& aReserved) {
+    return aReserved.second.mTask == aRun.mTask;
+  });
 }
 
 void CrashTrials::End(const AgentId& aAgent, const RunRef& aRun)
@@ -39,8 +42,16 @@
   return found != mTrials.end() && found->second.mRun == aRun;
 }
 
-bool CrashTrials::Takes(const AgentId& aAgent, Suspicion aSuspicion) const
+bool CrashTrials::Takes(const AgentId& aAgent,
+                        const TaskRef& aTask,
+                        Suspicion aSuspicion,
+                        Instant aNow) const
 {
+  if (const auto reserved = mReserved.find(aAgent);
+      reserved != mReserved.end() && aNow < reserved->second.mUntil &&
+      reserved->second.mTask != aTask) {
+    return false;
+  }
   const auto found = mTrials.find(aAgent);
   return found == mTrials.end() ||
          (aSuspicion == Suspicion::None &&
@@ -66,4 +77,23 @@
   return ofGang || alike < Most(aSuspicion, aWorkers);
 }
 
+bool CrashTrials::Reserve(const AgentId& aAgent,
+                          const TaskRef& aTask,
+                          std::size_t aWorkers,
+                          Instant aNow)
+{
+  std::erase_if(mReserved, [aNow](const auto& aReserved) {
+    return aReserved.second.mUntil <= aNow;
+  });
+  const bool kept = std::ranges::any_of(mReserved, [&](const auto& aReserved) {
+    return aReserved.second.mTask == aTask;
+  });
+  if (kept || mReserved.contains(aAgent) ||
+      mReserved.size() >= Most(Suspicion::Strong, aWorkers)) {
+    return false;
+  }
+  mReserved.emplace(aAgent, Reservation{ aTask, aNow + kReservedFor });
+  return true;
+}
+
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CrashTrials.h
+++ b/src/core/cell/CrashTrials.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 
 #include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Time.h"
 #include "src/core/cell/TaskRef.h"
 
 namespace foxtailbarrow::cell {
@@ -18,20 +20,37 @@
   Strong,  ///< Several crashes.
 };
 
+/// Such a suspect is tried with nothing else that could be the cause.
+constexpr bool TriedApart(Suspicion aSuspicion)
+{
+  return aSuspicion == Suspicion::Unclear || aSuspicion == Suspicion::Strong;
+}
+
 /// Starts of suspects that have not lived for long enough yet: one a worker, so
 /// that a crash speaks against one task. Beside a weak suspect, which is tried
 /// for kFreshLife, other tasks are started; beside the others, which are tried
 /// for kProvenLife, none. Pure.
+///
+/// Where every worker has started something lately, one is reserved for such a
+/// suspect: nothing else is started there until it can be tried apart. Without
+/// this a task that always crashes was started six times instead of five: two
+/// crashes of its trials spoke against others as well.
 class CrashTrials
 {
 public:
+  /// Above kFreshLife and the time until a report shows it, 0.5 s each.
+  static constexpr Duration kReservedFor = std::chrono::milliseconds(2000);
+
   void Begin(const AgentId& aAgent, const RunRef& aRun, Suspicion aSuspicion);
   /// Nothing happens when another run is on trial there.
   void End(const AgentId& aAgent, const RunRef& aRun);
 
   bool IsTrial(const AgentId& aAgent, const RunRef& aRun) const;
-  /// True when the worker may get a start of such a task.
-  bool Takes(const AgentId& aAgent, Suspicion aSuspicion) const;
+  /// True when the worker may get a start of the task.
+  bool Takes(const AgentId& aAgent,
+             const TaskRef& aTask,
+             Suspicion aSuspicion,
+             Instant aNow) const;
 
   /// True when one more may begin, given the number of workers. One a job, so
   /// that a job risks one worker; but all members of a gang begin under one run
@@ -43,9 +62,22 @@
                 Suspicion aSuspicion,
                 std::size_t aWorkers) const;
 
+  /// Keeps a worker for the task, for kReservedFor. False when one is kept for
+  /// it already, or as many as may be on trial.
+  bool Reserve(const AgentId& aAgent,
+               const TaskRef& aTask,
+               std::size_t aWorkers,
+               Instant aNow);
+
   std::size_t Count() const { return mTrials.size(); }
 
 private:
+  struct Reservation
+  {
+    TaskRef mTask;
+    Instant mUntil{};
+  };
+
   struct Trial
   {
     RunRef mRun;
@@ -53,6 +85,7 @@
   };
 
   std::map<AgentId, Trial> mTrials;
+  std::map<AgentId, Reservation> mReserved;
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -43,6 +43,17 @@
   Instant mFigureAt{}; ///< Its newest figure was counted.
 
   /// Its worker has said that it runs.
+  /// It was started. False when that is known already.
+  bool Confirm(Instant aNow)
+  {
+    if (mPhase != RunPhase::Ordered) {
+      return false;
+    }
+    mPhase = RunPhase::Running;
+    mRunningSince = aNow;
+    mPercentChangedAt = aNow;
+    return true;
+  }
   bool Confirmed() const { return mRunningSince != Instant{}; }
 
   /// How long it is known to have run: it was alive at least so long.
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -254,7 +254,9 @@
   if (task.mStalledOn == aWorker.mId && aView.mNow < task.mStalledUntil) {
     return PlacementRefusal::StalledHere;
   }
-  if (!aView.mTrials.Takes(aWorker.mId, task.mCrashes.Suspected())) {
+  if (!aView.mTrials.Takes(
+        aWorker.mId, aTask, task.mCrashes.Suspected(), aView.mNow) ||
+      (aView.mQuietOnly && !aWorker.Quiet())) {
     return PlacementRefusal::OnTrial;
   }
   const bool runsHere = !task.mRuns.empty() && aWorker.mRuns.contains(aTask);
--- a/src/core/cell/WorkerChoice.h
+++ b/src/core/cell/WorkerChoice.h
@@ -29,6 +29,8 @@
   /// Nothing of the job has run for a while: any worker with room is better
   /// than none, however loaded.
   bool mStarving = false;
+  /// Only workers where nothing has just started.
+  bool mQuietOnly = false;
 };
 
 /// Picks the worker for one more run of a task, or none when no worker may take
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -10,6 +10,7 @@
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellMessages.h"
+#include "src/core/cell/CrashBlame.h"
 #include "src/core/cell/EndLedger.h"
 #include "src/core/cell/WorkerPressure.h"
 #include "src/core/cell/WorkerUse.h"
@@ -47,6 +48,8 @@
   Instant mGrantedUntil{}; ///< End of the newest grant of this owner.
   /// Latest end of a lease that this or an earlier owner may have granted.
   Instant mHeldUntil{};
+  Instant mStartedAt{};      ///< A start was ordered or confirmed last.
+  Instant mSeenAt{};         ///< Its newest answer that was reported.
   Instant mCrashedAt{};      ///< It was heard of its newest crash.
   Instant mMovedAt{};        ///< A stalled task was stopped last.
   Instant mLeavesAt{};       ///< While it drains.
@@ -57,6 +60,13 @@
   std::set<JobId> mFailingJobs; ///< Since the last task that ended done.
   std::int32_t mFailuresInRow = 0;
   Instant mAvoidUntil{}; ///< Nothing is started before, after failures.
+
+  /// Nothing of what runs there has started lately: a crash would speak against
+  /// a next start alone.
+  bool Quiet() const
+  {
+    return mRuns.empty() || mSeenAt - mStartedAt >= kFreshLife;
+  }
 };
 
 } // namespace foxtailbarrow::cell
--- a/tests/cell/CrashEvidenceTest.cpp
+++ b/tests/cell/CrashEvidenceTest.cpp
@@ -233,12 +233,48 @@
   CrashTrials trials;
   trials.Begin(AgentId("weak"), { kFirst, 7 }, Suspicion::Weak);
   trials.Begin(AgentId("strong"), FirstOf(1), Suspicion::Strong);
-  EXPECT_TRUE(trials.Takes(AgentId("weak"), Suspicion::None));
-  EXPECT_FALSE(trials.Takes(AgentId("weak"), Suspicion::Weak));
+  const auto takes = [&trials](const char* aAgent, Suspicion aSuspicion) {
+    return trials.Takes(
+      AgentId(aAgent), { JobId("any"), 0, 0, 0 }, aSuspicion, {});
+  };
+  EXPECT_TRUE(takes("weak", Suspicion::None));
+  EXPECT_FALSE(takes("weak", Suspicion::Weak));
   trials.Begin(AgentId("unclear"), FirstOf(2), Suspicion::Unclear);
-  EXPECT_FALSE(trials.Takes(AgentId("unclear"), Suspicion::None));
-  EXPECT_FALSE(trials.Takes(AgentId("strong"), Suspicion::None));
-  EXPECT_TRUE(trials.Takes(AgentId("other"), Suspicion::Strong));
+  EXPECT_FALSE(takes("unclear", Suspicion::None));
+  EXPECT_FALSE(takes("strong", Suspicion::None));
+  EXPECT_TRUE(takes("other", Suspicion::Strong));
+}
+
+TEST(CrashTrials, AReservedWorkerTakesNothingElseForAWhile)
+{
+  const TaskRef suspect{ JobId("job"), 0, 0, 0 };
+  const TaskRef other{ JobId("other"), 0, 0, 0 };
+  const AgentId agent("a");
+  const Instant begin{ std::chrono::seconds(100) };
+  const Instant end = begin + CrashTrials::kReservedFor;
+  CrashTrials trials;
+  EXPECT_TRUE(trials.Reserve(agent, suspect, 8, begin));
+  EXPECT_FALSE(trials.Reserve(AgentId("b"), suspect, 8, begin));
+  EXPECT_FALSE(trials.Reserve(agent, other, 8, begin));
+  EXPECT_TRUE(trials.Takes(agent, suspect, Suspicion::Strong, begin));
+  EXPECT_FALSE(trials.Takes(agent, other, Suspicion::Strong, begin));
+  EXPECT_FALSE(trials.Takes(agent, other, Suspicion::None, begin));
+  EXPECT_TRUE(trials.Takes(agent, other, Suspicion::None, end));
+  EXPECT_TRUE(trials.Reserve(AgentId("b"), suspect, 8, end));
+  trials.Begin(AgentId("c"), { suspect, 1 }, Suspicion::Strong);
+  EXPECT_TRUE(trials.Takes(AgentId("b"), other, Suspicion::None, end));
+}
+
+TEST(CrashTrials, NoMoreIsReservedThanMayBeOnTrial)
+{
+  CrashTrials trials;
+  std::size_t reserved = 0;
+  for (int number = 0; number < 16; ++number) {
+    const std::string name = std::to_string(number);
+    reserved +=
+      trials.Reserve(AgentId(name), { JobId(name), 0, 0, 0 }, 16, {}) ? 1 : 0;
+  }
+  EXPECT_EQ(reserved, 2U); // An eighth.
 }
 
 TEST(WorkerBookTest, ACrashNamesWhatMayHaveCausedIt)
