Tests that fail: starts that were ordered for a larger capacity

An agent hears of a smaller capacity up to a report before the cell's owner, and sent on what had been ordered for the larger one. A start order and the traits of a task now say what it reserves; nothing uses it yet. Failing: four of the six cases of ShrunkWorkerTest (four starts where two, or none, fit) and the owner's side of it in ShrinkingOrderTest.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -213,8 +213,11 @@
   if (mInfo.mDraining) {
     return StartOutcome::Unwell;
   }
-  mGovernor.NoteTraits(
-    { aOrder.mTask, aOrder.mLatencyTarget, aOrder.mLeftover, aOrder.mImage });
+  mGovernor.NoteTraits({ aOrder.mTask,
+                         aOrder.mLatencyTarget,
+                         aOrder.mLeftover,
+                         aOrder.mImage,
+                         aOrder.mReserved });
   mBook.NoteSent(aOrder.mTask, aOrder.mRun);
   const auto reply = mWorker.Start({ aOrder.mTask,
                                      aOrder.mRun,
--- a/src/core/cell/CellMessages.cpp
+++ b/src/core/cell/CellMessages.cpp
@@ -15,7 +15,7 @@
   { RunEnd::Alone, "alone" },
 });
 
-constexpr EnumText<StartOutcome, 7> kStartOutcomes({
+constexpr EnumText<StartOutcome, 8> kStartOutcomes({
   { StartOutcome::Started, "started" },
   { StartOutcome::NoRoom, "no-room" },
   { StartOutcome::OldRun, "old-run" },
@@ -23,6 +23,7 @@
   { StartOutcome::NoLease, "no-lease" },
   { StartOutcome::NoTicket, "no-ticket" },
   { StartOutcome::NotStarted, "not-started" },
+  { StartOutcome::OverCapacity, "over-capacity" },
 });
 
 constexpr EnumText<JobPhase, 5> kJobPhases({
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -9,6 +9,7 @@
 
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Id.h"
+#include "foxtailbarrow/Resources.h"
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/Interference.h"
 #include "src/core/cell/JobGraph.h"
@@ -35,6 +36,7 @@
   Duration mLatencyTarget{}; ///< 0 = not a serving task.
   bool mLeftover = false;    ///< May be slowed to protect serving tasks.
   std::string mImage;
+  Resources mReserved{}; ///< Of the worker's capacity.
 };
 
 struct StopOrder
@@ -50,6 +52,7 @@
   Duration mLatencyTarget{};
   bool mLeftover = false;
   std::string mImage;
+  Resources mReserved{};
 };
 
 enum class StartOutcome : std::uint8_t
@@ -61,6 +64,8 @@
   NoLease,    ///< The agent's grant has run out.
   NoTicket,   ///< The worker rejected the ticket.
   NotStarted, ///< Certainly not started, for another reason.
+  /// It does not fit the newest capacity that the agent knows: not sent.
+  OverCapacity,
 };
 
 std::string_view ToString(StartOutcome aOutcome);
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -332,7 +332,8 @@
            .mTicket = ticket == nullptr ? std::string() : *ticket,
            .mLatencyTarget = spec.mLatencyTarget,
            .mLeftover = spec.mLeftover,
-           .mImage = spec.mImage };
+           .mImage = spec.mImage,
+           .mReserved = Reservation(spec) };
 }
 
 TaskRun* CellScheduler::FindRun(const AgentId& aAgent, const StartOrder& aOrder)
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -204,8 +204,11 @@
     job.mPhase = JobPhase::Running;
   }
   const StepSpec& spec = job.Spec(aRunning.mTask);
-  mOrders[aWorker.mId].mTraits.push_back(
-    { aRunning.mTask, spec.mLatencyTarget, spec.mLeftover, spec.mImage });
+  mOrders[aWorker.mId].mTraits.push_back({ aRunning.mTask,
+                                           spec.mLatencyTarget,
+                                           spec.mLeftover,
+                                           spec.mImage,
+                                           Reservation(spec) });
   return true;
 }
 
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -217,6 +217,7 @@
   aVisitor.Optional("latencyTargetUs", aMessage.mLatencyTarget);
   aVisitor.Optional("leftover", aMessage.mLeftover);
   aVisitor.Optional("image", aMessage.mImage);
+  aVisitor.Optional("reserved", aMessage.mReserved);
 }
 
 template<typename Visitor, Is<cell::StopOrder> Message>
@@ -233,6 +234,7 @@
   aVisitor.Optional("latencyTargetUs", aMessage.mLatencyTarget);
   aVisitor.Optional("leftover", aMessage.mLeftover);
   aVisitor.Optional("image", aMessage.mImage);
+  aVisitor.Optional("reserved", aMessage.mReserved);
 }
 
 template<typename Visitor, Is<cell::StartResult> Message>
--- a/tests/cell/ShrinkingWorkerTest.cpp
+++ b/tests/cell/ShrinkingWorkerTest.cpp
@@ -27,6 +27,18 @@
     return state;
   }
 
+  /// The agent knows of a smaller capacity than the owner.
+  void RefuseAll(const std::string& aAgent, const OrderRequest& aOrders)
+  {
+    std::vector<StartResult> results;
+    for (const StartOrder& start : aOrders.mStarts) {
+      results.push_back(
+        { start.mTask, start.mRun, StartOutcome::OverCapacity });
+    }
+    mScheduler.TakeStartResults(
+      AgentId(aAgent), aOrders.mSession, results, Clock());
+  }
+
   static std::vector<RunningTask> RunningOf(const OrderRequest& aOrders)
   {
     std::vector<RunningTask> running;
@@ -77,6 +89,47 @@
                   ShrinkCase{ "FromZero", 0, 2000, 0, 2 }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
+/// The agent heard of the smaller capacity first.
+TEST_F(ShrinkingOrderTest, AStartThatNoLongerFitsGoesElsewhereAtOnce)
+{
+  Attach("a", Sized(4000));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  const OrderRequest first = Orders("a");
+  ASSERT_EQ(first.mStarts.size(), 2U);
+  RefuseAll("a", first);
+  Attach("b", Sized(4000));
+  Grant("b");
+  EXPECT_EQ(Orders("b").mStarts.size(), 2U);
+}
+
+/// What the owner believes of its capacity is older than the refusal: the same
+/// start would be refused again and again.
+TEST_F(ShrinkingOrderTest, AWorkerThatRefusedTakesNoStartUntilItsNextReport)
+{
+  Attach("a", Sized(4000));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  RefuseAll("a", Orders("a"));
+  EXPECT_TRUE(Orders("a").mStarts.empty());
+  Report("a", Sized(1000));
+  EXPECT_EQ(Orders("a").mStarts.size(), 1U);
+}
+
+/// Without a pause: it is the room that lacked, not the worker's health.
+TEST_F(ShrinkingOrderTest, AWorkerThatGrowsAgainTakesStartsAtOnce)
+{
+  Attach("a", Sized(4000));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  for (int flap = 0; flap < 5; ++flap) {
+    RefuseAll("a", Orders("a"));
+    Report("a", Sized(1000));
+    Report("a", Sized(4000));
+  }
+  EXPECT_EQ(Orders("a").mStarts.size(), 2U);
+}
+
 /// Room of an order that the agent has not carried out yet counts as taken.
 TEST_F(ShrinkingOrderTest, AnOrderOnItsWayCounts)
 {
--- a/tests/taskagent/WorkerControlTest.cpp
+++ b/tests/taskagent/WorkerControlTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <string>
 #include <vector>
 
 #include <boost/fiber/operations.hpp>
@@ -19,6 +21,7 @@
 {
 public:
   bool mAnswers = false;
+  int mStarts = 0; ///< Calls.
 
   void Expect(const cell::WorkerIncarnation&) override {}
 
@@ -32,6 +35,7 @@
   absl::StatusOr<cell::StartReply> Start(const cell::StartCall&,
                                          Duration) override
   {
+    ++mStarts;
     return cell::StartReply{};
   }
 
@@ -113,6 +117,73 @@
   });
 }
 
+struct ShrunkCase
+{
+  const char* mName;
+  std::int64_t mMillicores; ///< Capacity that was told last.
+  std::int64_t mRunning;    ///< Reserved by the task that is there.
+  int mStarted;             ///< Of four starts of 1000.
+};
+
+class ShrunkWorkerTest : public testing::TestWithParam<ShrunkCase>
+{};
+
+/// A report of a smaller capacity was on its way to the owner, and orders of
+/// the larger one on theirs: the starts brought the worker over it.
+TEST_P(ShrunkWorkerTest, GetsNoStartBeyondWhatItToldLast)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    SlowWorker worker;
+    worker.mAnswers = true;
+    WorkerControl control(worker, [] {});
+    cell::WorkerInfo info;
+    info.mIncarnation = cell::WorkerIncarnation("life");
+    info.mCapacity = { 8000, 8000, 0 };
+    control.TakeInfo(info);
+    ASSERT_TRUE(control.Attach(1 << 8).ok());
+    control.TakeGrant(1 << 8, MonotonicNow(), std::chrono::seconds(3), 0);
+    info.mCapacity.mMillicores = GetParam().mMillicores;
+    control.TakeInfo(info);
+    cell::OrderRequest orders;
+    orders.mSession = 1 << 8;
+    orders.mNumber = 1;
+    orders.mIncarnation = info.mIncarnation;
+    orders.mTraits.push_back(
+      { kTask, {}, false, "", { GetParam().mRunning, 1000, 0 } });
+    for (int index = 1; index <= 4; ++index) {
+      cell::StartOrder& start = orders.mStarts.emplace_back();
+      start.mTask = { JobId("job"), 0, 0, index };
+      start.mReserved = { 1000, 1000, 0 };
+    }
+    const cell::OrderReply reply = control.CarryOut(orders);
+    EXPECT_TRUE(reply.mAccepted);
+    const auto started =
+      std::ranges::count_if(reply.mStarts, [](const auto& aResult) {
+        return aResult.mOutcome == cell::StartOutcome::Started;
+      });
+    const auto refused =
+      std::ranges::count_if(reply.mStarts, [](const auto& aResult) {
+        return aResult.mOutcome == cell::StartOutcome::OverCapacity;
+      });
+    EXPECT_EQ(started, GetParam().mStarted);
+    EXPECT_EQ(refused, 4 - GetParam().mStarted);
+    EXPECT_EQ(worker.mStarts, GetParam().mStarted);
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ShrunkWorkerTest,
+                         testing::Values(ShrunkCase{ "Same", 8000, 1000, 4 },
+                                         ShrunkCase{ "Smaller", 3000, 1000, 2 },
+                                         ShrunkCase{ "Full", 1000, 1000, 0 },
+                                         ShrunkCase{ "Below", 500, 1000, 0 },
+                                         ShrunkCase{ "ToZero", 0, 1000, 0 },
+                                         ShrunkCase{ "Leftover", 4000, 0, 4 }),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.mName);
+                         });
+
 TEST(WorkerControlTest, NoSessionIsInForceBeforeTheWorkerWasLookedAt)
 {
   net::FiberRuntime runtime(1);
