The last look before a start is the agent's, by the newest capacity

Cause: the owner's view of a worker's capacity is up to a report old, and the agent sent on whatever it was ordered to. Ruled out: to take the capacity over with the refusal; a report that builds on the older one would then say nothing when the worker grows back before it. Change: CapacityGate (pure) at the agent counts what runs, is being stopped and is on its way; a start that does not fit is refused as over-capacity, not sent, and the agent reports at once. The owner places the task again without a pause, and starts nothing on that worker until its next report. Log line start-over-capacity with inputs, metric starts_over_capacity.

--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -108,6 +108,10 @@
   mMetrics.SampledGauge("tasks_running", "Tasks on the worker.", [this] {
     return static_cast<double>(mWorker.Snapshot().mState.mRunning.size());
   });
+  mMetrics.SampledGauge(
+    "starts_over_capacity",
+    "Starts refused as not fitting the worker's newest capacity.",
+    [this] { return static_cast<double>(mWorker.RefusedOverCapacity()); });
   mMetrics.SampledGauge(
     "foreign_heartbeats", "Heartbeats that were not the worker's.", [this] {
       return static_cast<double>(mForeignHeartbeats);
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -165,6 +165,7 @@
   }
   for (const cell::TaskTraits& traits : aOrders.mTraits) {
     mGovernor.NoteTraits(traits);
+    mGate.NoteTask(traits.mTask, traits.mReserved);
   }
   bool settled = true;
   std::vector<boost::fibers::fiber> calls;
@@ -213,6 +214,9 @@
   if (mInfo.mDraining) {
     return StartOutcome::Unwell;
   }
+  if (!HasRoom(aOrder)) {
+    return StartOutcome::OverCapacity;
+  }
   mGovernor.NoteTraits({ aOrder.mTask,
                          aOrder.mLatencyTarget,
                          aOrder.mLeftover,
@@ -254,6 +258,27 @@
   return outcome;
 }
 
+bool WorkerControl::HasRoom(const cell::StartOrder& aOrder)
+{
+  const std::vector<cell::TaskRef> there = mBook.MayBeThere();
+  const Resources& capacity = mInfo.mCapacity;
+  if (mGate.Admits(capacity, there, aOrder.mTask, aOrder.mReserved)) {
+    return true;
+  }
+  ++mOverCapacity;
+  LogChange("start-over-capacity",
+            { { "task", ToString(aOrder.mTask) },
+              { "run", aOrder.mRun },
+              { "millicores", aOrder.mReserved.mMillicores },
+              { "memoryMb", aOrder.mReserved.mMemoryMb },
+              { "ofMillicores", capacity.mMillicores },
+              { "ofMemoryMb", capacity.mMemoryMb },
+              { "there", there.size() } });
+  // The owner starts nothing here until it has heard of the capacity.
+  mOnNews();
+  return false;
+}
+
 bool WorkerControl::Stop(const cell::OrderRequest& aOrders,
                          const cell::StopOrder& aOrder)
 {
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/statusor.h"
 
+#include "src/core/cell/CapacityGate.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/LeaseGrant.h"
 #include "src/core/cell/PaceGovernor.h"
@@ -76,6 +77,8 @@
   Duration Look();
 
   WorkerSnapshot Snapshot() const;
+  /// Starts that were refused for lack of room so far.
+  std::int64_t RefusedOverCapacity() const { return mOverCapacity; }
   /// The session in force; 0 while one begins, since what is known of the
   /// worker may be older than it: a report then would deny what runs.
   cell::Session CurrentSession() const { return mBegun ? mSession : 0; }
@@ -88,6 +91,8 @@
   cell::StartOutcome Start(const cell::OrderRequest& aOrders,
                            const cell::StartOrder& aOrder,
                            bool& aSettled);
+  /// False when the start does not fit the worker's newest capacity.
+  bool HasRoom(const cell::StartOrder& aOrder);
   bool Stop(const cell::OrderRequest& aOrders, const cell::StopOrder& aOrder);
   /// Raises the fence and looks, until the worker answers or time runs out.
   bool Settle(cell::Session aSession);
@@ -100,6 +105,8 @@
   cell::WorkerInfo mInfo;
   cell::WorkerBook mBook;
   std::deque<cell::CrashedWorker> mCrashes; ///< The newest ones, oldest first.
+  cell::CapacityGate mGate;
+  std::int64_t mOverCapacity = 0;
   cell::LeaseGrant mLease;
   cell::PaceGovernor mGovernor;
   cell::Session mSession = 0;
--- /dev/null
+++ b/src/core/cell/CapacityGate.cpp
@@ -0,0 +1,31 @@
+#include "src/core/cell/CapacityGate.h"
+
+#include <algorithm>
+
+namespace foxtailbarrow::cell {
+
+void CapacityGate::NoteTask(const TaskRef& aTask, const Resources& aReserved)
+{
+  mReserved.insert_or_assign(aTask, aReserved);
+}
+
+bool CapacityGate::Admits(const Resources& aCapacity,
+                          std::span<const TaskRef> aThere,
+                          const TaskRef& aTask,
+                          const Resources& aReserved)
+{
+  std::erase_if(mReserved, [aThere](const auto& aEntry) {
+    return std::ranges::find(aThere, aEntry.first) == aThere.end();
+  });
+  Resources used = aReserved;
+  for (const auto& [task, reserved] : mReserved) {
+    used += reserved;
+  }
+  if (!used.FitsIn(aCapacity)) {
+    return false;
+  }
+  mReserved.insert_or_assign(aTask, aReserved);
+  return true;
+}
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -29,6 +29,7 @@
   worker.mLastOrder = 0;
   worker.mForeign.clear();
   worker.mAnswers = true;
+  worker.mAwaitsReport = false;
   // Until the first report, leases are those that an earlier owner granted.
   worker.mHeldUntil =
     std::max(worker.mHeldUntil, aClock.mNow + mSettings.mHold);
@@ -73,6 +74,7 @@
     return true;
   }
   worker.mLastSequence = aReport.mSequence;
+  worker.mAwaitsReport = false;
   TakeSilence(worker, aReport, aClock);
   if (aReport.mBase == 0) {
     worker.mReported = aReport.mState;
@@ -243,7 +245,11 @@
     }
     RemoveRun(found->second, result.mTask, aAgent, result.mRun, aClock);
     StopGang(found->second, result.mTask, result.mRun, aClock);
-    task->mNotBefore = aClock.mNow + mSettings.mRefusalPause;
+    if (result.mOutcome == StartOutcome::OverCapacity) {
+      worker->second.mAwaitsReport = true;
+    } else {
+      task->mNotBefore = aClock.mNow + mSettings.mRefusalPause;
+    }
   }
 }
 
--- a/src/core/cell/WorkerBook.cpp
+++ b/src/core/cell/WorkerBook.cpp
@@ -98,6 +98,21 @@
   return crash;
 }
 
+std::vector<TaskRef> WorkerBook::MayBeThere() const
+{
+  std::vector<TaskRef> there;
+  for (const RunningTask& task : mLooked) {
+    there.push_back(task.mTask);
+  }
+  for (const auto& [key, at] : mStarted) {
+    there.push_back(key.first);
+  }
+  for (const auto& [task, run] : mSent) {
+    there.push_back(task);
+  }
+  return there;
+}
+
 std::vector<RunningTask> WorkerBook::Running() const
 {
   std::vector<RunningTask> running = mLooked;
--- a/src/core/cell/WorkerBook.h
+++ b/src/core/cell/WorkerBook.h
@@ -40,6 +40,9 @@
 
   std::vector<RunningTask> Running() const;
 
+  /// What may take room: what runs, and starts without an answer.
+  std::vector<TaskRef> MayBeThere() const;
+
   /// The worker has crashed after its last answer at `aAnsweredAt`: what it may
   /// have crashed of.
   CrashedWorker CrashAfter(Instant aAnsweredAt) const;
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -56,8 +56,8 @@
 {
   const StepSpec& spec = aJob.Spec(aTask);
   if (aWorker.mLink != WorkerLink::Attached || !aWorker.mAnswers ||
-      !aWorker.mForeign.empty() || aWorker.mAvoidUntil > aNow ||
-      aWorker.mGrantedUntil <= aNow) {
+      aWorker.mAwaitsReport || !aWorker.mForeign.empty() ||
+      aWorker.mAvoidUntil > aNow || aWorker.mGrantedUntil <= aNow) {
     return false;
   }
   if (!CouldRun(aWorker, aJob, aTask) || !HasRoom(aWorker, spec)) {
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -55,6 +55,8 @@
   Instant mLeavesAt{};       ///< While it drains.
   Instant mObservedAt{};     ///< Figures were last learned from.
   bool mAnswers = true;      ///< To its agent.
+  /// Its agent knows of a smaller capacity than the last report told.
+  bool mAwaitsReport = false;
   Instant mSilentLeaseEnd{}; ///< While it does not answer.
 
   std::set<JobId> mFailingJobs; ///< Since the last task that ended done.
--- /dev/null
+++ b/tests/cell/CapacityGateTest.cpp
@@ -0,0 +1,76 @@
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "src/core/cell/CapacityGate.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+TaskRef Task(int aIndex)
+{
+  return { JobId("job"), 0, 0, aIndex };
+}
+
+/// Two tasks of 1000 millicores and 100 MiB are there, one of them being
+/// stopped; the start asks for as much.
+struct GateCase
+{
+  const char* mName;
+  Resources mCapacity;
+  std::vector<TaskRef> mThere;
+  bool mAdmits;
+};
+
+class CapacityGateTest : public testing::TestWithParam<GateCase>
+{};
+
+TEST_P(CapacityGateTest, AdmitsWhatFitsTheNewestCapacity)
+{
+  const Resources each{ 1000, 100, 0 };
+  CapacityGate gate;
+  gate.NoteTask(Task(0), each);
+  gate.NoteTask(Task(1), each);
+  EXPECT_EQ(gate.Admits(GetParam().mCapacity, GetParam().mThere, Task(2), each),
+            GetParam().mAdmits);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  CapacityGateTest,
+  testing::Values(
+    GateCase{ "Fits", { 3000, 300, 0 }, { Task(0), Task(1) }, true },
+    GateCase{ "TooFewCores", { 2999, 300, 0 }, { Task(0), Task(1) }, false },
+    GateCase{ "TooLittleMemory",
+              { 3000, 299, 0 },
+              { Task(0), Task(1) },
+              false },
+    GateCase{ "OneHasEnded", { 2000, 200, 0 }, { Task(1) }, true },
+    GateCase{ "AllHaveEnded", { 1000, 100, 0 }, {}, true },
+    GateCase{ "BelowOneTask", { 500, 100, 0 }, {}, false },
+    GateCase{ "Nothing", { 0, 0, 0 }, {}, false },
+    GateCase{ "BelowWhatRuns", { 1000, 100, 0 }, { Task(0), Task(1) }, false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+/// Starts of one message are admitted before any of them is answered.
+TEST(CapacityGateTest, WhatWasAdmittedCounts)
+{
+  const Resources each{ 1000, 100, 0 };
+  CapacityGate gate;
+  std::vector<TaskRef> there;
+  int admitted = 0;
+  for (int index = 0; index < 5; ++index) {
+    if (gate.Admits({ 3500, 1000, 0 }, there, Task(index), each)) {
+      there.push_back(Task(index));
+      ++admitted;
+    }
+  }
+  EXPECT_EQ(admitted, 3);
+  there.erase(there.begin());
+  EXPECT_TRUE(gate.Admits({ 3500, 1000, 0 }, there, Task(9), each));
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
