Trials and counters of crashes by queue

Cause: one queue whose tasks crash workers again and again could hold all places for trials, so that the suspects of other queues were not cleared; and the metrics did not tell whose tasks they were. Ruled out: to hold a queue's new starts after many crashes; where a rack crashes by itself, its sound jobs would wait seconds for room that is there. Change: while suspects of another queue wait, a queue has half of the places at most (CrashTrials); suspected, cleared, given up are counted by queue. Red with the condition taken out: AQueueLeavesHalfToOthersThatWait. After: all tests of the cell (250) and of the scheduler (14).

--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -88,6 +88,7 @@
   , mRpc(mClient)
   , mConfiguration(mStore,
                    [this](const CellConfiguration& aConfiguration) {
+                     AddQueueMetrics(aConfiguration);
                      // One that still loads must not miss it: without policies
                      // nothing would start until the next change.
                      if (const auto owner = mElection.Term()) {
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 
 #include "absl/status/status.h"
 
@@ -47,6 +48,7 @@
   void AddViews();
   void AddLoadMetrics();
   void AddCrashMetrics();
+  void AddQueueMetrics(const cell::CellConfiguration& aConfiguration);
   bool Unadvised(const cell::JobRequest& aRequest,
                  const cell::CellConfiguration& aConfiguration) const;
   cell::JobAnswer Refuse(const absl::Status& aStatus) const;
@@ -66,6 +68,7 @@
   Election mElection;
   JobDesk mJobs;
   Metrics mMetrics;
+  std::set<cell::QueueId> mMeasuredQueues;
   StateDump mState;
   AdminPages mAdmin;
   prometheus::Histogram& mAnswerTime;
--- a/apps/scheduler/SchedulerPages.cpp
+++ b/apps/scheduler/SchedulerPages.cpp
@@ -110,30 +110,17 @@
     });
 }
 
-/// Crashes of workers, and what they were held against.
+/// Crashes of workers.
 void Scheduler::AddCrashMetrics()
 {
-  const auto figure = [this](const char* aName,
-                             const char* aHelp,
-                             std::uint64_t CrashFigures::*aFigure) {
-    mMetrics.SampledGauge(aName, aHelp, [this, aFigure] {
-      const auto owner = mElection.Owner();
-      return owner ? static_cast<double>(owner->Logic().Crashes().*aFigure)
-                   : 0.0;
-    });
-  };
-  figure("owner_workers_crashed",
-         "Crashes of workers heard of in this term.",
-         &CrashFigures::mWorkers);
-  figure("owner_tasks_suspected",
-         "Times that a crash counted against a task.",
-         &CrashFigures::mSuspected);
-  figure("owner_tasks_cleared",
-         "Tasks that a run has cleared again.",
-         &CrashFigures::mCleared);
-  figure("owner_tasks_given_up",
-         "Jobs failed for a task under which workers crashed.",
-         &CrashFigures::mGivenUp);
+  mMetrics.SampledGauge("owner_workers_crashed",
+                        "Crashes of workers heard of in this term.",
+                        [this] {
+                          const auto owner = mElection.Owner();
+                          return owner ? static_cast<double>(
+                                           owner->Logic().Crashes().mWorkers)
+                                       : 0.0;
+                        });
   mMetrics.SampledGauge(
     "owner_trials", "Suspects that have just been started.", [this] {
       const auto owner = mElection.Owner();
@@ -141,6 +128,42 @@
     });
 }
 
+/// What crashes were held against the tasks of each queue, of those that are
+/// new in the configuration.
+void Scheduler::AddQueueMetrics(const CellConfiguration& aConfiguration)
+{
+  for (const QueueRoute& route : aConfiguration.mRoutes) {
+    const QueueId& queue = route.mPolicy.mQueue;
+    if (!mMeasuredQueues.insert(queue).second) {
+      continue;
+    }
+    const auto figure = [this,
+                         &queue](const char* aName,
+                                 const char* aHelp,
+                                 std::uint64_t QueueCrashFigures::*aFigure) {
+      mMetrics.SampledGauge(
+        aName,
+        aHelp,
+        [this, queue, aFigure] {
+          const auto owner = mElection.Owner();
+          return owner ? static_cast<double>(
+                           owner->Logic().Crashes().Of(queue).*aFigure)
+                       : 0.0;
+        },
+        { { "queue", queue.Value() } });
+    };
+    figure("owner_tasks_suspected",
+           "Times that a crash counted against a task.",
+           &QueueCrashFigures::mSuspected);
+    figure("owner_tasks_cleared",
+           "Tasks that a run has cleared again.",
+           &QueueCrashFigures::mCleared);
+    figure("owner_tasks_given_up",
+           "Jobs failed for a task under which workers crashed.",
+           &QueueCrashFigures::mGivenUp);
+  }
+}
+
 void Scheduler::AddViews()
 {
   AddProcessMetrics(mMetrics);
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -10,6 +10,7 @@
 #include "src/core/cell/CellDecision.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/CellSettings.h"
+#include "src/core/cell/CrashFigures.h"
 #include "src/core/cell/CrashTrials.h"
 #include "src/core/cell/CrashedWorker.h"
 #include "src/core/cell/FullFor.h"
@@ -44,15 +45,6 @@
   Unexplained,
 };
 
-/// What the owner has made of crashes in its term, for the metrics.
-struct CrashFigures
-{
-  std::uint64_t mWorkers = 0;   ///< Crashes of workers.
-  std::uint64_t mSuspected = 0; ///< Times that a crash counted for a task.
-  std::uint64_t mCleared = 0;
-  std::uint64_t mGivenUp = 0;
-};
-
 /// Decides what runs where in one cell, as its one owner: jobs, workers and
 /// their reports go in; orders for agents, progress to record and ends to
 /// acknowledge come out. Pure: no I/O, the clock is passed in.
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -73,7 +73,7 @@
     task->mFailedOn.push_back(aAgent);
     job.mSuspects.insert(aRun.mTask);
   }
-  ++mCrashFigures.mSuspected;
+  ++mCrashFigures.mQueues[job.Graph().mQueue].mSuspected;
   Tell(aBlame == CrashBlame::Beside ? "task-beside-crash" : "task-suspected",
        aRun.mTask,
        aAgent,
@@ -91,7 +91,7 @@
                            const AgentId& aAgent,
                            const CellClock& aClock)
 {
-  ++mCrashFigures.mGivenUp;
+  ++mCrashFigures.mQueues[aJob.Graph().mQueue].mGivenUp;
   const CrashHistory::Runs& crashes = aJob.Find(aRun.mTask)->mCrashes.Crashes();
   Tell("task-given-up",
        aRun.mTask,
@@ -119,7 +119,7 @@
   if (!aJob.Find(aTask)->mCrashes.Clear(aRun)) {
     return;
   }
-  ++mCrashFigures.mCleared;
+  ++mCrashFigures.mQueues[aJob.Graph().mQueue].mCleared;
   aJob.mSuspects.erase(aTask);
   mPlacingChanged = true;
   MarkChanged(aJob, aClock.mNow);
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -266,7 +266,9 @@
   const Suspicion suspected = aJob.Find(aTask)->mCrashes.Suspected();
   const bool suspect = suspected != Suspicion::None;
   if (suspect &&
-      !mTrials.MayBegin({ aTask, aRun }, suspected, mWorkers.size())) {
+      !mTrials.MayBegin({ { aTask, aRun }, aJob.Graph().mQueue, suspected },
+                        mWorkers.size(),
+                        aClock.mNow)) {
     return false;
   }
   const bool compared = !starving && !suspect && FullFor::Covers(aJob, spec);
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -23,8 +23,10 @@
   aWorker.mRuns[aTask] = aRun.mNumber;
   aWorker.mStartedAt = std::max(aWorker.mStartedAt, aRun.mOrderedAt);
   if (task.mCrashes.Suspect()) {
-    mTrials.Begin(
-      aWorker.mId, { aTask, aRun.mNumber }, task.mCrashes.Suspected());
+    mTrials.Begin(aWorker.mId,
+                  { { aTask, aRun.mNumber },
+                    aJob.Graph().mQueue,
+                    task.mCrashes.Suspected() });
   }
   CountUse(aWorker.mUse, aTask.mJob, aJob.Spec(aTask), 1);
   aWorker.mPressure.Forget();
--- /dev/null
+++ b/src/core/cell/CrashFigures.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "src/core/cell/JobGraph.h"
+
+namespace foxtailbarrow::cell {
+
+/// What crashes were held against one queue's tasks.
+struct QueueCrashFigures
+{
+  std::uint64_t mSuspected = 0; ///< Times that a crash counted for a task.
+  std::uint64_t mCleared = 0;   ///< Tasks that a run has cleared again.
+  std::uint64_t mGivenUp = 0;   ///< Jobs failed for their crashes.
+};
+
+/// What the owner has made of crashes in its term, for the metrics.
+struct CrashFigures
+{
+  std::uint64_t mWorkers = 0; ///< Crashes of workers.
+  std::map<QueueId, QueueCrashFigures> mQueues;
+
+  QueueCrashFigures Of(const QueueId& aQueue) const
+  {
+    const auto found = mQueues.find(aQueue);
+    return found == mQueues.end() ? QueueCrashFigures{} : found->second;
+  }
+};
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/CrashTrials.cpp
+++ b/src/core/cell/CrashTrials.cpp
@@ -19,13 +19,11 @@
 
 } // namespace
 
-void CrashTrials::Begin(const AgentId& aAgent,
-                        const RunRef& aRun,
-                        Suspicion aSuspicion)
+void CrashTrials::Begin(const AgentId& aAgent, const SuspectStart& aStart)
 {
-  mTrials.insert_or_assign(aAgent, Trial{ aRun, aSuspicion });
+  mTrials.insert_or_assign(aAgent, aStart);
   std::erase_if(mReserved, [&](const auto& aReserved) {
-    return aReserved.second.mTask == aRun.mTask;
+    return aReserved.second.mTask == aStart.mRun.mTask;
   });
 }
 
@@ -58,23 +56,45 @@
           found->second.mSuspicion == Suspicion::Weak);
 }
 
-bool CrashTrials::MayBegin(const RunRef& aRun,
-                           Suspicion aSuspicion,
-                           std::size_t aWorkers) const
+bool CrashTrials::MayBegin(const SuspectStart& aStart,
+                           std::size_t aWorkers,
+                           Instant aNow)
 {
   std::size_t alike = 0;
+  std::size_t ofQueue = 0;
   bool ofGang = false;
   for (const auto& [agent, trial] : mTrials) {
-    alike += trial.mSuspicion == aSuspicion ? 1 : 0;
-    if (trial.mRun.mTask.mJob != aRun.mTask.mJob) {
+    if (trial.mSuspicion == aStart.mSuspicion) {
+      ++alike;
+      ofQueue += trial.mQueue == aStart.mQueue ? 1 : 0;
+    }
+    if (trial.mRun.mTask.mJob != aStart.mRun.mTask.mJob) {
       continue;
     }
-    if (trial.mRun.mRun != aRun.mRun || trial.mRun.mTask == aRun.mTask) {
+    if (trial.mRun.mRun != aStart.mRun.mRun ||
+        trial.mRun.mTask == aStart.mRun.mTask) {
       return false;
     }
     ofGang = true;
   }
-  return ofGang || alike < Most(aSuspicion, aWorkers);
+  const std::size_t most = Most(aStart.mSuspicion, aWorkers);
+  if (ofGang) {
+    return true;
+  }
+  if (alike >= most) {
+    mTurnedAway[{ aStart.mQueue, aStart.mSuspicion }] = aNow;
+    return false;
+  }
+  return ofQueue < most / 2 || !OthersWait(aStart, aNow);
+}
+
+bool CrashTrials::OthersWait(const SuspectStart& aStart, Instant aNow) const
+{
+  return std::ranges::any_of(mTurnedAway, [&](const auto& aEntry) {
+    const auto& [queue, suspicion] = aEntry.first;
+    return queue != aStart.mQueue && suspicion == aStart.mSuspicion &&
+           aNow - aEntry.second < kTurn;
+  });
 }
 
 bool CrashTrials::Reserve(const AgentId& aAgent,
--- a/src/core/cell/CrashTrials.h
+++ b/src/core/cell/CrashTrials.h
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/JobGraph.h"
 #include "src/core/cell/TaskRef.h"
 
 namespace foxtailbarrow::cell {
@@ -26,6 +28,14 @@
   return aSuspicion == Suspicion::Unclear || aSuspicion == Suspicion::Strong;
 }
 
+/// A start of a suspect.
+struct SuspectStart
+{
+  RunRef mRun;
+  QueueId mQueue;
+  Suspicion mSuspicion = Suspicion::None;
+};
+
 /// Starts of suspects that have not lived for long enough yet: one a worker, so
 /// that a crash speaks against one task. Beside a weak suspect, which is tried
 /// for kFreshLife, other tasks are started; beside the others, which are tried
@@ -41,7 +51,10 @@
   /// Above kFreshLife and the time until a report shows it, 0.5 s each.
   static constexpr Duration kReservedFor = std::chrono::milliseconds(2000);
 
-  void Begin(const AgentId& aAgent, const RunRef& aRun, Suspicion aSuspicion);
+  /// A queue that was turned away waits for its turn so long.
+  static constexpr Duration kTurn = std::chrono::milliseconds(1000);
+
+  void Begin(const AgentId& aAgent, const SuspectStart& aStart);
   /// Nothing happens when another run is on trial there.
   void End(const AgentId& aAgent, const RunRef& aRun);
 
@@ -58,9 +71,11 @@
   /// eighth of the workers; of each other kind, most of which only started
   /// beside the cause, half: with two at a time of five workers, crashes that
   /// had made 150 suspects left 48 jobs waiting for over 25 s. Two at least.
-  bool MayBegin(const RunRef& aRun,
-                Suspicion aSuspicion,
-                std::size_t aWorkers) const;
+  ///
+  /// While suspects of another queue wait for their turn, a queue has half of
+  /// these at most: one whose tasks crash workers again and again does not keep
+  /// the tasks of others from being cleared.
+  bool MayBegin(const SuspectStart& aStart, std::size_t aWorkers, Instant aNow);
 
   /// Keeps a worker for the task, for kReservedFor. False when one is kept for
   /// it already, or as many as may be on trial.
@@ -78,13 +93,12 @@
     Instant mUntil{};
   };
 
-  struct Trial
-  {
-    RunRef mRun;
-    Suspicion mSuspicion = Suspicion::None;
-  };
+  /// Another queue's suspects of that kind have lately found no place.
+  bool OthersWait(const SuspectStart& aStart, Instant aNow) const;
 
-  std::map<AgentId, Trial> mTrials;
+  std::map<AgentId, SuspectStart> mTrials;
+  /// When suspects found no place last.
+  std::map<std::pair<QueueId, Suspicion>, Instant> mTurnedAway;
   std::map<AgentId, Reservation> mReserved;
 };
 
--- a/tests/cell/CrashEvidenceTest.cpp
+++ b/tests/cell/CrashEvidenceTest.cpp
@@ -176,6 +176,13 @@
   return { { JobId("job" + std::to_string(aJob)), 0, 0, 0 }, 1 };
 }
 
+SuspectStart Suspect(int aJob,
+                     Suspicion aSuspicion,
+                     const char* aQueue = "queue")
+{
+  return { FirstOf(aJob), QueueId(aQueue), aSuspicion };
+}
+
 struct TrialCase
 {
   const char* mName;
@@ -192,18 +199,19 @@
   const TrialCase& limit = GetParam();
   CrashTrials trials;
   int begun = 0;
-  while (trials.MayBegin(FirstOf(begun), limit.mSuspicion, limit.mWorkers)) {
+  while (
+    trials.MayBegin(Suspect(begun, limit.mSuspicion), limit.mWorkers, kNow)) {
     const AgentId agent(std::to_string(begun));
-    trials.Begin(agent, FirstOf(begun), limit.mSuspicion);
+    trials.Begin(agent, Suspect(begun, limit.mSuspicion));
     ++begun;
   }
   EXPECT_EQ(begun, limit.mMost);
   trials.End(AgentId("0"), FirstOf(1)); // Another run: nothing happens.
   EXPECT_FALSE(
-    trials.MayBegin(FirstOf(begun), limit.mSuspicion, limit.mWorkers));
+    trials.MayBegin(Suspect(begun, limit.mSuspicion), limit.mWorkers, kNow));
   trials.End(AgentId("0"), FirstOf(0));
   EXPECT_TRUE(
-    trials.MayBegin(FirstOf(begun), limit.mSuspicion, limit.mWorkers));
+    trials.MayBegin(Suspect(begun, limit.mSuspicion), limit.mWorkers, kNow));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -222,24 +230,49 @@
 {
   constexpr std::size_t kWorkers = 64;
   CrashTrials trials;
-  trials.Begin(AgentId("a"), { kFirst, 7 }, Suspicion::Weak);
-  EXPECT_FALSE(trials.MayBegin({ kSecond, 8 }, Suspicion::Weak, kWorkers));
+  const QueueId queue("queue");
+  trials.Begin(AgentId("a"), { { kFirst, 7 }, queue, Suspicion::Weak });
+  EXPECT_FALSE(trials.MayBegin(
+    { { kSecond, 8 }, queue, Suspicion::Weak }, kWorkers, kNow));
   // One run of a gang.
-  EXPECT_TRUE(trials.MayBegin({ kSecond, 7 }, Suspicion::Weak, kWorkers));
+  EXPECT_TRUE(trials.MayBegin(
+    { { kSecond, 7 }, queue, Suspicion::Weak }, kWorkers, kNow));
+}
+
+/// A queue whose tasks crash workers again and again has suspects for all
+/// places, and each that came free went to the next of them.
+TEST(CrashTrials, AQueueLeavesHalfToOthersThatWait)
+{
+  constexpr std::size_t kWorkers = 32;
+  constexpr Suspicion kKind = Suspicion::Strong;
+  CrashTrials trials;
+  for (int job = 0; job < 4; ++job) {
+    const SuspectStart start = Suspect(job, kKind, "crashing");
+    ASSERT_TRUE(trials.MayBegin(start, kWorkers, kNow));
+    trials.Begin(AgentId(std::to_string(job)), start);
+  }
+  const SuspectStart next = Suspect(4, kKind, "crashing");
+  const SuspectStart other = Suspect(5, kKind, "other");
+  EXPECT_FALSE(trials.MayBegin(other, kWorkers, kNow));
+  trials.End(AgentId("0"), FirstOf(0));
+  EXPECT_FALSE(trials.MayBegin(next, kWorkers, kNow));
+  EXPECT_TRUE(trials.MayBegin(other, kWorkers, kNow));
+  // What does not ask any more holds nothing back.
+  EXPECT_TRUE(trials.MayBegin(next, kWorkers, kNow + CrashTrials::kTurn));
 }
 
 TEST(CrashTrials, SuspectsAreNeverTwoOnAWorker)
 {
   CrashTrials trials;
-  trials.Begin(AgentId("weak"), { kFirst, 7 }, Suspicion::Weak);
-  trials.Begin(AgentId("strong"), FirstOf(1), Suspicion::Strong);
+  trials.Begin(AgentId("weak"), Suspect(0, Suspicion::Weak));
+  trials.Begin(AgentId("strong"), Suspect(1, Suspicion::Strong));
   const auto takes = [&trials](const char* aAgent, Suspicion aSuspicion) {
     return trials.Takes(
       AgentId(aAgent), { JobId("any"), 0, 0, 0 }, aSuspicion, {});
   };
   EXPECT_TRUE(takes("weak", Suspicion::None));
   EXPECT_FALSE(takes("weak", Suspicion::Weak));
-  trials.Begin(AgentId("unclear"), FirstOf(2), Suspicion::Unclear);
+  trials.Begin(AgentId("unclear"), Suspect(2, Suspicion::Unclear));
   EXPECT_FALSE(takes("unclear", Suspicion::None));
   EXPECT_FALSE(takes("strong", Suspicion::None));
   EXPECT_TRUE(takes("other", Suspicion::Strong));
@@ -261,7 +294,8 @@
   EXPECT_FALSE(trials.Takes(agent, other, Suspicion::None, begin));
   EXPECT_TRUE(trials.Takes(agent, other, Suspicion::None, end));
   EXPECT_TRUE(trials.Reserve(AgentId("b"), suspect, 8, end));
-  trials.Begin(AgentId("c"), { suspect, 1 }, Suspicion::Strong);
+  trials.Begin(AgentId("c"),
+               { { suspect, 1 }, QueueId("queue"), Suspicion::Strong });
   EXPECT_TRUE(trials.Takes(AgentId("b"), other, Suspicion::None, end));
 }
 
