A test that fails: a restarted agent is not told what its worker's tasks are

The owner sends the traits of a task only as it adopts a run of an earlier owner. An agent that restarts under the same owner paces none of the tasks that ran on, and its look at the room counts nothing for them.

--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -148,6 +148,30 @@
   EXPECT_TRUE(Orders("b").mStarts.empty());
 }
 
+/// An agent that had restarted knew nothing of what its worker ran on: it paced
+/// no leftover task beside a serving one, and counted no room as taken.
+TEST_F(CellSchedulerTest, ANewSessionTellsTheTraitsOfWhatRuns)
+{
+  AttachAndGrant("a");
+  StepSpec leftover = Step(2);
+  leftover.mLeftover = true;
+  leftover.mImage = "image";
+  AddRecorded(Graph("job", { leftover }));
+  const OrderRequest first = Orders("a");
+  Started("a", first);
+  ASSERT_EQ(first.mStarts.size(), 2U);
+  EXPECT_TRUE(Orders("a").mTraits.empty());
+  Attach("a",
+         State("a-life",
+               { Running(first.mStarts[0].mTask, first.mStarts[0].mRun),
+                 Running(first.mStarts[1].mTask, first.mStarts[1].mRun) }));
+  const OrderRequest next = Orders("a");
+  ASSERT_EQ(next.mTraits.size(), 2U);
+  EXPECT_TRUE(next.mTraits[0].mLeftover);
+  EXPECT_EQ(next.mTraits[0].mImage, "image");
+  EXPECT_EQ(next.mTraits[0].mReserved, Resources({ 0, 1000, 0 }));
+}
+
 TEST_F(CellSchedulerTest, AnAdoptedRunOutlivesItsSessionByTheEarlierGrant)
 {
   AddInherited(Graph("job", { Step(1) }));
