Tell a new session the traits of all that runs

Cause: only adopted runs had their traits sent, so that an agent that restarted under the same owner paced nothing of what ran on beside serving tasks. Change: the first orders of every session carry the traits of all known runs. After: it holds, with the cell's 251 tests, the scheduler's and the agent's.

--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -264,6 +264,7 @@
   bool Adopt(WorkerEntry& aWorker,
              const RunningTask& aRunning,
              const CellClock& aClock);
+  void TellTraits(const WorkerEntry& aWorker);
   void DropAbsentRuns(WorkerEntry& aWorker,
                       const std::vector<RunningTask>& aRunning,
                       std::int64_t aOrdersDone,
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -11,6 +11,15 @@
 /// Above the platform's longest stop.
 constexpr Duration kStopAgain = std::chrono::milliseconds(800);
 
+TaskTraits TraitsOf(const TaskRef& aTask, const StepSpec& aSpec)
+{
+  return { aTask,
+           aSpec.mLatencyTarget,
+           aSpec.mLeftover,
+           aSpec.mImage,
+           Reservation(aSpec) };
+}
+
 } // namespace
 
 void CellScheduler::AddRun(JobEntry& aJob,
@@ -205,15 +214,24 @@
   if (job.mPhase == JobPhase::Queued) {
     job.mPhase = JobPhase::Running;
   }
-  const StepSpec& spec = job.Spec(aRunning.mTask);
-  mOrders[aWorker.mId].mTraits.push_back({ aRunning.mTask,
-                                           spec.mLatencyTarget,
-                                           spec.mLeftover,
-                                           spec.mImage,
-                                           Reservation(spec) });
+  mOrders[aWorker.mId].mTraits.push_back(
+    TraitsOf(aRunning.mTask, job.Spec(aRunning.mTask)));
   return true;
 }
 
+/// An agent that has restarted knows nothing of what its worker runs.
+void CellScheduler::TellTraits(const WorkerEntry& aWorker)
+{
+  if (aWorker.mRuns.empty()) {
+    return;
+  }
+  std::vector<TaskTraits>& traits = mOrders[aWorker.mId].mTraits;
+  traits.clear();
+  for (const auto& [task, number] : aWorker.mRuns) {
+    traits.push_back(TraitsOf(task, mJobs.at(task.mJob).Spec(task)));
+  }
+}
+
 void CellScheduler::DropAbsentRuns(WorkerEntry& aWorker,
                                    const std::vector<RunningTask>& aRunning,
                                    std::int64_t aOrdersDone,
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -42,6 +42,7 @@
   ExplainLosses(worker);
   // Orders of earlier sessions are dead, so that what is not there never comes.
   DropAbsentRuns(worker, aState.mRunning, kAllOrders, aClock);
+  TellTraits(worker);
   for (const auto& [task, number] : worker.mRuns) {
     mJobs.at(task.mJob).Find(task)->FindRun(aAgent, number)->mOrderNumber = 0;
   }
