A resumed scheduler does not answer by the configuration from before; soak of shrinking

Cause: what is bound to a lease ends by BootClock, but the configuration is bound to none, and after a suspension the connection of its watch may be dead: callers were answered by the old one until the watch had timed out. Ruled out: to judge the configuration by its age; in an outage of the store the last one must serve on. Change: ResumeWatch (pure) finds a suspension by the two clocks, at each request and four times a second; the configuration is in doubt until the store shows it, and callers are refused as not-run meanwhile. Log line resumed. Tests: ResumeWatchTest (6 cases), ConfigurationWatchTest. The soak's SHRINKING=1: workers shrink, grow and flap; ToldCapacity (tests) says what an agent may have believed.

--- a/apps/scheduler/ConfigurationWatch.cpp
+++ b/apps/scheduler/ConfigurationWatch.cpp
@@ -20,18 +20,31 @@
 {
 }
 
-Duration ConfigurationWatch::Round()
+absl::StatusOr<StoreEntry> ConfigurationWatch::Read()
 {
-  const auto entry = mStore.Read(platform::kConfigurationKey);
-  if (!entry.ok() && !absl::IsNotFound(entry.status())) {
-    NoteHeard(false, entry.status().ToString());
-    return kRetry;
+  const std::uint64_t doubts = mDoubts;
+  auto entry = mStore.Read(platform::kConfigurationKey);
+  const bool heard = entry.ok() || absl::IsNotFound(entry.status());
+  NoteHeard(heard, heard ? "" : entry.status().ToString());
+  if (entry.ok()) {
+    Take(entry->mValue);
+    // A doubt that came while the store was asked stays.
+    mDoubted = mDoubted && doubts != mDoubts;
   }
-  NoteHeard(true);
+  return entry;
+}
+
+Duration ConfigurationWatch::Confirm()
+{
+  return !mDoubted || Read().ok() ? Duration::zero() : kRetry;
+}
+
+Duration ConfigurationWatch::Round()
+{
+  const auto entry = Read();
   if (!entry.ok()) {
     return kRetry;
   }
-  Take(entry->mValue);
   const absl::Status ended = mStore.Watch(
     platform::kConfigurationKey,
     WatchStart(*entry),
@@ -56,16 +69,15 @@
              { { "error", parsed.status().ToString() } });
     return;
   }
-  if (mCurrent && parsed->mVersion <= mCurrent->mVersion) {
+  if (mNewest && parsed->mVersion <= mNewest->mVersion) {
     return;
   }
   LogChange("configuration",
             { { "version", parsed->mVersion },
-              { "before", mCurrent ? mCurrent->mVersion : 0 },
+              { "before", mNewest ? mNewest->mVersion : 0 },
               { "routes", parsed->mRoutes.size() } });
-  mCurrent =
-    std::make_shared<const cell::CellConfiguration>(*std::move(parsed));
-  mOnChange(*mCurrent);
+  mNewest = std::make_shared<const cell::CellConfiguration>(*std::move(parsed));
+  mOnChange(*mNewest);
 }
 
 void ConfigurationWatch::NoteHeard(bool aHeard, std::string_view aError)
--- a/apps/scheduler/ConfigurationWatch.h
+++ b/apps/scheduler/ConfigurationWatch.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
 
+#include "absl/status/statusor.h"
+
 #include "foxtailbarrow/Store.h"
 #include "src/core/base/Snapshot.h"
 #include "src/core/cell/CellConfiguration.h"
@@ -23,22 +26,42 @@
   /// next round.
   Duration Round();
 
-  /// Null before the first configuration was read.
+  /// The machine was suspended: what is known may be older than what is in
+  /// force, and the connection of the watch may be dead, until Confirm().
+  void Doubt()
+  {
+    mDoubted = true;
+    ++mDoubts;
+  }
+  /// Reads what is in force, where that is in doubt. Returns the pause until
+  /// the next try; zero when there is no doubt any more.
+  Duration Confirm();
+
+  /// What callers are answered by; null before the first configuration was
+  /// read, and while it is in doubt.
   std::shared_ptr<const cell::CellConfiguration> Current() const
   {
-    return mCurrent;
+    return mDoubted ? nullptr : mNewest;
+  }
+  /// The newest that was read, also in doubt; null before the first.
+  std::shared_ptr<const cell::CellConfiguration> Newest() const
+  {
+    return mNewest;
   }
 
   /// When the store was last heard of.
   Instant HeardAt() const { return mHeardAt; }
 
 private:
+  absl::StatusOr<StoreEntry> Read();
   void Take(std::string_view aText);
   void NoteHeard(bool aHeard, std::string_view aError = {});
 
   Store& mStore;
   OnChange mOnChange;
-  std::shared_ptr<const cell::CellConfiguration> mCurrent;
+  std::shared_ptr<const cell::CellConfiguration> mNewest;
+  bool mDoubted = true;
+  std::uint64_t mDoubts = 0; ///< So far.
   Instant mHeardAt{};
   bool mHears = false;
 };
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -27,6 +27,9 @@
 /// did. On a calm scheduler its two watches bring two a second.
 constexpr Duration kPulseInterval = std::chrono::milliseconds(300);
 constexpr Duration kPulseCheck = std::chrono::milliseconds(100);
+/// Between two looks whether the machine was suspended; each caller's request
+/// looks as well.
+constexpr Duration kResumeCheck = std::chrono::milliseconds(250);
 /// An owner without policies would judge jobs by none: until they are read,
 /// this scheduler takes no part in the election.
 constexpr Duration kAwaitConfiguration = std::chrono::milliseconds(20);
@@ -133,7 +136,7 @@
                       } },
     aTerm,
     mCellSettings,
-    QueuesOf(mConfiguration.Current().get()));
+    QueuesOf(mConfiguration.Newest().get()));
 }
 
 absl::Status Scheduler::Listen(const Endpoint& aEndpoint,
@@ -190,7 +193,12 @@
   }
   mFibers.Repeat(mConfigurationPoke, [this] { return mConfiguration.Round(); });
   mFibers.Repeat(mElection.RoundPoke(), [this] {
-    return mConfiguration.Current() ? mElection.Round() : kAwaitConfiguration;
+    return mConfiguration.Newest() ? mElection.Round() : kAwaitConfiguration;
+  });
+  mFibers.Repeat(mResumePoke, [this] {
+    NoteResume();
+    const Duration pause = mConfiguration.Confirm();
+    return pause > Duration::zero() ? pause : kResumeCheck;
   });
   mFibers.Repeat(mPulsePoke, kPulseCheck, [this] {
     absl::Status status;
@@ -227,10 +235,11 @@
 net::HttpResponse Scheduler::ServeCaller(const net::HttpRequest& aRequest)
 {
   const Instant begin = MonotonicNow();
+  NoteResume();
   const auto configuration = mConfiguration.Current();
   JobAnswer answer = JobRefused{ RefusalCause::NotReady,
                                  Verdict::NotRun,
-                                 "no configuration has been read yet" };
+                                 "no configuration is known to be in force" };
   std::string_view kind = "unparsed";
   if (configuration) {
     const auto request = platform::ParseJobRequest(aRequest, *configuration);
@@ -252,6 +261,19 @@
   return platform::FormatAnswer(answer);
 }
 
+/// What is bound to a lease ends by the clock; the configuration does not.
+void Scheduler::NoteResume()
+{
+  const auto suspended =
+    mResume.Look(MonotonicNow(), std::chrono::steady_clock::now());
+  if (!suspended) {
+    return;
+  }
+  LogWarning("resumed", { { "ms", WholeMilliseconds(*suspended) } });
+  mConfiguration.Doubt();
+  mResumePoke.Now();
+}
+
 absl::Status Scheduler::Readiness() const
 {
   if (mDraining) {
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -11,6 +11,7 @@
 #include "apps/scheduler/SchedulerSettings.h"
 #include "platform/AdviceClient.h"
 #include "platform/KvStore.h"
+#include "src/core/base/ResumeWatch.h"
 #include "src/net/FiberGroup.h"
 #include "src/net/HttpServer.h"
 #include "src/net/Rpc.h"
@@ -39,6 +40,7 @@
   net::HttpResponse ServePeer(const net::HttpRequest& aRequest);
   net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
   absl::Status Readiness() const;
+  void NoteResume();
   void NotePulse(const absl::Status& aStatus);
   absl::Status Listen(const Endpoint& aEndpoint,
                       net::HttpServer::Handler aHandler,
@@ -77,6 +79,8 @@
   bool mStoreAnswered = true;
   Poke mConfigurationPoke;
   Poke mPulsePoke;
+  Poke mResumePoke;
+  ResumeWatch mResume;
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mReady;
   std::unique_ptr<net::HttpServer> mPeers;
--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kKinds = 23;
+constexpr std::size_t kKinds = 24;
 
 constexpr EnumText<FaultKind, kKinds> kNames({
   { FaultKind::KillScheduler, "kill-scheduler" },
@@ -37,39 +37,57 @@
   { FaultKind::WorkerFailsAll, "worker-fails-all" },
   { FaultKind::WorkerLate, "worker-late" },
   { FaultKind::Configuration, "configuration" },
+  { FaultKind::WorkerShrinks, "worker-shrinks" },
 });
 
+/// Kinds of every plan.
+constexpr int kPlanned = 23;
 /// Mean pause between two faults, and how long one lasts.
 constexpr double kMeanGapMs = 900;
 constexpr std::int64_t kShortestMs = 200;
 constexpr std::int64_t kLongestMs = 4500;
 
-} // namespace
-
-std::string_view ToString(FaultKind aKind)
+std::vector<Fault> Plan(std::mt19937& aRandom,
+                        std::uniform_int_distribution<int> aKind,
+                        Duration aLength)
 {
-  return kNames.Text(aKind);
-}
-
-std::vector<Fault> PlanFaults(std::uint32_t aSeed, Duration aLength)
-{
-  std::mt19937 random(aSeed);
   std::exponential_distribution<double> gap(1.0 / kMeanGapMs);
   std::uniform_int_distribution<std::int64_t> lasts(kShortestMs, kLongestMs);
-  std::uniform_int_distribution<int> kind(0, kKinds - 1);
   std::vector<Fault> faults;
   Duration at = milliseconds(500);
   while (at < aLength) {
     Fault fault;
     fault.mAt = at;
-    fault.mKind = static_cast<FaultKind>(kind(random));
-    fault.mTarget = random();
-    fault.mVariant = random();
-    fault.mFor = std::min<Duration>(milliseconds(lasts(random)), aLength - at);
+    fault.mKind = static_cast<FaultKind>(aKind(aRandom));
+    fault.mTarget = aRandom();
+    fault.mVariant = aRandom();
+    fault.mFor = std::min<Duration>(milliseconds(lasts(aRandom)), aLength - at);
     faults.push_back(fault);
-    at += milliseconds(static_cast<std::int64_t>(gap(random)));
+    at += milliseconds(static_cast<std::int64_t>(gap(aRandom)));
   }
   return faults;
 }
 
+} // namespace
+
+std::string_view ToString(FaultKind aKind)
+{
+  return kNames.Text(aKind);
+}
+
+std::vector<Fault> PlanFaults(std::uint32_t aSeed, Duration aLength)
+{
+  std::mt19937 random(aSeed);
+  return Plan(
+    random, std::uniform_int_distribution<int>(0, kPlanned - 1), aLength);
+}
+
+std::vector<Fault> PlanShrinking(std::uint32_t aSeed, Duration aLength)
+{
+  std::mt19937 random(aSeed);
+  constexpr int kKind = static_cast<int>(FaultKind::WorkerShrinks);
+  return Plan(
+    random, std::uniform_int_distribution<int>(kKind, kKind), aLength);
+}
+
 } // namespace foxtailbarrow::soak
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -34,6 +34,7 @@
   WorkerFailsAll,
   WorkerLate,
   Configuration,
+  WorkerShrinks, ///< Only in plans that say so.
 };
 
 std::string_view ToString(FaultKind aKind);
@@ -50,5 +51,7 @@
 
 /// Faults in series, by seed; they overlap. The last one ends by `aLength`.
 std::vector<Fault> PlanFaults(std::uint32_t aSeed, Duration aLength);
+/// Workers that shrink and grow, by seed, beside the faults of any plan.
+std::vector<Fault> PlanShrinking(std::uint32_t aSeed, Duration aLength);
 
 } // namespace foxtailbarrow::soak
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -111,6 +111,9 @@
     if (!worker.ok()) {
       return worker.status();
     }
+    (*worker)->OnBeat([&aBook](const standin::BeatMark& aMark) {
+      aBook.Beat(aMark, MonotonicNow());
+    });
     mWorkers.push_back(*std::move(worker));
   }
   return absl::OkStatus();
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -1,5 +1,6 @@
 #include "soak/Injector.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 
@@ -18,6 +19,8 @@
 /// After a process has ended, until it is started again.
 constexpr Duration kRestartDelay = milliseconds(300);
 constexpr unsigned kMostHosts = 64;
+/// Between two sizes of a worker that shrinks and grows.
+constexpr Duration kFlap = milliseconds(300);
 
 KvFaults StoreFaults(FaultKind aKind)
 {
@@ -90,6 +93,7 @@
     mFleet.SchedulerLink(host).Set(LinkState::Passes);
     mFleet.AgentLink(host).Set(LinkState::Passes);
     mFleet.Worker(host).SetFaults({});
+    mFleet.Worker(host).Resize(standin::TaskWorkerSettings().mCapacity);
     if (!mFleet.Worker(host).Up()) {
       mFleet.Worker(host).Rise();
     }
@@ -139,6 +143,9 @@
     case FaultKind::WorkerLate:
       BringWorker(aFault);
       break;
+    case FaultKind::WorkerShrinks:
+      BringShrinkage(aFault);
+      break;
     case FaultKind::Configuration:
       mFleet.Configure();
       break;
@@ -200,4 +207,27 @@
   }
 }
 
+/// To nothing, a quarter or a half; or to and fro, faster than it is told.
+void Injector::BringShrinkage(const Fault& aFault)
+{
+  constexpr std::uint32_t kSizes = 4;
+  constexpr std::int64_t kQuarters = 4;
+  const Resources full = standin::TaskWorkerSettings().mCapacity;
+  const std::uint32_t size = aFault.mVariant % kSizes;
+  const bool flaps = size == kSizes - 1;
+  const std::int64_t quarters = flaps ? 2 : static_cast<std::int64_t>(size);
+  const Resources less{ full.mMillicores * quarters / kQuarters,
+                        full.mMemoryMb * quarters / kQuarters,
+                        0 };
+  standin::TaskWorkerService& worker = mFleet.Worker(aFault.mTarget);
+  const Instant end = MonotonicNow() + aFault.mFor;
+  worker.Resize(less);
+  for (bool small = true; MonotonicNow() < end; small = !small) {
+    worker.Resize(flaps && !small ? full : less);
+    boost::this_fiber::sleep_for(
+      std::min<Duration>(kFlap, end - MonotonicNow()));
+  }
+  worker.Resize(full);
+}
+
 } // namespace foxtailbarrow::soak
--- a/soak/Injector.h
+++ b/soak/Injector.h
@@ -22,6 +22,7 @@
   void BringProcess(const Fault& aFault, Child& aChild, int aSignal);
   void BringStore(const Fault& aFault);
   void BringWorker(const Fault& aFault);
+  void BringShrinkage(const Fault& aFault);
   void BringLink(const Fault& aFault, LinkProxy& aLink);
 
   net::FiberRuntime& mRuntime;
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
 
 #include <boost/fiber/operations.hpp>
 
@@ -26,6 +28,7 @@
   std::int64_t mSeed = 1;
   Duration mLength = std::chrono::seconds(20);
   std::int64_t mCrashingPercent = 0; ///< Of the jobs.
+  std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
 };
 
 /// What a run leaves undone when the recovery is over.
@@ -57,6 +60,18 @@
   return held;
 }
 
+std::vector<Fault> PlanOf(const SoakSettings& aSettings)
+{
+  const unsigned seed = aSettings.mFleet.mSeed;
+  std::vector<Fault> faults = PlanFaults(seed, aSettings.mLength);
+  if (aSettings.mShrinking != 0) {
+    std::ranges::copy(PlanShrinking(seed, aSettings.mLength),
+                      std::back_inserter(faults));
+    std::ranges::sort(faults, {}, &Fault::mAt);
+  }
+  return faults;
+}
+
 bool Soak(net::FiberRuntime& aRuntime, const SoakSettings& aSettings)
 {
   PromiseBook book(standin::TaskWorkerSettings().mCapacity);
@@ -73,7 +88,7 @@
   Injector injector(aRuntime, **fleet);
   callers.Start(kCallers);
   boost::this_fiber::sleep_for(kWarmUp);
-  injector.Play(PlanFaults(aSettings.mFleet.mSeed, aSettings.mLength));
+  injector.Play(PlanOf(aSettings));
   injector.Heal();
   callers.Stop();
   const std::vector<std::string> missing = AwaitAll(book);
@@ -108,6 +123,8 @@
                     values.mCrashingPercent,
                     { 0, 50 },
                     "Jobs whose task takes its worker down");
+  settings.AddCount(
+    "--shrinking", values.mShrinking, { 0, 1 }, "1: workers shrink and grow");
   if (const auto code = settings.Parse(argc, argv)) {
     return *code;
   }
--- a/soak/PromiseBook.cpp
+++ b/soak/PromiseBook.cpp
@@ -172,7 +172,7 @@
   CheckOrder(aJob, aMark.mTask);
   task.mLive[aIncarnation] = aMark.mRun;
   mUsed[aIncarnation] += aJob.mGraph.mSteps[aMark.mTask.mStep].mDemand;
-  CheckCapacity(aIncarnation);
+  CheckCapacity(aIncarnation, aMark);
 }
 
 void PromiseBook::CheckOrder(const JobFacts& aJob, const TaskRef& aTask)
@@ -184,9 +184,27 @@
   }
 }
 
-void PromiseBook::CheckCapacity(const std::string& aIncarnation)
+void PromiseBook::Beat(const standin::BeatMark& aMark, Instant aNow)
 {
-  if (!mUsed[aIncarnation].FitsIn(mCapacity)) {
+  ToldCapacity& told = ToldOf(aMark.mIncarnation);
+  if (aMark.mAnswered) {
+    told.Answered(aMark.mSequence, aNow);
+  } else {
+    told.Sent(aMark.mSequence, aMark.mCapacity);
+  }
+}
+
+ToldCapacity& PromiseBook::ToldOf(const std::string& aIncarnation)
+{
+  return mTold.try_emplace(aIncarnation, mCapacity).first->second;
+}
+
+/// An order that the worker itself held up is no more the agent's.
+void PromiseBook::CheckCapacity(const std::string& aIncarnation,
+                                const RunMark& aMark)
+{
+  if (!aMark.mLate &&
+      !ToldOf(aIncarnation).Allows(mUsed[aIncarnation], aMark.mAt)) {
     Break("over the capacity of " + aIncarnation);
   }
 }
--- a/soak/PromiseBook.h
+++ b/soak/PromiseBook.h
@@ -8,9 +8,10 @@
 #include <vector>
 
 #include "foxtailbarrow/Time.h"
+#include "soak/ToldCapacity.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/JobGraph.h"
-#include "standins/taskworker/TaskWorkerModel.h"
+#include "standins/taskworker/TaskWorkerService.h"
 
 namespace foxtailbarrow::soak {
 
@@ -43,6 +44,8 @@
 
   void Mark(const std::string& aIncarnation, const standin::RunMark& aMark);
 
+  void Beat(const standin::BeatMark& aMark, Instant aNow);
+
   // At the end.
 
   /// What is still to come, in a calm system: empty when all is as it must be.
@@ -83,7 +86,9 @@
                const standin::RunMark& aMark,
                JobFacts& aJob);
   void CheckOrder(const JobFacts& aJob, const cell::TaskRef& aTask);
-  void CheckCapacity(const std::string& aIncarnation);
+  void CheckCapacity(const std::string& aIncarnation,
+                     const standin::RunMark& aMark);
+  ToldCapacity& ToldOf(const std::string& aIncarnation);
   bool StepDone(const JobFacts& aJob, std::int32_t aStep) const;
   bool AllDone(const JobFacts& aJob) const;
   std::string MissingOf(const JobFacts& aJob) const;
@@ -92,6 +97,7 @@
   Resources mCapacity;
   std::map<JobId, JobFacts> mJobs;
   std::map<std::string, Resources> mUsed; ///< By incarnation.
+  std::map<std::string, ToldCapacity> mTold;
   std::vector<std::string> mBroken;
   std::size_t mStarts = 0;
 };
--- a/standins/taskworker/TaskWorkerModel.cpp
+++ b/standins/taskworker/TaskWorkerModel.cpp
@@ -57,7 +57,7 @@
                      aEnd,
                      aEnd == RunEnd::Done ? "" : run->second.mSaved });
   mOver[aTask] = std::max(mOver[aTask], run->second.mNumber);
-  mSink({ RunMoment::Ended, aTask, run->second.mNumber, aEnd, {} });
+  mSink({ RunMoment::Ended, aTask, run->second.mNumber, aEnd, {}, {} });
   mRuns.erase(run);
 }
 
@@ -65,7 +65,7 @@
 {
   const bool lapsed = Clock(aNow) >= mLeaseEnd;
   if (lapsed && !std::exchange(mLapsed, true)) {
-    mSink({ RunMoment::LeaseLapsed, {}, 0, RunEnd::Lapsed, {} });
+    mSink({ RunMoment::LeaseLapsed, {}, 0, RunEnd::Lapsed, {}, {} });
   }
   const auto runs = mRuns;
   for (const auto& [task, before] : runs) {
@@ -130,7 +130,8 @@
           aCall.mTask,
           aCall.mRun,
           RunEnd::Done,
-          aCall.mPayload });
+          aCall.mPayload,
+          aNow });
   mRuns[aCall.mTask] = std::move(run);
   return StartOutcome::Started;
 }
@@ -177,8 +178,12 @@
     if (aEnded.mNumber > aCall.mAcknowledged) {
       return false;
     }
-    mSink(
-      { RunMoment::Acknowledged, aEnded.mTask, aEnded.mRun, aEnded.mEnd, {} });
+    mSink({ RunMoment::Acknowledged,
+            aEnded.mTask,
+            aEnded.mRun,
+            aEnded.mEnd,
+            {},
+            {} });
     return true;
   });
   return true;
@@ -215,7 +220,7 @@
 void TaskWorkerModel::Crash()
 {
   for (const auto& [task, run] : mRuns) {
-    mSink({ RunMoment::Lost, task, run.mNumber, RunEnd::Lapsed, {} });
+    mSink({ RunMoment::Lost, task, run.mNumber, RunEnd::Lapsed, {}, {} });
   }
   mRuns.clear();
 }
--- a/standins/taskworker/TaskWorkerModel.h
+++ b/standins/taskworker/TaskWorkerModel.h
@@ -36,6 +36,8 @@
   cell::RunNumber mRun = 0;
   cell::RunEnd mEnd = cell::RunEnd::Done;
   std::string mPayload; ///< Of a start.
+  Instant mAt{};        ///< Of a start.
+  bool mLate = false;   ///< A start that was held up in the worker.
 };
 
 /// One life of a worker that pretends to run its tasks: leases, fences, run
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -111,6 +111,7 @@
   : mRuntime(aRuntime)
   , mPlace(std::move(aPlace))
   , mSettings(aSettings)
+  , mCapacity(aSettings.mCapacity)
   , mRandom(aSeed)
   , mSink(std::move(aSink))
   , mClient(aRuntime)
@@ -159,7 +160,8 @@
   mModel = std::make_shared<TaskWorkerModel>(
     mSettings,
     MonotonicNow(),
-    [this, incarnation = mIncarnation](const RunMark& aMark) {
+    [this, incarnation = mIncarnation](RunMark aMark) {
+      aMark.mLate = mCarriesOutLate;
       mSink(incarnation, aMark);
     });
   mModel->FailAll(mFaults.mFailAll);
@@ -216,27 +218,38 @@
 {
   for (;;) {
     if (mUp) {
-      Json::Value body;
-      body["Service"] = mPlace.mService;
-      body["Addr"] = ToString(mPlace.mListen);
-      body["Zone"] = "zone";
-      body["State"] = mDraining ? "draining" : "ready";
-      body["DrainLeftMs"] = 1000;
-      body["CallSeq"] = Json::Int64{ ++mSequence };
-      body["Capacity"]["Cpu"] = Json::Int64{ mSettings.mCapacity.mMillicores };
-      body["Capacity"]["MemMb"] = Json::Int64{ mSettings.mCapacity.mMemoryMb };
-      body["Labels"].append("a");
-      body["Labels"].append(mPlace.mRack);
-      net::HttpRequest request;
-      request.mMethod = "PUT";
-      request.mTarget = "/runners/" + mIncarnation;
-      request.mBody = FormatJson(body);
-      (void)mClient.Call(mPlace.mAgent, request, kBeatTimeout);
+      SendBeat();
     }
     boost::this_fiber::sleep_for(kBeatInterval);
   }
 }
 
+void TaskWorkerService::SendBeat()
+{
+  BeatMark mark{ mIncarnation, ++mSequence, mCapacity };
+  Json::Value body;
+  body["Service"] = mPlace.mService;
+  body["Addr"] = ToString(mPlace.mListen);
+  body["Zone"] = "zone";
+  body["State"] = mDraining ? "draining" : "ready";
+  body["DrainLeftMs"] = 1000;
+  body["CallSeq"] = Json::Int64{ mSequence };
+  body["Capacity"]["Cpu"] = Json::Int64{ mCapacity.mMillicores };
+  body["Capacity"]["MemMb"] = Json::Int64{ mCapacity.mMemoryMb };
+  body["Labels"].append("a");
+  body["Labels"].append(mPlace.mRack);
+  net::HttpRequest request;
+  request.mMethod = "PUT";
+  request.mTarget = "/runners/" + mIncarnation;
+  request.mBody = FormatJson(body);
+  mOnBeat(mark);
+  const auto reply = mClient.Call(mPlace.mAgent, request, kBeatTimeout);
+  mark.mAnswered = reply.ok() && reply->mStatus < kBadRequest;
+  if (mark.mAnswered) {
+    mOnBeat(mark);
+  }
+}
+
 net::HttpResponse TaskWorkerService::Hang()
 {
   boost::this_fiber::sleep_for(kHang);
@@ -258,7 +271,9 @@
   mRuntime.Spawn([this, aRequest, by = mFaults.mLateBy] {
     boost::this_fiber::sleep_for(by);
     if (mUp) {
+      mCarriesOutLate = true;
       CarryOut(aRequest);
+      mCarriesOutLate = false;
     }
   });
   return Hang();
--- a/standins/taskworker/TaskWorkerService.h
+++ b/standins/taskworker/TaskWorkerService.h
@@ -15,6 +15,15 @@
 
 namespace foxtailbarrow::standin {
 
+/// A heartbeat on its way to the agent, or answered.
+struct BeatMark
+{
+  std::string mIncarnation;
+  std::int64_t mSequence = 0;
+  Resources mCapacity;
+  bool mAnswered = false;
+};
+
 /// A worker of the users' platform over its HTTP calls: takes orders, tells its
 /// agent about itself, crashes, leaves and comes back as another incarnation.
 /// The runtime must have one thread, on which all methods are called.
@@ -41,7 +50,14 @@
     unsigned aSeed,
     MarkSink aSink);
 
+  void OnBeat(std::function<void(const BeatMark&)> aSink)
+  {
+    mOnBeat = std::move(aSink);
+  }
+
   void SetFaults(const TaskWorkerFaults& aFaults);
+  /// The next heartbeats tell it. What runs goes on.
+  void Resize(const Resources& aCapacity) { mCapacity = aCapacity; }
   /// Dark from now on; what runs is lost.
   void Crash();
   /// After Crash(), or after it has left: the next incarnation.
@@ -62,6 +78,7 @@
 
   net::HttpResponse Handle(const net::HttpRequest& aRequest);
   net::HttpResponse CarryOut(const net::HttpRequest& aRequest);
+  void SendBeat();
   net::HttpResponse Look(const Json::Value& aBody);
   net::HttpResponse Hang();
   void Beat();
@@ -71,6 +88,8 @@
   net::FiberRuntime& mRuntime;
   Place mPlace;
   TaskWorkerSettings mSettings;
+  Resources mCapacity;
+  std::function<void(const BeatMark&)> mOnBeat = [](const BeatMark&) {};
   std::mt19937 mRandom;
   MarkSink mSink;
   TaskWorkerFaults mFaults;
@@ -80,6 +99,7 @@
   std::int64_t mSequence = 0;
   bool mUp = false;
   bool mDraining = false;
+  bool mCarriesOutLate = false;
   net::HttpClient mClient;
   std::unique_ptr<net::HttpServer> mServer;
 };
--- /dev/null
+++ b/tests/base/ResumeWatchTest.cpp
@@ -0,0 +1,73 @@
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "src/core/base/ResumeWatch.h"
+
+namespace foxtailbarrow::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Looks one after the other: how far each clock went on.
+struct Step
+{
+  milliseconds mBoot;
+  milliseconds mSteady;
+};
+
+struct ResumeCase
+{
+  const char* mName;
+  std::vector<Step> mSteps;
+  std::vector<milliseconds> mSuspended; ///< Found.
+};
+
+class ResumeWatchTest : public testing::TestWithParam<ResumeCase>
+{};
+
+TEST_P(ResumeWatchTest, FindsEachSuspensionOnce)
+{
+  Instant now{ std::chrono::seconds(1000) };
+  ResumeWatch::SteadyTime steady{ std::chrono::seconds(7) };
+  ResumeWatch watch;
+  EXPECT_FALSE(watch.Look(now, steady));
+  std::vector<milliseconds> found;
+  for (const Step& step : GetParam().mSteps) {
+    now += step.mBoot;
+    steady += step.mSteady;
+    if (const auto suspended = watch.Look(now, steady)) {
+      found.push_back(std::chrono::duration_cast<milliseconds>(*suspended));
+    }
+  }
+  EXPECT_EQ(found, GetParam().mSuspended);
+}
+
+constexpr milliseconds kTick(100);
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  ResumeWatchTest,
+  testing::Values(
+    ResumeCase{ "Awake", { { kTick, kTick }, { kTick, kTick } }, {} },
+    ResumeCase{ "Frozen", { { milliseconds(9000), milliseconds(9000) } }, {} },
+    ResumeCase{
+      "Suspended",
+      { { kTick, kTick }, { milliseconds(5100), kTick }, { kTick, kTick } },
+      { milliseconds(5000) } },
+    ResumeCase{ "Twice",
+                { { milliseconds(600), kTick },
+                  { kTick, kTick },
+                  { milliseconds(700), milliseconds(0) } },
+                { milliseconds(500), milliseconds(700) } },
+    ResumeCase{ "Briefly", { { milliseconds(599), kTick } }, {} },
+    // Between the readings of the two clocks the process did not run.
+    ResumeCase{ "HeldUp",
+                { { kTick, milliseconds(400) }, { milliseconds(400), kTick } },
+                {} }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::test
--- /dev/null
+++ b/tests/scheduler/ConfigurationWatchTest.cpp
@@ -0,0 +1,59 @@
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include "apps/scheduler/ConfigurationWatch.h"
+#include "platform/ConfigurationCodec.h"
+#include "src/net/FiberRuntime.h"
+#include "src/platform/store/MemoryStore.h"
+#include "tests/scheduler/SilentStore.h"
+
+namespace foxtailbarrow::scheduler::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string Configuration(int aVersion)
+{
+  return R"({"Version":)" + std::to_string(aVersion) +
+         R"(,"Routes":[{"Name":"r","Host":"127.0.0.1","Prefix":"/jobs/",)"
+         R"("TimeoutMs":3000,"SloMs":250,"Service":"service",)"
+         R"("Attempts":3,"Stretch":1.5}]})";
+}
+
+/// A scheduler whose machine was suspended answered by the configuration from
+/// before until its watch, whose connection was dead, had timed out.
+TEST(ConfigurationWatchTest, AfterAResumeNothingIsCurrentBeforeTheStoreSaysSo)
+{
+  net::FiberRuntime runtime(1);
+  MemoryStore memory;
+  SilentStore store(memory);
+  ConfigurationWatch watch(store, [](const cell::CellConfiguration&) {});
+  const auto put = [&](int aVersion) {
+    const StoreTransaction write{ {},
+                                  { { std::string(platform::kConfigurationKey),
+                                      Configuration(aVersion) } } };
+    ASSERT_TRUE(memory.Commit(write).ok());
+  };
+  runtime.RunAndWait([&] {
+    put(1);
+    EXPECT_EQ(watch.Confirm(), Duration::zero());
+    ASSERT_NE(watch.Current(), nullptr);
+    store.mSilent = true;
+    watch.Doubt();
+    EXPECT_EQ(watch.Current(), nullptr);
+    EXPECT_NE(watch.Newest(), nullptr); // Policies of jobs that are known.
+    put(2);
+    runtime.Spawn([&] { watch.Confirm(); });
+    boost::this_fiber::sleep_for(milliseconds(20));
+    EXPECT_EQ(watch.Current(), nullptr);
+    store.mSilent = false;
+    boost::this_fiber::sleep_for(milliseconds(20));
+    ASSERT_NE(watch.Current(), nullptr);
+    EXPECT_EQ(watch.Current()->mVersion, 2);
+  });
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::scheduler::test
