--- a/tests/scheduler/BusyOwnerTest.cpp
+++ b/tests/scheduler/BusyOwnerTest.cpp
@@ -7,6 +7,7 @@
 #include "soak/LinkProxy.h"
 #include "src/net/HttpClient.h"
 #include "standins/kv/KvService.h"
+#include "tests/net/FreeEndpoint.h"
 #include "tests/scheduler/ReportingAgent.h"
 
 namespace foxtailbarrow::scheduler::test {
@@ -29,17 +30,6 @@
          R"("Attempts":3,"Stretch":1.5}]})";
 }
 
-/// A port that is free now.
-Endpoint FreeEndpoint(net::FiberRuntime& aRuntime)
-{
-  auto server =
-    net::HttpServer::Start(aRuntime, { "127.0.0.1", 0 }, [](net::HttpRequest&) {
-      return net::HttpResponse();
-    });
-  EXPECT_TRUE(server.ok());
-  return (*server)->ListeningEndpoint();
-}
-
 /// The process that owns a cell of 300 agents, each reporting 22 tasks, with a
 /// store of the platform behind a link.
 class BusyOwnerTest : public testing::Test
@@ -50,14 +40,14 @@
     auto store = standin::KvService::Start(mWorld, { "127.0.0.1", 0 }, 1);
     ASSERT_TRUE(store.ok());
     mStore = *std::move(store);
-    const Endpoint link = FreeEndpoint(mWorld);
+    const Endpoint link = net::FreeEndpoint(mWorld);
     auto proxy = soak::LinkProxy::Start(link, mStore->ListeningEndpoint());
     ASSERT_TRUE(proxy.ok());
     mLink = *std::move(proxy);
     Configure(1, "/first/");
     mSettings.mId = EntryId("scheduler");
-    mSettings.mListen = FreeEndpoint(mWorld);
-    mSettings.mPeers = FreeEndpoint(mWorld);
+    mSettings.mListen = net::FreeEndpoint(mWorld);
+    mSettings.mPeers = net::FreeEndpoint(mWorld);
     mSettings.mAdvertised = mSettings.mPeers;
     mSettings.mStore = link;
     mSettings.mDrainTimeout = milliseconds(100);
--- a/tests/taskagent/Libraries.cmake
+++ b/tests/taskagent/Libraries.cmake
@@ -1,1 +1,1 @@
-target_link_libraries(taskagent-tests PRIVATE ftb_app_taskagent)
+target_link_libraries(taskagent-tests PRIVATE ftb_app_taskagent ftb_soak)
