A table of what counts of a worker's crash

CrashCaseTest, 14 cases: not sent, not answered, refused, carried out late, lived, ended, drained, another kind at the address, lasting, leftover, copied, a gang that is being stopped.

--- /dev/null
+++ b/tests/cell/CrashCaseTest.cpp
@@ -0,0 +1,204 @@
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+const JobId kJob("job");
+const TaskRef kFirst{ kJob, 0, 0, 0 };
+
+StepSpec Spec(void (*aChange)(StepSpec&) = [](StepSpec&) {})
+{
+  StepSpec step;
+  step.mDemand = { 1000, 1000, 0 };
+  step.mEstimate = seconds(10);
+  aChange(step);
+  return step;
+}
+
+class CrashCaseTest;
+
+/// What happens to the first task of a job on worker a before it crashes.
+struct CrashCase
+{
+  const char* mName;
+  StepSpec mStep;
+  void (CrashCaseTest::*mBefore)();
+  CrashHistory::Runs mCounts; ///< Of run 1, 2, ... as numbered from 1.
+};
+
+class CrashCaseTest
+  : public CellFixture
+  , public testing::WithParamInterface<CrashCase>
+{
+public:
+  void NotSent() {}
+
+  void NotAnswered() { Take("a"); }
+
+  void Refuse() { Answer(StartOutcome::NotStarted); }
+
+  void RefuseForRoom() { Answer(StartOutcome::OverCapacity); }
+
+  void Start() { Answer(StartOutcome::Started); }
+
+  /// Carried out late: it is seen before it is answered.
+  void SeeRunning()
+  {
+    const OrderRequest orders = Take("a");
+    Report("a", Runs(orders));
+  }
+
+  void Live()
+  {
+    const OrderRequest orders = Answer(StartOutcome::Started);
+    for (int report = 0; report < 4; ++report) {
+      Pass(milliseconds(400));
+      Report("a", Runs(orders));
+    }
+  }
+
+  void End()
+  {
+    const RunNumber run = Answer(StartOutcome::Started).mStarts.front().mRun;
+    Report("a", State("a-life", {}, { Ended(1, kFirst, run, RunEnd::Failed) }));
+  }
+
+  /// The other member was refused, so that this one is being stopped.
+  void StopGang()
+  {
+    AttachAndGrant("b");
+    mScheduler.Schedule(Clock());
+    Started("a", Take("a"));
+    const OrderRequest other = Take("b");
+    ASSERT_EQ(other.mStarts.size(), 1U);
+    mScheduler.TakeStartResults(AgentId("b"),
+                                other.mSession,
+                                { { other.mStarts[0].mTask,
+                                    other.mStarts[0].mRun,
+                                    StartOutcome::Unwell } },
+                                Clock());
+    EXPECT_EQ(Take("a").mStops.size(), 1U);
+  }
+
+  void Drain()
+  {
+    WorkerState state = Runs(Answer(StartOutcome::Started));
+    state.mInfo.mDraining = true;
+    Report("a", state);
+  }
+
+  void ComeBackAsAnotherKind()
+  {
+    Answer(StartOutcome::Started);
+    mService = "other";
+  }
+
+protected:
+  OrderRequest Take(const std::string& aAgent)
+  {
+    return mScheduler.TakeOrders(AgentId(aAgent));
+  }
+
+  OrderRequest Answer(StartOutcome aOutcome)
+  {
+    OrderRequest orders = Take("a");
+    EXPECT_EQ(orders.mStarts.size(), 1U);
+    mScheduler.TakeStartResults(
+      AgentId("a"),
+      orders.mSession,
+      { { kFirst, orders.mStarts.at(0).mRun, aOutcome } },
+      Clock());
+    return orders;
+  }
+
+  static WorkerState Runs(const OrderRequest& aOrders)
+  {
+    const StartOrder& start = aOrders.mStarts.at(0);
+    return State("a-life", { Running(start.mTask, start.mRun) });
+  }
+
+  /// Runs are numbered from the owner's generation on.
+  static std::vector<RunNumber> FromOne(const std::vector<RunNumber>& aRuns)
+  {
+    std::vector<RunNumber> numbers;
+    for (const RunNumber run : aRuns) {
+      numbers.push_back(run - (kGeneration << 20));
+    }
+    return numbers;
+  }
+
+  std::string mService = "service";
+};
+
+TEST_P(CrashCaseTest, CountsWhatMayHaveBeenTheCause)
+{
+  const CrashCase& crash = GetParam();
+  AttachAndGrant("a");
+  StepSpec step = crash.mStep;
+  JobGraph graph = Graph("job", { step });
+  AddRecorded(graph);
+  if (!step.mGang) {
+    mScheduler.Schedule(Clock());
+  }
+  (this->*crash.mBefore)();
+  Pass(milliseconds(50));
+  WorkerState next = State("a-next");
+  next.mInfo.mService = ServiceId(mService);
+  Report("a", next);
+  const CrashHistory::Runs& counted =
+    mScheduler.Jobs().at(kJob).Find(kFirst)->mCrashes.Crashes();
+  EXPECT_EQ(FromOne(counted.mAlone), crash.mCounts.mAlone);
+  EXPECT_EQ(FromOne(counted.mLikely), crash.mCounts.mLikely);
+  EXPECT_EQ(FromOne(counted.mBeside), crash.mCounts.mBeside);
+  EXPECT_EQ(FromOne(counted.mUnconfirmed), crash.mCounts.mUnconfirmed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  CrashCaseTest,
+  testing::Values(
+    CrashCase{ "NotSent", Spec(), &CrashCaseTest::NotSent, {} },
+    CrashCase{ "NotAnswered",
+               Spec(),
+               &CrashCaseTest::NotAnswered,
+               { .mUnconfirmed = { 1 } } },
+    CrashCase{ "Refused", Spec(), &CrashCaseTest::Refuse, {} },
+    CrashCase{ "RefusedForRoom", Spec(), &CrashCaseTest::RefuseForRoom, {} },
+    CrashCase{ "Started", Spec(), &CrashCaseTest::Start, { .mLikely = { 1 } } },
+    CrashCase{ "CarriedOutLate",
+               Spec(),
+               &CrashCaseTest::SeeRunning,
+               { .mLikely = { 1 } } },
+    CrashCase{ "Lived", Spec(), &CrashCaseTest::Live, {} },
+    CrashCase{ "Ended", Spec(), &CrashCaseTest::End, {} },
+    CrashCase{ "Drained", Spec(), &CrashCaseTest::Drain, {} },
+    CrashCase{ "AnotherKindAtTheAddress",
+               Spec(),
+               &CrashCaseTest::ComeBackAsAnotherKind,
+               { .mLikely = { 1 } } },
+    CrashCase{ "Lasting",
+               Spec([](StepSpec& aStep) { aStep.mStanding = true; }),
+               &CrashCaseTest::Start,
+               { .mLikely = { 1 } } },
+    CrashCase{ "Leftover",
+               Spec([](StepSpec& aStep) { aStep.mLeftover = true; }),
+               &CrashCaseTest::Start,
+               { .mLikely = { 1 } } },
+    CrashCase{ "Copied",
+               Spec([](StepSpec& aStep) { aStep.mSpeculative = true; }),
+               &CrashCaseTest::Start,
+               { .mLikely = { 1 } } },
+    CrashCase{ "GangBeingStopped",
+               Spec([](StepSpec& aStep) {
+                 aStep.mGang = true;
+                 aStep.mReplicas = 2;
+                 aStep.mMaxPerWorker = 1;
+               }),
+               &CrashCaseTest::StopGang,
+               { .mLikely = { 1 } } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
