--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include "apps/scheduler/JobRefusals.h"
+#include "apps/scheduler/WriteTries.h"
 #include "src/core/cell/CellRecords.h"
 #include "src/core/cell/JobForward.h"
 #include "src/core/message/Codec.h"
@@ -19,26 +21,12 @@
 
 /// Kept of the caller's time for the answer's way back.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(150);
-constexpr Duration kRetryPause = std::chrono::milliseconds(40);
-/// A call that the store does not answer takes so long: another try that would
-/// end after the caller's time only delays the answer.
-constexpr Duration kSilentCall = std::chrono::milliseconds(1000);
-/// Refusals of the store after which the caller is told to come back: an
-/// outage lasts longer than the caller waits.
-constexpr int kMaxRefusals = 2;
 /// Between two looks whether the store has fallen silent during a write.
 constexpr Duration kSilencePoll = std::chrono::milliseconds(20);
 /// Of one other scheduler's answer.
 constexpr Duration kForwardTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kOwnerTimeout = std::chrono::milliseconds(500);
 
-JobRefused StoreAway(const absl::Status& aStatus)
-{
-  return { RefusalCause::StoreAway,
-           Verdict::NotRun,
-           std::string(aStatus.message()) };
-}
-
 /// A write on its way to the store.
 struct PendingWrite
 {
@@ -52,55 +40,6 @@
          std::holds_alternative<CancelJob>(aRequest.mBody);
 }
 
-JobRefused FateUnknown(const absl::Status& aStatus)
-{
-  return { RefusalCause::Unknown,
-           Verdict::MayHaveRun,
-           std::string(aStatus.message()) };
-}
-
-/// Tries a write of a request again until its fate is known, the store refuses
-/// it for too long, or the caller's time is up.
-class WriteTries
-{
-public:
-  explicit WriteTries(Instant aDeadline)
-    : mDeadline(aDeadline)
-  {
-  }
-
-  void Note(const absl::Status& aStatus)
-  {
-    mLast = aStatus;
-    mMayHaveRun = mMayHaveRun || VerdictOf(aStatus) != Verdict::NotRun;
-  }
-
-  /// Notes a failed try. True when there is time for another.
-  bool Again(const absl::Status& aStatus)
-  {
-    Note(aStatus);
-    mRefusals += VerdictOf(aStatus) == Verdict::NotRun ? 1 : 0;
-    const Duration next = mMayHaveRun ? kRetryPause + kSilentCall : kRetryPause;
-    if (MonotonicNow() + next >= mDeadline ||
-        (!mMayHaveRun && mRefusals >= kMaxRefusals)) {
-      return false;
-    }
-    boost::this_fiber::sleep_for(kRetryPause);
-    return true;
-  }
-
-  JobRefused Refusal() const
-  {
-    return mMayHaveRun ? FateUnknown(mLast) : StoreAway(mLast);
-  }
-
-private:
-  Instant mDeadline;
-  absl::Status mLast;
-  int mRefusals = 0;
-  bool mMayHaveRun = false;
-};
-
 } // namespace
 
 JobDesk::JobDesk(net::FiberRuntime& aRuntime,
--- /dev/null
+++ b/apps/scheduler/WriteTries.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "absl/status/status.h"
+
+#include "foxtailbarrow/Time.h"
+#include "src/core/cell/JobRequest.h"
+
+namespace foxtailbarrow::scheduler {
+
+/// Tries a write of a request again until its fate is known, the store refuses
+/// it for too long, or the caller's time is up.
+class WriteTries
+{
+public:
+  explicit WriteTries(Instant aDeadline)
+    : mDeadline(aDeadline)
+  {
+  }
+
+  void Note(const absl::Status& aStatus);
+
+  /// Notes a failed try. True when there is time for another, after a pause
+  /// that suspends the fiber.
+  bool Again(const absl::Status& aStatus);
+
+  cell::JobRefused Refusal() const;
+
+private:
+  Instant mDeadline;
+  absl::Status mLast;
+  int mRefusals = 0;
+  bool mMayHaveRun = false;
+};
+
+} // namespace foxtailbarrow::scheduler
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -5,25 +5,17 @@
 #include <cmath>
 #include <utility>
 
-#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include "absl/status/status.h"
 
-#include "foxtailbarrow/Verdict.h"
+#include "apps/taskagent/WorkerTimeouts.h"
 #include "src/telemetry/Log.h"
 
 namespace foxtailbarrow::taskagent {
 
-using cell::StartOutcome;
-
 namespace {
 
-/// Of a start or stop at a healthy worker: milliseconds. Beyond this it is
-/// settled instead of waited for.
-constexpr Duration kOrderTimeout = std::chrono::milliseconds(250);
-/// Of a look without a wait.
-constexpr Duration kLookTimeout = std::chrono::milliseconds(300);
 /// How long a look waits for an end. Bounds the age of leases and figures.
 constexpr Duration kLookWait = std::chrono::milliseconds(400);
 /// How long an order is settled before the session is given up.
@@ -37,7 +29,6 @@
 /// Crashes that are remembered for an owner that has not heard of them: at four
 /// seconds a crash, those of the last half minute.
 constexpr std::size_t kCrashesKept = 8;
-constexpr int kStopTries = 3;
 constexpr double kPercent = 100.0;
 constexpr double kPerMille = 1000.0;
 /// Fences of a session: the session's number and those after it.
@@ -49,13 +40,6 @@
   return std::llround(aShare * aUnits);
 }
 
-StartOutcome OutcomeOf(const absl::Status& aStatus)
-{
-  return absl::IsUnavailable(aStatus) || absl::IsAborted(aStatus)
-           ? StartOutcome::Unwell
-           : StartOutcome::NotStarted;
-}
-
 } // namespace
 
 WorkerControl::WorkerControl(cell::TaskWorker& aWorker,
@@ -157,145 +141,6 @@
   return false;
 }
 
-cell::OrderReply WorkerControl::CarryOut(const cell::OrderRequest& aOrders)
-{
-  cell::OrderReply reply;
-  if (!InForce(aOrders)) {
-    return reply;
-  }
-  for (const cell::TaskTraits& traits : aOrders.mTraits) {
-    mGovernor.NoteTraits(traits);
-    mGate.NoteTask(traits.mTask, traits.mReserved);
-  }
-  bool settled = true;
-  std::vector<boost::fibers::fiber> calls;
-  for (const cell::StopOrder& order : aOrders.mStops) {
-    calls.emplace_back([this, &aOrders, &order, &settled] {
-      settled = Stop(aOrders, order) && settled;
-    });
-  }
-  reply.mStarts.resize(aOrders.mStarts.size());
-  for (std::size_t i = 0; i < aOrders.mStarts.size(); ++i) {
-    const cell::StartOrder& order = aOrders.mStarts[i];
-    cell::StartResult& result = reply.mStarts[i];
-    result.mTask = order.mTask;
-    result.mRun = order.mRun;
-    calls.emplace_back([this, &aOrders, &order, &result, &settled] {
-      result.mOutcome = Start(aOrders, order, settled);
-    });
-  }
-  for (boost::fibers::fiber& call : calls) {
-    call.join();
-  }
-  reply.mAccepted = settled && InForce(aOrders);
-  if (reply.mAccepted) {
-    mOrdersDone = std::max(mOrdersDone, aOrders.mNumber);
-  }
-  return reply;
-}
-
-bool WorkerControl::InForce(const cell::OrderRequest& aOrders) const
-{
-  return aOrders.mSession == mSession &&
-         aOrders.mIncarnation == mInfo.mIncarnation;
-}
-
-StartOutcome WorkerControl::Start(const cell::OrderRequest& aOrders,
-                                  const cell::StartOrder& aOrder,
-                                  bool& aSettled)
-{
-  if (!InForce(aOrders)) {
-    return StartOutcome::NotStarted;
-  }
-  const auto leaseEnd = mLease.LeaseEnd(MonotonicNow());
-  if (!leaseEnd) {
-    return StartOutcome::NoLease;
-  }
-  if (mInfo.mDraining) {
-    return StartOutcome::Unwell;
-  }
-  if (!HasRoom(aOrder)) {
-    return StartOutcome::OverCapacity;
-  }
-  mGovernor.NoteTraits({ aOrder.mTask,
-                         aOrder.mLatencyTarget,
-                         aOrder.mLeftover,
-                         aOrder.mImage,
-                         aOrder.mReserved });
-  mBook.NoteSent(aOrder.mTask, aOrder.mRun);
-  const auto reply = mWorker.Start({ aOrder.mTask,
-                                     aOrder.mRun,
-                                     aOrder.mPayload,
-                                     aOrder.mCheckpoint,
-                                     aOrder.mTicket,
-                                     *leaseEnd,
-                                     mFence },
-                                   kOrderTimeout);
-  StartOutcome outcome = StartOutcome::NotStarted;
-  bool fateKnown = true;
-  if (reply.ok()) {
-    mAliveAt = MonotonicNow();
-    outcome = reply->mOutcome;
-  } else if (VerdictOf(reply.status()) == Verdict::NotRun) {
-    outcome = OutcomeOf(reply.status());
-  } else if (!Settle(aOrders.mSession)) {
-    fateKnown = false;
-    aSettled = false;
-  } else if (mBook.Knows(aOrder.mTask, aOrder.mRun)) {
-    outcome = StartOutcome::Started;
-  }
-  if (outcome == StartOutcome::Started) {
-    mBook.TakeStart(aOrder.mTask, aOrder.mRun, MonotonicNow());
-  } else if (fateKnown) {
-    mBook.NoteNotStarted(aOrder.mTask, aOrder.mRun);
-  }
-  LogChange("task-started",
-            { { "task", ToString(aOrder.mTask) },
-              { "run", aOrder.mRun },
-              { "outcome", ToString(outcome) },
-              { "settled", fateKnown ? 1 : 0 },
-              { "error", reply.ok() ? "" : reply.status().ToString() } });
-  return outcome;
-}
-
-bool WorkerControl::HasRoom(const cell::StartOrder& aOrder)
-{
-  const std::vector<cell::TaskRef> there = mBook.MayBeThere();
-  const Resources& capacity = mInfo.mCapacity;
-  if (mGate.Admits(capacity, there, aOrder.mTask, aOrder.mReserved)) {
-    return true;
-  }
-  ++mOverCapacity;
-  LogChange("start-over-capacity",
-            { { "task", ToString(aOrder.mTask) },
-              { "run", aOrder.mRun },
-              { "millicores", aOrder.mReserved.mMillicores },
-              { "memoryMb", aOrder.mReserved.mMemoryMb },
-              { "ofMillicores", capacity.mMillicores },
-              { "ofMemoryMb", capacity.mMemoryMb },
-              { "there", there.size() } });
-  // The owner starts nothing here until it has heard of the capacity.
-  mOnNews();
-  return false;
-}
-
-bool WorkerControl::Stop(const cell::OrderRequest& aOrders,
-                         const cell::StopOrder& aOrder)
-{
-  absl::Status status = absl::AbortedError("another session");
-  for (int attempt = 0; attempt < kStopTries && InForce(aOrders); ++attempt) {
-    status = mWorker.Stop({ aOrder.mTask, aOrder.mRun, mFence }, kOrderTimeout);
-    if (status.ok()) {
-      break;
-    }
-  }
-  LogChange("task-stopped",
-            { { "task", ToString(aOrder.mTask) },
-              { "run", aOrder.mRun },
-              { "outcome", status.ok() ? "ok" : status.ToString() } });
-  return status.ok();
-}
-
 void WorkerControl::TakeGrant(cell::Session aSession,
                               Instant aSentAt,
                               Duration aGrant,
--- /dev/null
+++ b/src/core/message/detail/CellRecordFields.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "src/core/cell/CellRecords.h"
+#include "src/core/message/detail/CommonFields.h"
+
+/// Fields of what a cell keeps in the store.
+namespace foxtailbarrow::detail {
+
+inline constexpr TextRule kPayloadRule{ std::size_t{ 16 } * 1024 };
+inline constexpr TextRule kBitmapRule{ cell::kMaxStepReplicas };
+
+template<typename Visitor, Is<cell::StepSpec> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("replicas",
+                    aMessage.mReplicas,
+                    NumberRule<std::int32_t>{ 1, cell::kMaxStepReplicas });
+  aVisitor.Optional("demand", aMessage.mDemand);
+  aVisitor.Optional("estimateUs", aMessage.mEstimate);
+  aVisitor.Optional("after", aMessage.mAfter);
+  aVisitor.Optional("checkpoints", aMessage.mCheckpoints);
+  aVisitor.Optional("gang", aMessage.mGang);
+  aVisitor.Optional("sameRack", aMessage.mSameRack);
+  aVisitor.Optional("speculative", aMessage.mSpeculative);
+  aVisitor.Optional("standing", aMessage.mStanding);
+  aVisitor.Optional("leftover", aMessage.mLeftover);
+  aVisitor.Optional("requiredLabel", aMessage.mRequiredLabel);
+  aVisitor.Optional("dataRack", aMessage.mDataRack);
+  aVisitor.Optional("maxPerWorker", aMessage.mMaxPerWorker);
+  aVisitor.Optional("maxUnavailable", aMessage.mMaxUnavailable);
+  aVisitor.Optional("image", aMessage.mImage);
+  aVisitor.Optional("latencyTargetUs", aMessage.mLatencyTarget);
+}
+
+template<typename Visitor, Is<cell::Recurrence> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Optional("count", aMessage.mCount);
+  aVisitor.Optional("firstDueUnixMs", aMessage.mFirstDueUnixMs);
+  aVisitor.Optional("intervalMs", aMessage.mIntervalMs);
+}
+
+template<typename Visitor, Is<cell::JobGraph> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("id", aMessage.mId);
+  aVisitor.Required("queue", aMessage.mQueue);
+  aVisitor.Optional("payload", aMessage.mPayload, kPayloadRule);
+  aVisitor.Required("steps", aMessage.mSteps);
+  aVisitor.Optional("recurrence", aMessage.mRecurrence);
+}
+
+template<typename Visitor, Is<cell::StoredJob> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("graph", aMessage.mGraph);
+  aVisitor.Required("acceptedUnixMs", aMessage.mAcceptedUnixMs);
+  aVisitor.Optional("cancelled", aMessage.mCancelled);
+}
+
+template<typename Visitor, Is<cell::StoredFailures> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("index", aMessage.mIndex);
+  aVisitor.Required("runs", aMessage.mRuns);
+}
+
+template<typename Visitor, Is<cell::StoredCheckpoint> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("index", aMessage.mIndex);
+  aVisitor.Required("checkpoint", aMessage.mCheckpoint);
+}
+
+template<typename Visitor, Is<cell::CrashHistory::Runs> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Optional("alone", aMessage.mAlone);
+  aVisitor.Optional("likely", aMessage.mLikely);
+  aVisitor.Optional("beside", aMessage.mBeside);
+  aVisitor.Optional("unconfirmed", aMessage.mUnconfirmed);
+}
+
+template<typename Visitor, Is<cell::StoredCrashes> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("index", aMessage.mIndex);
+  aVisitor.Optional("runs", aMessage.mRuns);
+  aVisitor.Optional("clearedTo", aMessage.mClearedTo);
+}
+
+template<typename Visitor, Is<cell::StoredStep> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("occurrence", aMessage.mOccurrence);
+  aVisitor.Required("step", aMessage.mStep);
+  aVisitor.Optional("done", aMessage.mDone, kBitmapRule);
+  aVisitor.Optional("failures", aMessage.mFailures);
+  aVisitor.Optional("checkpoints", aMessage.mCheckpoints);
+  aVisitor.Optional("crashes", aMessage.mCrashes);
+}
+
+template<typename Visitor, Is<cell::StoredProgress> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("phase", aMessage.mPhase);
+  aVisitor.Optional("endedUnixMs", aMessage.mEndedUnixMs);
+  aVisitor.Optional("steps", aMessage.mSteps);
+}
+
+template<typename Visitor, Is<cell::OwnerRecord> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("scheduler", aMessage.mScheduler);
+  aVisitor.Required("endpoint", aMessage.mEndpoint);
+  aVisitor.Required("generation", aMessage.mGeneration);
+  aVisitor.Required("token", aMessage.mToken);
+}
+
+template<typename Visitor, Is<cell::CellRecord> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("generation", aMessage.mGeneration);
+  aVisitor.Required("scheduler", aMessage.mScheduler);
+  aVisitor.Required("token", aMessage.mToken);
+}
+
+template<typename Visitor, Is<cell::AgentContact> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("endpoint", aMessage.mEndpoint);
+}
+
+} // namespace foxtailbarrow::detail
