An agent reports at once after a resume; tests of flapping capacities

The scheduler looks for a resume in its pulse, the agent in its looks: no further timers. ShrinkingOrderTest: nothing is stopped and never more than fits the larger capacity is started where it flaps; leftover work follows the capacity.

--- a/apps/scheduler/ConfigurationWatch.cpp
+++ b/apps/scheduler/ConfigurationWatch.cpp
@@ -36,7 +36,8 @@
 
 Duration ConfigurationWatch::Confirm()
 {
-  return !mDoubted || Read().ok() ? Duration::zero() : kRetry;
+  const bool doubted = mDoubted && mNewest != nullptr;
+  return !doubted || Read().ok() ? Duration::zero() : kRetry;
 }
 
 Duration ConfigurationWatch::Round()
--- a/apps/scheduler/ConfigurationWatch.h
+++ b/apps/scheduler/ConfigurationWatch.h
@@ -33,8 +33,8 @@
     mDoubted = true;
     ++mDoubts;
   }
-  /// Reads what is in force, where that is in doubt. Returns the pause until
-  /// the next try; zero when there is no doubt any more.
+  /// Reads what is in force, where that is in doubt; the first one is read by
+  /// Round(). Returns the pause until the next try; zero when there is none.
   Duration Confirm();
 
   /// What callers are answered by; null before the first configuration was
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -27,9 +27,8 @@
 /// did. On a calm scheduler its two watches bring two a second.
 constexpr Duration kPulseInterval = std::chrono::milliseconds(300);
 constexpr Duration kPulseCheck = std::chrono::milliseconds(100);
-/// Between two looks whether the machine was suspended; each caller's request
-/// looks as well.
-constexpr Duration kResumeCheck = std::chrono::milliseconds(250);
+/// A fiber that has nothing to do until it is poked.
+constexpr Duration kUntilPoked = std::chrono::hours(1);
 /// An owner without policies would judge jobs by none: until they are read,
 /// this scheduler takes no part in the election.
 constexpr Duration kAwaitConfiguration = std::chrono::milliseconds(20);
@@ -196,11 +195,11 @@
     return mConfiguration.Newest() ? mElection.Round() : kAwaitConfiguration;
   });
   mFibers.Repeat(mResumePoke, [this] {
-    NoteResume();
     const Duration pause = mConfiguration.Confirm();
-    return pause > Duration::zero() ? pause : kResumeCheck;
+    return pause > Duration::zero() ? pause : kUntilPoked;
   });
   mFibers.Repeat(mPulsePoke, kPulseCheck, [this] {
+    NoteResume();
     absl::Status status;
     if (mStore.SinceAnswer() >= kPulseInterval || !mStore.Answers()) {
       status = mStore.Read(cell::kCellKey).status();
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -1,5 +1,6 @@
 #include "apps/taskagent/TaskAgent.h"
 
+#include <chrono>
 #include <utility>
 
 #include "src/core/message/Codec.h"
@@ -82,7 +83,10 @@
   if (!status.ok()) {
     return status;
   }
-  mFibers.Repeat(mLookPoke, [this] { return mWorker.Look(); });
+  mFibers.Repeat(mLookPoke, [this] {
+    NoteResume();
+    return mWorker.Look();
+  });
   mFibers.Repeat(mOwner.RoundPoke(), [this] { return mOwner.Round(); });
   return absl::OkStatus();
 }
@@ -169,6 +173,15 @@
   }
 }
 
+void TaskAgent::NoteResume()
+{
+  if (const auto suspended =
+        mResume.Look(MonotonicNow(), std::chrono::steady_clock::now())) {
+    LogWarning("resumed", { { "ms", WholeMilliseconds(*suspended) } });
+    mOwner.Poked();
+  }
+}
+
 /// A heartbeat that is not the worker's: what is known of the worker stays.
 void TaskAgent::NoteForeign(std::string_view aSender, std::string_view aReason)
 {
--- a/apps/taskagent/TaskAgent.h
+++ b/apps/taskagent/TaskAgent.h
@@ -12,6 +12,7 @@
 #include "platform/KvStore.h"
 #include "platform/WorkerClient.h"
 #include "platform/WorkerHeartbeat.h"
+#include "src/core/base/ResumeWatch.h"
 #include "src/core/cell/HeartbeatOrder.h"
 #include "src/core/cell/RepeatedFindings.h"
 #include "src/net/FiberGroup.h"
@@ -37,6 +38,9 @@
   net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
   void Take(const platform::WorkerHeartbeat& aHeartbeat);
   void Take(const platform::WorkerGone& aGone);
+  /// After a suspension the owner is asked at once whether the session is in
+  /// force; leases are over by the clock.
+  void NoteResume();
   void NoteForeign(std::string_view aSender, std::string_view aReason);
   void AddMethods();
   void AddViews();
@@ -60,6 +64,7 @@
   std::unique_ptr<net::HttpServer> mOwnerServer;
   std::unique_ptr<net::HttpServer> mAdminServer;
   Poke mLookPoke;
+  ResumeWatch mResume;
   FiberGroup mFibers;
 };
 
--- a/tests/cell/ShrinkingWorkerTest.cpp
+++ b/tests/cell/ShrinkingWorkerTest.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+
 #include "tests/cell/CellFixture.h"
 
 namespace foxtailbarrow::cell::test {
@@ -130,6 +133,42 @@
   EXPECT_EQ(Orders("a").mStarts.size(), 2U);
 }
 
+/// Each beat tells another capacity: what runs is never stopped for it, and
+/// never more is started than fits the larger one.
+TEST_F(ShrinkingOrderTest, NothingIsStoppedWhereTheCapacityFlaps)
+{
+  Attach("a", Sized(6000));
+  Grant("a");
+  AddRecorded(Graph("job", { Step(20) }));
+  std::vector<RunningTask> running;
+  for (int beat = 0; beat < 12; ++beat) {
+    const OrderRequest orders = Orders("a");
+    EXPECT_TRUE(orders.mStops.empty());
+    Started("a", orders);
+    std::ranges::copy(RunningOf(orders), std::back_inserter(running));
+    Pass(milliseconds(460));
+    Grant("a");
+    Report("a", Sized(beat % 2 == 0 ? 2000 : 6000, running));
+  }
+  EXPECT_EQ(running.size(), 6U);
+}
+
+/// What leftover tasks may use is what the capacity in force leaves.
+TEST_F(ShrinkingOrderTest, LeftoverWorkFollowsTheCapacityInForce)
+{
+  StepSpec leftover = Step(20);
+  leftover.mLeftover = true;
+  Attach("a", Sized(8000));
+  Grant("a");
+  AddRecorded(Graph("job", { leftover }));
+  const std::size_t atFirst = Orders("a").mStarts.size();
+  Attach("b", Sized(4000));
+  Grant("b");
+  const std::size_t ofHalf = Orders("b").mStarts.size();
+  EXPECT_GT(atFirst, ofHalf);
+  EXPECT_GT(ofHalf, 0U);
+}
+
 /// Room of an order that the agent has not carried out yet counts as taken.
 TEST_F(ShrinkingOrderTest, AnOrderOnItsWayCounts)
 {
