A test that fails: an entry of the store that cannot be read

A job whose progress cannot be read is taken for one that has not begun: all its tasks would run again, and the entry be overwritten. An agent whose record cannot be read is not waited for by a next owner. Nothing is counted.

--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -27,6 +27,8 @@
   std::uint64_t mOrders = 0;
   std::uint64_t mStarts = 0;
   std::uint64_t mRecords = 0;
+  std::uint64_t mUnreadable =
+    0; ///< Entries of the store that were passed over.
 };
 
 /// The owner of the cell for one term: loads what the store and the agents
--- /dev/null
+++ b/tests/scheduler/UnreadableEntryTest.cpp
@@ -0,0 +1,155 @@
+#include <functional>
+#include <string>
+
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include "apps/scheduler/Election.h"
+#include "src/core/cell/CellRecords.h"
+#include "src/core/message/Codec.h"
+#include "src/net/HttpClient.h"
+#include "src/platform/store/MemoryStore.h"
+
+namespace foxtailbarrow::scheduler::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Text that another writer has put where a record belongs.
+struct BadEntry
+{
+  const char* mName;
+  std::function<std::string()> mText;
+};
+
+std::string Nested()
+{
+  constexpr std::size_t kDeep = 10'000;
+  return std::string(kDeep, '[') + std::string(kDeep, ']');
+}
+
+class UnreadableEntryTest : public testing::TestWithParam<BadEntry>
+{
+protected:
+  UnreadableEntryTest()
+    : mClient(mRuntime)
+    , mRpc(mClient)
+    , mElection(mSettings, {}, mStore, [this](const cell::OwnerTerm& aTerm) {
+      return std::make_shared<CellOwner>(
+        CellOwner::Parts{ mRuntime,
+                          mStore,
+                          mRpc,
+                          {},
+                          std::chrono::hours(1),
+                          nullptr,
+                          [] {},
+                          [] { return Duration::zero(); } },
+        aTerm,
+        cell::CellSettings{},
+        std::vector<cell::QueuePolicy>{});
+    })
+  {
+  }
+
+  void Put(const std::string& aKey, const std::string& aText)
+  {
+    ASSERT_TRUE(mStore.Commit({ {}, { { aKey, aText } } }).ok());
+  }
+
+  static std::string JobText(const std::string& aId)
+  {
+    cell::StoredJob job;
+    job.mGraph.mId = JobId(aId);
+    job.mGraph.mQueue = cell::QueueId("queue");
+    job.mGraph.mSteps.resize(1);
+    return ToJsonText(job);
+  }
+
+  std::string Stored(const std::string& aKey)
+  {
+    const auto entry = mStore.Read(aKey);
+    return entry.ok() ? entry->mValue : entry.status().ToString();
+  }
+
+  net::FiberRuntime mRuntime{ 1 };
+  MemoryStore mStore;
+  net::HttpClient mClient;
+  net::RpcClient mRpc;
+  SchedulerSettings mSettings;
+  Election mElection;
+};
+
+/// A job whose progress could not be read was taken for one that had not begun:
+/// all its tasks ran again, and the entry was overwritten.
+TEST_P(UnreadableEntryTest, IsPassedOverAndLeftAsItIs)
+{
+  const std::string bad = GetParam().mText();
+  const std::string id = "done";
+  mRuntime.RunAndWait([&] {
+    Put(cell::JobKey(JobId("bad")), bad);
+    Put(cell::JobKey(JobId(id)), JobText(id));
+    Put(cell::ProgressKey(JobId(id)), bad);
+    Put(std::string(cell::kAgentPrefix) + "agent", bad);
+    Put(cell::JobKey(JobId("good")), JobText("good"));
+    mElection.Round();
+    const auto owner = mElection.Owner();
+    ASSERT_NE(owner, nullptr);
+    // Told again, as a cancellation would be.
+    const auto again = FromJsonText<cell::StoredJob>(JobText(id));
+    owner->OnRecordChanged(*again);
+    const auto& jobs = owner->Logic().Jobs();
+    EXPECT_EQ(jobs.size(), 1U);
+    EXPECT_TRUE(jobs.contains(JobId("good")));
+    EXPECT_EQ(owner->Figures().mUnreadable, 3U);
+    // Another one that comes by the watch.
+    Put(cell::JobKey(JobId("later")), bad);
+    Put(cell::JobKey(JobId("next")), JobText("next"));
+    boost::this_fiber::sleep_for(milliseconds(200));
+    EXPECT_TRUE(jobs.contains(JobId("next")));
+    EXPECT_EQ(owner->Figures().mUnreadable, 4U);
+    EXPECT_EQ(Stored(cell::ProgressKey(JobId(id))), bad);
+    EXPECT_EQ(Stored(cell::JobKey(JobId("bad"))), bad);
+    mElection.Superseded();
+    mStore.Close();
+    boost::this_fiber::sleep_for(std::chrono::seconds(1));
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  UnreadableEntryTest,
+  testing::Values(
+    BadEntry{ "Empty", [] { return std::string(); } },
+    BadEntry{ "Null", [] { return std::string("null"); } },
+    BadEntry{ "Array", [] { return std::string("[]"); } },
+    BadEntry{ "Number", [] { return std::string("7"); } },
+    BadEntry{ "Truncated", [] { return std::string(R"({"graph":{"id":)"); } },
+    BadEntry{ "WrongTypes",
+              [] {
+                return std::string(
+                  R"({"graph":7,"phase":[],"steps":"x","endpoint":{}})");
+              } },
+    BadEntry{
+      "Negative",
+      [] {
+        return std::string(
+          R"({"graph":{"id":"x","queue":"q","steps":[{"replicas":-1}]},)"
+          R"("phase":"queued","steps":[{"step":-1}],"endpoint":"x"})");
+      } },
+    BadEntry{ "TooLarge",
+              [] {
+                return std::string(
+                  R"({"graph":{"id":"x","queue":"q","steps":[{}]},)"
+                  R"("acceptedUnixMs":99999999999999999999999,)"
+                  R"("phase":"no such","endpoint":"1:99999999"})");
+              } },
+    BadEntry{ "NotUtf8", [] { return std::string("{\"\xff\xfe\":1}"); } },
+    BadEntry{ "LongText",
+              [] { return "\"" + std::string(1'000'000, 'x') + "\""; } },
+    BadEntry{ "Nested", Nested }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::scheduler::test
