The soak has another writer in the store and at the agents

FOREIGN=1: texts that cannot be read at keys of jobs, progress, agents and the configuration, and heartbeats that are no worker's.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -54,6 +54,11 @@
   return At(kFirstScheduler + aIndex % mSettings.mSchedulers, kCallerPort);
 }
 
+Endpoint Fleet::AgentControl(unsigned aIndex) const
+{
+  return At(kFirstAgent + aIndex % mSettings.mWorkers, kControlPort);
+}
+
 std::string Fleet::Seeds() const
 {
   std::string seeds;
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -57,6 +57,8 @@
 
   /// Where callers reach the scheduler.
   Endpoint Door(unsigned aIndex) const;
+  /// Where the agent takes heartbeats.
+  Endpoint AgentControl(unsigned aIndex) const;
   unsigned Schedulers() const { return mSettings.mSchedulers; }
 
 private:
--- /dev/null
+++ b/soak/ForeignWriter.cpp
@@ -0,0 +1,101 @@
+#include "soak/ForeignWriter.h"
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include <boost/fiber/operations.hpp>
+
+#include "src/core/cell/CellRecords.h"
+
+namespace foxtailbarrow::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kPause = milliseconds(200);
+constexpr Duration kBeatTimeout = milliseconds(500);
+/// One write of so many makes the configuration unreadable.
+constexpr int kConfigurationEach = 12;
+
+const std::array<std::string, 8> kTexts = {
+  "",
+  "null",
+  "[[[",
+  R"({"graph":7,"phase":3,"endpoint":[]})",
+  R"({"Version":-1,"Routes":"none"})",
+  R"({"Service":"service","Addr":"1.2.3.4:5","Zone":"z","CallSeq":9})",
+  R"({"Service":"unknown","Addr":"1.2.3.4:5","Zone":"z","State":"ready",)"
+  R"("DrainLeftMs":0,"CallSeq":99999999999,"Capacity":{"Cpu":-1}})",
+  std::string("\xff\xfe\x00", 3),
+};
+
+} // namespace
+
+ForeignWriter::ForeignWriter(net::FiberRuntime& aRuntime,
+                             Fleet& aFleet,
+                             unsigned aSeed)
+  : mRuntime(aRuntime)
+  , mFleet(aFleet)
+  , mClient(aRuntime)
+  , mRandom(aSeed)
+{
+}
+
+void ForeignWriter::Start()
+{
+  mWrites = true;
+  mRuntime.Spawn([this] {
+    while (mWrites) {
+      Write();
+      SendHeartbeat();
+      boost::this_fiber::sleep_for(kPause);
+    }
+  });
+}
+
+void ForeignWriter::Stop()
+{
+  if (std::exchange(mWrites, false)) {
+    mFleet.Configure();
+  }
+}
+
+std::string ForeignWriter::BadText()
+{
+  return kTexts[std::uniform_int_distribution<std::size_t>(
+    0, kTexts.size() - 1)(mRandom)];
+}
+
+void ForeignWriter::Write()
+{
+  const std::string name = "foreign" + std::to_string(++mWritten);
+  if (mWritten % kConfigurationEach == 0) {
+    mFleet.Store().Put("op/config", BadText());
+    return;
+  }
+  const std::array<std::string, 3> keys = {
+    cell::JobKey(JobId(name)),
+    cell::ProgressKey(JobId(name)),
+    std::string(cell::kAgentPrefix) + name,
+  };
+  mFleet.Store().Put(keys[mRandom() % keys.size()], BadText());
+}
+
+/// Of no incarnation that is there, or of the worker's own.
+void ForeignWriter::SendHeartbeat()
+{
+  const unsigned agent = mRandom();
+  const bool own = mRandom() % 2 == 0;
+  net::HttpRequest request;
+  request.mMethod = "PUT";
+  request.mTarget =
+    "/runners/" + (own ? mFleet.Worker(agent).Incarnation() : "foreign");
+  request.mBody = BadText();
+  // An agent that is down or refuses it is what is wanted.
+  (void)mClient.Call(mFleet.AgentControl(agent), request, kBeatTimeout);
+}
+
+} // namespace foxtailbarrow::soak
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "soak/Callers.h"
+#include "soak/ForeignWriter.h"
 #include "soak/Injector.h"
 #include "src/telemetry/Log.h"
 #include "src/telemetry/Settings.h"
@@ -29,6 +30,7 @@
   Duration mLength = std::chrono::seconds(20);
   std::int64_t mCrashingPercent = 0; ///< Of the jobs.
   std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
+  std::int64_t mForeign = 0;         ///< 1 = another writer is there.
 };
 
 /// What a run leaves undone when the recovery is over.
@@ -86,10 +88,15 @@
                   aSettings.mFleet.mSeed,
                   aSettings.mCrashingPercent);
   Injector injector(aRuntime, **fleet);
+  ForeignWriter foreign(aRuntime, **fleet, aSettings.mFleet.mSeed);
+  if (aSettings.mForeign != 0) {
+    foreign.Start();
+  }
   callers.Start(kCallers);
   boost::this_fiber::sleep_for(kWarmUp);
   injector.Play(PlanOf(aSettings));
   injector.Heal();
+  foreign.Stop();
   callers.Stop();
   const std::vector<std::string> missing = AwaitAll(book);
   callers.End();
@@ -125,6 +132,10 @@
                     "Jobs whose task takes its worker down");
   settings.AddCount(
     "--shrinking", values.mShrinking, { 0, 1 }, "1: workers shrink and grow");
+  settings.AddCount("--foreign",
+                    values.mForeign,
+                    { 0, 1 },
+                    "1: another writer in the store and at the agents");
   if (const auto code = settings.Parse(argc, argv)) {
     return *code;
   }
