--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -22,12 +22,15 @@
 /// kept: longer than leases, a takeover and the longest job together.
 constexpr Duration kRecovery = std::chrono::seconds(25);
 constexpr Duration kPoll = std::chrono::milliseconds(500);
+/// Beyond these the addresses of links and workers would meet.
+constexpr std::int64_t kMostWorkers = 30;
 
 struct SoakSettings
 {
   FleetSettings mFleet;
   std::int64_t mSeed = 1;
   Duration mLength = std::chrono::seconds(20);
+  std::int64_t mWorkers = 5;
   std::int64_t mCrashingPercent = 0; ///< Of the jobs.
   std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
   std::int64_t mForeign = 0;         ///< 1 = another writer is there.
@@ -126,6 +129,10 @@
                            values.mLength,
                            { std::chrono::seconds(1), std::chrono::hours(24) },
                            "Time with faults");
+  settings.AddCount("--workers",
+                    values.mWorkers,
+                    { 1, soak::kMostWorkers },
+                    "And as many agents");
   settings.AddCount("--crashing-percent",
                     values.mCrashingPercent,
                     { 0, 50 },
@@ -140,6 +147,7 @@
     return *code;
   }
   values.mFleet.mSeed = static_cast<unsigned>(values.mSeed);
+  values.mFleet.mWorkers = static_cast<unsigned>(values.mWorkers);
   net::FiberRuntime runtime(1);
   runtime.RunAndWait([&] { soak::Soak(runtime, values); });
   return EXIT_FAILURE;
