A scheduler that does not answer is asked by one request each 2 s

Change: PeerReach (pure) leaves out a scheduler whose answer timed out; after 2 s one request asks it again, and others do as soon as it answers. One that refuses connections costs nothing and is asked as before. Ruled out: shorter time-outs of forwarding, which would cut off a scheduler that is slow but served by the store; asking all at once, since what was sent to several may have been done by several. Before: SilentPeerTest red (each request 1.2 s and may-have-run). After: it holds, with the scheduler's 28 tests and the cell's 269.

--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -77,6 +77,9 @@
   const bool changes = ChangesJob(aRequest);
   OwnerSurvey survey(mPeers.size());
   for (const Endpoint& peer : mPeers) {
+    if (!mReach.MayAsk(peer, MonotonicNow())) {
+      continue;
+    }
     const Duration left =
       std::min<Duration>(aDeadline - MonotonicNow(), kForwardTimeout);
     if (left <= Duration::zero()) {
@@ -87,11 +90,13 @@
     const auto reply = net::CallTyped<ForwardedReply>(
       mRpc, peer, kForwardMethod, ToForwarded(request), left);
     if (!reply.ok()) {
+      NoteUnanswered(peer, reply.status());
       if (changes && VerdictOf(reply.status()) != Verdict::NotRun) {
         return FateUnknown(reply.status());
       }
       continue;
     }
+    mReach.NoteAnswer(peer);
     JobAnswer answer = FromForwarded(*reply);
     if (!WorthForwarding(answer)) {
       return answer;
@@ -102,6 +107,18 @@
   return LastResort(aRequest, std::move(aRefusal), survey);
 }
 
+/// One that refuses connections costs nothing and may be asked again.
+void JobDesk::NoteUnanswered(const Endpoint& aPeer, const absl::Status& aStatus)
+{
+  if (absl::IsDeadlineExceeded(aStatus)) {
+    LogChange("scheduler-left-out",
+              { { "scheduler", aPeer },
+                { "ms", WholeMilliseconds(PeerReach::kLeftOutFor) },
+                { "error", aStatus.ToString() } });
+    mReach.NoteSilent(aPeer, MonotonicNow());
+  }
+}
+
 JobAnswer JobDesk::AnswerHere(const JobRequest& aRequest)
 {
   const Instant deadline = MonotonicNow() + aRequest.mTimeout - kAnswerTime;
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -11,6 +11,7 @@
 #include "src/core/cell/JobRequest.h"
 #include "src/core/cell/OutageAnswers.h"
 #include "src/core/cell/OwnerSurvey.h"
+#include "src/core/cell/PeerReach.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Rpc.h"
 #include "src/platform/store/PulsedStore.h"
@@ -42,6 +43,7 @@
   cell::JobAnswer Handle(const cell::CountWaitingJobs& aCount,
                          Instant aDeadline);
 
+  void NoteUnanswered(const Endpoint& aPeer, const absl::Status& aStatus);
   cell::JobAnswer Forward(const cell::JobRequest& aRequest,
                           cell::JobAnswer aRefusal,
                           Instant aDeadline);
@@ -72,6 +74,7 @@
   const Election& mElection;
   std::vector<Endpoint> mPeers; ///< Other schedulers.
   cell::OutageAnswers mOutage;
+  cell::PeerReach mReach;
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
