Requests that come while a scheduler is late to answer do not wait for it

Cause: of the submissions of a silent store those that came in the second until the first time-out of a dead scheduler were all forwarded to it. Change: PeerReach counts what waits at a scheduler; one that has not answered within 100 ms is not asked by more.

--- a/apps/scheduler/JobDesk.cpp
+++ b/apps/scheduler/JobDesk.cpp
@@ -87,16 +87,18 @@
     }
     JobRequest request = aRequest;
     request.mTimeout = left;
+    const Instant askedAt = MonotonicNow();
+    mReach.NoteAsked(peer, askedAt);
     const auto reply = net::CallTyped<ForwardedReply>(
       mRpc, peer, kForwardMethod, ToForwarded(request), left);
     if (!reply.ok()) {
-      NoteUnanswered(peer, reply.status());
+      NoteUnanswered(peer, askedAt, reply.status());
       if (changes && VerdictOf(reply.status()) != Verdict::NotRun) {
         return FateUnknown(reply.status());
       }
       continue;
     }
-    mReach.NoteAnswer(peer);
+    mReach.NoteAnswered(peer, askedAt);
     JobAnswer answer = FromForwarded(*reply);
     if (!WorthForwarding(answer)) {
       return answer;
@@ -107,16 +109,19 @@
   return LastResort(aRequest, std::move(aRefusal), survey);
 }
 
-/// One that refuses connections costs nothing and may be asked again.
-void JobDesk::NoteUnanswered(const Endpoint& aPeer, const absl::Status& aStatus)
+void JobDesk::NoteUnanswered(const Endpoint& aPeer,
+                             Instant aAskedAt,
+                             const absl::Status& aStatus)
 {
-  if (absl::IsDeadlineExceeded(aStatus)) {
-    LogChange("scheduler-left-out",
-              { { "scheduler", aPeer },
-                { "ms", WholeMilliseconds(PeerReach::kLeftOutFor) },
-                { "error", aStatus.ToString() } });
-    mReach.NoteSilent(aPeer, MonotonicNow());
+  if (!absl::IsDeadlineExceeded(aStatus)) {
+    mReach.NoteRefused(aPeer, aAskedAt);
+    return;
   }
+  LogChange("scheduler-left-out",
+            { { "scheduler", aPeer },
+              { "ms", WholeMilliseconds(PeerReach::kLeftOutFor) },
+              { "error", aStatus.ToString() } });
+  mReach.NoteSilent(aPeer, aAskedAt, MonotonicNow());
 }
 
 JobAnswer JobDesk::AnswerHere(const JobRequest& aRequest)
--- a/apps/scheduler/JobDesk.h
+++ b/apps/scheduler/JobDesk.h
@@ -43,7 +43,9 @@
   cell::JobAnswer Handle(const cell::CountWaitingJobs& aCount,
                          Instant aDeadline);
 
-  void NoteUnanswered(const Endpoint& aPeer, const absl::Status& aStatus);
+  void NoteUnanswered(const Endpoint& aPeer,
+                      Instant aAskedAt,
+                      const absl::Status& aStatus);
   cell::JobAnswer Forward(const cell::JobRequest& aRequest,
                           cell::JobAnswer aRefusal,
                           Instant aDeadline);
--- a/src/core/cell/PeerReach.h
+++ b/src/core/cell/PeerReach.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 
 #include "foxtailbarrow/Endpoint.h"
 #include "foxtailbarrow/Time.h"
@@ -20,31 +21,34 @@
   /// scheduler of four, 14 of 64 refusals took 1.0 s without this, the others
   /// 2 ms at most (one played day).
   static constexpr Duration kLeftOutFor = std::chrono::milliseconds(2000);
+  /// Of an answer by a scheduler that the store serves: 99 of 100 of 1,612
+  /// submissions were accepted within 17 ms (five played days).
+  static constexpr Duration kUsualAnswer = std::chrono::milliseconds(100);
 
   /// True when the scheduler may be asked; where it has not answered before,
   /// by this request alone.
-  bool MayAsk(const Endpoint& aPeer, Instant aNow)
-  {
-    const auto found = mLeftOutUntil.find(aPeer);
-    if (found == mLeftOutUntil.end()) {
-      return true;
-    }
-    if (aNow < found->second) {
-      return false;
-    }
-    found->second = aNow + kLeftOutFor;
-    return true;
-  }
-
-  void NoteSilent(const Endpoint& aPeer, Instant aNow)
-  {
-    mLeftOutUntil[aPeer] = aNow + kLeftOutFor;
-  }
+  bool MayAsk(const Endpoint& aPeer, Instant aNow);
 
-  void NoteAnswer(const Endpoint& aPeer) { mLeftOutUntil.erase(aPeer); }
+  /// It is asked now.
+  void NoteAsked(const Endpoint& aPeer, Instant aNow);
+  /// What was asked then is answered.
+  void NoteAnswered(const Endpoint& aPeer, Instant aAskedAt);
+  /// It has not answered in time.
+  void NoteSilent(const Endpoint& aPeer, Instant aAskedAt, Instant aNow);
+  /// It could not be asked, and said so at once.
+  void NoteRefused(const Endpoint& aPeer, Instant aAskedAt);
 
 private:
-  std::map<Endpoint, Instant> mLeftOutUntil;
+  struct Peer
+  {
+    std::multiset<Instant> mAsked; ///< Without an answer yet.
+    Instant mLeftOutUntil{};
+    bool mSilent = false; ///< It did not answer the last time.
+  };
+
+  static void Settle(Peer& aPeer, Instant aAskedAt);
+
+  std::map<Endpoint, Peer> mPeers;
 };
 
 } // namespace foxtailbarrow::cell
--- a/tests/scheduler/SilentPeerTest.cpp
+++ b/tests/scheduler/SilentPeerTest.cpp
@@ -37,7 +37,7 @@
 
 /// With the store silent for all and another scheduler dead, each caller waited
 /// for that one's time-out: of 64 refusals of a played day 14 took 1.0 s.
-TEST(SilentPeerTest, IsAskedByOneRequestOnly)
+TEST(SilentPeerTest, IsAskedByTheFirstRequestsOnly)
 {
   net::FiberRuntime runtime(1);
   MemoryStore memory;
@@ -62,8 +62,11 @@
     int number = 0;
     desk.Answer(Submission(++number)); // The silence is noticed.
     // What was sent to the frozen one may have been carried out there.
-    EXPECT_EQ(VerdictOf(desk.Answer(Submission(++number))),
-              Verdict::MayHaveRun);
+    runtime.Spawn([&] {
+      EXPECT_EQ(VerdictOf(desk.Answer(Submission(100))), Verdict::MayHaveRun);
+    });
+    boost::this_fiber::sleep_for(cell::PeerReach::kUsualAnswer * 2);
+    // Others do not wait until that one has timed out.
     Duration quickest = seconds(1);
     for (int i = 0; i < kTries; ++i) {
       const Instant begin = MonotonicNow();
