A test that fails: crashes that all processes forget at once

The owner and the agent were the ones that knew of the start, so neither crash was counted: six starts.

--- a/tests/cell/CrashedWorkerTest.cpp
+++ b/tests/cell/CrashedWorkerTest.cpp
@@ -37,6 +37,21 @@
     Record();
   }
 
+  /// All processes die at once, and the next owner places what is open.
+  void TakeOverAfterPowerLoss(const WorkerState& aFound = State("a-next"))
+  {
+    Record();
+    const JobEntry& job = mScheduler.Jobs().at(kFirst.mJob);
+    const StoredJob stored = job.mStored;
+    const StoredProgress progress = ProgressOf(job);
+    mScheduler = CellScheduler(++mOwner, mSettings, [](const CellDecision&) {});
+    mScheduler.SetQueues({ Policy() });
+    mScheduler.AddJob(stored, progress, ++mRevision, Clock());
+    Attach("a", aFound);
+    Grant("a");
+    mScheduler.Schedule(Clock());
+  }
+
   static StoredCrashes Stored(std::int32_t aIndex, CrashHistory::Runs aRuns)
   {
     return { aIndex, std::move(aRuns), 0 };
@@ -47,6 +62,7 @@
     return mScheduler.Jobs().at(aTask.mJob).Find(aTask)->mCrashes;
   }
 
+  Generation mOwner = kGeneration;
   std::map<std::string, std::vector<RunningTask>> mRunning;
   std::string mLife = "a-life"; ///< Incarnation of the worker that runs.
 };
@@ -335,6 +351,39 @@
   EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Failed);
 }
 
+/// In the soak all processes were killed twice just after a task had taken its
+/// worker down: nobody remembered either crash, and it was started a sixth time
+/// ("workers-crashed alone=2 likely=0 beside=2 unconfirmed=0").
+TEST_F(CrashedWorkerTest, AStartThatAllForgotSpeaksAgainstASuspect)
+{
+  StoredProgress progress;
+  progress.mSteps.push_back(
+    { 0, 0, "", {}, {}, { Stored(0, { .mBeside = { 1 } }) } });
+  AddInherited(Graph("job", { Step(1) }), progress);
+  AttachAndGrant("a");
+  RunFor("a", 0);
+  TakeOverAfterPowerLoss();
+  EXPECT_EQ(Crashes(kFirst).Count(), 2U);
+  // It counts once, by whoever takes over next.
+  TakeOverAfterPowerLoss();
+  EXPECT_LE(Crashes(kFirst).Count(), 3U);
+}
+
+/// The run went on, or its end was listed: nothing is forgotten.
+TEST_F(CrashedWorkerTest, AStartThatAnAgentStillKnowsIsNotForgotten)
+{
+  StoredProgress progress;
+  progress.mSteps.push_back(
+    { 0, 0, "", {}, {}, { Stored(0, { .mBeside = { 1 } }) } });
+  AddInherited(Graph("job", { Step(1) }), progress);
+  AttachAndGrant("a");
+  const OrderRequest orders = RunFor("a", 0);
+  const RunNumber run = orders.mStarts.at(0).mRun;
+  TakeOverAfterPowerLoss(
+    State("a-life", {}, { Ended(1, kFirst, run, RunEnd::Failed) }));
+  EXPECT_EQ(Crashes(kFirst).Count(), 1U);
+}
+
 TEST_F(CrashedWorkerTest, FromTheSecondCrashOnTheRecordComesBeforeTheStart)
 {
   StoredProgress progress;
