A start that all processes have forgotten counts against a suspect

Cause: what was known of a start lived in the owner and the agent alone; where all power went while the worker was down, its crash was never counted. Ruled out: to record each start of a suspect before it is sent, which holds them while the store is silent; to count every takeover against every suspect. Change: the run number of a start in spite of crashes is written with the job's progress, behind the start (15 ms); a next owner that places the task again and finds no agent that knows that run counts it, as a crash that is not confirmed. Before: AStartThatAllForgotSpeaksAgainstASuspect red (1 of 2). After: the cell's 273 tests; one where an agent still knows the run.

--- a/src/core/cell/CellRecords.h
+++ b/src/core/cell/CellRecords.h
@@ -59,6 +59,7 @@
   std::int32_t mIndex = 0;
   CrashHistory::Runs mRuns;
   RunNumber mClearedTo = 0;
+  RunNumber mAnnounced = 0; ///< Newest run that was started in spite of them.
 
   bool operator==(const StoredCrashes&) const = default;
 };
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -328,6 +328,7 @@
                        const TaskRun& aRun,
                        Instant aNow);
   void ExplainLosses(WorkerEntry& aWorker);
+  bool CountForgotten(const TaskRef& aTask, const CellClock& aClock);
   bool CrashesAllowStart(const JobEntry& aJob,
                          const TaskRef& aTask,
                          Instant aNow) const;
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -177,6 +177,25 @@
   aWorker.mUnexplained.clear();
 }
 
+/// An earlier owner started the task although crashes spoke against it, and no
+/// agent knows of that run: all that knew of it died with it. True when it was
+/// counted now.
+bool CellScheduler::CountForgotten(const TaskRef& aTask,
+                                   const CellClock& aClock)
+{
+  TaskEntry* task = FindOpenTask(aTask);
+  if (task == nullptr) {
+    return false;
+  }
+  const RunNumber run = task->mCrashes.Announced();
+  if (run <= task->mLastRun || run >= FirstRunOf(mGeneration)) {
+    return false;
+  }
+  task->mLastRun = run;
+  NoteCrash({}, { aTask, run, {}, false }, CrashBlame::Unconfirmed, aClock);
+  return true;
+}
+
 /// False while another start of the task could be one too many, or while the
 /// store, and so a next owner, lacks a crash of it.
 bool CellScheduler::CrashesAllowStart(const JobEntry& aJob,
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -261,6 +261,10 @@
                               RunNumber aRun,
                               const CellClock& aClock)
 {
+  // Placed in the next round by what is known then; the job may have ended.
+  if (CountForgotten(aTask, aClock) || aJob.Final()) {
+    return false;
+  }
   const StepSpec& spec = aJob.Spec(aTask);
   const bool starving = Starving(aJob, aTask, aClock.mNow);
   const Suspicion suspected = aJob.Find(aTask)->mCrashes.Suspected();
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -37,6 +37,10 @@
                     aJob.Graph().mQueue,
                     task.mCrashes.Suspected() });
   }
+  if (task.mCrashes.Count() > 0) {
+    task.mCrashes.Announce(aRun.mNumber);
+    MarkChanged(aJob, aRun.mOrderedAt);
+  }
   CountUse(aWorker.mUse, aTask.mJob, aJob.Spec(aTask), 1);
   aWorker.mPressure.Forget();
   task.mRuns.push_back(std::move(aRun));
--- a/src/core/cell/CrashHistory.cpp
+++ b/src/core/cell/CrashHistory.cpp
@@ -34,9 +34,12 @@
 
 } // namespace
 
-CrashHistory::CrashHistory(Runs aRuns, RunNumber aClearedTo)
+CrashHistory::CrashHistory(Runs aRuns,
+                           RunNumber aClearedTo,
+                           RunNumber aAnnounced)
   : mRuns(std::move(aRuns))
   , mClearedTo(aClearedTo)
+  , mAnnounced(aAnnounced)
 {
 }
 
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -59,7 +60,7 @@
   };
 
   CrashHistory() = default;
-  CrashHistory(Runs aRuns, RunNumber aClearedTo);
+  CrashHistory(Runs aRuns, RunNumber aClearedTo, RunNumber aAnnounced);
 
   /// False when the crash is known already, or disproved by a later run.
   bool NoteCrash(RunNumber aRun, CrashBlame aBlame);
@@ -69,6 +70,12 @@
   /// The worker is there again, and had not crashed.
   void Explain(RunNumber aRun);
 
+  /// A run was started although crashes speak against the task. Recorded, so
+  /// that a next owner knows of a start which all others have forgotten.
+  void Announce(RunNumber aRun) { mAnnounced = std::max(mAnnounced, aRun); }
+  /// The newest such run; 0 = none.
+  RunNumber Announced() const { return mAnnounced; }
+
   /// A run has ended by itself or lives: the task is not the cause. False when
   /// nothing was held against it.
   bool Clear(RunNumber aRun);
@@ -113,6 +120,7 @@
 
   Runs mRuns;
   RunNumber mClearedTo = 0; ///< Crashes of runs up to this are disproved.
+  RunNumber mAnnounced = 0;
   std::vector<Unexplained> mUnexplained;
 };
 
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -57,7 +57,7 @@
   for (const StoredCrashes& crashes : aStored.mCrashes) {
     if (InRange(crashes.mIndex, aStep.mTasks.size())) {
       aStep.mTasks[static_cast<std::size_t>(crashes.mIndex)].mCrashes =
-        CrashHistory(crashes.mRuns, crashes.mClearedTo);
+        CrashHistory(crashes.mRuns, crashes.mClearedTo, crashes.mAnnounced);
     }
   }
 }
@@ -125,7 +125,8 @@
     if (!task.mDone && !task.mCrashes.Empty()) {
       stored.mCrashes.push_back({ static_cast<std::int32_t>(index),
                                   task.mCrashes.Crashes(),
-                                  task.mCrashes.ClearedTo() });
+                                  task.mCrashes.ClearedTo(),
+                                  task.mCrashes.Announced() });
     }
   }
   if (!anyDone) {
--- a/src/core/message/detail/CellRecordFields.h
+++ b/src/core/message/detail/CellRecordFields.h
@@ -87,6 +87,7 @@
   aVisitor.Required("index", aMessage.mIndex);
   aVisitor.Optional("runs", aMessage.mRuns);
   aVisitor.Optional("clearedTo", aMessage.mClearedTo);
+  aVisitor.Optional("announced", aMessage.mAnnounced);
 }
 
 template<typename Visitor, Is<cell::StoredStep> Message>
