A test that fails: a start without an answer takes room for ever

What was sent and not answered stayed in the agent's book after the next session had shown that it is not there. Red: over-capacity where the worker is empty.

--- a/tests/taskagent/WorkerControlTest.cpp
+++ b/tests/taskagent/WorkerControlTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "apps/taskagent/WorkerControl.h"
+#include "foxtailbarrow/Verdict.h"
 #include "src/net/FiberRuntime.h"
 
 namespace foxtailbarrow::taskagent::test {
@@ -21,7 +22,8 @@
 {
 public:
   bool mAnswers = false;
-  int mStarts = 0; ///< Calls.
+  int mStarts = 0;     ///< Calls.
+  bool mLoses = false; ///< Neither does anything nor answers.
 
   void Expect(const cell::WorkerIncarnation&) override {}
 
@@ -36,6 +38,9 @@
                                          Duration) override
   {
     ++mStarts;
+    if (mLoses) {
+      return Lost();
+    }
     return cell::StartReply{};
   }
 
@@ -54,10 +59,20 @@
     while (!mAnswers) {
       boost::this_fiber::sleep_for(milliseconds(1));
     }
+    if (mLoses) {
+      return Lost();
+    }
     cell::LookReply reply;
     reply.mRunning.emplace_back().mTask = kTask;
     return reply;
   }
+
+private:
+  static absl::Status Lost()
+  {
+    return WithVerdict(absl::DeadlineExceededError("timed out"),
+                       Verdict::MayHaveRun);
+  }
 };
 
 /// A worker that looks waited for 0.4 s at, and that came back under another
@@ -184,6 +199,42 @@
                            return std::string(aInfo.param.mName);
                          });
 
+/// On a day with orders that workers carry out late a worker of 96 cores
+/// refused every start from then on: what had got no answer was taken for
+/// there, though the next session's first look had shown that it was not. Two
+/// tasks that last did not run for 30 s, with 15,193 refusals.
+TEST(WorkerControlTest, AStartThatIsSettledByTheNextSessionTakesNoRoom)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    SlowWorker worker;
+    worker.mAnswers = true;
+    WorkerControl control(worker, [] {});
+    cell::WorkerInfo info;
+    info.mIncarnation = cell::WorkerIncarnation("life");
+    info.mCapacity = { 1000, 1000, 0 };
+    control.TakeInfo(info);
+    ASSERT_TRUE(control.Attach(1 << 8).ok());
+    control.TakeGrant(1 << 8, MonotonicNow(), std::chrono::seconds(30), 0);
+    cell::OrderRequest orders;
+    orders.mSession = 1 << 8;
+    orders.mNumber = 1;
+    orders.mIncarnation = info.mIncarnation;
+    cell::StartOrder& start = orders.mStarts.emplace_back();
+    start.mTask = { JobId("late"), 0, 0, 0 };
+    start.mReserved = { 1000, 1000, 0 };
+    worker.mLoses = true;
+    EXPECT_FALSE(control.CarryOut(orders).mAccepted);
+    worker.mLoses = false;
+    ASSERT_TRUE(control.Attach(2 << 8).ok());
+    orders.mSession = 2 << 8;
+    start.mTask = { JobId("next"), 0, 0, 0 };
+    const cell::OrderReply reply = control.CarryOut(orders);
+    ASSERT_EQ(reply.mStarts.size(), 1U);
+    EXPECT_EQ(reply.mStarts[0].mOutcome, cell::StartOutcome::Started);
+  });
+}
+
 TEST(WorkerControlTest, NoSessionIsInForceBeforeTheWorkerWasLookedAt)
 {
   net::FiberRuntime runtime(1);
