What the next session has settled takes no room

Cause: starts without an answer stayed in the agent's book until the worker's next incarnation, and the look at the room counted them; each refusal made the agent report at once, on which the owner placed the same start there again. Change: a session's first look settles all earlier starts in the book; a refusal waits for the report that is due, which the smaller capacity itself brought on. Before: AStartThatIsSettledByTheNextSessionTakesNoRoom red; after: it holds, with the agent's 12 tests and the cell's.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -122,6 +122,7 @@
   if (!Settle(aSession) || incarnation != mInfo.mIncarnation) {
     return absl::UnavailableError("the worker does not answer");
   }
+  mBook.NoteAllSettled();
   mBegun = true;
   return Snapshot().mState;
 }
--- a/apps/taskagent/WorkerControlOrders.cpp
+++ b/apps/taskagent/WorkerControlOrders.cpp
@@ -146,8 +146,6 @@
               { "ofMillicores", capacity.mMillicores },
               { "ofMemoryMb", capacity.mMemoryMb },
               { "there", there.size() } });
-  // The owner starts nothing here until it has heard of the capacity.
-  mOnNews();
   return false;
 }
 
--- a/src/core/cell/CapacityGate.h
+++ b/src/core/cell/CapacityGate.h
@@ -19,8 +19,8 @@
   void NoteTask(const TaskRef& aTask, const Resources& aReserved);
 
   /// True when the start fits the capacity beside what is there: what runs, is
-  /// being stopped, or was sent and has no answer yet. A task that nothing is
-  /// known of counts as nothing; the owner has counted it.
+  /// being stopped, or was sent in this session and has no answer yet. A task
+  /// that nothing is known of counts as nothing; the owner has counted it.
   bool Admits(const Resources& aCapacity,
               std::span<const TaskRef> aThere,
               const TaskRef& aTask,
--- a/src/core/cell/WorkerBook.h
+++ b/src/core/cell/WorkerBook.h
@@ -26,6 +26,9 @@
   void NoteSent(const TaskRef& aTask, RunNumber aRun);
   /// It was not carried out, and will not be.
   void NoteNotStarted(const TaskRef& aTask, RunNumber aRun);
+  /// A look under a higher fence was taken: starts of lower ones that it does
+  /// not show will not be carried out.
+  void NoteAllSettled() { mSent.clear(); }
   void TakeStart(const TaskRef& aTask, RunNumber aRun, Instant aAnsweredAt);
 
   /// Returns true when the look brought an end that was not known.
