--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -17,6 +17,11 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 net::HttpResponse Refusal(unsigned aStatus)
 {
   net::HttpResponse response;
@@ -116,6 +121,21 @@
     "starts_over_capacity",
     "Starts refused as not fitting the worker's newest capacity.",
     [this] { return static_cast<double>(mWorker.RefusedOverCapacity()); });
+  mMetrics.SampledGauge("looks_late", "Looks over a second apart.", [this] {
+    return static_cast<double>(mWorker.Paces().LateLooks());
+  });
+  mMetrics.SampledGauge(
+    "paces_unanswered", "Paces that the worker may yet carry out.", [this] {
+      return static_cast<double>(mWorker.Paces().UnansweredPaces());
+    });
+  mMetrics.SampledGauge(
+    "tasks_unknown", "Running tasks whose traits are not known.", [this] {
+      return static_cast<double>(mWorker.Paces().UnknownTasks());
+    });
+  mMetrics.SampledGauge(
+    "serving_over_longest_seconds",
+    "Longest time that a serving image was over its target.",
+    [this] { return Seconds(mWorker.Paces().LongestOver()); });
   mMetrics.SampledGauge(
     "foreign_heartbeats", "Heartbeats that were not the worker's.", [this] {
       return static_cast<double>(mForeignHeartbeats);
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
@@ -29,17 +28,9 @@
 /// Crashes that are remembered for an owner that has not heard of them: at four
 /// seconds a crash, those of the last half minute.
 constexpr std::size_t kCrashesKept = 8;
-constexpr double kPercent = 100.0;
-constexpr double kPerMille = 1000.0;
 /// Fences of a session: the session's number and those after it.
 constexpr cell::Fence kFencesOfSession = 255;
 
-/// Rounded, as logs show shares.
-std::int64_t Scaled(double aShare, double aUnits)
-{
-  return std::llround(aShare * aUnits);
-}
-
 } // namespace
 
 WorkerControl::WorkerControl(cell::TaskWorker& aWorker,
@@ -228,21 +219,16 @@
 void WorkerControl::SetPaces()
 {
   const std::vector<cell::RunningTask> running = mBook.Running();
-  for (const cell::PaceChange& change :
-       mGovernor.Judge(running, MonotonicNow())) {
+  const Instant now = MonotonicNow();
+  mPaceLog.NoteLook(now);
+  const std::vector<cell::PaceChange> changes = mGovernor.Judge(running, now);
+  mPaceLog.NoteOver(mGovernor.OverTargets(now), now);
+  mPaceLog.NoteUnknown(mGovernor.UnknownTasks(), now);
+  for (const cell::PaceChange& change : changes) {
+    const cell::Fence fence = mFence;
     const absl::Status status = mWorker.Pace(
-      { change.mTask, change.mRun, change.mPercent, mFence }, kOrderTimeout);
-    LogChange(
-      "task-paced",
-      { { "task", ToString(change.mTask) },
-        { "run", change.mRun },
-        { "percent", change.mPercent },
-        { "reason", ToString(change.mCause.mReason) },
-        { "image", change.mImage },
-        { "serving", change.mCause.mServing },
-        { "latencyPercent", Scaled(change.mCause.mLatencyShare, kPercent) },
-        { "perMille", Scaled(change.mCause.mPerCore, kPerMille) },
-        { "outcome", status.ok() ? "ok" : status.ToString() } });
+      { change.mTask, change.mRun, change.mPercent, fence }, kOrderTimeout);
+    mPaceLog.NotePace(change, fence, status);
     if (status.ok()) {
       mGovernor.NotePaced(change);
     }
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/statusor.h"
 
+#include "apps/taskagent/PaceLog.h"
 #include "src/core/cell/CapacityGate.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/LeaseGrant.h"
@@ -79,6 +80,7 @@
   WorkerSnapshot Snapshot() const;
   /// Starts that were refused for lack of room so far.
   std::int64_t RefusedOverCapacity() const { return mOverCapacity; }
+  const PaceLog& Paces() const { return mPaceLog; }
   /// The session in force; 0 while one begins, since what is known of the
   /// worker may be older than it: a report then would deny what runs.
   cell::Session CurrentSession() const { return mBegun ? mSession : 0; }
@@ -109,6 +111,7 @@
   std::int64_t mOverCapacity = 0;
   cell::LeaseGrant mLease;
   cell::PaceGovernor mGovernor;
+  PaceLog mPaceLog;
   cell::Session mSession = 0;
   bool mBegun = false;          ///< The worker was looked at in this session.
   std::int64_t mOrdersDone = 0; ///< Number of the newest of this session.
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/str_cat.h"
+
 namespace foxtailbarrow::cell {
 
 namespace {
@@ -84,9 +86,11 @@
   }
   std::map<std::string, std::pair<TaskTraits, std::vector<std::int64_t>>>
     figures;
+  mUnknownTasks = 0;
   for (const RunningTask& running : aRunning) {
     const auto known = mTasks.find(running.mTask);
     if (known == mTasks.end()) {
+      ++mUnknownTasks;
       continue;
     }
     known->second.mMissed = 0;
@@ -272,6 +276,25 @@
   return changes;
 }
 
+std::vector<OverTarget> PaceGovernor::OverTargets(Instant aNow) const
+{
+  std::vector<std::string> beside;
+  for (const auto& [task, leftover] : mLeftover) {
+    beside.push_back(
+      absl::StrCat(mTasks.at(task).mTraits.mImage, "=", leftover.mTold));
+  }
+  std::vector<OverTarget> over;
+  for (const auto& [image, serving] : mServing) {
+    if (serving.mOver) {
+      over.push_back({ image,
+                       aNow - serving.mOverSince,
+                       std::exp(serving.mLatency),
+                       beside });
+    }
+  }
+  return over;
+}
+
 void PaceGovernor::NotePaced(const PaceChange& aChange)
 {
   if (const auto found = mLeftover.find(aChange.mTask);
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -10,6 +10,7 @@
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/Interference.h"
+#include "src/core/cell/OverTarget.h"
 #include "src/core/cell/PaceCause.h"
 #include "src/core/cell/WorkerState.h"
 
@@ -73,6 +74,11 @@
                                 Instant aNow);
   void NotePaced(const PaceChange& aChange);
 
+  /// Serving images that were over their target in the newest look.
+  std::vector<OverTarget> OverTargets(Instant aNow) const;
+  /// Tasks of the newest look whose traits are not known.
+  std::size_t UnknownTasks() const { return mUnknownTasks; }
+
 private:
   struct KnownTask
   {
@@ -122,6 +128,7 @@
   std::map<std::pair<std::string, std::string>, double> mPerCore;
   std::map<std::string, Serving> mServing;
   std::map<TaskRef, Leftover> mLeftover;
+  std::size_t mUnknownTasks = 0;
 };
 
 } // namespace foxtailbarrow::cell
