--- /dev/null
+++ b/tests/taskagent/PaceTest.cpp
@@ -0,0 +1,125 @@
+#include <string>
+
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include "apps/taskagent/WorkerControl.h"
+#include "src/net/FiberRuntime.h"
+#include "tests/taskagent/PacedWorker.h"
+
+namespace foxtailbarrow::taskagent::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr cell::Session kSession = 1 << 8;
+constexpr std::int64_t kOver = 60;
+constexpr std::int64_t kCalm = 5;
+constexpr Duration kPatience = seconds(10);
+const cell::TaskRef kServing{ JobId("serving"), 0, 0, 0 };
+const cell::TaskRef kLeftover{ JobId("leftover"), 0, 0, 0 };
+
+/// An agent's control of a worker that runs a serving and a leftover task,
+/// which it did not start itself.
+class PaceTest : public testing::Test
+{
+protected:
+  PaceTest()
+  {
+    mWorker.mTasks[kServing] = { 1, kCalm, 100 };
+    mWorker.mTasks[kLeftover] = { 1, 6000, 100 };
+  }
+
+  void Attach(WorkerControl& aControl, cell::Session aSession = kSession)
+  {
+    cell::WorkerInfo info;
+    info.mIncarnation = cell::WorkerIncarnation("life");
+    aControl.TakeInfo(info);
+    ASSERT_TRUE(aControl.Attach(aSession).ok());
+  }
+
+  static void TellTraits(WorkerControl& aControl)
+  {
+    cell::OrderRequest orders;
+    orders.mSession = kSession;
+    orders.mNumber = 1;
+    orders.mIncarnation = aControl.Info().mIncarnation;
+    orders.mTraits.push_back(
+      { kServing, milliseconds(20), false, "serving", {} });
+    orders.mTraits.push_back({ kLeftover, {}, true, "leftover", {} });
+    EXPECT_TRUE(aControl.CarryOut(orders).mAccepted);
+    const cell::Pressure pressures[] = { { "serving", "leftover", 0.15 } };
+    aControl.TakePressures(pressures);
+  }
+
+  /// Looks until `aDone`; false when it does not come.
+  template<typename Condition>
+  static bool LookUntil(WorkerControl& aControl, Condition aDone)
+  {
+    for (const Instant end = MonotonicNow() + kPatience;
+         MonotonicNow() < end;) {
+      aControl.Look();
+      if (aDone()) {
+        return true;
+      }
+      boost::this_fiber::sleep_for(milliseconds(25));
+    }
+    return false;
+  }
+
+  std::int32_t Pace() const { return mWorker.mTasks.at(kLeftover).mPace; }
+  std::int64_t& ServingFigure() { return mWorker.mTasks.at(kServing).mFigure; }
+
+  PacedWorker mWorker;
+};
+
+TEST_F(PaceTest, ARaiseCarriedOutLateDoesNotUndoAStop)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    TellTraits(control);
+    ServingFigure() = kOver;
+    ASSERT_TRUE(LookUntil(control, [&] { return Pace() == 0; }));
+    mWorker.mLosesPaces = true;
+    ServingFigure() = kCalm;
+    ASSERT_TRUE(LookUntil(control, [&] { return mWorker.Late() > 0; }));
+    mWorker.mLosesPaces = false;
+    ASSERT_TRUE(LookUntil(control, [&] { return Pace() > 0; }));
+    ServingFigure() = kOver;
+    ASSERT_TRUE(LookUntil(control, [&] { return Pace() == 0; }));
+    mWorker.CarryOutLate();
+    EXPECT_EQ(Pace(), 0);
+  });
+}
+
+TEST_F(PaceTest, ARestartedAgentSpeedsUpWhatTheOneBeforeItSlowedDown)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    mWorker.mTasks[kLeftover].mPace = 0;
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    TellTraits(control);
+    EXPECT_TRUE(LookUntil(control, [&] { return Pace() == 100; }));
+  });
+}
+
+TEST_F(PaceTest, ASessionThatTellsNoTraitsOfRunningTasksIsBegunAnew)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    ASSERT_EQ(control.CurrentSession(), kSession);
+    EXPECT_TRUE(
+      LookUntil(control, [&] { return control.CurrentSession() == 0; }));
+  });
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::taskagent::test
--- /dev/null
+++ b/tests/taskagent/RestartedAgentTest.cpp
@@ -0,0 +1,75 @@
+#include <string>
+
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include "apps/taskagent/WorkerControl.h"
+#include "src/net/FiberRuntime.h"
+#include "tests/cell/CellFixture.h"
+#include "tests/taskagent/PacedWorker.h"
+
+namespace foxtailbarrow::taskagent::test {
+
+namespace {
+
+/// The scheduler of a cell, and the agent of one worker.
+class RestartedAgentTest : public cell::test::CellFixture
+{
+protected:
+  static inline const std::string kAgent = "agent";
+  static constexpr Duration kPatience = std::chrono::seconds(10);
+
+  /// A session of the scheduler with an agent that knows nothing.
+  cell::OrderRequest Begin(WorkerControl& aControl)
+  {
+    aControl.TakeInfo(State("life").mInfo);
+    Attach(kAgent, *aControl.Attach((mSession + 1) << 8));
+    Grant(kAgent);
+    cell::OrderRequest orders = Orders(kAgent);
+    orders.mSession = mSession << 8;
+    return orders;
+  }
+
+  PacedWorker mWorker;
+};
+
+TEST_F(RestartedAgentTest, ProtectsTheServingTasksThatRanOn)
+{
+  cell::StepSpec serving = Step(1);
+  serving.mStanding = true;
+  serving.mImage = "serving";
+  serving.mLatencyTarget = std::chrono::milliseconds(20);
+  cell::StepSpec leftover = Step(1);
+  leftover.mLeftover = true;
+  leftover.mImage = "leftover";
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    {
+      WorkerControl first(mWorker, [] {});
+      Begin(first);
+      AddRecorded(Graph("serving", { serving }));
+      AddRecorded(Graph("leftover", { leftover }));
+      cell::OrderRequest orders = Orders(kAgent);
+      Started(kAgent, orders);
+      for (const cell::StartOrder& order : orders.mStarts) {
+        mWorker.mTasks[order.mTask] = { order.mRun,
+                                        order.mLeftover ? 900 : 60 };
+      }
+      ASSERT_EQ(mWorker.mTasks.size(), 2U);
+    }
+    WorkerControl restarted(mWorker, [] {});
+    ASSERT_TRUE(restarted.CarryOut(Begin(restarted)).mAccepted);
+    const Instant end = MonotonicNow() + kPatience;
+    const PacedWorker::Task& task =
+      mWorker.mTasks.at({ JobId("leftover"), 0, 0, 0 });
+    while (task.mPace > 0 && MonotonicNow() < end) {
+      restarted.Look();
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(25));
+    }
+    EXPECT_EQ(task.mPace, 0);
+  });
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::taskagent::test
