A pace without an answer is not carried out after a newer one

Callers saw: a serving task over its target for longer than 4 s while the agent believed that the task beside it stood still. Cause: a pace that timed out was sent again under the same fence, and the second answer was taken for the state of the task. Carried out seconds later, a raise undid the stop that had followed it, and nothing compared the two again. Change: a pace without an answer makes the pace in force unknown, so that it stays due, and raises the fence, so that the worker ignores the late one once it has seen any newer call. A session without a fence left is begun anew. Settling an order looks again when the fence was raised meanwhile, as the book takes no look of an older one.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 
 #include "apps/taskagent/WorkerTimeouts.h"
+#include "foxtailbarrow/Verdict.h"
 #include "src/telemetry/Log.h"
 
 namespace foxtailbarrow::taskagent {
@@ -124,8 +125,9 @@
   const Instant end = MonotonicNow() + kSettleTime;
   while (MonotonicNow() < end && aSession == mSession &&
          mFence < aSession + kFencesOfSession) {
-    ++mFence;
-    if (LookOnce(Duration::zero(), false).ok()) {
+    const cell::Fence fence = ++mFence;
+    // The look of a fence that was raised meanwhile is not in the book.
+    if (LookOnce(Duration::zero(), false).ok() && fence == mFence) {
       return aSession == mSession;
     }
     boost::this_fiber::sleep_for(kSettlePause);
@@ -231,10 +233,25 @@
     mPaceLog.NotePace(change, fence, status);
     if (status.ok()) {
       mGovernor.NotePaced(change);
+    } else if (VerdictOf(status) == Verdict::MayHaveRun) {
+      mGovernor.NoteUnanswered(change);
+      RaiseFence(fence);
     }
   }
 }
 
+void WorkerControl::RaiseFence(cell::Fence aUsed)
+{
+  if (mFence != aUsed) {
+    return;
+  }
+  if (mFence < mSession + kFencesOfSession) {
+    ++mFence;
+  } else {
+    mBegun = false;
+  }
+}
+
 WorkerSnapshot WorkerControl::Snapshot() const
 {
   WorkerSnapshot snapshot;
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -100,6 +100,10 @@
   bool Settle(cell::Session aSession);
   absl::StatusOr<cell::LookReply> LookOnce(Duration aWait, bool aExtend);
   void SetPaces();
+  /// A call under the fence `aUsed` got no answer: it is not carried out any
+  /// more once the worker has seen a higher one. Without a fence left in the
+  /// session a new one is asked for.
+  void RaiseFence(cell::Fence aUsed);
   void NoteReplaced();
 
   cell::TaskWorker& mWorker;
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -135,7 +135,7 @@
   const double cores =
     aLeftover.mTold >= kSmallestStep && aLeftover.mCores > 0
       ? std::min(kUnknownCores * 2,
-                 aLeftover.mCores * kFullShare / aLeftover.mTold)
+                 aLeftover.mCores * kFullShare / *aLeftover.mTold)
       : kUnknownCores;
   return PerCore(aServing, mTasks.at(aTask).mTraits.mImage) * cores;
 }
@@ -252,6 +252,17 @@
   }
 }
 
+bool PaceGovernor::IsDue(const Leftover& aLeftover)
+{
+  if (!aLeftover.mTold) {
+    return true;
+  }
+  const std::int32_t wanted = aLeftover.mWanted;
+  const bool end = wanted == 0 || wanted == kFull;
+  return std::abs(wanted - *aLeftover.mTold) >= kSmallestStep ||
+         (wanted != *aLeftover.mTold && end);
+}
+
 std::vector<PaceChange> PaceGovernor::Judge(
   std::span<const RunningTask> aRunning,
   Instant aNow)
@@ -261,11 +272,7 @@
   Raise(aNow);
   std::vector<PaceChange> changes;
   for (auto& [task, leftover] : mLeftover) {
-    const bool step =
-      std::abs(leftover.mWanted - leftover.mTold) >= kSmallestStep ||
-      (leftover.mWanted != leftover.mTold &&
-       (leftover.mWanted == 0 || leftover.mWanted == kFull));
-    if (step) {
+    if (IsDue(leftover)) {
       changes.push_back({ task,
                           leftover.mRun,
                           leftover.mWanted,
@@ -281,7 +288,9 @@
   std::vector<std::string> beside;
   for (const auto& [task, leftover] : mLeftover) {
     beside.push_back(
-      absl::StrCat(mTasks.at(task).mTraits.mImage, "=", leftover.mTold));
+      absl::StrCat(mTasks.at(task).mTraits.mImage,
+                   "=",
+                   leftover.mTold ? absl::StrCat(*leftover.mTold) : "?"));
   }
   std::vector<OverTarget> over;
   for (const auto& [image, serving] : mServing) {
@@ -303,4 +312,12 @@
   }
 }
 
+void PaceGovernor::NoteUnanswered(const PaceChange& aChange)
+{
+  if (const auto found = mLeftover.find(aChange.mTask);
+      found != mLeftover.end() && found->second.mRun == aChange.mRun) {
+    found->second.mTold.reset();
+  }
+}
+
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -73,6 +74,8 @@
   std::vector<PaceChange> Judge(std::span<const RunningTask> aRunning,
                                 Instant aNow);
   void NotePaced(const PaceChange& aChange);
+  /// The pace may or may not be in force.
+  void NoteUnanswered(const PaceChange& aChange);
 
   /// Serving images that were over their target in the newest look.
   std::vector<OverTarget> OverTargets(Instant aNow) const;
@@ -99,13 +102,15 @@
   {
     RunNumber mRun = 0;
     std::int32_t mWanted = 100;
-    std::int32_t mTold = 100;
+    /// The pace in force; empty when it is not known.
+    std::optional<std::int32_t> mTold = 100;
     double mCores = 0; ///< In use over the last half second.
     Instant mRaisedAt{};
     bool mSeen = false;
     PaceCause mCause; ///< Of the pace that is wanted.
   };
 
+  static bool IsDue(const Leftover& aLeftover);
   void TakeLook(std::span<const RunningTask> aRunning, Instant aNow);
   void TakeServing(const TaskTraits& aTraits,
                    std::span<const std::int64_t> aFigures,
--- a/tests/load/PressedWorker.cpp
+++ b/tests/load/PressedWorker.cpp
@@ -158,6 +158,8 @@
   if (Chance(mPattern.mLatePaces)) {
     const double delay = std::uniform_real_distribution<double>(2, 12)(mRandom);
     task->mPending.push_back({ aNow + delay, mAgentFence, aChange.mPercent });
+    mGovernor.NoteUnanswered(aChange);
+    ++mAgentFence;
     return false;
   }
   mWorkerFence = mAgentFence;
@@ -168,6 +170,7 @@
 
 double PressedWorker::Look(double aNow)
 {
+  mWorkerFence = mAgentFence;
   std::vector<RunningTask> running;
   RunningTask& serving = running.emplace_back();
   serving.mTask = kServing;
