A restarted agent takes no pace of the one before it for granted

Callers saw: leftover jobs that did not finish in time. What an agent had slowed down was never sped up again after a restart of that agent. Cause: an agent took each run that it saw for the first time to work at full pace, which holds of those that it starts itself only. Change: the pace of a run of an earlier agent is unknown, and so is due; it begins at a standstill when the run used no processor lately, and is raised as room allows.

--- a/apps/taskagent/WorkerControlOrders.cpp
+++ b/apps/taskagent/WorkerControlOrders.cpp
@@ -89,11 +89,12 @@
   if (!HasRoom(aOrder)) {
     return StartOutcome::OverCapacity;
   }
-  mGovernor.NoteTraits({ aOrder.mTask,
-                         aOrder.mLatencyTarget,
-                         aOrder.mLeftover,
-                         aOrder.mImage,
-                         aOrder.mReserved });
+  mGovernor.NoteStart({ aOrder.mTask,
+                        aOrder.mLatencyTarget,
+                        aOrder.mLeftover,
+                        aOrder.mImage,
+                        aOrder.mReserved },
+                      aOrder.mRun);
   mBook.NoteSent(aOrder.mTask, aOrder.mRun);
   const auto reply = mWorker.Start({ aOrder.mTask,
                                      aOrder.mRun,
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -32,7 +32,15 @@
 
 void PaceGovernor::NoteTraits(const TaskTraits& aTraits)
 {
-  mTasks[aTraits.mTask] = { aTraits, 0 };
+  KnownTask& known = mTasks[aTraits.mTask];
+  known.mTraits = aTraits;
+  known.mMissed = 0;
+}
+
+void PaceGovernor::NoteStart(const TaskTraits& aTraits, RunNumber aRun)
+{
+  NoteTraits(aTraits);
+  mTasks.at(aTraits.mTask).mStarted = aRun;
 }
 
 void PaceGovernor::TakePressures(std::span<const Pressure> aPressures)
@@ -73,6 +81,23 @@
   serving.mOver = over;
 }
 
+void PaceGovernor::TakeLeftover(const KnownTask& aKnown,
+                                const RunningTask& aRunning)
+{
+  Leftover& leftover = mLeftover[aRunning.mTask];
+  if (leftover.mRun != aRunning.mRun) {
+    leftover = {};
+    leftover.mRun = aRunning.mRun;
+    if (aKnown.mStarted != aRunning.mRun) {
+      // An earlier agent may have slowed it down.
+      leftover.mTold.reset();
+      leftover.mWanted = aRunning.mFigure > 0 ? kFull : 0;
+    }
+  }
+  leftover.mCores = static_cast<double>(aRunning.mFigure) / kMillicores;
+  leftover.mSeen = true;
+}
+
 void PaceGovernor::TakeLook(std::span<const RunningTask> aRunning, Instant aNow)
 {
   for (auto& [image, serving] : mServing) {
@@ -104,13 +129,7 @@
       }
     }
     if (traits.mLeftover) {
-      Leftover& leftover = mLeftover[running.mTask];
-      if (leftover.mRun != running.mRun) {
-        leftover = {};
-        leftover.mRun = running.mRun;
-      }
-      leftover.mCores = static_cast<double>(running.mFigure) / kMillicores;
-      leftover.mSeen = true;
+      TakeLeftover(known->second, running);
     }
   }
   for (const auto& [image, entry] : figures) {
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -67,7 +67,11 @@
 public:
   explicit PaceGovernor(PaceSettings aSettings = {});
 
+  /// What a task is that runs, or may run.
   void NoteTraits(const TaskTraits& aTraits);
+  /// A run of it is about to be started, and works at full pace at first. The
+  /// paces of other runs are not known.
+  void NoteStart(const TaskTraits& aTraits, RunNumber aRun);
   void TakePressures(std::span<const Pressure> aPressures);
 
   /// Paces to be set after a look. A pace stays due until NotePaced().
@@ -86,7 +90,8 @@
   struct KnownTask
   {
     TaskTraits mTraits;
-    int mMissed = 0; ///< Looks in a row that did not show it.
+    RunNumber mStarted = 0; ///< The run that this agent started; 0 = none.
+    int mMissed = 0;        ///< Looks in a row that did not show it.
   };
 
   struct Serving
@@ -112,6 +117,7 @@
 
   static bool IsDue(const Leftover& aLeftover);
   void TakeLook(std::span<const RunningTask> aRunning, Instant aNow);
+  void TakeLeftover(const KnownTask& aKnown, const RunningTask& aRunning);
   void TakeServing(const TaskTraits& aTraits,
                    std::span<const std::int64_t> aFigures,
                    Instant aNow);
--- a/tests/cell/PaceGovernorTest.cpp
+++ b/tests/cell/PaceGovernorTest.cpp
@@ -32,8 +32,8 @@
   {
     mGovernor.NoteTraits(
       { kServing, milliseconds(kTargetMs), false, "service" });
-    mGovernor.NoteTraits({ kHeavy, {}, true, "heavy" });
-    mGovernor.NoteTraits({ kLight, {}, true, "light" });
+    mGovernor.NoteStart({ kHeavy, {}, true, "heavy", {} }, 1);
+    mGovernor.NoteStart({ kLight, {}, true, "light", {} }, 1);
     const Pressure pressures[] = { { "service", "heavy", 0.15 },
                                    { "service", "light", 0.0 } };
     mGovernor.TakePressures(pressures);
--- a/tests/load/LoadReplay.cpp
+++ b/tests/load/LoadReplay.cpp
@@ -252,8 +252,9 @@
     const StepSpec& spec =
       mScheduler.Jobs().at(order.mTask.mJob).Spec(order.mTask);
     aWorker.mModel.Start(order, spec, WorkOf(order.mTask, spec));
-    aWorker.mGovernor.NoteTraits(
-      { order.mTask, order.mLatencyTarget, order.mLeftover, order.mImage });
+    aWorker.mGovernor.NoteStart(
+      { order.mTask, order.mLatencyTarget, order.mLeftover, order.mImage, {} },
+      order.mRun);
     results.push_back({ order.mTask, order.mRun, StartOutcome::Started });
   }
   for (const StopOrder& order : orders.mStops) {
--- a/tests/load/PressedWorker.cpp
+++ b/tests/load/PressedWorker.cpp
@@ -55,7 +55,8 @@
   mGovernor.NoteTraits({ kServing,
                          std::chrono::milliseconds(std::lround(kTargetMs)),
                          false,
-                         "serving" });
+                         "serving",
+                         {} });
   const Pressure pressures[] = { { "serving", "heavy", kHeavyPerCore },
                                  { "serving", "light", kLightPerCore } };
   mGovernor.TakePressures(pressures);
@@ -85,8 +86,8 @@
 void PressedWorker::AddTask()
 {
   mTasks.push_back(NewTask());
-  mGovernor.NoteTraits(
-    { mTasks.back().mTask, {}, true, ImageOf(mTasks.back().mPerCore) });
+  mGovernor.NoteStart(
+    { mTasks.back().mTask, {}, true, ImageOf(mTasks.back().mPerCore), {} }, 1);
 }
 
 double PressedWorker::OwnLoad(double aNow) const
--- a/tests/load/PressedWorker.h
+++ b/tests/load/PressedWorker.h
@@ -68,7 +68,6 @@
   double Look(double aNow);
   /// Returns true when the pace was answered.
   bool SendPace(const PaceChange& aChange, double aNow);
-  void NoteTraits(const LeftoverTask& aTask);
   bool Chance(double aShare);
 
   PressedWorkerPattern mPattern;
--- a/tests/taskagent/PaceTest.cpp
+++ b/tests/taskagent/PaceTest.cpp
@@ -100,7 +100,7 @@
 {
   net::FiberRuntime runtime(1);
   runtime.RunAndWait([&] {
-    mWorker.mTasks[kLeftover].mPace = 0;
+    mWorker.mTasks[kLeftover] = { 1, 0, 0 };
     WorkerControl control(mWorker, [] {});
     Attach(control);
     TellTraits(control);
