An agent without the traits of what runs asks for its session anew

Callers saw: serving tasks over their target beside an agent that paced nothing. Cause: traits are told once a session. Evidence: ASessionThatTellsNoTraitsOfRunningTasksIsBegunAnew, red before. Change: tasks without traits for a second make the agent ask to be attached again, with growing pauses (UnknownTaskTimer), since the owner may be stopping them.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -226,6 +226,10 @@
   const std::vector<cell::PaceChange> changes = mGovernor.Judge(running, now);
   mPaceLog.NoteOver(mGovernor.OverTargets(now), now);
   mPaceLog.NoteUnknown(mGovernor.UnknownTasks(), now);
+  if (mUnknownTasks.Take(mGovernor.UnknownTasks() > 0, now)) {
+    mBegun = false;
+    mOnNews();
+  }
   for (const cell::PaceChange& change : changes) {
     const cell::Fence fence = mFence;
     const absl::Status status = mWorker.Pace(
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -12,6 +12,7 @@
 #include "absl/status/statusor.h"
 
 #include "apps/taskagent/PaceLog.h"
+#include "apps/taskagent/UnknownTaskTimer.h"
 #include "src/core/cell/CapacityGate.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/LeaseGrant.h"
@@ -116,6 +117,7 @@
   cell::LeaseGrant mLease;
   cell::PaceGovernor mGovernor;
   PaceLog mPaceLog;
+  UnknownTaskTimer mUnknownTasks;
   cell::Session mSession = 0;
   bool mBegun = false;          ///< The worker was looked at in this session.
   std::int64_t mOrdersDone = 0; ///< Number of the newest of this session.
