--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include "absl/status/status.h"
@@ -230,18 +231,39 @@
     mBegun = false;
     mOnNews();
   }
-  for (const cell::PaceChange& change : changes) {
-    const cell::Fence fence = mFence;
-    const absl::Status status = mWorker.Pace(
-      { change.mTask, change.mRun, change.mPercent, fence }, kOrderTimeout);
-    mPaceLog.NotePace(change, fence, status);
-    if (status.ok()) {
-      mGovernor.NotePaced(change);
-    } else if (VerdictOf(status) == Verdict::MayHaveRun) {
-      mGovernor.NoteUnanswered(change);
-      RaiseFence(fence);
+  for (const bool raises : { false, true }) {
+    SendPaces(changes, raises);
+  }
+}
+
+/// Side by side: without answers, one after the other would take a time-out
+/// each, and no look is taken meanwhile.
+void WorkerControl::SendPaces(std::span<const cell::PaceChange> aChanges,
+                              bool aRaises)
+{
+  std::vector<boost::fibers::fiber> calls;
+  for (const cell::PaceChange& change : aChanges) {
+    if (change.mRaises == aRaises) {
+      calls.emplace_back([this, &change] { SendPace(change); });
     }
   }
+  for (boost::fibers::fiber& call : calls) {
+    call.join();
+  }
+}
+
+void WorkerControl::SendPace(const cell::PaceChange& aChange)
+{
+  const cell::Fence fence = mFence;
+  const absl::Status status = mWorker.Pace(
+    { aChange.mTask, aChange.mRun, aChange.mPercent, fence }, kOrderTimeout);
+  mPaceLog.NotePace(aChange, fence, status);
+  if (status.ok()) {
+    mGovernor.NotePaced(aChange);
+  } else if (VerdictOf(status) == Verdict::MayHaveRun) {
+    mGovernor.NoteUnanswered(aChange);
+    RaiseFence(fence);
+  }
 }
 
 void WorkerControl::RaiseFence(cell::Fence aUsed)
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -101,6 +101,8 @@
   bool Settle(cell::Session aSession);
   absl::StatusOr<cell::LookReply> LookOnce(Duration aWait, bool aExtend);
   void SetPaces();
+  void SendPaces(std::span<const cell::PaceChange> aChanges, bool aRaises);
+  void SendPace(const cell::PaceChange& aChange);
   /// A call under the fence `aUsed` got no answer: it is not carried out any
   /// more once the worker has seen a higher one. Without a fence left in the
   /// session a new one is asked for.
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -314,7 +314,8 @@
            aLeftover.mRun,
            aLeftover.mWanted,
            mTasks.at(aTask).mTraits.mImage,
-           aLeftover.mCause };
+           aLeftover.mCause,
+           aLeftover.mTold && aLeftover.mWanted > *aLeftover.mTold };
 }
 
 std::vector<OverTarget> PaceGovernor::OverTargets(Instant aNow) const
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -52,6 +52,7 @@
   std::int32_t mPercent = 100;
   std::string mImage;
   PaceCause mCause;
+  bool mRaises = false; ///< The others are to be set before it.
 };
 
 /// Slows down those leftover tasks of one worker that press a serving task
--- a/tests/load/PressedWorker.cpp
+++ b/tests/load/PressedWorker.cpp
@@ -185,8 +185,14 @@
     leftover.mFigure = std::lround(kCores * kMillicores * task.mPace);
   }
   double done = aNow;
-  for (const PaceChange& change : mGovernor.Judge(running, At(aNow))) {
-    done += SendPace(change, done) ? 0 : kPaceTimeout;
+  const std::vector<PaceChange> changes = mGovernor.Judge(running, At(aNow));
+  for (const bool raises : { false, true }) {
+    const double sentAt = done;
+    for (const PaceChange& change : changes) {
+      if (change.mRaises == raises && !SendPace(change, sentAt)) {
+        done = sentAt + kPaceTimeout;
+      }
+    }
   }
   return done;
 }
--- a/tests/taskagent/PaceTest.cpp
+++ b/tests/taskagent/PaceTest.cpp
@@ -40,15 +40,20 @@
     ASSERT_TRUE(aControl.Attach(aSession).ok());
   }
 
-  static void TellTraits(WorkerControl& aControl)
+  void TellTraits(WorkerControl& aControl)
   {
     cell::OrderRequest orders;
     orders.mSession = kSession;
     orders.mNumber = 1;
     orders.mIncarnation = aControl.Info().mIncarnation;
-    orders.mTraits.push_back(
-      { kServing, milliseconds(20), false, "serving", {} });
-    orders.mTraits.push_back({ kLeftover, {}, true, "leftover", {} });
+    for (const auto& [task, entry] : mWorker.mTasks) {
+      orders.mTraits.push_back(
+        { task,
+          task == kServing ? milliseconds(20) : milliseconds(0),
+          task != kServing,
+          task == kServing ? "serving" : "leftover",
+          {} });
+    }
     EXPECT_TRUE(aControl.CarryOut(orders).mAccepted);
     const cell::Pressure pressures[] = { { "serving", "leftover", 0.15 } };
     aControl.TakePressures(pressures);
@@ -96,6 +101,30 @@
   });
 }
 
+/// One after the other, each would take a time-out.
+TEST_F(PaceTest, PacesWithoutAnswersDoNotWaitForEachOther)
+{
+  constexpr int kTasks = 8;
+  constexpr milliseconds kAnswerAfter(100);
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    mWorker.mTasks.erase(kLeftover);
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    for (int index = 0; index < kTasks; ++index) {
+      const cell::TaskRef task{ JobId("leftover"), 0, 0, index };
+      mWorker.mTasks[task] = { 1, 6000, 100 };
+    }
+    TellTraits(control);
+    mWorker.mPaceTakes = kAnswerAfter;
+    ServingFigure() = kOver;
+    const Instant start = MonotonicNow();
+    control.Look();
+    EXPECT_GE(mWorker.mPaces, kTasks);
+    EXPECT_LT(MonotonicNow() - start, kAnswerAfter * (kTasks - 2));
+  });
+}
+
 TEST_F(PaceTest, ARestartedAgentSpeedsUpWhatTheOneBeforeItSlowedDown)
 {
   net::FiberRuntime runtime(1);
--- a/tests/taskagent/PacedWorker.cpp
+++ b/tests/taskagent/PacedWorker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/fiber/operations.hpp>
+
 #include "foxtailbarrow/Verdict.h"
 
 namespace foxtailbarrow::taskagent::test {
@@ -52,6 +54,9 @@
 absl::Status PacedWorker::Pace(const cell::PaceCall& aCall, Duration)
 {
   ++mPaces;
+  if (mPaceTakes > Duration::zero()) {
+    boost::this_fiber::sleep_for(mPaceTakes);
+  }
   if (mLosesPaces) {
     mLate.push_back(aCall);
     return WithVerdict(absl::DeadlineExceededError("timed out"),
--- a/tests/taskagent/PacedWorker.h
+++ b/tests/taskagent/PacedWorker.h
@@ -22,7 +22,8 @@
 
   std::map<cell::TaskRef, Task> mTasks;
   bool mLosesPaces = false;
-  int mPaces = 0; ///< Calls.
+  int mPaces = 0;        ///< Calls.
+  Duration mPaceTakes{}; ///< Until a pace is answered.
 
   /// Paces that got no answer, unless a higher fence was seen since.
   void CarryOutLate();
