A run that presses an image over its target begins at a standstill

Callers saw: serving tasks over their target while short leftover tasks took turns beside them. Cause: a run begins at full pace and was judged at the next look only, which is 0.4 s away and later on a machine that is late; with short tasks some run was always new. Change: the agent judges each run as its start is answered, from what the last look showed (JudgeStart); room lets it work from the next look on.

--- a/apps/taskagent/WorkerControlOrders.cpp
+++ b/apps/taskagent/WorkerControlOrders.cpp
@@ -128,6 +128,12 @@
               { "outcome", ToString(outcome) },
               { "settled", fateKnown ? 1 : 0 },
               { "error", reply.ok() ? "" : reply.status().ToString() } });
+  if (outcome == StartOutcome::Started) {
+    if (const auto change =
+          mGovernor.JudgeStart(aOrder.mTask, aOrder.mRun, MonotonicNow())) {
+      SendPace(*change);
+    }
+  }
   return outcome;
 }
 
--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -318,6 +318,42 @@
            aLeftover.mTold && aLeftover.mWanted > *aLeftover.mTold };
 }
 
+const std::string* PaceGovernor::Protected(const TaskRef& aTask,
+                                           Instant aNow) const
+{
+  const std::string& leftover = mTasks.at(aTask).mTraits.mImage;
+  for (const auto& [image, serving] : mServing) {
+    const bool mayPress = PerCore(image, leftover) >= mSettings.mHarmless ||
+                          TimeOver(serving, aNow) > mSettings.mAllAfter;
+    if (serving.mTimer.IsOver() && mayPress) {
+      return &image;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<PaceChange> PaceGovernor::JudgeStart(const TaskRef& aTask,
+                                                   RunNumber aRun,
+                                                   Instant aNow)
+{
+  const auto known = mTasks.find(aTask);
+  if (known == mTasks.end() || !known->second.mTraits.mLeftover) {
+    return std::nullopt;
+  }
+  RunningTask started;
+  started.mTask = aTask;
+  started.mRun = aRun;
+  TakeLeftover(known->second, started);
+  const std::string* serving = Protected(aTask, aNow);
+  if (serving == nullptr) {
+    return std::nullopt;
+  }
+  Leftover& leftover = mLeftover.at(aTask);
+  leftover.mWanted = 0;
+  leftover.mCause = Cause(PaceReason::Pressed, *serving, aTask);
+  return ChangeOf(aTask, leftover);
+}
+
 std::vector<OverTarget> PaceGovernor::OverTargets(Instant aNow) const
 {
   std::vector<std::string> beside;
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -71,6 +71,13 @@
   void NoteStart(const TaskTraits& aTraits, RunNumber aRun);
   void TakePressures(std::span<const Pressure> aPressures);
 
+  /// The pace to be set for a run that has just started, if it is not to work
+  /// at full pace: beside a serving task that is over its target it begins at a
+  /// standstill, as the next look may be late.
+  std::optional<PaceChange> JudgeStart(const TaskRef& aTask,
+                                       RunNumber aRun,
+                                       Instant aNow);
+
   /// Paces to be set after a look. A pace stays due until NotePaced().
   std::vector<PaceChange> Judge(std::span<const RunningTask> aRunning,
                                 Instant aNow);
@@ -111,6 +118,8 @@
     PaceCause mCause; ///< Of the pace that is wanted.
   };
 
+  /// The serving image that the task must not press now.
+  const std::string* Protected(const TaskRef& aTask, Instant aNow) const;
   PaceChange ChangeOf(const TaskRef& aTask, const Leftover& aLeftover) const;
   static bool IsDue(const Leftover& aLeftover);
   void TakeLook(std::span<const RunningTask> aRunning, Instant aNow);
--- a/tests/cell/PaceGovernorTest.cpp
+++ b/tests/cell/PaceGovernorTest.cpp
@@ -106,6 +106,46 @@
   EXPECT_FALSE(Look(40).empty());
 }
 
+struct StartCase
+{
+  const char* mName;
+  std::int64_t mLatencyMs;
+  int mLooks; ///< With this latency, 0.4 s apart.
+  const char* mImage;
+  bool mStands; ///< A run that starts then.
+};
+
+class PaceAtStartTest
+  : public PaceGovernorTest
+  , public testing::WithParamInterface<StartCase>
+{};
+
+/// Until the next look a run that pressed was at work beside a serving task
+/// that was over its target.
+TEST_P(PaceAtStartTest, ARunThatPressesAnImageOverItsTargetBeginsSlow)
+{
+  for (int look = 0; look < GetParam().mLooks; ++look) {
+    Look(GetParam().mLatencyMs, milliseconds(400));
+  }
+  const TaskRef started{ JobId("started"), 0, 0, 0 };
+  mGovernor.NoteStart({ started, {}, true, GetParam().mImage, {} }, 1);
+  const auto change = mGovernor.JudgeStart(started, 1, mNow);
+  ASSERT_EQ(change.has_value(), GetParam().mStands);
+  if (change) {
+    EXPECT_EQ(change->mPercent, 0);
+    EXPECT_EQ(change->mCause.mServing, "service");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  PaceAtStartTest,
+  testing::Values(StartCase{ "Calm", 9, 3, "heavy", false },
+                  StartCase{ "Over", 40, 1, "heavy", true },
+                  StartCase{ "OverButHarmless", 40, 1, "light", false },
+                  StartCase{ "OverForLong", 40, 9, "light", true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
 TEST_F(PaceGovernorTest, ALookWithoutAFigureDoesNotEndTheTimeOver)
 {
   Look(40, milliseconds(400));
--- a/tests/load/LoadReplay.cpp
+++ b/tests/load/LoadReplay.cpp
@@ -255,6 +255,11 @@
     aWorker.mGovernor.NoteStart(
       { order.mTask, order.mLatencyTarget, order.mLeftover, order.mImage, {} },
       order.mRun);
+    if (const auto change =
+          aWorker.mGovernor.JudgeStart(order.mTask, order.mRun, At(mSeconds))) {
+      aWorker.mModel.Pace(change->mTask, change->mPercent);
+      aWorker.mGovernor.NotePaced(*change);
+    }
     results.push_back({ order.mTask, order.mRun, StartOutcome::Started });
   }
   for (const StopOrder& order : orders.mStops) {
--- a/tests/load/PressedWorker.cpp
+++ b/tests/load/PressedWorker.cpp
@@ -128,6 +128,10 @@
   });
   while (mTasks.size() < before) {
     AddTask();
+    if (const auto change =
+          mGovernor.JudgeStart(mTasks.back().mTask, 1, At(aNow))) {
+      SendPace(*change, aNow);
+    }
   }
   const double own = OwnLoad(aNow);
   const double latency = own + PressureInForce();
