A task waits for the record of its first crash

Cause: only later crashes had to be recorded before the next start. The store refused eight writes in a row after the first crash and the start behind it; then all processes were killed, and nobody knew of either. Evidence: CrashRecordTest, red before in two of three cases (started at 0 ms). Change: the first crash is recorded before the next start, too. A store that stays silent holds such a task for 3 s at most: the crash alone gives no job up.

--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -7,6 +7,13 @@
 
 namespace foxtailbarrow::cell {
 
+namespace {
+
+/// A store that refuses writes for a while takes one within this.
+constexpr Duration kFirstCrashRecordTime = std::chrono::seconds(3);
+
+} // namespace
+
 /// The task, where a crash may count against it.
 TaskEntry* CellScheduler::FindOpenTask(const TaskRef& aTask)
 {
@@ -64,11 +71,8 @@
   }
   JobEntry& job = mJobs.at(aRun.mTask.mJob);
   MarkChanged(job, aClock.mNow);
-  // The first one alone fails no job: if it is lost with the owner, one more
-  // start follows.
-  if (task->mCrashes.Count() > 1) {
-    task->mCrashVersion = job.mVersion;
-  }
+  task->mCrashVersion = job.mVersion;
+  task->mCrashedAt = aClock.mNow;
   if (task->mCrashes.Suspect()) {
     task->mFailedOn.push_back(aAgent);
     job.mSuspects.insert(aRun.mTask);
@@ -203,7 +207,12 @@
                                       Instant aNow) const
 {
   const TaskEntry& task = *aJob.Find(aTask);
-  if (task.mCrashVersion > aJob.mRecorded || !task.mCrashes.MayStart(aNow)) {
+  // Without its record the first crash costs one start more if all that know of
+  // it are lost, so that a silent store holds the task for a bounded time only.
+  const bool mayWait =
+    task.mCrashes.Count() > 1 || aNow - task.mCrashedAt < kFirstCrashRecordTime;
+  if ((task.mCrashVersion > aJob.mRecorded && mayWait) ||
+      !task.mCrashes.MayStart(aNow)) {
     return false;
   }
   if (task.mCrashes.Suspected() == Suspicion::Strong) {
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -79,11 +79,10 @@
   Instant mStalledUntil{}; ///< before this.
   /// Runs of earlier owners whose leases this owner has waited out.
   std::vector<RunNumber> mWrittenOff;
-  /// A task that took its worker down at each start was started without end,
-  /// nine times in 17 s, as a run that is lost with its worker is no end.
   CrashHistory mCrashes;
   /// Version of the job's progress that must be recorded before a start.
   std::uint64_t mCrashVersion = 0;
+  Instant mCrashedAt{}; ///< The newest crash was noted.
 
   bool Idle() const { return !mDone && mRuns.empty(); }
 
--- /dev/null
+++ b/tests/cell/CrashRecordTest.cpp
@@ -0,0 +1,68 @@
+#include <optional>
+
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+struct CrashRecordCase
+{
+  const char* mName;
+  std::optional<int> mRecordedMs; ///< After the first crash; empty = never.
+  int mStartedMs;                 ///< The next start, in rounds 0.1 s apart.
+};
+
+class CrashRecordTest
+  : public CellFixture
+  , public testing::WithParamInterface<CrashRecordCase>
+{};
+
+/// A start in front of the record of the crash before it: with all processes
+/// killed then, nobody knew of either.
+TEST_P(CrashRecordTest, ATaskWaitsForTheRecordOfItsFirstCrash)
+{
+  constexpr int kRoundMs = 100;
+  constexpr int kLastMs = 5000;
+  AttachAndGrant("a");
+  AttachAndGrant("b");
+  AddRecorded(Graph("job", { Step(1) }));
+  OrderRequest first = Orders("a");
+  std::string agent = "a";
+  if (first.mStarts.empty()) {
+    first = Orders("b");
+    agent = "b";
+  }
+  Started(agent, first);
+  ASSERT_EQ(first.mStarts.size(), 1U);
+  Pass(milliseconds(kRoundMs));
+  Report(agent, State("next-life"));
+  int startedMs = -1;
+  for (int ms = 0; ms <= kLastMs && startedMs < 0; ms += kRoundMs) {
+    Grant("a");
+    Grant("b");
+    if (ms == GetParam().mRecordedMs) {
+      Record();
+    }
+    mScheduler.Schedule(Clock());
+    for (const char* name : { "a", "b" }) {
+      if (!mScheduler.TakeOrders(AgentId(name)).mStarts.empty()) {
+        startedMs = ms;
+      }
+    }
+    Pass(milliseconds(kRoundMs));
+  }
+  EXPECT_EQ(startedMs, GetParam().mStartedMs);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  CrashRecordTest,
+  testing::Values(CrashRecordCase{ "AtOnce", 0, 0 },
+                  CrashRecordCase{ "ASecondLate", 1000, 1000 },
+                  CrashRecordCase{ "StoreSilent", std::nullopt, 3000 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
