The soak has serving tasks, leftover work that presses them, and their truth

The worker now runs images with hidden weights that change, loads that swing, rough figures and paces that work after 0.1 s, and writes down which serving task is over its target for 4 s by what works beside it.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -27,6 +27,10 @@
 constexpr unsigned kTooMany = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr std::int64_t kPercent = 100;
+constexpr int kServingImages = 3;
+constexpr int kServingReplicas = 4;
+constexpr int kLeftoverImages = 6;
+constexpr Duration kLeftoverEvery = milliseconds(1200);
 
 constexpr std::array kPhases = { JobPhase::Queued,
                                  JobPhase::Running,
@@ -48,6 +52,13 @@
     };
     step["Checkpoint"] = spec.mCheckpoints;
     step["Daemon"] = spec.mStanding;
+    if (!spec.mImage.empty()) {
+      step["Image"] = spec.mImage;
+      step["Fills"] = spec.mLeftover;
+      step["TargetMs"] = Json::Int64{
+        std::chrono::duration_cast<milliseconds>(spec.mLatencyTarget).count()
+      };
+    }
     for (const std::int32_t before : spec.mAfter) {
       step["After"].append(before);
     }
@@ -56,18 +67,44 @@
   return FormatJson(body);
 }
 
+JobId RandomId(std::mt19937_64& aRandom)
+{
+  std::array<char, 17> id{};
+  std::snprintf(id.data(),
+                id.size(),
+                "%016llx",
+                static_cast<unsigned long long>(aRandom()));
+  return JobId(id.data());
+}
+
+cell::JobGraph OneStepJob(const JobId& aId,
+                          const standin::TaskProgram& aProgram)
+{
+  cell::JobGraph graph;
+  graph.mId = aId;
+  graph.mQueue = cell::QueueId("queue");
+  graph.mPayload = standin::FormatTaskProgram(aProgram);
+  graph.mSteps.resize(1);
+  cell::StepSpec& step = graph.mSteps[0];
+  step.mDemand = { 2000, 500, 0 };
+  step.mEstimate = aProgram.mWork;
+  step.mStanding = aProgram.mStands;
+  return graph;
+}
+
 } // namespace
 
 Callers::Callers(net::FiberRuntime& aRuntime,
                  const Fleet& aFleet,
                  PromiseBook& aBook,
                  unsigned aSeed,
-                 std::int64_t aCrashingPercent)
+                 const CallerSettings& aSettings)
   : mRuntime(aRuntime)
   , mFleet(aFleet)
   , mBook(aBook)
   , mRandom(aSeed)
-  , mCrashingPercent(aCrashingPercent)
+  , mLeftoverRandom(~static_cast<std::uint64_t>(aSeed))
+  , mSettings(aSettings)
   , mClient(aRuntime)
 {
 }
@@ -82,6 +119,64 @@
   for (unsigned i = 0; i < aCount; ++i) {
     mRuntime.Spawn([this] { Run(); });
   }
+  if (mSettings.mServing) {
+    ServeAll();
+    mRuntime.Spawn([this] { SubmitLeftover(); });
+  }
+}
+
+cell::JobGraph Callers::ServingJob(int aImage)
+{
+  standin::TaskProgram program;
+  program.mStands = true;
+  program.mServes = aImage;
+  cell::JobGraph graph = OneStepJob(RandomId(mLeftoverRandom), program);
+  cell::StepSpec& step = graph.mSteps[0];
+  step.mReplicas = kServingReplicas;
+  step.mImage = "serving" + std::to_string(aImage);
+  step.mLatencyTarget = milliseconds(standin::kServingTargetMs);
+  return graph;
+}
+
+cell::JobGraph Callers::LeftoverJob()
+{
+  standin::TaskProgram program;
+  program.mFills =
+    std::uniform_int_distribution<int>(0, kLeftoverImages - 1)(mLeftoverRandom);
+  program.mWork = milliseconds(
+    std::uniform_int_distribution<int>(300, 2500)(mLeftoverRandom));
+  cell::JobGraph graph = OneStepJob(RandomId(mLeftoverRandom), program);
+  cell::StepSpec& step = graph.mSteps[0];
+  step.mReplicas = std::uniform_int_distribution<int>(2, 5)(mLeftoverRandom);
+  step.mLeftover = true;
+  step.mCheckpoints = true;
+  step.mImage = "leftover" + std::to_string(*program.mFills);
+  return graph;
+}
+
+void Callers::ServeAll()
+{
+  for (int image = 0; image < kServingImages; ++image) {
+    mRuntime.Spawn([this, graph = ServingJob(image)] {
+      mBook.Submitting(graph);
+      mBook.Submitted(graph.mId, Submit(graph));
+    });
+  }
+}
+
+void Callers::SubmitLeftover()
+{
+  while (mSubmitting) {
+    mRuntime.Spawn([this, graph = LeftoverJob()] {
+      mBook.Submitting(graph);
+      const Told told = Submit(graph);
+      mBook.Submitted(graph.mId, told);
+      if (told != Told::Refused) {
+        Follow(graph.mId, false);
+      }
+    });
+    boost::this_fiber::sleep_for(kLeftoverEvery);
+  }
 }
 
 /// One task, so that a job takes one worker down at a time.
@@ -100,12 +195,7 @@
   constexpr std::int64_t kStandsPercent = 4;
   constexpr std::int64_t kFailsPercent = 10;
   cell::JobGraph graph;
-  std::array<char, 17> id{};
-  std::snprintf(id.data(),
-                id.size(),
-                "%016llx",
-                static_cast<unsigned long long>(mRandom()));
-  graph.mId = JobId(id.data());
+  graph.mId = RandomId(mRandom);
   graph.mQueue = cell::QueueId("queue");
   const std::int64_t kind = Random(1, kPercent);
   standin::TaskProgram program;
@@ -128,7 +218,7 @@
     graph.mSteps.push_back(step);
   }
   // The last numbers that are drawn are of jobs that only work.
-  if (kind > kPercent - mCrashingPercent) {
+  if (kind > kPercent - mSettings.mCrashingPercent) {
     MakeCrashing(graph);
   }
   return graph;
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -10,6 +10,12 @@
 
 namespace foxtailbarrow::soak {
 
+struct CallerSettings
+{
+  std::int64_t mCrashingPercent = 0; ///< Of the jobs.
+  bool mServing = false; ///< Serving tasks and leftover jobs beside them.
+};
+
 /// Callers that submit jobs, ask for their states and cancel some, each a
 /// fiber. They keep their connections and use any scheduler that is there.
 class Callers
@@ -19,7 +25,7 @@
           const Fleet& aFleet,
           PromiseBook& aBook,
           unsigned aSeed,
-          std::int64_t aCrashingPercent);
+          const CallerSettings& aSettings);
 
   /// Starts callers; they submit until Stop() and ask for states until End().
   void Start(unsigned aCount);
@@ -28,8 +34,12 @@
 
 private:
   void Run();
-  void Follow(const JobId& aJob, bool aCancel);
   cell::JobGraph RandomJob();
+  void ServeAll();
+  void SubmitLeftover();
+  cell::JobGraph ServingJob(int aImage);
+  cell::JobGraph LeftoverJob();
+  void Follow(const JobId& aJob, bool aCancel);
   void MakeCrashing(cell::JobGraph& aGraph);
   Told Submit(const cell::JobGraph& aGraph);
   void Ask(const JobId& aJob);
@@ -43,7 +53,9 @@
   const Fleet& mFleet;
   PromiseBook& mBook;
   std::mt19937_64 mRandom;
-  std::int64_t mCrashingPercent;
+  /// Apart, so that the other jobs are the same with and without.
+  std::mt19937_64 mLeftoverRandom;
+  CallerSettings mSettings;
   net::HttpClient mClient;
   bool mSubmitting = true;
   bool mAsking = true;
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -33,6 +33,7 @@
 
 /// Tasks of a worker whose clock is as slow as the platform lets it be.
 constexpr double kSlowClock = 0.98;
+constexpr Duration kPaceTime = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -100,6 +101,8 @@
   mStore = *std::move(store);
   for (unsigned i = 0; i < mSettings.mWorkers; ++i) {
     standin::TaskWorkerSettings settings;
+    settings.mPaceTime = kPaceTime;
+    settings.mSeed = mSettings.mSeed + i;
     settings.mClockRate = i == 0 ? kSlowClock : 1.0;
     auto worker = standin::TaskWorkerService::Start(
       aRuntime,
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -202,7 +202,8 @@
   }
   boost::this_fiber::sleep_for(aFault.mFor);
   worker.SetFaults({});
-  if (!worker.Up() && !mHealed) {
+  // A crash that comes with the last fault may come after Heal().
+  if (!worker.Up()) {
     worker.Rise();
   }
 }
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -21,6 +21,8 @@
 /// After the last fault, until every promise about what must come has to be
 /// kept: longer than leases, a takeover and the longest job together.
 constexpr Duration kRecovery = std::chrono::seconds(25);
+/// After the last fault, while serving tasks are still pressed.
+constexpr Duration kCalmServing = std::chrono::seconds(15);
 constexpr Duration kPoll = std::chrono::milliseconds(500);
 /// Beyond these the addresses of links and workers would meet.
 constexpr std::int64_t kMostWorkers = 30;
@@ -34,6 +36,7 @@
   std::int64_t mCrashingPercent = 0; ///< Of the jobs.
   std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
   std::int64_t mForeign = 0;         ///< 1 = another writer is there.
+  std::int64_t mServing = 0;         ///< 1 = serving beside leftover tasks.
 };
 
 /// What a run leaves undone when the recovery is over.
@@ -61,7 +64,8 @@
   const bool held = aBook.Broken().empty() && aMissing.empty();
   std::cout << "seed " << aSettings.mSeed << ": " << (held ? "held" : "FAILED")
             << ", " << aBook.Accepted() << " jobs accepted, " << aBook.Starts()
-            << " starts" << std::endl;
+            << " starts, " << aBook.OverTargets()
+            << " times over a target for too long" << std::endl;
   return held;
 }
 
@@ -89,7 +93,8 @@
                   **fleet,
                   book,
                   aSettings.mFleet.mSeed,
-                  aSettings.mCrashingPercent);
+                  { .mCrashingPercent = aSettings.mCrashingPercent,
+                    .mServing = aSettings.mServing != 0 });
   Injector injector(aRuntime, **fleet);
   ForeignWriter foreign(aRuntime, **fleet, aSettings.mFleet.mSeed);
   if (aSettings.mForeign != 0) {
@@ -97,8 +102,13 @@
   }
   callers.Start(kCallers);
   boost::this_fiber::sleep_for(kWarmUp);
-  injector.Play(PlanOf(aSettings));
+  const std::vector<Fault> plan = PlanOf(aSettings);
+  book.TakeFaultTimes({ plan, MonotonicNow(), aSettings.mWorkers });
+  injector.Play(plan);
   injector.Heal();
+  if (aSettings.mServing != 0) {
+    boost::this_fiber::sleep_for(kCalmServing);
+  }
   foreign.Stop();
   callers.Stop();
   const std::vector<std::string> missing = AwaitAll(book);
@@ -143,6 +153,10 @@
                     values.mForeign,
                     { 0, 1 },
                     "1: another writer in the store and at the agents");
+  settings.AddCount("--serving",
+                    values.mServing,
+                    { 0, 1 },
+                    "1: serving tasks and leftover work that presses them");
   if (const auto code = settings.Parse(argc, argv)) {
     return *code;
   }
--- a/soak/PromiseBook.cpp
+++ b/soak/PromiseBook.cpp
@@ -5,6 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "src/core/cell/WorkerRoom.h"
+
 namespace foxtailbarrow::soak {
 
 using cell::JobPhase;
@@ -91,13 +93,18 @@
     Started(aIncarnation, aMark, job);
     return;
   }
+  if (aMark.mMoment == RunMoment::OverTarget) {
+    OverTarget(aIncarnation, aMark);
+    return;
+  }
   TaskFacts& task = job.mTasks[aMark.mTask];
   if (aMark.mMoment == RunMoment::Acknowledged) {
     Noted(aIncarnation, aMark, task);
     return;
   }
   task.mLive.erase(aIncarnation);
-  mUsed[aIncarnation] -= job.mGraph.mSteps[aMark.mTask.mStep].mDemand;
+  mUsed[aIncarnation] -=
+    cell::Reservation(job.mGraph.mSteps[aMark.mTask.mStep]);
   task.mCrashed += aMark.mMoment == RunMoment::Lost ? 1 : 0;
   if (aMark.mMoment == RunMoment::Ended) {
     if (aMark.mEnd == RunEnd::Done) {
@@ -108,6 +115,15 @@
   }
 }
 
+void PromiseBook::OverTarget(const std::string& aIncarnation,
+                             const RunMark& aMark)
+{
+  ++mOverTarget;
+  if (!mFaultTimes || mFaultTimes->Protected(aIncarnation, aMark.mAt)) {
+    Break("over its target by what runs beside it: " + ToString(aMark.mTask));
+  }
+}
+
 /// Ends that were not noted before do not count any more.
 void PromiseBook::LeaseLapsed(const std::string& aIncarnation)
 {
@@ -171,7 +187,8 @@
   }
   CheckOrder(aJob, aMark.mTask);
   task.mLive[aIncarnation] = aMark.mRun;
-  mUsed[aIncarnation] += aJob.mGraph.mSteps[aMark.mTask.mStep].mDemand;
+  mUsed[aIncarnation] +=
+    cell::Reservation(aJob.mGraph.mSteps[aMark.mTask.mStep]);
   CheckCapacity(aIncarnation, aMark);
 }
 
--- a/soak/PromiseBook.h
+++ b/soak/PromiseBook.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "foxtailbarrow/Time.h"
+#include "soak/FaultTimes.h"
 #include "soak/ToldCapacity.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/JobGraph.h"
@@ -44,6 +45,9 @@
 
   void Mark(const std::string& aIncarnation, const standin::RunMark& aMark);
 
+  /// Which faults excuse a serving task that is over its target; none without.
+  void TakeFaultTimes(FaultTimes aTimes) { mFaultTimes = std::move(aTimes); }
+
   void Beat(const standin::BeatMark& aMark, Instant aNow);
 
   // At the end.
@@ -53,6 +57,9 @@
   const std::vector<std::string>& Broken() const { return mBroken; }
   std::size_t Accepted() const;
   std::size_t Starts() const { return mStarts; }
+  /// Times that a serving task was over its target for too long, excused ones
+  /// included.
+  std::size_t OverTargets() const { return mOverTarget; }
 
 private:
   struct TaskFacts
@@ -85,6 +92,8 @@
   void Started(const std::string& aIncarnation,
                const standin::RunMark& aMark,
                JobFacts& aJob);
+  void OverTarget(const std::string& aIncarnation,
+                  const standin::RunMark& aMark);
   void CheckOrder(const JobFacts& aJob, const cell::TaskRef& aTask);
   void CheckCapacity(const std::string& aIncarnation,
                      const standin::RunMark& aMark);
@@ -100,6 +109,8 @@
   std::map<std::string, ToldCapacity> mTold;
   std::vector<std::string> mBroken;
   std::size_t mStarts = 0;
+  std::size_t mOverTarget = 0;
+  std::optional<FaultTimes> mFaultTimes;
 };
 
 } // namespace foxtailbarrow::soak
--- a/standins/taskworker/TaskProgram.cpp
+++ b/standins/taskworker/TaskProgram.cpp
@@ -10,12 +10,19 @@
 constexpr std::string_view kFails = "fails=";
 constexpr std::string_view kCrashes = "crashes=";
 constexpr std::string_view kStands = "stands";
+constexpr std::string_view kServes = "serves=";
+constexpr std::string_view kFills = "fills=";
 
-std::chrono::milliseconds Milliseconds(std::string_view aText)
+int Number(std::string_view aText)
 {
-  std::int64_t number = 0;
+  int number = 0;
   std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  return std::chrono::milliseconds(number);
+  return number;
+}
+
+std::chrono::milliseconds Milliseconds(std::string_view aText)
+{
+  return std::chrono::milliseconds(Number(aText));
 }
 
 } // namespace
@@ -33,16 +40,34 @@
   if (aPayload.starts_with(kWork)) {
     return { Milliseconds(aPayload.substr(kWork.size())) };
   }
+  if (aPayload.starts_with(kServes)) {
+    TaskProgram program{ Duration::zero(), false, true };
+    program.mServes = Number(aPayload.substr(kServes.size()));
+    return program;
+  }
+  if (aPayload.starts_with(kFills)) {
+    const std::string_view text = aPayload.substr(kFills.size());
+    TaskProgram program{ Milliseconds(text) };
+    program.mFills = Number(text.substr(text.find(':') + 1));
+    return program;
+  }
   return { Duration::zero(), false, aPayload == kStands };
 }
 
 std::string FormatTaskProgram(const TaskProgram& aProgram)
 {
+  if (aProgram.mServes) {
+    return std::string(kServes) + std::to_string(*aProgram.mServes);
+  }
   if (aProgram.mStands) {
     return std::string(kStands);
   }
   const auto ms =
     std::chrono::duration_cast<std::chrono::milliseconds>(aProgram.mWork);
+  if (aProgram.mFills) {
+    return std::string(kFills) + std::to_string(ms.count()) + ":" +
+           std::to_string(*aProgram.mFills);
+  }
   const std::string_view kind = aProgram.mCrashes ? kCrashes
                                 : aProgram.mFails ? kFails
                                                   : kWork;
--- a/standins/taskworker/TaskWorkerModel.cpp
+++ b/standins/taskworker/TaskWorkerModel.cpp
@@ -13,6 +13,8 @@
 /// Clocks do not begin at zero.
 constexpr cell::WorkerTimeMs kFirstClock = 100'000;
 constexpr std::int32_t kFullPercent = 100;
+/// In use by a leftover task at full pace.
+constexpr std::int64_t kLeftoverMillicores = 2000;
 
 std::chrono::milliseconds ToMs(Duration aDuration)
 {
@@ -25,6 +27,7 @@
                                  Instant aBornAt,
                                  MarkSink aSink)
   : mSettings(aSettings)
+  , mRandom(aSettings.mSeed)
   , mBornAt(aBornAt)
   , mSink(std::move(aSink))
 {
@@ -41,6 +44,11 @@
 {
   aRun.mDone += (aNow - aRun.mAsOf) * aRun.mPercent / kFullPercent;
   aRun.mAsOf = aNow;
+  for (auto pace = aRun.mPaces.begin();
+       pace != aRun.mPaces.end() && pace->first <= aNow;
+       pace = aRun.mPaces.erase(pace)) {
+    aRun.mPercent = pace->second;
+  }
   if (const std::int64_t saves = aRun.mDone / mSettings.mSaveEvery;
       saves > aRun.mSaves) {
     aRun.mSaves = saves;
@@ -61,6 +69,28 @@
   mRuns.erase(run);
 }
 
+void TaskWorkerModel::Serve(const cell::TaskRef& aTask, Run& aRun, Instant aNow)
+{
+  if (!aRun.mProgram.mServes) {
+    return;
+  }
+  const int image = *aRun.mProgram.mServes;
+  double pressure = 0;
+  for (const auto& [task, other] : mRuns) {
+    if (other.mProgram.mFills) {
+      pressure += PressureOf(image, *other.mProgram.mFills, aNow) *
+                  other.mPercent / kFullPercent;
+    }
+  }
+  aRun.mMeter.Take(OwnLatency(image, aNow), pressure, aNow, mRandom);
+  const auto since = aRun.mMeter.OverSince();
+  if (since && aRun.mToldOver != since && aNow - *since >= kLongestOver) {
+    aRun.mToldOver = since;
+    mSink(
+      { RunMoment::OverTarget, aTask, aRun.mNumber, RunEnd::Done, {}, *since });
+  }
+}
+
 void TaskWorkerModel::Advance(Instant aNow)
 {
   const bool lapsed = Clock(aNow) >= mLeaseEnd;
@@ -71,6 +101,7 @@
   for (const auto& [task, before] : runs) {
     Run& run = mRuns.at(task);
     Progress(run, aNow);
+    Serve(task, run, aNow);
     if (lapsed) {
       End(task, RunEnd::Lapsed);
     } else if (aNow >= run.mStopAt) {
@@ -160,7 +191,8 @@
   }
   if (const auto there = mRuns.find(aCall.mTask);
       there != mRuns.end() && there->second.mNumber == aCall.mRun) {
-    there->second.mPercent = aCall.mPercent;
+    there->second.mPaces[aNow + mSettings.mPaceTime] = aCall.mPercent;
+    Progress(there->second, aNow);
   }
   return true;
 }
@@ -204,6 +236,10 @@
         ? kFullPercent
         : static_cast<std::int32_t>(kFullPercent * run.mDone /
                                     std::max(run.mProgram.mWork, Duration(1)));
+    running.mFigure = run.mProgram.mServes ? run.mMeter.Figure()
+                      : run.mProgram.mFills
+                        ? kLeftoverMillicores * run.mPercent / kFullPercent
+                        : 0;
     reply.mRunning.push_back(std::move(running));
   }
   return reply;
--- a/standins/taskworker/TaskWorkerModel.h
+++ b/standins/taskworker/TaskWorkerModel.h
@@ -3,10 +3,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "src/core/cell/TaskWorker.h"
+#include "standins/taskworker/ServingMeter.h"
 #include "standins/taskworker/TaskProgram.h"
 
 namespace foxtailbarrow::standin {
@@ -17,9 +20,15 @@
   Duration mMaxLease = std::chrono::milliseconds(6000);
   Duration mStopTime = std::chrono::milliseconds(150);
   Duration mSaveEvery = std::chrono::milliseconds(200);
+  Duration mPaceTime{};    ///< Until a pace works.
+  unsigned mSeed = 1;      ///< Of the roughness of figures.
   double mClockRate = 1.0; ///< Of the worker's clock against true time.
 };
 
+/// The longest time that a serving task may be over its target on end by what
+/// runs beside it.
+inline constexpr Duration kLongestOver = std::chrono::milliseconds(4000);
+
 enum class RunMoment : std::uint8_t
 {
   Started,
@@ -27,6 +36,7 @@
   Lost,         ///< With its worker.
   Acknowledged, ///< Its end was taken note of.
   LeaseLapsed,  ///< The worker's; of no run.
+  OverTarget,   ///< For kLongestOver, by what runs beside it.
 };
 
 struct RunMark
@@ -36,8 +46,9 @@
   cell::RunNumber mRun = 0;
   cell::RunEnd mEnd = cell::RunEnd::Done;
   std::string mPayload; ///< Of a start.
-  Instant mAt{};        ///< Of a start.
-  bool mLate = false;   ///< A start that was held up in the worker.
+  /// Of a start; since when, of a task over its target.
+  Instant mAt{};
+  bool mLate = false; ///< A start that was held up in the worker.
 };
 
 /// One life of a worker that pretends to run its tasks: leases, fences, run
@@ -79,6 +90,9 @@
     Instant mStartedAt{};
     Instant mAsOf{};
     std::int32_t mPercent = 100;
+    std::map<Instant, std::int32_t> mPaces; ///< That do not work yet.
+    ServingMeter mMeter;
+    std::optional<Instant> mToldOver; ///< The stretch that was marked.
     std::string mSaved;
     std::int64_t mSaves = 0;
     Instant mStopAt = Instant::max();
@@ -87,9 +101,11 @@
   bool Admit(cell::Fence aFence);
   void Extend(cell::WorkerTimeMs aEnd, Instant aNow);
   void Progress(Run& aRun, Instant aNow) const;
+  void Serve(const cell::TaskRef& aTask, Run& aRun, Instant aNow);
   void End(const cell::TaskRef& aTask, cell::RunEnd aEnd);
 
   TaskWorkerSettings mSettings;
+  std::mt19937 mRandom;
   Instant mBornAt;
   MarkSink mSink;
   bool mFailAll = false;
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -86,7 +86,7 @@
     row.append(Json::Int64{ running.mRun });
     row.append(running.mCheckpoint);
     row.append(running.mPercent);
-    row.append(0);
+    row.append(Json::Int64{ running.mFigure });
     body["Running"].append(row);
   }
   for (const cell::EndedTask& ended : aView.mEnded) {
