Split the tests of crashed workers by what they are of

What a crash says of a task (CrashedWorkerTest), and where suspects are tried (SuspectTrialTest), over one fixture.

--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -71,8 +71,7 @@
   }
 
   /// Looks at a worker of which nothing is known yet, so that it can be given
-  /// leases. Without this it got none until the end of a look that waits: its
-  /// first task came 0.45 s later.
+  /// leases before the end of a look that waits.
   void Greet();
 
   /// One look, with the wait for an end. Returns the pause until the next.
--- /dev/null
+++ b/tests/cell/CrashFixture.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+inline const TaskRef kFirst{ JobId("job"), 0, 0, 0 };
+
+/// A scheduler whose workers crash.
+class CrashFixture : public CellFixture
+{
+protected:
+  static constexpr int kReportMs = 460;
+
+  /// Starts what the agent is ordered to, and shows it running for so long.
+  OrderRequest RunFor(const std::string& aAgent, int aMs)
+  {
+    const OrderRequest orders = Orders(aAgent);
+    Started(aAgent, orders);
+    for (const StartOrder& start : orders.mStarts) {
+      mRunning[aAgent].push_back(Running(start.mTask, start.mRun));
+    }
+    for (int passed = 0; passed < aMs; passed += kReportMs) {
+      Pass(milliseconds(kReportMs));
+      Grant("a");
+      Grant("b");
+      Report(aAgent, State(mLife, mRunning[aAgent]));
+    }
+    return orders;
+  }
+
+  void Crash(const std::string& aAgent, const std::string& aNext)
+  {
+    mRunning[aAgent].clear();
+    Pass(milliseconds(kReportMs));
+    Report(aAgent, State(aNext));
+    Record();
+  }
+
+  /// All processes die at once, and the next owner places what is open.
+  void TakeOverAfterPowerLoss(const WorkerState& aFound = State("a-next"))
+  {
+    Record();
+    const JobEntry& job = mScheduler.Jobs().at(kFirst.mJob);
+    const StoredJob stored = job.mStored;
+    const StoredProgress progress = ProgressOf(job);
+    mScheduler = CellScheduler(++mOwner, mSettings, [](const CellDecision&) {});
+    mScheduler.SetQueues({ Policy() });
+    mScheduler.AddJob(stored, progress, ++mRevision, Clock());
+    Attach("a", aFound);
+    Grant("a");
+    mScheduler.Schedule(Clock());
+  }
+
+  static StoredCrashes Stored(std::int32_t aIndex, CrashHistory::Runs aRuns)
+  {
+    return { aIndex, std::move(aRuns), 0 };
+  }
+
+  const CrashHistory& Crashes(const TaskRef& aTask) const
+  {
+    return mScheduler.Jobs().at(aTask.mJob).Find(aTask)->mCrashes;
+  }
+
+  Generation mOwner = kGeneration;
+  std::map<std::string, std::vector<RunningTask>> mRunning;
+  std::string mLife = "a-life"; ///< Incarnation of the worker that runs.
+};
+
+} // namespace foxtailbarrow::cell::test
