What an agent knows of its worker's tasks is a type of its own

TraitsBook: traits, runs started here, looks that did not show a task; PaceGovernor keeps what to slow. No change of behaviour: the rows of ServingTargetTest are the same to the last digit.

--- a/src/core/cell/PaceGovernor.cpp
+++ b/src/core/cell/PaceGovernor.cpp
@@ -16,10 +16,6 @@
 constexpr double kUnknownCores = 6.0;
 /// Part of the room that one round of raises may use up, since figures lag.
 constexpr double kRaiseShare = 0.6;
-/// A task that is not in so many looks has ended. Not at the first one: a look
-/// that was sent before a start was answered does not show the task, and what
-/// was forgotten then was never paced or guarded.
-constexpr int kMissedLooks = 100;
 /// Steps below this are not worth a call.
 constexpr std::int32_t kSmallestStep = 5;
 
@@ -39,15 +35,12 @@
 
 void PaceGovernor::NoteTraits(const TaskTraits& aTraits)
 {
-  KnownTask& known = mTasks[aTraits.mTask];
-  known.mTraits = aTraits;
-  known.mMissed = 0;
+  mTraits.Note(aTraits);
 }
 
 void PaceGovernor::NoteStart(const TaskTraits& aTraits, RunNumber aRun)
 {
-  NoteTraits(aTraits);
-  mTasks.at(aTraits.mTask).mStarted = aRun;
+  mTraits.NoteStart(aTraits, aRun);
 }
 
 void PaceGovernor::TakePressures(std::span<const Pressure> aPressures)
@@ -78,7 +71,7 @@
   serving.mTimer.Take(aShare, mSettings.mOverTarget, aNow);
 }
 
-void PaceGovernor::TakeLeftover(const KnownTask& aKnown,
+void PaceGovernor::TakeLeftover(const TraitsBook::Entry& aKnown,
                                 const RunningTask& aRunning)
 {
   Leftover& leftover = mLeftover[aRunning.mTask];
@@ -103,19 +96,16 @@
   for (auto& [task, leftover] : mLeftover) {
     leftover.mSeen = false;
   }
-  for (auto& [task, known] : mTasks) {
-    ++known.mMissed;
-  }
+  mTraits.BeginLook();
   std::map<std::string, double> worst; ///< Share of the target, by image.
   mUnknownTasks = 0;
   for (const RunningTask& running : aRunning) {
-    const auto known = mTasks.find(running.mTask);
-    if (known == mTasks.end()) {
+    const TraitsBook::Entry* known = mTraits.See(running.mTask);
+    if (known == nullptr) {
       ++mUnknownTasks;
       continue;
     }
-    known->second.mMissed = 0;
-    const TaskTraits& traits = known->second.mTraits;
+    const TaskTraits& traits = known->mTraits;
     if (traits.mLatencyTarget > Duration::zero()) {
       // A gap in its figures does not end the time that it is over.
       if (const auto image = mServing.find(traits.mImage);
@@ -129,16 +119,14 @@
       }
     }
     if (traits.mLeftover) {
-      TakeLeftover(known->second, running);
+      TakeLeftover(*known, running);
     }
   }
   for (const auto& [image, share] : worst) {
     TakeServing(image, share, aNow);
     mServing.at(image).mSeen = true;
   }
-  std::erase_if(mTasks, [](const auto& aEntry) {
-    return aEntry.second.mMissed > kMissedLooks;
-  });
+  mTraits.EndLook();
   std::erase_if(mServing,
                 [](const auto& aEntry) { return !aEntry.second.mSeen; });
   std::erase_if(mLeftover,
@@ -155,7 +143,7 @@
       ? std::min(kUnknownCores * 2,
                  aLeftover.mCores * kFullShare / *aLeftover.mTold)
       : kUnknownCores;
-  return PerCore(aServing, mTasks.at(aTask).mTraits.mImage) * cores;
+  return PerCore(aServing, mTraits.ImageOf(aTask)) * cores;
 }
 
 /// Lowers the paces of those that press most, until the pressure is expected to
@@ -204,7 +192,7 @@
   return { .mReason = aReason,
            .mServing = aServing,
            .mLatencyShare = std::exp(mServing.at(aServing).mLatency),
-           .mPerCore = PerCore(aServing, mTasks.at(aTask).mTraits.mImage) };
+           .mPerCore = PerCore(aServing, mTraits.ImageOf(aTask)) };
 }
 
 /// Pressure that the serving tasks beside it can still take, in units of this
@@ -217,7 +205,7 @@
       return 0;
     }
     const double pressure = PressureOf(image, aTask, mLeftover.at(aTask));
-    if (PerCore(image, mTasks.at(aTask).mTraits.mImage) < mSettings.mHarmless) {
+    if (PerCore(image, mTraits.ImageOf(aTask)) < mSettings.mHarmless) {
       continue;
     }
     if (aNow - serving.mLoweredAt < mSettings.mStepEvery) {
@@ -313,7 +301,7 @@
   return { aTask,
            aLeftover.mRun,
            aLeftover.mWanted,
-           mTasks.at(aTask).mTraits.mImage,
+           mTraits.ImageOf(aTask),
            aLeftover.mCause,
            aLeftover.mTold && aLeftover.mWanted > *aLeftover.mTold };
 }
@@ -321,7 +309,7 @@
 const std::string* PaceGovernor::Protected(const TaskRef& aTask,
                                            Instant aNow) const
 {
-  const std::string& leftover = mTasks.at(aTask).mTraits.mImage;
+  const std::string& leftover = mTraits.ImageOf(aTask);
   for (const auto& [image, serving] : mServing) {
     const bool mayPress = PerCore(image, leftover) >= mSettings.mHarmless ||
                           TimeOver(serving, aNow) > mSettings.mAllAfter;
@@ -336,14 +324,14 @@
                                                    RunNumber aRun,
                                                    Instant aNow)
 {
-  const auto known = mTasks.find(aTask);
-  if (known == mTasks.end() || !known->second.mTraits.mLeftover) {
+  const TraitsBook::Entry* known = mTraits.Find(aTask);
+  if (known == nullptr || !known->mTraits.mLeftover) {
     return std::nullopt;
   }
   RunningTask started;
   started.mTask = aTask;
   started.mRun = aRun;
-  TakeLeftover(known->second, started);
+  TakeLeftover(*known, started);
   const std::string* serving = Protected(aTask, aNow);
   if (serving == nullptr) {
     return std::nullopt;
@@ -359,7 +347,7 @@
   std::vector<std::string> beside;
   for (const auto& [task, leftover] : mLeftover) {
     beside.push_back(
-      absl::StrCat(mTasks.at(task).mTraits.mImage,
+      absl::StrCat(mTraits.ImageOf(task),
                    "=",
                    leftover.mTold ? absl::StrCat(*leftover.mTold) : "?"));
   }
--- a/src/core/cell/PaceGovernor.h
+++ b/src/core/cell/PaceGovernor.h
@@ -15,6 +15,7 @@
 #include "src/core/cell/OverTarget.h"
 #include "src/core/cell/OverTargetTimer.h"
 #include "src/core/cell/PaceCause.h"
+#include "src/core/cell/TraitsBook.h"
 #include "src/core/cell/WorkerState.h"
 
 namespace foxtailbarrow::cell {
@@ -91,13 +92,6 @@
   std::size_t UnknownTasks() const { return mUnknownTasks; }
 
 private:
-  struct KnownTask
-  {
-    TaskTraits mTraits;
-    RunNumber mStarted = 0; ///< The run that this agent started; 0 = none.
-    int mMissed = 0;        ///< Looks in a row that did not show it.
-  };
-
   struct Serving
   {
     double mLatency = 0; ///< Logarithm of the worst latency over the target.
@@ -123,7 +117,8 @@
   PaceChange ChangeOf(const TaskRef& aTask, const Leftover& aLeftover) const;
   static bool IsDue(const Leftover& aLeftover);
   void TakeLook(std::span<const RunningTask> aRunning, Instant aNow);
-  void TakeLeftover(const KnownTask& aKnown, const RunningTask& aRunning);
+  void TakeLeftover(const TraitsBook::Entry& aKnown,
+                    const RunningTask& aRunning);
   void TakeServing(const std::string& aImage, double aShare, Instant aNow);
   double PerCore(const std::string& aServing, const std::string& aImage) const;
   double PressureOf(const std::string& aServing,
@@ -142,7 +137,7 @@
   double RoomFor(const TaskRef& aTask, Instant aNow) const;
 
   PaceSettings mSettings;
-  std::map<TaskRef, KnownTask> mTasks;
+  TraitsBook mTraits;
   std::map<std::pair<std::string, std::string>, double> mPerCore;
   std::map<std::string, Serving> mServing;
   std::map<TaskRef, Leftover> mLeftover;
