--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -86,7 +86,7 @@
   graph.mPayload = standin::FormatTaskProgram(aProgram);
   graph.mSteps.resize(1);
   cell::StepSpec& step = graph.mSteps[0];
-  step.mDemand = { 2000, 500, 0 };
+  step.mDemand = { 1000, 500, 0 };
   step.mEstimate = aProgram.mWork;
   step.mStanding = aProgram.mStands;
   return graph;
@@ -166,7 +166,7 @@
 
 void Callers::SubmitLeftover()
 {
-  while (mSubmitting) {
+  while (mSubmittingLeftover) {
     mRuntime.Spawn([this, graph = LeftoverJob()] {
       mBook.Submitting(graph);
       const Told told = Submit(graph);
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -30,6 +30,8 @@
   /// Starts callers; they submit until Stop() and ask for states until End().
   void Start(unsigned aCount);
   void Stop() { mSubmitting = false; }
+  /// Leftover jobs go on until then.
+  void StopLeftover() { mSubmittingLeftover = false; }
   void End() { mAsking = false; }
 
 private:
@@ -58,6 +60,7 @@
   CallerSettings mSettings;
   net::HttpClient mClient;
   bool mSubmitting = true;
+  bool mSubmittingLeftover = true;
   bool mAsking = true;
 };
 
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -106,11 +106,12 @@
   book.TakeFaultTimes({ plan, MonotonicNow(), aSettings.mWorkers });
   injector.Play(plan);
   injector.Heal();
+  foreign.Stop();
+  callers.Stop();
   if (aSettings.mServing != 0) {
     boost::this_fiber::sleep_for(kCalmServing);
   }
-  foreign.Stop();
-  callers.Stop();
+  callers.StopLeftover();
   const std::vector<std::string> missing = AwaitAll(book);
   callers.End();
   (*fleet)->KillAll();
