Press harder in the soak, so that it finds an agent without traits

Now serving tasks stand on workers of their own, a third of the pairs press, weights change each 10 s, leftover tasks last 0.5 to 5 s and come each 0.8 s. A soak in which no job was accepted counted as held; it fails now.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -30,7 +30,7 @@
 constexpr int kServingImages = 3;
 constexpr int kServingReplicas = 4;
 constexpr int kLeftoverImages = 6;
-constexpr Duration kLeftoverEvery = milliseconds(1200);
+constexpr Duration kLeftoverEvery = milliseconds(800);
 
 constexpr std::array kPhases = { JobPhase::Queued,
                                  JobPhase::Running,
@@ -55,6 +55,7 @@
     if (!spec.mImage.empty()) {
       step["Image"] = spec.mImage;
       step["Fills"] = spec.mLeftover;
+      step["MaxPerServer"] = spec.mMaxPerWorker;
       step["TargetMs"] = Json::Int64{
         std::chrono::duration_cast<milliseconds>(spec.mLatencyTarget).count()
       };
@@ -133,6 +134,7 @@
   cell::JobGraph graph = OneStepJob(RandomId(mLeftoverRandom), program);
   cell::StepSpec& step = graph.mSteps[0];
   step.mReplicas = kServingReplicas;
+  step.mMaxPerWorker = 1;
   step.mImage = "serving" + std::to_string(aImage);
   step.mLatencyTarget = milliseconds(standin::kServingTargetMs);
   return graph;
@@ -144,7 +146,7 @@
   program.mFills =
     std::uniform_int_distribution<int>(0, kLeftoverImages - 1)(mLeftoverRandom);
   program.mWork = milliseconds(
-    std::uniform_int_distribution<int>(300, 2500)(mLeftoverRandom));
+    std::uniform_int_distribution<int>(500, 5000)(mLeftoverRandom));
   cell::JobGraph graph = OneStepJob(RandomId(mLeftoverRandom), program);
   cell::StepSpec& step = graph.mSteps[0];
   step.mReplicas = std::uniform_int_distribution<int>(2, 5)(mLeftoverRandom);
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -61,7 +61,11 @@
   for (const std::string& missing : aMissing) {
     std::cout << "missing: " << missing << '\n';
   }
-  const bool held = aBook.Broken().empty() && aMissing.empty();
+  if (aBook.Accepted() == 0) {
+    std::cout << "missing: no job was accepted\n";
+  }
+  const bool held =
+    aBook.Broken().empty() && aMissing.empty() && aBook.Accepted() > 0;
   std::cout << "seed " << aSettings.mSeed << ": " << (held ? "held" : "FAILED")
             << ", " << aBook.Accepted() << " jobs accepted, " << aBook.Starts()
             << " starts, " << aBook.OverTargets()
--- a/standins/taskworker/ServingMeter.cpp
+++ b/standins/taskworker/ServingMeter.cpp
@@ -11,10 +11,10 @@
 constexpr double kCalmShare = 0.47; ///< Of the target, in mid swing.
 constexpr double kSwing = 0.5;
 constexpr double kSwingPeriod = 12; ///< Seconds.
-constexpr double kHeavy = 0.45;
+constexpr double kHeavy = 0.7;
 constexpr double kLight = 0.04;
-constexpr unsigned kHeavyOneIn = 4;
-constexpr double kWeightsLast = 15; ///< Seconds.
+constexpr unsigned kHeavyOneIn = 3;
+constexpr double kWeightsLast = 10; ///< Seconds.
 constexpr double kNoise = 0.1;
 constexpr Duration kFigureSpan = std::chrono::milliseconds(500);
 
--- a/tests/soak/ServingMeterTest.cpp
+++ b/tests/soak/ServingMeterTest.cpp
@@ -54,7 +54,7 @@
   }
 
   /// Weights last until 1020 s.
-  Instant mNow{ seconds(1006) };
+  Instant mNow{ seconds(1011) };
   std::vector<RunMark> mOver;
   TaskWorkerModel mWorker{ { .mPaceTime = milliseconds(100) },
                            mNow,
