--- a/tests/taskagent/PaceTest.cpp
+++ b/tests/taskagent/PaceTest.cpp
@@ -137,6 +137,25 @@
   });
 }
 
+/// Each look has a pace without an answer, which takes a fence.
+TEST_F(PaceTest, ASessionWithoutAFenceLeftIsBegunAnew)
+{
+  constexpr int kMoreThanFences = 260;
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    TellTraits(control);
+    mWorker.mLosesPaces = true;
+    for (int look = 0; look < kMoreThanFences; ++look) {
+      control.Look();
+    }
+    EXPECT_EQ(control.CurrentSession(), 0);
+    EXPECT_TRUE(control.Attach(2 * kSession).ok());
+    EXPECT_EQ(control.CurrentSession(), 2 * kSession);
+  });
+}
+
 TEST_F(PaceTest, ASessionThatTellsNoTraitsOfRunningTasksIsBegunAnew)
 {
   net::FiberRuntime runtime(1);
