--- a/tests/taskagent/PaceTest.cpp
+++ b/tests/taskagent/PaceTest.cpp
@@ -125,6 +125,32 @@
   });
 }
 
+/// The next look may be late.
+TEST_F(PaceTest, AStartBesideAnImageOverItsTargetIsPacedBeforeTheNextLook)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    TellTraits(control);
+    control.TakeGrant(kSession, MonotonicNow(), seconds(3), 0);
+    ServingFigure() = kOver;
+    control.Look();
+    cell::OrderRequest orders;
+    orders.mSession = kSession;
+    orders.mNumber = 2;
+    orders.mIncarnation = control.Info().mIncarnation;
+    cell::StartOrder& start = orders.mStarts.emplace_back();
+    start.mTask = { JobId("started"), 0, 0, 0 };
+    start.mRun = 1;
+    start.mLeftover = true;
+    start.mImage = "leftover";
+    ASSERT_TRUE(control.CarryOut(orders).mAccepted);
+    ASSERT_TRUE(mWorker.mTasks.contains(start.mTask));
+    EXPECT_EQ(mWorker.mTasks.at(start.mTask).mPace, 0);
+  });
+}
+
 TEST_F(PaceTest, ARestartedAgentSpeedsUpWhatTheOneBeforeItSlowedDown)
 {
   net::FiberRuntime runtime(1);
