--- a/tests/cell/CellFixture.h
+++ b/tests/cell/CellFixture.h
@@ -119,10 +119,10 @@
     Grant(aAgent);
   }
 
-  /// By default after all orders were carried out.
-  bool Report(const std::string& aAgent,
-              const WorkerState& aState,
-              std::int64_t aOrdersDone = kManyOrders)
+  /// What the agent tells now, by default after all orders were carried out.
+  ReportRequest ReportOf(const std::string& aAgent,
+                         const WorkerState& aState,
+                         std::int64_t aOrdersDone = kManyOrders) const
   {
     const auto& worker = mScheduler.Workers().at(AgentId(aAgent));
     ReportRequest report;
@@ -131,7 +131,15 @@
     report.mSequence = worker.mLastSequence + 1;
     report.mOrdersDone = aOrdersDone;
     report.mState = aState;
-    return mScheduler.TakeReport(report, Clock());
+    return report;
+  }
+
+  bool Report(const std::string& aAgent,
+              const WorkerState& aState,
+              std::int64_t aOrdersDone = kManyOrders)
+  {
+    return mScheduler.TakeReport(ReportOf(aAgent, aState, aOrdersDone),
+                                 Clock());
   }
 
   /// All orders of an agent after a round of placing, its starts answered.
