A run's life is told by its agent's clock

Cause: the owner took an answer's age from when it read the report, so that the time that the report took counted as life of the run.

Now the agent tells from when on it knows a run, once a run, and when its worker answered last, both by its own clock. Their difference does not depend on how long a report takes, nor on the drift between two machines, which an estimate of the time on the way would have to follow. A worker is quiet when the newest report shows all of its runs to have lived, a start without an answer included.

Class: an age that is counted from the reading of a message. Looked for elsewhere: a lease's rest and a drain's rest read late are longer than the truth, on the safe side; figures (FigureAt) only pace learning.

Replay time is one function of the two models now.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -288,7 +288,7 @@
   snapshot.mAnswers = mAnswers;
   snapshot.mOrdersDone = mOrdersDone;
   const Instant now = MonotonicNow();
-  snapshot.mAnswerAge = now - mAliveAt;
+  snapshot.mAnsweredAt = mAliveAt.time_since_epoch();
   snapshot.mLeaseLeft = mLease.LeaseLeft(now);
   return snapshot;
 }
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -27,7 +27,7 @@
 {
   cell::WorkerState mState;
   bool mAnswers = false;
-  Duration mAnswerAge{}; ///< Since the newest answer to any call.
+  Duration mAnsweredAt{}; ///< The newest answer to any call, by this clock.
   Duration mLeaseLeft{};
   std::int64_t mOrdersDone = 0; ///< Of the session in force.
 };
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -131,7 +131,9 @@
   /// The worker has answered lately. While it does not, its leases are not
   /// extended.
   bool mWorkerAnswers = true;
-  Duration mAnswerAge{}; ///< Since its newest answer, which the state is of.
+  /// By the agent's clock, as RunningTask::mSince, so that the time that the
+  /// report takes does not count: the newest answer, which the state is of.
+  Duration mAnsweredAt{};
   Duration mLeaseLeft{}; ///< Until the last lease that it may hold is over.
   /// How long the reply to the report before took: it waited in the owner.
   Duration mReplyTook{};
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -252,14 +252,14 @@
                  const TaskRef& aTask,
                  RunNumber aRun,
                  std::string_view aReason);
-  /// `aSeenAt`: of the worker's answer that shows them.
+  /// `aAnsweredAt`: the worker's answer that shows them, by the agent's clock.
   void TakeRunning(WorkerEntry& aWorker,
                    const std::vector<RunningTask>& aRunning,
-                   Instant aSeenAt,
+                   Duration aAnsweredAt,
                    const CellClock& aClock);
-  void TakeRunningTask(WorkerEntry& aWorker,
+  bool TakeRunningTask(WorkerEntry& aWorker,
                        const RunningTask& aRunning,
-                       Instant aSeenAt,
+                       Duration aLived,
                        const CellClock& aClock);
   bool Adopt(WorkerEntry& aWorker,
              const RunningTask& aRunning,
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -34,7 +34,7 @@
       mJobs.at(ref.mJob).Find(ref)->FindRun(aWorker.mId, number);
     if (run != nullptr && run->mSent) {
       crash.mRuns.push_back(
-        { ref, number, run->KnownLife(), run->Confirmed() });
+        { ref, number, run->mLived, run->Confirmed() });
     }
   }
   return crash;
@@ -139,7 +139,7 @@
   if (aJob.Find(aTask)->mCrashes.Count() == 0) {
     return;
   }
-  const Duration lived = aRun.KnownLife();
+  const Duration lived = aRun.mLived;
   const Duration trial =
     aJob.Find(aTask)->mCrashes.Suspected() == Suspicion::Weak ? kFreshLife
                                                               : kProvenLife;
@@ -159,12 +159,12 @@
                                     const TaskRun& aRun,
                                     Instant aNow)
 {
-  if (!aRun.mSent || aRun.KnownLife() >= kProvenLife) {
+  if (!aRun.mSent || aRun.mLived >= kProvenLife) {
     return;
   }
   aWorker.mUnexplained.push_back(
-    { aTask, aRun.mNumber, aRun.KnownLife(), aRun.Confirmed() });
-  if (aRun.KnownLife() < kFreshLife) {
+    { aTask, aRun.mNumber, aRun.mLived, aRun.Confirmed() });
+  if (aRun.mLived < kFreshLife) {
     mJobs.at(aTask.mJob)
       .Find(aTask)
       ->mCrashes.NoteUnexplained(aRun.mNumber, aNow);
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -30,7 +30,7 @@
   TaskEntry& task = *aJob.Find(aTask);
   task.mLastRun = std::max(task.mLastRun, aRun.mNumber);
   aWorker.mRuns[aTask] = aRun.mNumber;
-  aWorker.mStartedAt = std::max(aWorker.mStartedAt, aRun.mOrderedAt);
+  aWorker.mAllLived = false;
   if (task.mCrashes.Suspect()) {
     mTrials.Begin(aWorker.mId,
                   { { aTask, aRun.mNumber },
@@ -124,7 +124,7 @@
 
 void CellScheduler::TakeRunning(WorkerEntry& aWorker,
                                 const std::vector<RunningTask>& aRunning,
-                                Instant aSeenAt,
+                                Duration aAnsweredAt,
                                 const CellClock& aClock)
 {
   std::erase_if(aWorker.mForeign, [&](const auto& aForeign) {
@@ -132,15 +132,22 @@
       return aTask.mTask == aForeign.first;
     });
   });
-  aWorker.mSeenAt = std::max(aWorker.mSeenAt, aSeenAt);
+  std::size_t lived = 0;
   for (const RunningTask& running : aRunning) {
-    TakeRunningTask(aWorker, running, aSeenAt, aClock);
+    const Duration known = running.mSince == Duration::zero()
+                             ? Duration::zero()
+                             : aAnsweredAt - running.mSince;
+    if (TakeRunningTask(aWorker, running, known, aClock)) {
+      lived += known >= kFreshLife ? 1 : 0;
+    }
   }
+  aWorker.mAllLived = lived == aWorker.mRuns.size();
 }
 
-void CellScheduler::TakeRunningTask(WorkerEntry& aWorker,
+/// False when no run of ours is there.
+bool CellScheduler::TakeRunningTask(WorkerEntry& aWorker,
                                     const RunningTask& aRunning,
-                                    Instant aSeenAt,
+                                    Duration aLived,
                                     const CellClock& aClock)
 {
   const auto found = mJobs.find(aRunning.mTask.mJob);
@@ -153,12 +160,10 @@
         aWorker.mForeign.emplace(aRunning.mTask, aRunning.mRun).second) {
       OrderStop(aWorker, aRunning.mTask, aRunning.mRun, "not-ours");
     }
-    return;
-  }
-  if (run->Confirm(aClock.mNow)) {
-    aWorker.mStartedAt = aClock.mNow;
+    return false;
   }
-  run->mSeenAt = std::max(run->mSeenAt, aSeenAt);
+  run->Confirm(aClock.mNow);
+  run->mLived = std::max(run->mLived, aLived);
   NoteAlive(found->second, aRunning.mTask, *run, aClock);
   if (run->mPercent != aRunning.mPercent) {
     run->mPercent = aRunning.mPercent;
@@ -175,6 +180,7 @@
     // Ordered before a session that broke, or lost: a stop is idempotent.
     StopRun(*run, aRunning.mTask, "again", aClock);
   }
+  return true;
 }
 
 /// Takes over a run that an earlier owner started. False when it must not go
@@ -286,7 +292,7 @@
          aWorker.mId,
          number,
          aReason,
-         WholeMilliseconds(run.KnownLife()));
+         WholeMilliseconds(run.mLived));
     if (aCause == LossCause::Unexplained) {
       NoteUnexplained(aWorker, task, run, aClock.mNow);
     }
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -38,7 +38,7 @@
   TakeInfo(worker, aState.mInfo, aClock);
   TakeEnds(worker, aState.mEnded, aClock);
   TakeTold(worker, aState.mCrashes, aClock);
-  TakeRunning(worker, aState.mRunning, aClock.mNow, aClock);
+  TakeRunning(worker, aState.mRunning, Duration::zero(), aClock);
   ExplainLosses(worker);
   // Orders of earlier sessions are dead, so that what is not there never comes.
   DropAbsentRuns(worker, aState.mRunning, kAllOrders, aClock);
@@ -107,8 +107,7 @@
   if (aReport.mWorkerAnswers) {
     ExplainLosses(aWorker);
   }
-  TakeRunning(
-    aWorker, state.mRunning, aClock.mNow - aReport.mAnswerAge, aClock);
+  TakeRunning(aWorker, state.mRunning, aReport.mAnsweredAt, aClock);
   DropAbsentRuns(aWorker, state.mRunning, aReport.mOrdersDone, aClock);
   if (whole || (aReport.mChange && aReport.mChange->mFigures)) {
     Learn(aWorker, state.mRunning, aClock);
@@ -227,9 +226,7 @@
       continue; // Its end came first.
     }
     if (result.mOutcome == StartOutcome::Started) {
-      if (run->Confirm(aClock.mNow)) {
-        worker->second.mStartedAt = aClock.mNow;
-      }
+      run->Confirm(aClock.mNow);
       if (found->second.mPhase == JobPhase::Queued) {
         found->second.mPhase = JobPhase::Running;
       }
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -33,8 +33,8 @@
   std::int64_t mOrderNumber = 0;
   bool mSent = false; ///< The order has left: it may have run.
   Instant mRunningSince{};
-  /// Its worker's newest answer that showed it.
-  Instant mSeenAt{};
+  /// It was alive for so long at least, by its agent's clock.
+  Duration mLived{};
   std::int32_t mPercent = 0;
   Instant mPercentChangedAt{};
   Instant mStopOrderedAt{};
@@ -43,24 +43,15 @@
   Instant mFigureAt{}; ///< Its newest figure was counted.
 
   /// Its worker has said that it runs.
-  /// It was started. False when that is known already.
-  bool Confirm(Instant aNow)
+  void Confirm(Instant aNow)
   {
-    if (mPhase != RunPhase::Ordered) {
-      return false;
+    if (mPhase == RunPhase::Ordered) {
+      mPhase = RunPhase::Running;
+      mRunningSince = aNow;
+      mPercentChangedAt = aNow;
     }
-    mPhase = RunPhase::Running;
-    mRunningSince = aNow;
-    mPercentChangedAt = aNow;
-    return true;
   }
   bool Confirmed() const { return mRunningSince != Instant{}; }
-
-  /// How long it is known to have run: it was alive at least so long.
-  Duration KnownLife() const
-  {
-    return std::max(Duration::zero(), mSeenAt - mRunningSince);
-  }
 };
 
 /// What the owner knows of one task.
--- a/src/core/cell/WorkerBook.cpp
+++ b/src/core/cell/WorkerBook.cpp
@@ -122,6 +122,12 @@
     task.mRun = key.second;
     running.push_back(std::move(task));
   }
+  for (RunningTask& task : running) {
+    if (const auto since = mSince.find({ task.mTask, task.mRun });
+        since != mSince.end()) {
+      task.mSince = since->second.time_since_epoch();
+    }
+  }
   return running;
 }
 
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -48,13 +48,14 @@
   Instant mGrantedUntil{}; ///< End of the newest grant of this owner.
   /// Latest end of a lease that this or an earlier owner may have granted.
   Instant mHeldUntil{};
-  Instant mStartedAt{};  ///< A start was ordered or confirmed last.
-  Instant mSeenAt{};     ///< Its newest answer that was reported.
   Instant mCrashedAt{};  ///< It was heard of its newest crash.
   Instant mMovedAt{};    ///< A stalled task was stopped last.
   Instant mLeavesAt{};   ///< While it drains.
   Instant mObservedAt{}; ///< Figures were last learned from.
   bool mAnswers = true;  ///< To its agent.
+  /// The newest report shows all that may run there to have lived for
+  /// kFreshLife.
+  bool mAllLived = false;
   /// Its agent knows of a smaller capacity than the last report told.
   bool mAwaitsReport = false;
   Instant mSilentLeaseEnd{}; ///< While it does not answer.
@@ -67,7 +68,7 @@
   /// a next start alone.
   bool Quiet() const
   {
-    return mRuns.empty() || mSeenAt - mStartedAt >= kFreshLife;
+    return mRuns.empty() || mAllLived;
   }
 };
 
--- a/src/core/cell/WorkerState.h
+++ b/src/core/cell/WorkerState.h
@@ -44,6 +44,8 @@
   /// Tail latency in ms of a serving task, else millicores in use, over the
   /// last half second.
   std::int64_t mFigure = 0;
+  /// By the agent's clock: it was first known to run. Zero = not known.
+  Duration mSince{};
 
   bool operator==(const RunningTask&) const = default;
 };
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -93,7 +93,7 @@
   aVisitor.Optional("state", aMessage.mState);
   aVisitor.Optional("change", aMessage.mChange);
   aVisitor.Optional("workerAnswers", aMessage.mWorkerAnswers);
-  aVisitor.Optional("answerAgeUs", aMessage.mAnswerAge);
+  aVisitor.Optional("answeredAtUs", aMessage.mAnsweredAt);
   aVisitor.Optional("leaseLeftUs", aMessage.mLeaseLeft);
   aVisitor.Optional("replyTookUs", aMessage.mReplyTook);
 }
--- a/src/core/message/detail/CellWorkerFields.h
+++ b/src/core/message/detail/CellWorkerFields.h
@@ -28,6 +28,7 @@
   aVisitor.Required(aMessage.mPercent);
   aVisitor.Required(aMessage.mFigure);
   aVisitor.Optional(aMessage.mCheckpoint);
+  aVisitor.Optional(aMessage.mSince);
 }
 
 template<typename Visitor, Is<cell::EndedTask> Message>
--- a/tests/cell/CellFixture.h
+++ b/tests/cell/CellFixture.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -122,7 +124,7 @@
   /// What the agent tells now, by default after all orders were carried out.
   ReportRequest ReportOf(const std::string& aAgent,
                          const WorkerState& aState,
-                         std::int64_t aOrdersDone = kManyOrders) const
+                         std::int64_t aOrdersDone = kManyOrders)
   {
     const auto& worker = mScheduler.Workers().at(AgentId(aAgent));
     ReportRequest report;
@@ -131,6 +133,10 @@
     report.mSequence = worker.mLastSequence + 1;
     report.mOrdersDone = aOrdersDone;
     report.mState = aState;
+    report.mAnsweredAt = mNow.time_since_epoch();
+    for (RunningTask& task : report.mState.mRunning) {
+      task.mSince = Since(aAgent, task.mTask, task.mRun);
+    }
     return report;
   }
 
@@ -154,6 +160,7 @@
     std::vector<StartResult> results;
     for (const StartOrder& order : aOrders.mStarts) {
       results.push_back({ order.mTask, order.mRun, StartOutcome::Started });
+      Since(aAgent, order.mTask, order.mRun);
     }
     mScheduler.TakeStartResults(
       AgentId(aAgent), aOrders.mSession, results, Clock());
@@ -175,6 +182,16 @@
     return task;
   }
 
+  /// When the agent first knew of the run.
+  Duration Since(const std::string& aAgent,
+                 const TaskRef& aTask,
+                 RunNumber aRun)
+  {
+    return mSince
+      .try_emplace({ aAgent, aTask, aRun }, mNow.time_since_epoch())
+      .first->second;
+  }
+
   bool Happened(const std::string& aEvent) const
   {
     return std::ranges::find(mEvents, aEvent) != mEvents.end();
@@ -186,6 +203,7 @@
   std::int64_t mUnixMs = 1'700'000'000'000;
   Revision mRevision = 100;
   Session mSession = 0;
+  std::map<std::tuple<std::string, TaskRef, RunNumber>, Duration> mSince;
   CellScheduler mScheduler;
 };
 
--- a/tests/cell/CrashingTaskTest.cpp
+++ b/tests/cell/CrashingTaskTest.cpp
@@ -118,7 +118,8 @@
       report.mOrdersDone = kManyOrders;
       report.mState = aState;
       report.mWorkerAnswers = false;
-      report.mAnswerAge = milliseconds(460) * (tick + 1);
+      report.mAnsweredAt =
+        (mNow - milliseconds(460) * (tick + 1)).time_since_epoch();
       mScheduler.TakeReport(report, Clock());
     }
   }
--- a/tests/load/LoadReplay.cpp
+++ b/tests/load/LoadReplay.cpp
@@ -4,6 +4,8 @@
 #include <numeric>
 #include <string>
 
+#include "tests/load/ReplayTime.h"
+
 namespace foxtailbarrow::cell::test {
 
 namespace {
@@ -15,12 +17,6 @@
 constexpr double kStretch = 2.0;
 constexpr Session kSession = 1;
 
-Instant At(double aSeconds)
-{
-  return Instant(std::chrono::seconds(1000)) +
-         std::chrono::milliseconds(std::lround(aSeconds * 1000));
-}
-
 std::string ServingImage(int aNumber)
 {
   return "serving" + std::to_string(aNumber);
@@ -170,7 +166,7 @@
   report.mSequence = ++aWorker.mSequence;
   report.mOrdersDone = kAllOrders;
   report.mState = aWorker.mLastState;
-  report.mAnswerAge = At(mSeconds) - At(aWorker.mAnsweredAt);
+  report.mAnsweredAt = At(aWorker.mAnsweredAt).time_since_epoch();
   report.mWorkerAnswers = mSeconds - aWorker.mAnsweredAt < kSilentAfterS;
   report.mLeaseLeft = std::chrono::seconds(3);
   mScheduler.TakeReport(report, Clock());
@@ -214,6 +210,7 @@
   report.mSequence = ++aWorker.mSequence;
   report.mOrdersDone = kAllOrders;
   report.mState = aWorker.mModel.State();
+  report.mAnsweredAt = At(mSeconds).time_since_epoch();
   mScheduler.TakeReport(report, Clock());
   mScheduler.NoteGrant(aWorker.mAgent, At(mSeconds) + std::chrono::seconds(3));
   Record();
--- a/tests/load/ModelWorker.cpp
+++ b/tests/load/ModelWorker.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numbers>
 
+#include "tests/load/ReplayTime.h"
+
 namespace foxtailbarrow::cell::test {
 
 namespace {
@@ -37,6 +39,7 @@
 {
   Task task;
   task.mOrder = aOrder;
+  task.mStartedAt = mNow;
   task.mDemand = static_cast<double>(aSpec.mDemand.mMillicores) / kMillicores;
   task.mStanding = aSpec.mStanding;
   task.mWork = aWork;
@@ -84,6 +87,7 @@
 
 void ModelWorker::Pass(double aSeconds, double aNow)
 {
+  mNow = aNow;
   double left = static_cast<double>(mPattern.mWorkerMillicores) / kMillicores;
   double wanted = 0;
   for (const auto& [ref, task] : mTasks) {
@@ -168,6 +172,7 @@
     running.mTask = ref;
     running.mRun = task.mOrder.mRun;
     running.mFigure = task.mFigure;
+    running.mSince = At(task.mStartedAt).time_since_epoch();
     running.mPercent =
       task.mStanding
         ? static_cast<std::int32_t>(kFull)
--- a/tests/load/ModelWorker.h
+++ b/tests/load/ModelWorker.h
@@ -47,6 +47,7 @@
   struct Task
   {
     StartOrder mOrder;
+    double mStartedAt = 0;
     double mDemand = 0; ///< Cores.
     bool mStanding = false;
     double mWork = 0;
@@ -65,6 +66,7 @@
   const HiddenWeights* mWeights;
   int mNumber;
   int mLife = 0;
+  double mNow = 0;
   std::map<TaskRef, Task> mTasks;
   std::vector<EndedTask> mEnded;
   std::int64_t mLastEnd = 0;
--- a/tests/load/PressedWorker.cpp
+++ b/tests/load/PressedWorker.cpp
@@ -6,6 +6,8 @@
 #include <numbers>
 #include <string>
 
+#include "tests/load/ReplayTime.h"
+
 namespace foxtailbarrow::cell::test {
 
 namespace {
@@ -32,12 +34,6 @@
 
 const TaskRef kServing{ JobId("serving"), 0, 0, 0 };
 
-Instant At(double aSeconds)
-{
-  return Instant(std::chrono::seconds(1000)) +
-         std::chrono::microseconds(std::llround(aSeconds * 1e6));
-}
-
 std::string ImageOf(double aPerCore)
 {
   return aPerCore == kHeavyPerCore ? "heavy" : "light";
--- /dev/null
+++ b/tests/load/ReplayTime.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+#include <cmath>
+
+#include "foxtailbarrow/Time.h"
+
+namespace foxtailbarrow::cell::test {
+
+/// The moment at so many seconds of a replay.
+inline Instant At(double aSeconds)
+{
+  constexpr double kMicroseconds = 1e6;
+  return Instant(std::chrono::seconds(1000)) +
+         std::chrono::microseconds(std::llround(aSeconds * kMicroseconds));
+}
+
+} // namespace foxtailbarrow::cell::test
