A look that waited proves no life of what it shows

A look waits up to 0.4 s for news, so that a run that crashed its worker at once could be 0.4 s old, where 0.5 s is the limit of a fresh one. It counts from the answer now.

WorkerBookTest.ARunHasNotLivedWhileTheLookThatShowsItWaited: red before (0.4 s instead of 0).

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -177,7 +177,7 @@
   }
   mAnswers = true;
   // An answer to an older fence may be older than what is known.
-  if (fence == mFence && mBook.TakeLook(*reply, sentAt)) {
+  if (fence == mFence && mBook.TakeLook(*reply, sentAt, now)) {
     mOnNews();
   }
   return reply;
--- a/src/core/cell/WorkerBook.cpp
+++ b/src/core/cell/WorkerBook.cpp
@@ -30,11 +30,13 @@
   }
 }
 
-bool WorkerBook::TakeLook(const LookReply& aReply, Instant aSentAt)
+bool WorkerBook::TakeLook(const LookReply& aReply,
+                          Instant aSentAt,
+                          Instant aAnsweredAt)
 {
   mLooked = aReply.mRunning;
   for (const RunningTask& task : mLooked) {
-    mSince.try_emplace({ task.mTask, task.mRun }, aSentAt);
+    mSince.try_emplace({ task.mTask, task.mRun }, aAnsweredAt);
   }
   std::int64_t newest = mSeen;
   for (const EndedTask& ended : aReply.mEnded) {
--- a/src/core/cell/WorkerBook.h
+++ b/src/core/cell/WorkerBook.h
@@ -32,7 +32,7 @@
   void TakeStart(const TaskRef& aTask, RunNumber aRun, Instant aAnsweredAt);
 
   /// Returns true when the look brought an end that was not known.
-  bool TakeLook(const LookReply& aReply, Instant aSentAt);
+  bool TakeLook(const LookReply& aReply, Instant aSentAt, Instant aAnsweredAt);
 
   /// Ends up to this number need not be reported again.
   void Acknowledge(std::int64_t aNumber);
--- a/tests/cell/CrashEvidenceTest.cpp
+++ b/tests/cell/CrashEvidenceTest.cpp
@@ -328,13 +328,27 @@
   EXPECT_EQ(book.CrashAfter(kNow + kProvenLife).mRuns.size(), 1U);
 }
 
+TEST(WorkerBookTest, ARunHasNotLivedWhileTheLookThatShowsItWaited)
+{
+  WorkerBook book;
+  book.NoteSent(kFirst, 1);
+  LookReply look;
+  look.mRunning.emplace_back().mTask = kFirst;
+  look.mRunning.back().mRun = 1;
+  const Instant answered = kNow + milliseconds(400);
+  book.TakeLook(look, kNow, answered);
+  book.NoteAllSettled();
+  const std::vector<CrashedRun> expected = { { kFirst, 1, {}, true } };
+  EXPECT_EQ(book.CrashAfter(answered).mRuns, expected);
+}
+
 TEST(WorkerBookTest, WhatHasEndedDidNotCrashTheWorker)
 {
   WorkerBook book;
   book.TakeStart(kFirst, 1, kNow);
   LookReply look;
   look.mEnded.push_back({ 1, kFirst, 1, RunEnd::Done, {} });
-  book.TakeLook(look, kNow + milliseconds(5));
+  book.TakeLook(look, kNow + milliseconds(4), kNow + milliseconds(5));
   EXPECT_TRUE(book.CrashAfter(kNow + milliseconds(10)).mRuns.empty());
 }
 
