A worker that refuses as unwell gets no start before it answers again

What callers saw: after a crash of a worker, tasks that did not run there were late, too: they were ordered to the dead worker again and again, 0.1 s each.

Cause: a refusal was noted at the task alone. What is refused frees its room, so that the worker that is gone has the most of it.

The owner keeps the worker's newest answer that the agent has told of (by the agent's clock, which reports tell now). One that refused as unwell takes no start until a newer one is told: a worker that answers and refuses is tried again after one report, as before; one that is gone is not, until its agent reports it silent. Class: a refusal that says something of the worker, noted at the work.

--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -30,6 +30,8 @@
   worker.mForeign.clear();
   worker.mAnswers = true;
   worker.mAwaitsReport = false;
+  worker.mAnsweredAt = {};
+  worker.mUnwellAfter.reset();
   // Until the first report, leases are those that an earlier owner granted.
   worker.mHeldUntil =
     std::max(worker.mHeldUntil, aClock.mNow + mSettings.mHold);
@@ -107,6 +109,7 @@
   if (aReport.mWorkerAnswers) {
     ExplainLosses(aWorker);
   }
+  aWorker.mAnsweredAt = std::max(aWorker.mAnsweredAt, aReport.mAnsweredAt);
   TakeRunning(aWorker, state.mRunning, aReport.mAnsweredAt, aClock);
   DropAbsentRuns(aWorker, state.mRunning, aReport.mOrdersDone, aClock);
   if (whole || (aReport.mChange && aReport.mChange->mFigures)) {
@@ -243,6 +246,11 @@
     }
     RemoveRun(found->second, result.mTask, aAgent, result.mRun, aClock);
     StopGang(found->second, result.mTask, result.mRun, aClock);
+    // Agents of earlier versions do not tell when their worker answered.
+    if (result.mOutcome == StartOutcome::Unwell &&
+        worker->second.mAnsweredAt != Duration::zero()) {
+      worker->second.mUnwellAfter = worker->second.mAnsweredAt;
+    }
     if (result.mOutcome == StartOutcome::OverCapacity) {
       worker->second.mAwaitsReport = true;
     } else {
--- a/src/core/cell/WorkerChoice.cpp
+++ b/src/core/cell/WorkerChoice.cpp
@@ -56,7 +56,7 @@
 {
   const StepSpec& spec = aJob.Spec(aTask);
   if (aWorker.mLink != WorkerLink::Attached || !aWorker.mAnswers ||
-      aWorker.mAwaitsReport || !aWorker.mForeign.empty() ||
+      aWorker.mAwaitsReport || aWorker.Unwell() || !aWorker.mForeign.empty() ||
       aWorker.mAvoidUntil > aNow || aWorker.mGrantedUntil <= aNow) {
     return false;
   }
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -56,6 +57,10 @@
   /// The newest report shows all that may run there to have lived for
   /// kFreshLife.
   bool mAllLived = false;
+  /// Its newest answer that its agent told of, by the agent's clock.
+  Duration mAnsweredAt{};
+  /// That, when it last refused a start as unwell.
+  std::optional<Duration> mUnwellAfter{};
   /// Its agent knows of a smaller capacity than the last report told.
   bool mAwaitsReport = false;
   Instant mSilentLeaseEnd{}; ///< While it does not answer.
@@ -64,6 +69,10 @@
   std::int32_t mFailuresInRow = 0;
   Instant mAvoidUntil{}; ///< Nothing is started before, after failures.
 
+  /// It has refused a start and not answered since, as one that is gone does
+  /// before its agent knows. Each start that is refused leaves its room free.
+  bool Unwell() const { return mUnwellAfter && mAnsweredAt <= *mUnwellAfter; }
+
   /// Nothing of what runs there has started lately: a crash would speak against
   /// a next start alone.
   bool Quiet() const
