--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/CellClock.h"
 #include "src/core/cell/CellDecision.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/CellSettings.h"
@@ -15,36 +16,13 @@
 #include "src/core/cell/CrashedWorker.h"
 #include "src/core/cell/FullFor.h"
 #include "src/core/cell/JobEntry.h"
+#include "src/core/cell/LossCause.h"
+#include "src/core/cell/UnrecordedProgress.h"
 #include "src/core/cell/WorkerChoice.h"
 #include "src/core/cell/WorkerEntry.h"
 
 namespace foxtailbarrow::cell {
 
-/// A change of a job's progress that the store does not have yet.
-struct UnrecordedProgress
-{
-  JobId mJob;
-  std::uint64_t mVersion = 0;
-  StoredProgress mProgress;
-  Revision mRevision = 0; ///< Of the record that it replaces; 0 = none.
-  Instant mSince{};       ///< Since when the store lacks a part of it.
-};
-
-/// Moments as both clocks show them: intervals are judged by the monotonic
-/// one, due times by the time of day.
-struct CellClock
-{
-  Instant mNow{};
-  std::int64_t mUnixMs = 0;
-};
-
-/// Whether it is known why the runs of a worker are over.
-enum class LossCause : std::uint8_t
-{
-  Known,
-  Unexplained,
-};
-
 /// Decides what runs where in one cell, as its one owner: jobs, workers and
 /// their reports go in; orders for agents, progress to record and ends to
 /// acknowledge come out. Pure: no I/O, the clock is passed in.
--- a/src/core/cell/CrashBlame.h
+++ b/src/core/cell/CrashBlame.h
@@ -28,9 +28,8 @@
 
 /// Whom one crash speaks against, in the order of the witnesses. Workers also
 /// crash by themselves, so that this is evidence and no proof. The likeliest
-/// are fresh suspects, else fresh tasks. Older ones are never likely: a sound
-/// standing task that two crashes met 0.9 s and 1.5 s after its starts was
-/// given up where they were.
+/// are fresh suspects, else fresh tasks. Older ones are never likely: crashes by
+/// chance meet standing tasks most.
 std::vector<CrashBlame> JudgeCrash(std::span<const CrashWitness> aWitnesses);
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -23,10 +23,9 @@
 /// no answer make a suspect only, as the worker may have been down before, and
 /// so do crashes that come later; five in all are the end, too.
 ///
-/// One in 200 of the sound tasks that a crash made suspects is given up, where
-/// each worker crashes by chance once in 100 s (15 of 100 workers three times
-/// in 48 s were seen): its trial must meet such a crash within kFreshLife.
-/// Workers that have crashed lately are taken last for trials.
+/// A sound task that a crash made a suspect is given up where its trial meets a
+/// crash by chance within kFreshLife. Workers that have crashed lately are taken
+/// last for trials.
 class CrashHistory
 {
 public:
@@ -40,7 +39,7 @@
   /// Crashes of all kinds: one more start after these is allowed at most.
   static constexpr std::size_t kMostInAll = 5;
   /// A run that was lost for another reason than a known crash is taken for a
-  /// crash so long: crashed workers were back within 4 s.
+  /// crash so long: above the time after which a crashed worker is back.
   static constexpr Duration kUnexplainedFor = std::chrono::seconds(12);
 
   /// The crashes of each kind, by run.
--- a/src/core/cell/CrashTrials.h
+++ b/src/core/cell/CrashTrials.h
@@ -42,13 +42,12 @@
 /// for kProvenLife, none. Pure.
 ///
 /// Where every worker has started something lately, one is reserved for such a
-/// suspect: nothing else is started there until it can be tried apart. Without
-/// this a task that always crashes was started six times instead of five: two
-/// crashes of its trials spoke against others as well.
+/// suspect: nothing else is started there until it can be tried apart. A crash
+/// of a trial that speaks against others as well costs one start more.
 class CrashTrials
 {
 public:
-  /// Above kFreshLife and the time until a report shows it, 0.5 s each.
+  /// Above kFreshLife and the time until a report shows it.
   static constexpr Duration kReservedFor = std::chrono::milliseconds(2000);
 
   /// A queue that was turned away waits for its turn so long.
@@ -69,8 +68,7 @@
   /// that a job risks one worker; but all members of a gang begin under one run
   /// number. Of strong suspects, which will likely crash their workers, an
   /// eighth of the workers; of each other kind, most of which only started
-  /// beside the cause, half: with two at a time of five workers, crashes that
-  /// had made 150 suspects left 48 jobs waiting for over 25 s. Two at least.
+  /// beside the cause, half, as their jobs wait meanwhile. Two at least.
   ///
   /// While suspects of another queue wait for their turn, a queue has half of
   /// these at most: one whose tasks crash workers again and again does not keep
--- a/src/core/cell/CrashedWorker.h
+++ b/src/core/cell/CrashedWorker.h
@@ -29,9 +29,8 @@
   bool operator==(const CrashedWorker&) const = default;
 };
 
-/// Tasks that take their worker down do it as they start: 10 ms to 50 ms after
-/// the start in 16 crashes of one day. Ten times that, since an agent sees its
-/// worker alive every 0.4 s.
+/// Tasks that take their worker down do it as they start. Above the time after
+/// which an agent sees its worker alive again.
 inline constexpr Duration kFreshLife = std::chrono::milliseconds(500);
 
 /// A run that has lived for so long is not what takes its worker down.
