What may take its worker down gets no copy before it has lived

What callers saw: one bad task took down two workers at its first start.

Cause: a task that stands still, or whose worker does not answer, gets a copy, and a run that has just taken its worker down does both.

A run is copied once it is known to have lived for kProvenLife, by its agent's clock; a start without an answer is not copied (its fate is settled by the agent, or known when the worker or its leases are). A sound run that is that fresh loses less than a second of work, and waits for the worker or the end of its leases.

CopyTest: five of eight cases red before.

--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -61,13 +61,17 @@
     return false;
   }
   const TaskRun& run = aTask.mRuns.front();
+  // What has taken its worker down stands still, too, and a copy of it would
+  // take down another one.
+  if (run.mLived < kProvenLife) {
+    return false;
+  }
   const WorkerEntry& worker = mWorkers.at(run.mAgent);
   if (worker.mLink != WorkerLink::Attached || !worker.mAnswers) {
     return true;
   }
   if (run.mPhase != RunPhase::Running) {
-    return run.mPhase == RunPhase::Ordered &&
-           aNow - run.mOrderedAt > mSettings.mCopyAfter;
+    return false;
   }
   if (aNow - run.mPercentChangedAt > mSettings.mCopyAfter) {
     return true;
