--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -321,6 +321,7 @@
   EXPECT_TRUE(Orders("b").mStarts.empty());
   Pass(std::max(mSettings.mCopyAfter, kProvenLife) + milliseconds(1));
   EXPECT_TRUE(Orders("b").mStarts.empty());
+  Pass(mSettings.mJudgeRunsEvery);
   Report("a", State("a-life", { Running(kFirst, first.mStarts[0].mRun) }));
   const OrderRequest copy = Orders("b");
   ASSERT_EQ(copy.mStarts.size(), 1U);
