--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -255,6 +255,8 @@
   RunNumber NextRun(const TaskEntry& aTask) const;
 
   // Workers (CellSchedulerWorkers.cpp).
+  /// It refused a start, and takes none until it has answered again.
+  void NoteUnwell(WorkerEntry& aWorker);
   void TakeInfo(WorkerEntry& aWorker,
                 const WorkerInfo& aInfo,
                 const CellClock& aClock);
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -246,10 +246,8 @@
     }
     RemoveRun(found->second, result.mTask, aAgent, result.mRun, aClock);
     StopGang(found->second, result.mTask, result.mRun, aClock);
-    // Agents of earlier versions do not tell when their worker answered.
-    if (result.mOutcome == StartOutcome::Unwell &&
-        worker->second.mAnsweredAt != Duration::zero()) {
-      worker->second.mUnwellAfter = worker->second.mAnsweredAt;
+    if (result.mOutcome == StartOutcome::Unwell) {
+      NoteUnwell(worker->second);
     }
     if (result.mOutcome == StartOutcome::OverCapacity) {
       worker->second.mAwaitsReport = true;
@@ -259,6 +257,16 @@
   }
 }
 
+void CellScheduler::NoteUnwell(WorkerEntry& aWorker)
+{
+  // Agents of earlier versions do not tell when their worker answered.
+  if (aWorker.Unwell() || aWorker.mAnsweredAt == Duration::zero()) {
+    return;
+  }
+  aWorker.mUnwellAfter = aWorker.mAnsweredAt;
+  Tell("worker-unwell", {}, aWorker.mId, aWorker.mSession, "refused-start");
+}
+
 void CellScheduler::TakeInfo(WorkerEntry& aWorker,
                              const WorkerInfo& aInfo,
                              const CellClock& aClock)
--- a/tests/cell/UnwellWorkerTest.cpp
+++ b/tests/cell/UnwellWorkerTest.cpp
@@ -51,6 +51,7 @@
 
 TEST_F(UnwellWorkerTest, GetsNoStartUntilItHasAnsweredAgain)
 {
+  EXPECT_TRUE(Happened("worker-unwell"));
   Tell("a", mRefusedAt);
   EXPECT_TRUE(Orders("a").mStarts.empty());
   EXPECT_EQ(mScheduler.TakeOrders(AgentId("b")).mStarts.size(), 1U);
