--- a/tests/taskagent/WorkerControlTest.cpp
+++ b/tests/taskagent/WorkerControlTest.cpp
@@ -75,60 +75,122 @@
   }
 };
 
-/// A worker that looks waited for 0.4 s at, and that came back under another
-/// incarnation in the same session, refused all starts meanwhile: the agent had
-/// no sample of its clock, and so no lease to give (`task-start-refused
-/// reason=no-lease` every 100 ms).
-TEST(WorkerControlTest, AWorkerThatCameBackTakesStartsAtOnce)
+constexpr cell::Session kSession = 1 << 8;
+constexpr cell::Session kNextSession = 2 << 8;
+
+/// The control of a worker that answers, and its agent's world.
+class WorkerControlTest : public testing::Test
 {
-  net::FiberRuntime runtime(1);
-  runtime.RunAndWait([&] {
-    SlowWorker worker;
-    worker.mAnswers = true;
-    WorkerControl control(worker, [] {});
-    cell::WorkerInfo info;
-    info.mIncarnation = cell::WorkerIncarnation("life");
-    control.TakeInfo(info);
-    ASSERT_TRUE(control.Attach(1 << 8).ok());
-    control.TakeGrant(1 << 8, MonotonicNow(), std::chrono::seconds(3), 0);
-    info.mIncarnation = cell::WorkerIncarnation("next");
-    control.TakeInfo(info);
-    control.Greet();
+protected:
+  /// Runs `aTest` on a fiber.
+  template<typename Test>
+  void Play(const Test& aTest)
+  {
+    net::FiberRuntime runtime(1);
+    mRuntime = &runtime;
+    runtime.RunAndWait([&] {
+      WorkerControl control(mWorker, [] {});
+      mControl = &control;
+      mInfo.mIncarnation = cell::WorkerIncarnation("life");
+      control.TakeInfo(mInfo);
+      aTest();
+    });
+  }
+
+  void Attach(cell::Session aSession = kSession)
+  {
+    mWorker.mAnswers = true;
+    ASSERT_TRUE(mControl->Attach(aSession).ok());
+    mControl->TakeGrant(aSession, MonotonicNow(), std::chrono::seconds(30), 0);
+  }
+
+  void ComeBackAs(const std::string& aIncarnation)
+  {
+    mInfo.mIncarnation = cell::WorkerIncarnation(aIncarnation);
+    mControl->TakeInfo(mInfo);
+  }
+
+  cell::OrderRequest Orders(cell::Session aSession = kSession) const
+  {
     cell::OrderRequest orders;
-    orders.mSession = 1 << 8;
+    orders.mSession = aSession;
     orders.mNumber = 1;
-    orders.mIncarnation = info.mIncarnation;
-    orders.mStarts.emplace_back().mTask = kTask;
-    const cell::OrderReply reply = control.CarryOut(orders);
+    orders.mIncarnation = mInfo.mIncarnation;
+    return orders;
+  }
+
+  static void AddStart(cell::OrderRequest& aOrders,
+                       const cell::TaskRef& aTask,
+                       Resources aReserved = {})
+  {
+    cell::StartOrder& start = aOrders.mStarts.emplace_back();
+    start.mTask = aTask;
+    start.mReserved = aReserved;
+  }
+
+  void ExpectStarted(const cell::OrderRequest& aOrders)
+  {
+    const cell::OrderReply reply = mControl->CarryOut(aOrders);
     ASSERT_EQ(reply.mStarts.size(), 1U);
     EXPECT_EQ(reply.mStarts[0].mOutcome, cell::StartOutcome::Started);
+  }
+
+  SlowWorker mWorker;
+  cell::WorkerInfo mInfo;
+  WorkerControl* mControl = nullptr;
+  net::FiberRuntime* mRuntime = nullptr;
+};
+
+/// A worker that looks waited for 0.4 s at, and that came back under another
+/// incarnation in the same session, refused all starts meanwhile: the agent had
+/// no sample of its clock, and so no lease to give (`task-start-refused
+/// reason=no-lease` every 100 ms).
+TEST_F(WorkerControlTest, AWorkerThatCameBackTakesStartsAtOnce)
+{
+  Play([&] {
+    Attach();
+    ComeBackAs("next");
+    mControl->Greet();
+    cell::OrderRequest orders = Orders();
+    AddStart(orders, kTask);
+    ExpectStarted(orders);
   });
 }
 
 /// Crashes of a worker are told to owners that did not see what ran there.
-TEST(WorkerControlTest, ACrashIsRememberedWithWhatHadJustStarted)
+TEST_F(WorkerControlTest, ACrashIsRememberedWithWhatHadJustStarted)
 {
-  net::FiberRuntime runtime(1);
-  runtime.RunAndWait([&] {
-    SlowWorker worker;
-    worker.mAnswers = true;
-    WorkerControl control(worker, [] {});
-    cell::WorkerInfo info;
-    info.mIncarnation = cell::WorkerIncarnation("life");
-    control.TakeInfo(info);
-    ASSERT_TRUE(control.Attach(1 << 8).ok());
-    info.mIncarnation = cell::WorkerIncarnation("next");
-    control.TakeInfo(info);
-    const cell::WorkerState state = control.Snapshot().mState;
+  Play([&] {
+    Attach();
+    ComeBackAs("next");
+    const cell::WorkerState state = mControl->Snapshot().mState;
     ASSERT_EQ(state.mCrashes.size(), 1U);
     ASSERT_EQ(state.mCrashes[0].mRuns.size(), 1U);
     EXPECT_EQ(state.mCrashes[0].mRuns[0].mTask, kTask);
-    info.mDraining = true;
-    control.TakeInfo(info);
-    info.mIncarnation = cell::WorkerIncarnation("third");
-    info.mDraining = false;
-    control.TakeInfo(info);
-    EXPECT_EQ(control.Snapshot().mState.mCrashes.size(), 1U);
+    mInfo.mDraining = true;
+    mControl->TakeInfo(mInfo);
+    mInfo.mDraining = false;
+    ComeBackAs("third");
+    EXPECT_EQ(mControl->Snapshot().mState.mCrashes.size(), 1U);
+  });
+}
+
+/// The owner takes a run's life from these two, whenever it reads them.
+TEST_F(WorkerControlTest, ARunIsToldWithWhenItWasFirstKnown)
+{
+  Play([&] {
+    Attach();
+    const WorkerSnapshot first = mControl->Snapshot();
+    ASSERT_EQ(first.mState.mRunning.size(), 1U);
+    const Duration since = first.mState.mRunning[0].mSince;
+    EXPECT_NE(since, Duration::zero());
+    EXPECT_EQ(first.mAnsweredAt, since);
+    boost::this_fiber::sleep_for(milliseconds(2));
+    EXPECT_EQ(mControl->Snapshot().mAnsweredAt, since);
+    mControl->Look();
+    const WorkerSnapshot second = mControl->Snapshot();
+    EXPECT_EQ(second.mState.mRunning[0].mSince, since);
+    EXPECT_GE(second.mAnsweredAt - since, milliseconds(2));
   });
 }
 
@@ -140,50 +202,40 @@
   int mStarted;             ///< Of four starts of 1000.
 };
 
-class ShrunkWorkerTest : public testing::TestWithParam<ShrunkCase>
-{};
+class ShrunkWorkerTest
+  : public WorkerControlTest
+  , public testing::WithParamInterface<ShrunkCase>
+{
+protected:
+  static std::int64_t Count(const cell::OrderReply& aReply,
+                            cell::StartOutcome aOutcome)
+  {
+    return std::ranges::count(
+      aReply.mStarts, aOutcome, &cell::StartResult::mOutcome);
+  }
+};
 
 /// A report of a smaller capacity was on its way to the owner, and orders of
 /// the larger one on theirs: the starts brought the worker over it.
 TEST_P(ShrunkWorkerTest, GetsNoStartBeyondWhatItToldLast)
 {
-  net::FiberRuntime runtime(1);
-  runtime.RunAndWait([&] {
-    SlowWorker worker;
-    worker.mAnswers = true;
-    WorkerControl control(worker, [] {});
-    cell::WorkerInfo info;
-    info.mIncarnation = cell::WorkerIncarnation("life");
-    info.mCapacity = { 8000, 8000, 0 };
-    control.TakeInfo(info);
-    ASSERT_TRUE(control.Attach(1 << 8).ok());
-    control.TakeGrant(1 << 8, MonotonicNow(), std::chrono::seconds(3), 0);
-    info.mCapacity.mMillicores = GetParam().mMillicores;
-    control.TakeInfo(info);
-    cell::OrderRequest orders;
-    orders.mSession = 1 << 8;
-    orders.mNumber = 1;
-    orders.mIncarnation = info.mIncarnation;
+  mInfo.mCapacity = { 8000, 8000, 0 };
+  Play([&] {
+    Attach();
+    mInfo.mCapacity.mMillicores = GetParam().mMillicores;
+    mControl->TakeInfo(mInfo);
+    cell::OrderRequest orders = Orders();
     orders.mTraits.push_back(
       { kTask, {}, false, "", { GetParam().mRunning, 1000, 0 } });
     for (int index = 1; index <= 4; ++index) {
-      cell::StartOrder& start = orders.mStarts.emplace_back();
-      start.mTask = { JobId("job"), 0, 0, index };
-      start.mReserved = { 1000, 1000, 0 };
+      AddStart(orders, { JobId("job"), 0, 0, index }, { 1000, 1000, 0 });
     }
-    const cell::OrderReply reply = control.CarryOut(orders);
+    const cell::OrderReply reply = mControl->CarryOut(orders);
     EXPECT_TRUE(reply.mAccepted);
-    const auto started =
-      std::ranges::count_if(reply.mStarts, [](const auto& aResult) {
-        return aResult.mOutcome == cell::StartOutcome::Started;
-      });
-    const auto refused =
-      std::ranges::count_if(reply.mStarts, [](const auto& aResult) {
-        return aResult.mOutcome == cell::StartOutcome::OverCapacity;
-      });
-    EXPECT_EQ(started, GetParam().mStarted);
-    EXPECT_EQ(refused, 4 - GetParam().mStarted);
-    EXPECT_EQ(worker.mStarts, GetParam().mStarted);
+    EXPECT_EQ(Count(reply, cell::StartOutcome::Started), GetParam().mStarted);
+    EXPECT_EQ(Count(reply, cell::StartOutcome::OverCapacity),
+              4 - GetParam().mStarted);
+    EXPECT_EQ(mWorker.mStarts, GetParam().mStarted);
   });
 }
 
@@ -203,64 +255,43 @@
 /// refused every start from then on: what had got no answer was taken for
 /// there, though the next session's first look had shown that it was not. Two
 /// tasks that last did not run for 30 s, with 15,193 refusals.
-TEST(WorkerControlTest, AStartThatIsSettledByTheNextSessionTakesNoRoom)
+TEST_F(WorkerControlTest, AStartThatIsSettledByTheNextSessionTakesNoRoom)
 {
-  net::FiberRuntime runtime(1);
-  runtime.RunAndWait([&] {
-    SlowWorker worker;
-    worker.mAnswers = true;
-    WorkerControl control(worker, [] {});
-    cell::WorkerInfo info;
-    info.mIncarnation = cell::WorkerIncarnation("life");
-    info.mCapacity = { 1000, 1000, 0 };
-    control.TakeInfo(info);
-    ASSERT_TRUE(control.Attach(1 << 8).ok());
-    control.TakeGrant(1 << 8, MonotonicNow(), std::chrono::seconds(30), 0);
-    cell::OrderRequest orders;
-    orders.mSession = 1 << 8;
-    orders.mNumber = 1;
-    orders.mIncarnation = info.mIncarnation;
-    cell::StartOrder& start = orders.mStarts.emplace_back();
-    start.mTask = { JobId("late"), 0, 0, 0 };
-    start.mReserved = { 1000, 1000, 0 };
-    worker.mLoses = true;
-    EXPECT_FALSE(control.CarryOut(orders).mAccepted);
-    worker.mLoses = false;
-    ASSERT_TRUE(control.Attach(2 << 8).ok());
-    orders.mSession = 2 << 8;
-    start.mTask = { JobId("next"), 0, 0, 0 };
-    const cell::OrderReply reply = control.CarryOut(orders);
-    ASSERT_EQ(reply.mStarts.size(), 1U);
-    EXPECT_EQ(reply.mStarts[0].mOutcome, cell::StartOutcome::Started);
+  mInfo.mCapacity = { 1000, 1000, 0 };
+  Play([&] {
+    Attach();
+    cell::OrderRequest late = Orders();
+    AddStart(late, { JobId("late"), 0, 0, 0 }, { 1000, 1000, 0 });
+    mWorker.mLoses = true;
+    EXPECT_FALSE(mControl->CarryOut(late).mAccepted);
+    mWorker.mLoses = false;
+    ASSERT_TRUE(mControl->Attach(kNextSession).ok());
+    cell::OrderRequest next = Orders(kNextSession);
+    AddStart(next, { JobId("next"), 0, 0, 0 }, { 1000, 1000, 0 });
+    ExpectStarted(next);
   });
 }
 
-TEST(WorkerControlTest, NoSessionIsInForceBeforeTheWorkerWasLookedAt)
+TEST_F(WorkerControlTest, NoSessionIsInForceBeforeTheWorkerWasLookedAt)
 {
-  net::FiberRuntime runtime(1);
-  runtime.RunAndWait([&] {
-    SlowWorker worker;
-    WorkerControl control(worker, [] {});
-    cell::WorkerInfo info;
-    info.mIncarnation = cell::WorkerIncarnation("life");
-    control.TakeInfo(info);
+  Play([&] {
     bool attached = false;
-    runtime.Spawn([&] {
-      const auto state = control.Attach(1 << 8);
+    mRuntime->Spawn([&] {
+      const auto state = mControl->Attach(kSession);
       EXPECT_TRUE(state.ok());
       EXPECT_EQ(state->mRunning.size(), 1U);
       attached = true;
     });
     boost::this_fiber::sleep_for(milliseconds(5));
     // A report now would say that nothing runs.
-    EXPECT_TRUE(control.Snapshot().mState.mRunning.empty());
-    EXPECT_EQ(control.CurrentSession(), 0);
-    worker.mAnswers = true;
+    EXPECT_TRUE(mControl->Snapshot().mState.mRunning.empty());
+    EXPECT_EQ(mControl->CurrentSession(), 0);
+    mWorker.mAnswers = true;
     while (!attached) {
       boost::this_fiber::sleep_for(milliseconds(1));
     }
-    EXPECT_EQ(control.CurrentSession(), 1 << 8);
-    EXPECT_EQ(control.Snapshot().mState.mRunning.size(), 1U);
+    EXPECT_EQ(mControl->CurrentSession(), kSession);
+    EXPECT_EQ(mControl->Snapshot().mState.mRunning.size(), 1U);
   });
 }
 
