--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -33,8 +33,7 @@
     const TaskRun* run =
       mJobs.at(ref.mJob).Find(ref)->FindRun(aWorker.mId, number);
     if (run != nullptr && run->mSent) {
-      crash.mRuns.push_back(
-        { ref, number, run->mLived, run->Confirmed() });
+      crash.mRuns.push_back({ ref, number, run->mLived, run->Confirmed() });
     }
   }
   return crash;
--- a/src/core/cell/CrashBlame.h
+++ b/src/core/cell/CrashBlame.h
@@ -28,8 +28,8 @@
 
 /// Whom one crash speaks against, in the order of the witnesses. Workers also
 /// crash by themselves, so that this is evidence and no proof. The likeliest
-/// are fresh suspects, else fresh tasks. Older ones are never likely: crashes by
-/// chance meet standing tasks most.
+/// are fresh suspects, else fresh tasks. Older ones are never likely: crashes
+/// by chance meet standing tasks most.
 std::vector<CrashBlame> JudgeCrash(std::span<const CrashWitness> aWitnesses);
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -24,8 +24,8 @@
 /// so do crashes that come later; five in all are the end, too.
 ///
 /// A sound task that a crash made a suspect is given up where its trial meets a
-/// crash by chance within kFreshLife. Workers that have crashed lately are taken
-/// last for trials.
+/// crash by chance within kFreshLife. Workers that have crashed lately are
+/// taken last for trials.
 class CrashHistory
 {
 public:
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -75,10 +75,7 @@
 
   /// Nothing of what runs there has started lately: a crash would speak against
   /// a next start alone.
-  bool Quiet() const
-  {
-    return mRuns.empty() || mAllLived;
-  }
+  bool Quiet() const { return mRuns.empty() || mAllLived; }
 };
 
 } // namespace foxtailbarrow::cell
--- a/tests/cell/CellFixture.h
+++ b/tests/cell/CellFixture.h
@@ -187,8 +187,7 @@
                  const TaskRef& aTask,
                  RunNumber aRun)
   {
-    return mSince
-      .try_emplace({ aAgent, aTask, aRun }, mNow.time_since_epoch())
+    return mSince.try_emplace({ aAgent, aTask, aRun }, mNow.time_since_epoch())
       .first->second;
   }
 
