--- a/tests/load/ServingTargetTest.cpp
+++ b/tests/load/ServingTargetTest.cpp
@@ -11,7 +11,7 @@
 /// The longest time that a serving task may be over its target by what runs
 /// beside it.
 constexpr double kLongestOver = 4.0;
-constexpr int kReplays = 400;
+constexpr int kReplays = 1000;
 
 class ServingTargetTest : public testing::TestWithParam<PressedWorkerPattern>
 {};
