--- a/tests/cell/LateReportTest.cpp
+++ b/tests/cell/LateReportTest.cpp
@@ -1,4 +1,4 @@
-// A task that takes its worker down was started a sixth time. Its second start
+// A task that takes its worker down was started a sixth time. Its third start
 // was followed by a crash of the worker 0.1 s later; the agent's last report
 // before it was held up on its way for 3 s. The owner counted the answer's age
 // from when it read the report, and logged `task-cleared reason=lives` for a
