A start that all who knew of it have lost counts

Cause: only starts of suspects were recorded. A first start whose owner and agent are lost before its worker is back (0.8 to 4.5 s in the soak) left no trace, so that the next owner started the task as if for the first time, however often that happened. Evidence: ForgottenStartTest, before: 12 starts under 12 owners and no end (aim: five at most); the start that was lost counted 0 instead of 1. Change: every start of a task that has not lived yet is recorded behind its order, in the owner's next batch, without a wait. A next owner that has waited for all agents and finds none that knows the run counts it: the first as a crash where others were likelier, so that it alone makes no suspect; further ones as not confirmed. Announced at the sending of the order, no more at the decision: what was not sent never ran.

--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -227,6 +227,9 @@
     return Duration::zero();
   }
   const OrderRequest orders = mLogic.TakeOrders(aAgent);
+  if (mLogic.HasUnrecorded()) {
+    mRecordPoke.Now();
+  }
   if (orders.mStarts.empty() && orders.mStops.empty() &&
       orders.mTraits.empty()) {
     return kOrderWait;
--- a/src/core/cell/CellRecords.h
+++ b/src/core/cell/CellRecords.h
@@ -53,13 +53,14 @@
   bool operator==(const StoredCheckpoint&) const = default;
 };
 
-/// Crashes of workers that speak against a task, by run (CrashHistory).
+/// Crashes of workers that speak against a task, by run, and its newest start
+/// (CrashHistory).
 struct StoredCrashes
 {
   std::int32_t mIndex = 0;
   CrashHistory::Runs mRuns;
   RunNumber mClearedTo = 0;
-  RunNumber mAnnounced = 0; ///< Newest run that was started in spite of them.
+  RunNumber mAnnounced = 0; ///< Newest start that is not settled.
 
   bool operator==(const StoredCrashes&) const = default;
 };
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -308,6 +308,7 @@
                        const TaskRun& aRun,
                        Instant aNow);
   void ExplainLosses(WorkerEntry& aWorker);
+  void AnnounceStart(JobEntry& aJob, const TaskRef& aTask, const TaskRun& aRun);
   bool CountForgotten(const TaskRef& aTask, const CellClock& aClock);
   bool CrashesAllowStart(const JobEntry& aJob,
                          const TaskRef& aTask,
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -135,13 +135,17 @@
                               const TaskRun& aRun,
                               const CellClock& aClock)
 {
-  if (aJob.Find(aTask)->mCrashes.Count() == 0) {
+  TaskEntry& task = *aJob.Find(aTask);
+  const Duration lived = aRun.mLived;
+  if (lived >= kProvenLife) {
+    task.mProven = true;
+    task.mCrashes.Settle(aRun.mNumber);
+  }
+  if (task.mCrashes.Count() == 0) {
     return;
   }
-  const Duration lived = aRun.mLived;
   const Duration trial =
-    aJob.Find(aTask)->mCrashes.Suspected() == Suspicion::Weak ? kFreshLife
-                                                              : kProvenLife;
+    task.mCrashes.Suspected() == Suspicion::Weak ? kFreshLife : kProvenLife;
   if (lived >= trial && mTrials.IsTrial(aRun.mAgent, { aTask, aRun.mNumber })) {
     mTrials.End(aRun.mAgent, { aTask, aRun.mNumber });
     mPlacingChanged = true;
@@ -180,9 +184,25 @@
   aWorker.mUnexplained.clear();
 }
 
-/// An earlier owner started the task although crashes spoke against it, and no
-/// agent knows of that run: all that knew of it died with it. True when it was
-/// counted now.
+/// Has the start recorded behind its order, without a wait. If all that know of
+/// the run are lost, the next owner counts it as a crash; otherwise a task that
+/// takes its worker down could be started without end. A task with a run that
+/// has lived is not the cause of crashes.
+void CellScheduler::AnnounceStart(JobEntry& aJob,
+                                  const TaskRef& aTask,
+                                  const TaskRun& aRun)
+{
+  TaskEntry& task = *aJob.Find(aTask);
+  if (task.mProven && task.mCrashes.Count() == 0) {
+    return;
+  }
+  task.mCrashes.Announce(aRun.mNumber);
+  MarkChanged(aJob, aRun.mOrderedAt);
+}
+
+/// An earlier owner sent a start of the task, and no agent knows of that run:
+/// all that knew of it were lost. It may also never have arrived, so that the
+/// first one makes no suspect. True when it was counted now.
 bool CellScheduler::CountForgotten(const TaskRef& aTask,
                                    const CellClock& aClock)
 {
@@ -195,7 +215,12 @@
     return false;
   }
   task->mLastRun = run;
-  NoteCrash({}, { aTask, run, {}, false }, CrashBlame::Unconfirmed, aClock);
+  Tell("task-start-forgotten", aTask, {}, run, "no-agent-knows-it");
+  const bool first = task->mCrashes.Count() == 0;
+  NoteCrash({},
+            { aTask, run, {}, false },
+            first ? CrashBlame::Beside : CrashBlame::Unconfirmed,
+            aClock);
   return true;
 }
 
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -100,6 +100,7 @@
 {
   TaskEntry& task = *aJob.Find(aEnded.mTask);
   task.mLastRun = std::max(task.mLastRun, aEnded.mRun);
+  task.mCrashes.Settle(aEnded.mRun);
   if (!aEnded.mCheckpoint.empty()) {
     task.mCheckpoint = aEnded.mCheckpoint;
   }
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -395,6 +395,7 @@
   for (const StartOrder& start : orders.mStarts) {
     if (TaskRun* run = FindRun(aAgent, start)) {
       run->mSent = true;
+      AnnounceStart(mJobs.at(start.mTask.mJob), start.mTask, *run);
     }
   }
   return orders;
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -37,10 +37,6 @@
                     aJob.Graph().mQueue,
                     task.mCrashes.Suspected() });
   }
-  if (task.mCrashes.Count() > 0) {
-    task.mCrashes.Announce(aRun.mNumber);
-    MarkChanged(aJob, aRun.mOrderedAt);
-  }
   CountUse(aWorker.mUse, aTask.mJob, aJob.Spec(aTask), 1);
   aWorker.mPressure.Forget();
   task.mRuns.push_back(std::move(aRun));
@@ -62,6 +58,7 @@
   task.mIdleSince = aClock.mNow;
   WorkerEntry& worker = mWorkers.at(aAgent);
   worker.mRuns.erase(aTask);
+  task.mCrashes.Settle(aRun);
   mTrials.End(aAgent, { aTask, aRun });
   CountUse(worker.mUse, aTask.mJob, aJob.Spec(aTask), -1);
   worker.mPressure.Forget();
@@ -218,6 +215,9 @@
            .mRunningSince = aClock.mNow,
            .mPercent = aRunning.mPercent,
            .mPercentChangedAt = aClock.mNow });
+  if (task->mCrashes.Count() > 0) {
+    AnnounceStart(job, aRunning.mTask, task->mRuns.back());
+  }
   if (!aRunning.mCheckpoint.empty()) {
     task->mCheckpoint = aRunning.mCheckpoint;
   }
--- a/src/core/cell/CrashHistory.cpp
+++ b/src/core/cell/CrashHistory.cpp
@@ -64,6 +64,18 @@
   std::erase_if(mUnexplained, [aRun](const Unexplained& aLoss) {
     return aLoss.mRun == aRun;
   });
+  Settle(aRun);
+}
+
+void CrashHistory::Settle(RunNumber aRun)
+{
+  const bool unexplained =
+    std::ranges::any_of(mUnexplained, [aRun](const Unexplained& aLoss) {
+      return aLoss.mRun == aRun;
+    });
+  if (aRun == mAnnounced && !unexplained) {
+    mAnnounced = 0;
+  }
 }
 
 bool CrashHistory::Clear(RunNumber aRun)
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -69,10 +69,12 @@
   /// The worker is there again, and had not crashed.
   void Explain(RunNumber aRun);
 
-  /// A run was started although crashes speak against the task. Recorded, so
-  /// that a next owner knows of a start which all others have forgotten.
+  /// A start was sent. Recorded, so that a next owner knows of a run that all
+  /// others have forgotten.
   void Announce(RunNumber aRun) { mAnnounced = std::max(mAnnounced, aRun); }
-  /// The newest such run; 0 = none.
+  /// What became of the run is known. No effect while its loss is unexplained.
+  void Settle(RunNumber aRun);
+  /// The newest run that was announced and is not settled; 0 = none.
   RunNumber Announced() const { return mAnnounced; }
 
   /// A run has ended by itself or lives: the task is not the cause. False when
@@ -101,7 +103,10 @@
   /// False while crashes that are not known yet may be the last ones allowed.
   bool MayStart(Instant aNow) const;
 
-  bool Empty() const { return Count() == 0 && mClearedTo == 0; }
+  bool Empty() const
+  {
+    return Count() == 0 && mClearedTo == 0 && mAnnounced == 0;
+  }
   const Runs& Crashes() const { return mRuns; }
   RunNumber ClearedTo() const { return mClearedTo; }
 
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -71,6 +71,7 @@
   /// Runs of earlier owners whose leases this owner has waited out.
   std::vector<RunNumber> mWrittenOff;
   CrashHistory mCrashes;
+  bool mProven = false; ///< A run of it has lived for kProvenLife.
   /// Version of the job's progress that must be recorded before a start.
   std::uint64_t mCrashVersion = 0;
   Instant mCrashedAt{}; ///< The newest crash was noted.
--- /dev/null
+++ b/tests/cell/ForgottenStartTest.cpp
@@ -0,0 +1,94 @@
+#include <optional>
+
+#include "tests/cell/CrashFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+/// What the owner knew of the first start, and the agent tells the next one.
+struct ForgottenStartCase
+{
+  const char* mName;
+  int mLivedMs;               ///< As the first owner was told.
+  std::optional<RunEnd> mEnd; ///< Listed to the first owner.
+  bool mFound;                ///< It still runs at the next owner.
+  std::size_t mCounted;       ///< Crashes, after the next owner has placed it.
+};
+
+class ForgottenStartTest
+  : public CrashFixture
+  , public testing::WithParamInterface<ForgottenStartCase>
+{};
+
+/// A start whose owner and agent are lost with its worker was forgotten,
+/// however often that happened.
+TEST_P(ForgottenStartTest, CountsUnlessItsFateIsKnown)
+{
+  const ForgottenStartCase& start = GetParam();
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(2) }));
+  const OrderRequest orders = RunFor("a", start.mLivedMs);
+  ASSERT_EQ(orders.mStarts.size(), 2U);
+  const RunNumber run = orders.mStarts[0].mRun;
+  if (start.mEnd) {
+    Report("a",
+           State(mLife,
+                 { Running(orders.mStarts[1].mTask, run) },
+                 { Ended(1, kFirst, run, *start.mEnd) }));
+  }
+  const WorkerState found = State(mLife, { Running(kFirst, run) });
+  TakeOverAfterPowerLoss(start.mFound ? found : State("a-next"));
+  EXPECT_EQ(Crashes(kFirst).Count(), start.mCounted);
+  EXPECT_FALSE(Crashes(kFirst).Suspect());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  ForgottenStartTest,
+  testing::Values(
+    ForgottenStartCase{ "LostWithAllThatKnewOfIt", 0, {}, false, 1 },
+    ForgottenStartCase{ "HadLived", 1400, {}, false, 0 },
+    ForgottenStartCase{ "StillRuns", 0, {}, true, 0 },
+    ForgottenStartCase{ "EndedDone", 0, RunEnd::Done, false, 0 },
+    ForgottenStartCase{ "EndedFailed", 0, RunEnd::Failed, false, 0 },
+    ForgottenStartCase{ "WasStopped", 0, RunEnd::Stopped, false, 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+class ForgottenStarts : public CrashFixture
+{};
+
+/// Soak seed 2603: each start was lost with its worker, owner and agent, so
+/// that the task was started six times and no line named it as a suspect.
+TEST_F(ForgottenStarts, ATaskWhoseStartsAreAllForgottenIsGivenUp)
+{
+  constexpr int kMostStarts = 5;
+  constexpr int kOwners = 12;
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  mScheduler.Schedule(Clock());
+  int starts = 0;
+  for (int owner = 0; owner < kOwners; ++owner) {
+    starts += mScheduler.TakeOrders(AgentId("a")).mStarts.empty() ? 0 : 1;
+    TakeOverAfterPowerLoss(State("a-next" + std::to_string(owner)));
+    Record();
+    Grant("a");
+    mScheduler.Schedule(Clock());
+  }
+  EXPECT_LE(starts, kMostStarts);
+  EXPECT_EQ(mScheduler.PhaseOf(kFirst.mJob), JobPhase::Failed);
+}
+
+TEST_F(ForgottenStarts, AStartThatWasNotSentIsNotAnnounced)
+{
+  AttachAndGrant("a");
+  AddRecorded(Graph("job", { Step(1) }));
+  mScheduler.Schedule(Clock());
+  EXPECT_FALSE(mScheduler.HasUnrecorded());
+  EXPECT_EQ(mScheduler.TakeOrders(AgentId("a")).mStarts.size(), 1U);
+  EXPECT_TRUE(mScheduler.HasUnrecorded());
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
