The test for the end of a time over is weaker, beside the rule before it

Change: low figures and their mean, as before, and odds of 4 that chance is ruled out; the noise is the median difference of two figures, so that a change of the load does not pass for noise.

--- a/src/core/cell/OverTargetTimer.cpp
+++ b/src/core/cell/OverTargetTimer.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Median difference of two normal variates over their deviation.
+constexpr double kMedianDifference = 0.954;
+
 double Square(double aValue)
 {
   return aValue * aValue;
@@ -14,30 +17,22 @@
 
 } // namespace
 
-bool OverTargetTimer::IsNew(double aShare,
-                            const OverTargetSettings& aSettings,
-                            Instant aNow) const
-{
-  return !mLastLook || aShare != mShare ||
-         aNow - mChangedAt >= aSettings.mFigureSpan;
-}
-
-void OverTargetTimer::TakeFigure(double aShare,
+void OverTargetTimer::TakeFigure(double aFigure,
                                  const OverTargetSettings& aSettings)
 {
-  const double least = Square(aSettings.mLeastNoise);
-  const double most = Square(aSettings.mMostNoise);
-  const double figure = std::log(aShare);
-  double variance = mVariance.value_or(least);
-  if (mLastLook) {
-    // Half of the squared difference; more than the bound is no noise.
-    const double seen = std::min(most, Square(figure - std::log(mShare)) / 2);
-    variance += aSettings.mNewest * (seen - variance);
-  }
-  mVariance = std::clamp(variance, least, most);
+  // Steps toward the median: a change of the load, however large, counts as one
+  // difference.
+  const double step = std::abs(aFigure - mFigure) > mDifference
+                        ? aSettings.mNoiseStep
+                        : 1 / aSettings.mNoiseStep;
+  mDifference = std::clamp(mDifference * step,
+                           aSettings.mLeastNoise * kMedianDifference,
+                           aSettings.mMostNoise * kMedianDifference);
+  mFigure = aFigure;
+  const double noise = mDifference / kMedianDifference;
   const double under = std::log(aSettings.mUnderShare);
   const double odds =
-    (Square(figure) - Square(figure - under)) / (2 * *mVariance);
+    (Square(aFigure) - Square(aFigure - under)) / (2 * Square(noise));
   mUnderOdds = std::max(0.0, mUnderOdds + odds);
 }
 
@@ -46,16 +41,22 @@
                            Instant aNow)
 {
   const Instant lastLook = mLastLook.value_or(aNow);
-  if (IsNew(aShare, aSettings, aNow)) {
-    TakeFigure(aShare, aSettings);
-    mShare = aShare;
-    mChangedAt = aNow;
+  const double figure = std::log(aShare);
+  mMean = mLastLook
+            ? aSettings.mNewest * figure + (1 - aSettings.mNewest) * mMean
+            : figure;
+  if (!mLastLook || figure != mFigure ||
+      aNow - mFigureAt >= aSettings.mFigureSpan) {
+    TakeFigure(figure, aSettings);
+    mFigureAt = aNow;
   }
   mLastLook = aNow;
+  const double under = std::log(aSettings.mUnderShare);
   if (!mSince && aShare > aSettings.mMaybeOverShare) {
     mSince = lastLook;
     mUnderOdds = 0;
-  } else if (mSince && mUnderOdds >= std::log(aSettings.mSureOdds)) {
+  } else if (mSince && figure <= under && mMean <= under &&
+             mUnderOdds >= std::log(aSettings.mSureOdds)) {
     mSince.reset();
   }
 }
--- a/src/core/cell/OverTargetTimer.h
+++ b/src/core/cell/OverTargetTimer.h
@@ -9,26 +9,28 @@
 
 struct OverTargetSettings
 {
-  /// Above this share of its target an image may be over it.
+  /// Figures are rough: above the first share of its target an image may be
+  /// over it, below the second one it is likely not.
   double mMaybeOverShare = 0.92;
-  /// An image that is no more over its target is taken to be at this share.
   double mUnderShare = 0.8;
+  /// Weight of the newest look in the mean that must be low, too.
+  double mNewest = 0.6;
   /// Figures say that an image is under its target when they are so many times
-  /// likelier there than at the target.
-  double mSureOdds = 50;
+  /// likelier at mUnderShare than at the target.
+  double mSureOdds = 4;
   /// Bounds of the deviation of a figure's logarithm.
   double mLeastNoise = 0.08;
-  double mMostNoise = 0.25;
-  /// Weight of the newest difference of two figures in the estimate of it.
-  double mNewest = 0.1;
+  double mMostNoise = 0.3;
+  /// Step by which the estimate of that deviation follows each figure.
+  double mNoiseStep = 1.1;
   /// A figure that does not change for so long is taken for a new one.
   Duration mFigureSpan = std::chrono::milliseconds(500);
 };
 
 /// Tells for how long an image has been over its target, from rough figures
-/// that come at any intervals. A sequential test with the noise of the figures
-/// themselves decides when the time is over, so that single low figures do not
-/// end it. Pure.
+/// that come at any intervals. The time is over when the newest figures are low
+/// and a sequential test, with the noise that the figures themselves show,
+/// rules out chance. Pure.
 class OverTargetTimer
 {
 public:
@@ -41,16 +43,15 @@
   Duration TimeOver(Instant aNow) const;
 
 private:
-  bool IsNew(double aShare,
-             const OverTargetSettings& aSettings,
-             Instant aNow) const;
-  void TakeFigure(double aShare, const OverTargetSettings& aSettings);
+  /// A figure that has not been taken yet; several looks may show the same one.
+  void TakeFigure(double aFigure, const OverTargetSettings& aSettings);
 
   std::optional<Instant> mSince;
   std::optional<Instant> mLastLook;
-  double mShare = 0; ///< The newest figure.
-  Instant mChangedAt{};
-  std::optional<double> mVariance; ///< Of a figure's logarithm.
+  double mMean = 0;   ///< Of the logarithms of the shares, by look.
+  double mFigure = 0; ///< Logarithm of the newest figure.
+  Instant mFigureAt{};
+  double mDifference = 0; ///< Median of that of two figures.
   /// Logarithm of the odds that the image is under its target, since it was
   /// likeliest at it.
   double mUnderOdds = 0;
