The runs of a crashed worker are lost as soon as its machine refuses connections

Cause: an agent that could not reach its worker knew only that it was silent. A silent worker may run on, so that the owner waited for its return or the end of its leases. Change: two refused connections in a row mean that this incarnation has ended. The agent tells so in its report, with nothing running; the owner counts the crash and starts what was lost elsewhere; a next owner can attach without a wait for the worker. A worker that is cut off, hangs or is overloaded does not refuse, and nothing changes for it. If it does answer again, what it runs is stopped as not ours.

--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -93,6 +93,7 @@
   report.mOrdersDone = snapshot.mOrdersDone;
   mBase.Fill(std::move(snapshot.mState), aNow, report);
   report.mWorkerAnswers = snapshot.mAnswers;
+  report.mWorkerEnded = snapshot.mEnded;
   report.mAnsweredAt = snapshot.mAnsweredAt;
   report.mLeaseLeft = snapshot.mLeaseLeft;
   report.mReplyTook = mReplyTook;
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -11,6 +11,7 @@
 
 #include "apps/taskagent/WorkerTimeouts.h"
 #include "foxtailbarrow/Verdict.h"
+#include "src/net/ConnectionRefused.h"
 #include "src/telemetry/Log.h"
 
 namespace foxtailbarrow::taskagent {
@@ -27,6 +28,10 @@
 constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
 /// Without an answer for so long, the worker counts as silent.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
+/// A worker whose machine refuses so many connections in a row has ended: no
+/// other process listens there, and a worker that is cut off, hangs or is
+/// overloaded does not answer at all.
+constexpr int kRefusalsOfEnded = 2;
 /// Crashes that are remembered for an owner that has not heard of them: at four
 /// seconds a crash, those of the last half minute.
 constexpr std::size_t kCrashesKept = 8;
@@ -54,12 +59,16 @@
         { "before", mInfo.mIncarnation },
         { "ran", mBook.Running().size() },
         { "answerAgeMs", WholeMilliseconds(MonotonicNow() - mAliveAt) } });
-    NoteReplaced();
+    if (!mEnded) {
+      NoteCrash();
+    }
     mWorker.Expect(aInfo.mIncarnation);
     mBook.Reset();
     mLease.ForgetWorker();
     mGovernor = cell::PaceGovernor();
     mAnswers = true;
+    mRefusals = 0;
+    mEnded = false;
     mAnsweredAt = MonotonicNow();
     mAliveAt = mAnsweredAt;
   }
@@ -72,8 +81,8 @@
   return true;
 }
 
-/// A worker that did not say that it leaves has crashed.
-void WorkerControl::NoteReplaced()
+/// The incarnation is gone. Unless it had said that it leaves, it has crashed.
+void WorkerControl::NoteCrash()
 {
   if (mInfo.mIncarnation.Empty() || mInfo.mDraining) {
     return;
@@ -112,7 +121,7 @@
   mOrdersDone = 0;
   mFence = aSession;
   const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
-  if (!Settle(aSession) || incarnation != mInfo.mIncarnation) {
+  if ((!Settle(aSession) && !mEnded) || incarnation != mInfo.mIncarnation) {
     return absl::UnavailableError("the worker does not answer");
   }
   mBook.NoteAllSettled();
@@ -128,9 +137,16 @@
          mFence < aSession + kFencesOfSession) {
     const cell::Fence fence = ++mFence;
     // The look of a fence that was raised meanwhile is not in the book.
-    if (LookOnce(Duration::zero(), false).ok() && fence == mFence) {
+    const auto reply = LookOnce(Duration::zero(), false);
+    if (reply.ok() && fence == mFence) {
       return aSession == mSession;
     }
+    if (!reply.ok()) {
+      NoteFailedLook(reply.status());
+    }
+    if (mEnded) {
+      return false; // What was sent may have run before.
+    }
     boost::this_fiber::sleep_for(kSettlePause);
   }
   return false;
@@ -173,9 +189,12 @@
   mAnsweredAt = now;
   mAliveAt = now;
   if (!mAnswers) {
-    LogChange("worker-answers", { { "incarnation", incarnation } });
+    LogChange("worker-answers",
+              { { "incarnation", incarnation }, { "ended", mEnded ? 1 : 0 } });
   }
   mAnswers = true;
+  mRefusals = 0;
+  mEnded = false;
   // An answer to an older fence may be older than what is known.
   if (fence == mFence && mBook.TakeLook(*reply, sentAt, now)) {
     mOnNews();
@@ -204,21 +223,39 @@
   // While the worker is silent, leases are not extended: the owner waits for
   // the end of the last one.
   const auto reply = LookOnce(kLookWait, mAnswers);
-  const Instant now = MonotonicNow();
   if (!reply.ok()) {
-    if (mAnswers && now - mAnsweredAt > kSilentAfter) {
-      mAnswers = false;
-      LogWarning("worker-silent",
-                 { { "incarnation", mInfo.mIncarnation },
-                   { "error", reply.status().ToString() } });
-      mOnNews();
-    }
+    NoteFailedLook(reply.status());
     return kAfterFailure;
   }
+  const Instant now = MonotonicNow();
   SetPaces();
   return now - sentAt < kShortestRound ? kShortestRound : Duration(1);
 }
 
+void WorkerControl::NoteFailedLook(const absl::Status& aStatus)
+{
+  if (absl::IsAborted(aStatus)) {
+    return; // Of the incarnation before.
+  }
+  mRefusals = net::IsConnectionRefused(aStatus) ? mRefusals + 1 : 0;
+  const bool ended = mRefusals >= kRefusalsOfEnded;
+  const bool silent = MonotonicNow() - mAnsweredAt > kSilentAfter;
+  const bool news = ended ? !mEnded : silent && mAnswers;
+  if (!news) {
+    return;
+  }
+  mAnswers = false;
+  if (ended) {
+    mEnded = true;
+    NoteCrash();
+  }
+  LogWarning(ended ? "worker-ended" : "worker-silent",
+             { { "incarnation", mInfo.mIncarnation },
+               { "answerAgeMs", WholeMilliseconds(MonotonicNow() - mAliveAt) },
+               { "error", aStatus.ToString() } });
+  mOnNews();
+}
+
 void WorkerControl::SetPaces()
 {
   const std::vector<cell::RunningTask> running = mBook.Running();
@@ -282,10 +319,13 @@
 {
   WorkerSnapshot snapshot;
   snapshot.mState.mInfo = mInfo;
-  snapshot.mState.mRunning = mBook.Running();
+  if (!mEnded) {
+    snapshot.mState.mRunning = mBook.Running();
+  }
   snapshot.mState.mEnded = mBook.Ended();
   snapshot.mState.mCrashes = { mCrashes.begin(), mCrashes.end() };
   snapshot.mAnswers = mAnswers;
+  snapshot.mEnded = mEnded;
   snapshot.mOrdersDone = mOrdersDone;
   const Instant now = MonotonicNow();
   snapshot.mAnsweredAt = mAliveAt.time_since_epoch();
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -27,6 +27,7 @@
 {
   cell::WorkerState mState;
   bool mAnswers = false;
+  bool mEnded = false;    ///< Its process is gone.
   Duration mAnsweredAt{}; ///< The newest answer to any call, by this clock.
   Duration mLeaseLeft{};
   std::int64_t mOrdersDone = 0; ///< Of the session in force.
@@ -106,7 +107,8 @@
   /// more once the worker has seen a higher one. Without a fence left in the
   /// session a new one is asked for.
   void RaiseFence(cell::Fence aUsed);
-  void NoteReplaced();
+  void NoteCrash();
+  void NoteFailedLook(const absl::Status& aStatus);
 
   cell::TaskWorker& mWorker;
   std::function<void()> mOnNews;
@@ -126,6 +128,8 @@
   Instant mAnsweredAt{}; ///< Its newest answer to a look.
   Instant mAliveAt{};    ///< Its newest answer to any call.
   bool mAnswers = false;
+  int mRefusals = 0;              ///< Of connections, in a row.
+  bool mEnded = false;            ///< This incarnation's process is gone.
   boost::fibers::mutex mSettling; ///< One settles at a time.
 };
 
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -131,6 +131,8 @@
   /// The worker has answered lately. While it does not, its leases are not
   /// extended.
   bool mWorkerAnswers = true;
+  /// Its process is gone, and with it all that it ran.
+  bool mWorkerEnded = false;
   /// By the agent's clock, as RunningTask::mSince, so that the time that the
   /// report takes does not count: the newest answer, which the state is of.
   Duration mAnsweredAt{};
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -271,6 +271,9 @@
                 const std::vector<CrashedWorker>& aCrashes,
                 const CellClock& aClock);
   void TakeReplaced(WorkerEntry& aWorker, const CellClock& aClock);
+  void TakeEndOfWorker(WorkerEntry& aWorker,
+                       std::string_view aReason,
+                       const CellClock& aClock);
   void LoseLapsedWorkers(const CellClock& aClock);
   void TakeDeparture(const ReportRequest& aReport,
                      bool aInSession,
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -108,6 +108,10 @@
   }
   if (aReport.mWorkerAnswers) {
     ExplainLosses(aWorker);
+    aWorker.mEnded = false;
+  } else if (aReport.mWorkerEnded && !aWorker.mEnded) {
+    TakeEndOfWorker(aWorker, "worker-ended", aClock);
+    aWorker.mEnded = true;
   }
   aWorker.mAnsweredAt = std::max(aWorker.mAnsweredAt, aReport.mAnsweredAt);
   TakeRunning(aWorker, state.mRunning, aReport.mAnsweredAt, aClock);
@@ -292,13 +296,25 @@
   aWorker.mInfo = aInfo;
 }
 
-/// Another incarnation answers. Unless the one before had said that it leaves,
-/// it has crashed.
+/// Another incarnation answers.
 void CellScheduler::TakeReplaced(WorkerEntry& aWorker, const CellClock& aClock)
 {
   if (aWorker.mInfo.mIncarnation.Empty()) {
     return;
   }
+  if (aWorker.mEnded) {
+    aWorker.mEnded = false; // Its end was taken as it came.
+    return;
+  }
+  TakeEndOfWorker(aWorker, "worker-restarted", aClock);
+}
+
+/// All that the incarnation ran is lost. Unless it had said that it leaves, it
+/// has crashed.
+void CellScheduler::TakeEndOfWorker(WorkerEntry& aWorker,
+                                    std::string_view aReason,
+                                    const CellClock& aClock)
+{
   const bool crashed = !aWorker.mInfo.mDraining;
   Tell(crashed ? "worker-crashed" : "worker-replaced",
        {},
@@ -307,7 +323,7 @@
        aWorker.mInfo.mIncarnation.Value());
   const CrashedWorker crash = CrashOf(aWorker);
   aWorker.mUnexplained.clear();
-  LoseRuns(aWorker, "worker-restarted", LossCause::Known, aClock);
+  LoseRuns(aWorker, aReason, LossCause::Known, aClock);
   if (crashed) {
     ++mCrashFigures.mWorkers;
     aWorker.mCrashedAt = aClock.mNow;
--- a/src/core/cell/WorkerEntry.h
+++ b/src/core/cell/WorkerEntry.h
@@ -64,6 +64,7 @@
   /// Its agent knows of a smaller capacity than the last report told.
   bool mAwaitsReport = false;
   Instant mSilentLeaseEnd{}; ///< While it does not answer.
+  bool mEnded = false;       ///< This incarnation is gone, as its agent tells.
 
   std::set<JobId> mFailingJobs; ///< Since the last task that ended done.
   std::int32_t mFailuresInRow = 0;
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -93,6 +93,7 @@
   aVisitor.Optional("state", aMessage.mState);
   aVisitor.Optional("change", aMessage.mChange);
   aVisitor.Optional("workerAnswers", aMessage.mWorkerAnswers);
+  aVisitor.Optional("workerEnded", aMessage.mWorkerEnded);
   aVisitor.Optional("answeredAtUs", aMessage.mAnsweredAt);
   aVisitor.Optional("leaseLeftUs", aMessage.mLeaseLeft);
   aVisitor.Optional("replyTookUs", aMessage.mReplyTook);
--- a/src/net/detail/ClientExchange.cpp
+++ b/src/net/detail/ClientExchange.cpp
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "foxtailbarrow/Verdict.h"
+#include "src/net/ConnectionRefused.h"
 #include "src/net/detail/MessageParser.h"
 #include "src/net/detail/MessageWriter.h"
 
@@ -132,6 +133,9 @@
   if (error) {
     const std::string doing =
       absl::StrCat("connecting to ", ToString(aEndpoint));
+    if (error == boost::asio::error::connection_refused) {
+      return NotRun(WithConnectionRefused(ToStatus(error, doing)));
+    }
     const bool ownTimeout = error == boost::asio::error::timed_out &&
                             std::chrono::steady_clock::now() < aDeadline;
     return NotRun(ownTimeout
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -1,5 +1,6 @@
 #include "standins/taskworker/TaskWorkerService.h"
 
+#include <iostream>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -27,6 +28,7 @@
 constexpr Duration kBeatInterval = std::chrono::milliseconds(500);
 constexpr Duration kBeatTimeout = std::chrono::milliseconds(900);
 constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
+constexpr Duration kListenRetry = std::chrono::milliseconds(50);
 /// How long a worker stays away that a task has taken down.
 constexpr int kLeastDownMs = 800;
 constexpr int kMostDownMs = 4500;
@@ -125,23 +127,29 @@
   unsigned aSeed,
   MarkSink aSink)
 {
-  const Endpoint listen = aPlace.mListen;
   std::unique_ptr<TaskWorkerService> service(new TaskWorkerService(
     aRuntime, std::move(aPlace), aSettings, aSeed, std::move(aSink)));
-  auto server = net::HttpServer::Start(
-    aRuntime, listen, [worker = service.get()](net::HttpRequest& aRequest) {
-      return worker->Handle(aRequest);
-    });
-  if (!server.ok()) {
-    return server.status();
+  if (absl::Status status = service->Listen(); !status.ok()) {
+    return status;
   }
-  service->mServer = *std::move(server);
   service->Rise();
   aRuntime.Spawn([worker = service.get()] { worker->Beat(); });
   aRuntime.Spawn([worker = service.get()] { worker->Tick(); });
   return service;
 }
 
+absl::Status TaskWorkerService::Listen()
+{
+  auto server = net::HttpServer::Start(
+    mRuntime, mPlace.mListen, [this](net::HttpRequest& aRequest) {
+      return Handle(aRequest);
+    });
+  if (server.ok()) {
+    mServer = *std::move(server);
+  }
+  return server.status();
+}
+
 void TaskWorkerService::SetFaults(const TaskWorkerFaults& aFaults)
 {
   mFaults = aFaults;
@@ -152,10 +160,20 @@
 {
   mUp = false;
   mModel->Crash();
+  if (mLives % 2 == 0 && mServer != nullptr) {
+    mServer->Drain();
+    mClosedServer = std::move(mServer);
+  }
 }
 
 void TaskWorkerService::Rise()
 {
+  while (mServer == nullptr) {
+    if (const absl::Status status = Listen(); !status.ok()) {
+      std::cerr << mPlace.mName << ": " << status << std::endl;
+      boost::this_fiber::sleep_for(kListenRetry);
+    }
+  }
   mIncarnation = mPlace.mName + "-" + std::to_string(++mLives);
   mModel = std::make_shared<TaskWorkerModel>(
     mSettings,
@@ -252,7 +270,10 @@
 
 net::HttpResponse TaskWorkerService::Hang()
 {
-  boost::this_fiber::sleep_for(kHang);
+  const Instant end = MonotonicNow() + kHang;
+  while (mServer != nullptr && MonotonicNow() < end) {
+    boost::this_fiber::sleep_for(kTick);
+  }
   net::HttpResponse response;
   response.mStatus = net::kCloseWithoutAnswer;
   return response;
--- a/standins/taskworker/TaskWorkerService.h
+++ b/standins/taskworker/TaskWorkerService.h
@@ -58,7 +58,8 @@
   void SetFaults(const TaskWorkerFaults& aFaults);
   /// The next heartbeats tell it. What runs goes on.
   void Resize(const Resources& aCapacity) { mCapacity = aCapacity; }
-  /// Dark from now on; what runs is lost.
+  /// Gone from now on; what runs is lost. Every second life its machine goes
+  /// with it and answers nothing, else connections are refused.
   void Crash();
   /// After Crash(), or after it has left: the next incarnation.
   void Rise();
@@ -81,6 +82,7 @@
   void SendBeat();
   net::HttpResponse Look(const Json::Value& aBody);
   net::HttpResponse Hang();
+  absl::Status Listen();
   void Beat();
   void Tick();
   void CrashAndRise();
@@ -101,7 +103,9 @@
   bool mDraining = false;
   bool mCarriesOutLate = false;
   net::HttpClient mClient;
-  std::unique_ptr<net::HttpServer> mServer;
+  std::unique_ptr<net::HttpServer> mServer; ///< Null: connections are refused.
+  /// Of earlier lives, while their last handlers end.
+  std::unique_ptr<net::HttpServer> mClosedServer;
 };
 
 } // namespace foxtailbarrow::standin
--- /dev/null
+++ b/tests/cell/EndedWorkerTest.cpp
@@ -0,0 +1,100 @@
+// A worker that has crashed refuses connections until it is back, for three
+// seconds. Its runs counted as alive until then.
+
+#include "tests/cell/CrashFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+class EndedWorkerTest : public CrashFixture
+{
+protected:
+  void SetUp() override
+  {
+    AttachAndGrant("a");
+    AddRecorded(Graph("job", { Step(1) }));
+    mRun = RunFor("a", 0).mStarts.at(0).mRun;
+    AttachAndGrant("b");
+  }
+
+  void ReportEnded(WorkerState aState = State("a-life"))
+  {
+    Pass(milliseconds(kReportMs));
+    Grant("b");
+    ReportRequest report = ReportOf("a", aState);
+    report.mWorkerAnswers = false;
+    report.mWorkerEnded = true;
+    report.mAnsweredAt = (mNow - milliseconds(kReportMs)).time_since_epoch();
+    mScheduler.TakeReport(report, Clock());
+    Record();
+  }
+
+  RunNumber mRun = 0;
+};
+
+TEST_F(EndedWorkerTest, ItsRunsStartElsewhereAtOnce)
+{
+  ReportEnded();
+  const OrderRequest orders = Orders("b");
+  ASSERT_EQ(orders.mStarts.size(), 1U);
+  EXPECT_EQ(orders.mStarts[0].mTask, kFirst);
+  EXPECT_TRUE(mScheduler.TakeOrders(AgentId("a")).mStarts.empty());
+}
+
+TEST_F(EndedWorkerTest, ItsCrashCountsOnce)
+{
+  ReportEnded();
+  EXPECT_EQ(Crashes(kFirst).Crashes().mLikely, std::vector{ mRun });
+  EXPECT_EQ(mScheduler.Crashes().mWorkers, 1U);
+  ReportEnded();
+  WorkerState next = State("a-next");
+  next.mCrashes = { { { { kFirst, mRun, {}, true } } } };
+  Report("a", next);
+  EXPECT_EQ(Crashes(kFirst).Count(), 1U);
+  EXPECT_EQ(mScheduler.Crashes().mWorkers, 1U);
+}
+
+TEST_F(EndedWorkerTest, AnEndThatItListedBeforeCounts)
+{
+  ReportEnded(State("a-life", {}, { Ended(1, kFirst, mRun, RunEnd::Done) }));
+  EXPECT_EQ(mScheduler.PhaseOf(kFirst.mJob), JobPhase::Completed);
+  EXPECT_EQ(Crashes(kFirst).Count(), 0U);
+}
+
+TEST_F(EndedWorkerTest, OneThatSaidThatItLeavesHasNotCrashed)
+{
+  WorkerState draining = State("a-life", mRunning["a"]);
+  draining.mInfo.mDraining = true;
+  Report("a", draining);
+  WorkerState ended = State("a-life");
+  ended.mInfo.mDraining = true;
+  ReportEnded(ended);
+  EXPECT_TRUE(Crashes(kFirst).Empty());
+  EXPECT_EQ(Orders("b").mStarts.size(), 1U);
+}
+
+/// Against the agent's word it answers again: what it runs is not wanted twice.
+TEST_F(EndedWorkerTest, WhatItStillRunsIsStopped)
+{
+  ReportEnded();
+  ASSERT_EQ(Orders("b").mStarts.size(), 1U);
+  Report("a", State("a-life", { Running(kFirst, mRun) }));
+  const OrderRequest orders = mScheduler.TakeOrders(AgentId("a"));
+  ASSERT_EQ(orders.mStops.size(), 1U);
+  EXPECT_EQ(orders.mStops[0].mRun, mRun);
+}
+
+/// The owner is replaced while the worker is gone: the next one does not wait
+/// for leases of what has ended.
+TEST_F(EndedWorkerTest, ANextOwnerCountsWhatItsAgentTells)
+{
+  WorkerState ended = State("a-life");
+  ended.mCrashes = { { { { kFirst, mRun, {}, true } } } };
+  TakeOverAfterPowerLoss(ended);
+  EXPECT_EQ(Crashes(kFirst).Crashes().mLikely, std::vector{ mRun });
+}
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
--- a/tests/load/LoadReplay.cpp
+++ b/tests/load/LoadReplay.cpp
@@ -156,18 +156,24 @@
   }
 }
 
-/// The agent knows what ran at the last answer, and from when on it is silent.
+/// The agent knows what ran at the last answer. The worker's process is gone,
+/// so that connections are refused.
 void LoadReplay::ReportDown(ManagedWorker& aWorker)
 {
-  constexpr double kSilentAfterS = 1.2;
+  constexpr double kRefusedTwiceS = 0.15;
+  const bool ended = mSeconds - aWorker.mAnsweredAt > kRefusedTwiceS;
   ReportRequest report;
   report.mAgent = aWorker.mAgent;
   report.mSession = kSession;
   report.mSequence = ++aWorker.mSequence;
   report.mOrdersDone = kAllOrders;
   report.mState = aWorker.mLastState;
+  if (ended) {
+    report.mState.mRunning.clear();
+  }
   report.mAnsweredAt = At(aWorker.mAnsweredAt).time_since_epoch();
-  report.mWorkerAnswers = mSeconds - aWorker.mAnsweredAt < kSilentAfterS;
+  report.mWorkerAnswers = !ended;
+  report.mWorkerEnded = ended;
   report.mLeaseLeft = std::chrono::seconds(3);
   mScheduler.TakeReport(report, Clock());
 }
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include "src/net/ConnectionRefused.h"
 #include "tests/net/NetFixture.h"
 
 namespace foxtailbarrow::net {
@@ -165,6 +166,7 @@
   const auto response = Call(endpoint, HttpRequest());
   EXPECT_EQ(absl::StatusCode::kUnavailable, response.status().code());
   EXPECT_EQ(Verdict::NotRun, VerdictOf(response.status()));
+  EXPECT_TRUE(IsConnectionRefused(response.status()));
 }
 
 TEST_F(HttpClientTest, DeadlineAfterTheRequestMayHaveRun)
--- a/tests/taskagent/WorkerControlTest.cpp
+++ b/tests/taskagent/WorkerControlTest.cpp
@@ -7,6 +7,7 @@
 
 #include "apps/taskagent/WorkerControl.h"
 #include "foxtailbarrow/Verdict.h"
+#include "src/net/ConnectionRefused.h"
 #include "src/net/FiberRuntime.h"
 
 namespace foxtailbarrow::taskagent::test {
@@ -24,6 +25,7 @@
   bool mAnswers = false;
   int mStarts = 0;     ///< Calls.
   bool mLoses = false; ///< Neither does anything nor answers.
+  bool mGone = false;  ///< Nothing listens at its address.
 
   void Expect(const cell::WorkerIncarnation&) override {}
 
@@ -59,6 +61,10 @@
     while (!mAnswers) {
       boost::this_fiber::sleep_for(milliseconds(1));
     }
+    if (mGone) {
+      return net::WithConnectionRefused(WithVerdict(
+        absl::UnavailableError("connection refused"), Verdict::NotRun));
+    }
     if (mLoses) {
       return Lost();
     }
@@ -175,6 +181,44 @@
   });
 }
 
+/// What a crashed worker ran counted as alive until its next incarnation came.
+TEST_F(WorkerControlTest, AWorkerThatRefusesConnectionsHasEnded)
+{
+  Play([&] {
+    Attach();
+    mWorker.mGone = true;
+    mControl->Look();
+    EXPECT_FALSE(mControl->Snapshot().mEnded); // One may be of a race.
+    mControl->Look();
+    const WorkerSnapshot ended = mControl->Snapshot();
+    EXPECT_TRUE(ended.mEnded);
+    EXPECT_FALSE(ended.mAnswers);
+    EXPECT_TRUE(ended.mState.mRunning.empty());
+    ASSERT_EQ(ended.mState.mCrashes.size(), 1U);
+    EXPECT_EQ(ended.mState.mCrashes[0].mRuns[0].mTask, kTask);
+    // The next owner need not wait for it.
+    EXPECT_TRUE(mControl->Attach(kNextSession).ok());
+    mWorker.mGone = false;
+    ComeBackAs("next");
+    const WorkerSnapshot next = mControl->Snapshot();
+    EXPECT_FALSE(next.mEnded);
+    EXPECT_EQ(next.mState.mCrashes.size(), 1U); // It is told once.
+  });
+}
+
+TEST_F(WorkerControlTest, AWorkerThatDoesNotAnswerHasNotEnded)
+{
+  Play([&] {
+    Attach();
+    mWorker.mLoses = true;
+    for (int look = 0; look < 4; ++look) {
+      mControl->Look();
+    }
+    EXPECT_FALSE(mControl->Snapshot().mEnded);
+    EXPECT_EQ(mControl->Snapshot().mState.mRunning.size(), 1U);
+  });
+}
+
 /// The owner takes a run's life from these two, whenever it reads them.
 TEST_F(WorkerControlTest, ARunIsToldWithWhenItWasFirstKnown)
 {
