A pace without an answer is sent again at once

Cause: three stops in a row of one task got no answer, and each next try waited for a look, of which one came 1 s late. Test: APaceWithoutAnAnswerIsSentAgainAtOnce (one call before).

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -32,6 +32,8 @@
 /// other process listens there, and a worker that is cut off, hangs or is
 /// overloaded does not answer at all.
 constexpr int kRefusalsOfEnded = 2;
+/// A pace without an answer is sent again at once: the next look may be late.
+constexpr int kPaceTries = 2;
 /// Crashes that are remembered for an owner that has not heard of them: at four
 /// seconds a crash, those of the last half minute.
 constexpr std::size_t kCrashesKept = 8;
@@ -291,13 +293,18 @@
 
 void WorkerControl::SendPace(const cell::PaceChange& aChange)
 {
-  const cell::Fence fence = mFence;
-  const absl::Status status = mWorker.Pace(
-    { aChange.mTask, aChange.mRun, aChange.mPercent, fence }, kOrderTimeout);
-  mPaceLog.NotePace(aChange, fence, status);
-  if (status.ok()) {
-    mGovernor.NotePaced(aChange);
-  } else if (VerdictOf(status) == Verdict::MayHaveRun) {
+  for (int attempt = 0; attempt < kPaceTries; ++attempt) {
+    const cell::Fence fence = mFence;
+    const absl::Status status = mWorker.Pace(
+      { aChange.mTask, aChange.mRun, aChange.mPercent, fence }, kOrderTimeout);
+    mPaceLog.NotePace(aChange, fence, status);
+    if (status.ok()) {
+      mGovernor.NotePaced(aChange);
+      return;
+    }
+    if (VerdictOf(status) != Verdict::MayHaveRun) {
+      return;
+    }
     mGovernor.NoteUnanswered(aChange);
     RaiseFence(fence);
   }
--- a/tests/load/PressedWorker.cpp
+++ b/tests/load/PressedWorker.cpp
@@ -18,6 +18,7 @@
 constexpr double kPaceDelay = 0.1;
 constexpr double kLate = 1.0;
 constexpr double kPaceTimeout = 0.25;
+constexpr int kPaceTries = 2;
 constexpr double kTargetMs = 200;
 constexpr double kCalmShare = 0.47;
 constexpr double kSwing = 0.5;
@@ -126,7 +127,7 @@
     AddTask();
     if (const auto change =
           mGovernor.JudgeStart(mTasks.back().mTask, 1, At(aNow))) {
-      SendPace(*change, aNow);
+      SendPaces(*change, aNow);
     }
   }
   const double own = OwnLoad(aNow);
@@ -169,6 +170,17 @@
   return true;
 }
 
+/// With a second try where there is no answer. Returns when it is done.
+double PressedWorker::SendPaces(const PaceChange& aChange, double aNow)
+{
+  double now = aNow;
+  for (int attempt = 0; attempt < kPaceTries && !SendPace(aChange, now);
+       ++attempt) {
+    now += kPaceTimeout;
+  }
+  return now;
+}
+
 double PressedWorker::Look(double aNow)
 {
   mWorkerFence = mAgentFence;
@@ -189,8 +201,8 @@
   for (const bool raises : { false, true }) {
     const double sentAt = done;
     for (const PaceChange& change : changes) {
-      if (change.mRaises == raises && !SendPace(change, sentAt)) {
-        done = sentAt + kPaceTimeout;
+      if (change.mRaises == raises) {
+        done = std::max(done, SendPaces(change, sentAt));
       }
     }
   }
--- a/tests/load/PressedWorker.h
+++ b/tests/load/PressedWorker.h
@@ -68,6 +68,7 @@
   double Look(double aNow);
   /// Returns true when the pace was answered.
   bool SendPace(const PaceChange& aChange, double aNow);
+  double SendPaces(const PaceChange& aChange, double aNow);
   bool Chance(double aShare);
 
   PressedWorkerPattern mPattern;
--- a/tests/taskagent/PaceTest.cpp
+++ b/tests/taskagent/PaceTest.cpp
@@ -101,6 +101,21 @@
   });
 }
 
+/// A stop that was lost waited for the next look, which may be late.
+TEST_F(PaceTest, APaceWithoutAnAnswerIsSentAgainAtOnce)
+{
+  net::FiberRuntime runtime(1);
+  runtime.RunAndWait([&] {
+    WorkerControl control(mWorker, [] {});
+    Attach(control);
+    TellTraits(control);
+    ServingFigure() = kOver;
+    mWorker.mLosesPaces = true;
+    control.Look();
+    EXPECT_EQ(mWorker.Late(), 2U);
+  });
+}
+
 /// One after the other, each would take a time-out.
 TEST_F(PaceTest, PacesWithoutAnswersDoNotWaitForEachOther)
 {
