A suspect is not tried while its crashed worker is away

Change: what had lived starts elsewhere at once; a suspect waits 2.5 s, about until its worker is back. Also: the listening socket is closed in processes that a test starts.

--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -271,6 +271,7 @@
                 const std::vector<CrashedWorker>& aCrashes,
                 const CellClock& aClock);
   void TakeReplaced(WorkerEntry& aWorker, const CellClock& aClock);
+  void HoldSuspects(const CrashedWorker& aCrash, const CellClock& aClock);
   void TakeEndOfWorker(WorkerEntry& aWorker,
                        std::string_view aReason,
                        const CellClock& aClock);
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -57,6 +57,22 @@
     NoteCrash(
       aAgent, run, counts ? blames[i] : CrashBlame::Unconfirmed, aClock);
   }
+  if (!mWorkers.at(aAgent).mAnswers) {
+    HoldSuspects(aCrash, aClock);
+  }
+}
+
+/// While the worker is away a second one is not risked for the same task; what
+/// was lost beside it starts elsewhere first.
+void CellScheduler::HoldSuspects(const CrashedWorker& aCrash,
+                                 const CellClock& aClock)
+{
+  for (const CrashedRun& run : aCrash.mRuns) {
+    if (TaskEntry* task = FindOpenTask(run.mTask);
+        task != nullptr && task->mCrashes.Suspect()) {
+      task->mNotBefore = aClock.mNow + mSettings.mSuspectPause;
+    }
+  }
 }
 
 void CellScheduler::NoteCrash(const AgentId& aAgent,
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -24,6 +24,9 @@
   int mFailuresToAvoid = 3;
   /// Before a start is tried again at a worker that refused it.
   Duration mRefusalPause = std::chrono::milliseconds(100);
+  /// Before a suspect is tried whose worker has just gone: about the time after
+  /// which a crashed worker is back.
+  Duration mSuspectPause = std::chrono::milliseconds(2500);
   /// Before a draining worker leaves, tasks with checkpoints are stopped.
   Duration mEvacuateBefore = std::chrono::milliseconds(900);
   /// Demand of leftover tasks on a worker over what it has for them. Answers
--- a/src/net/detail/Acceptor.cpp
+++ b/src/net/detail/Acceptor.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <chrono>
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -41,6 +42,8 @@
   }
   mAcceptor.open(tcp::v4(), error);
   if (!error) {
+    // A process that a test starts would keep the port.
+    ::fcntl(mAcceptor.native_handle(), F_SETFD, FD_CLOEXEC);
     mAcceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
   }
   if (!error) {
