--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -236,9 +236,6 @@
 
 void WorkerControl::NoteFailedLook(const absl::Status& aStatus)
 {
-  if (absl::IsAborted(aStatus)) {
-    return; // Of the incarnation before.
-  }
   mRefusals = net::IsConnectionRefused(aStatus) ? mRefusals + 1 : 0;
   const bool ended = mRefusals >= kRefusalsOfEnded;
   const bool silent = MonotonicNow() - mAnsweredAt > kSilentAfter;
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -271,7 +271,6 @@
                 const std::vector<CrashedWorker>& aCrashes,
                 const CellClock& aClock);
   void TakeReplaced(WorkerEntry& aWorker, const CellClock& aClock);
-  void HoldSuspects(const CrashedWorker& aCrash, const CellClock& aClock);
   void TakeEndOfWorker(WorkerEntry& aWorker,
                        std::string_view aReason,
                        const CellClock& aClock);
@@ -290,6 +289,8 @@
   void TakeCrash(const AgentId& aAgent,
                  const CrashedWorker& aCrash,
                  const CellClock& aClock);
+  /// Its worker does not answer.
+  bool IsAway(const AgentId& aAgent) const;
   void NoteCrash(const AgentId& aAgent,
                  const CrashedRun& aRun,
                  CrashBlame aBlame,
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -57,22 +57,12 @@
     NoteCrash(
       aAgent, run, counts ? blames[i] : CrashBlame::Unconfirmed, aClock);
   }
-  if (!mWorkers.at(aAgent).mAnswers) {
-    HoldSuspects(aCrash, aClock);
-  }
 }
 
-/// While the worker is away a second one is not risked for the same task; what
-/// was lost beside it starts elsewhere first.
-void CellScheduler::HoldSuspects(const CrashedWorker& aCrash,
-                                 const CellClock& aClock)
+bool CellScheduler::IsAway(const AgentId& aAgent) const
 {
-  for (const CrashedRun& run : aCrash.mRuns) {
-    if (TaskEntry* task = FindOpenTask(run.mTask);
-        task != nullptr && task->mCrashes.Suspect()) {
-      task->mNotBefore = aClock.mNow + mSettings.mSuspectPause;
-    }
-  }
+  const auto found = mWorkers.find(aAgent);
+  return found != mWorkers.end() && !found->second.mAnswers;
 }
 
 void CellScheduler::NoteCrash(const AgentId& aAgent,
@@ -91,6 +81,10 @@
   if (task->mCrashes.Suspect()) {
     task->mFailedOn.push_back(aAgent);
     job.mSuspects.insert(aRun.mTask);
+    if (IsAway(aAgent)) {
+      // A second worker is not risked meanwhile.
+      task->mNotBefore = aClock.mNow + mSettings.mSuspectPause;
+    }
   }
   ++mCrashFigures.mQueues[job.Graph().mQueue].mSuspected;
   Tell(aBlame == CrashBlame::Beside ? "task-beside-crash" : "task-suspected",
--- a/tests/cell/EndedWorkerTest.cpp
+++ b/tests/cell/EndedWorkerTest.cpp
@@ -51,8 +51,10 @@
 {
   ReportEnded();
   EXPECT_TRUE(Orders("b").mStarts.empty());
-  Pass(mSettings.mSuspectPause);
-  Grant("b");
+  Pass(mSettings.mSuspectPause - milliseconds(kReportMs));
+  WorkerState told = State("a-life");
+  told.mCrashes = { { { { kFirst, mRun, {}, true } } } };
+  ReportEnded(told); // The same crash again: it waits no longer.
   EXPECT_EQ(Orders("b").mStarts.size(), 1U);
 }
 
