--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -29,15 +29,13 @@
   Duration mSuspectPause = std::chrono::milliseconds(2500);
   /// Before a draining worker leaves, tasks with checkpoints are stopped.
   Duration mEvacuateBefore = std::chrono::milliseconds(900);
-  /// Demand of leftover tasks on a worker over what it has for them. Answers
-  /// bursts: some tasks are held down at any moment, and the others take what
-  /// these leave; far above it all are late together. Mean worth of 20 replays
-  /// of the worst load (tests/load): 0.511 at 1.0, 0.554 at 1.3, 0.513 at 1.8.
+  /// Demand of leftover tasks on a worker over what it has for them. Some are
+  /// held down at any moment, and the others use what these leave; far above
+  /// it all are late together.
   double mMaxLeftoverRatio = 1.3;
   /// Share of its target that a serving task's latency may come to by plan, at
   /// the load that its job is expected to have. The rest is for what is not
-  /// known: new pairs of images, rough figures. 0.529 of the same replays at
-  /// 0.65, 0.554 with this, 0.516 at 1.0.
+  /// known: new pairs of images, rough figures.
   double mPlannedLatencyShare = 0.75;
   /// Pressure over what was planned, in the logarithm of the latency, from
   /// which on no further leftover task is placed: such a task would hardly run.
@@ -55,19 +53,15 @@
   double mCopySlowness = 2.5;
   /// Copies of a cell at a time.
   int mMaxCopies = 24;
-  /// Between two looks over all runs for copies and moves, which wait for about
-  /// a second; rounds of placing come up to 200 times a second. Without the
-  /// looks a round of 64 workers takes 102 us to 146 us instead of 170 us.
+  /// Between two looks over all runs for copies and moves. These wait for about
+  /// a second, while rounds of placing are many times as frequent.
   Duration mJudgeRunsEvery = std::chrono::milliseconds(100);
   /// A leftover task that uses less than this share of its demand, later than
   /// so long after its start, is stalled: slowed down for a serving task.
   double mStalledShare = 0.3;
   Duration mStalledGrace = std::chrono::milliseconds(900);
   /// A task that was stalled for so long is stopped, with a checkpoint, when
-  /// another worker would take it. Mean share of the value of all work earned
-  /// on six days: 0.415 without, 0.474 with it where serving tasks reserve all
-  /// workers; 0.562 and 0.552, which is noise, where they do not. A move costs
-  /// a stop and a restore, 0.3 s to 1 s.
+  /// another worker would take it. A move costs a stop and a restore.
   Duration mMoveStalledAfter = std::chrono::milliseconds(1200);
   /// Between two such stops on one worker: the others may go faster after one.
   Duration mMovePause = std::chrono::milliseconds(500);
--- a/tests/cell/EndedWorkerTest.cpp
+++ b/tests/cell/EndedWorkerTest.cpp
@@ -1,5 +1,5 @@
-// A worker that has crashed refuses connections until it is back, for three
-// seconds. Its runs counted as alive until then.
+// A worker that has crashed refuses connections until it is back. Its runs
+// counted as alive until then.
 
 #include "tests/cell/CrashFixture.h"
 
