--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -362,6 +362,8 @@
                  const TaskRef& aTask,
                  RunNumber aRun,
                  const CellClock& aClock);
+
+  // Orders (CellSchedulerOrders.cpp).
   TaskRun* FindRun(const AgentId& aAgent, const StartOrder& aOrder);
   StartOrder OrderFor(const JobEntry& aJob,
                       const TaskRef& aTask,
--- /dev/null
+++ b/src/core/cell/CellSchedulerOrders.cpp
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/core/cell/CellScheduler.h"
+
+/// Orders for agents: what they say, and that they have left.
+namespace foxtailbarrow::cell {
+
+namespace {
+
+/// All members of a gang resume from one checkpoint; that of any is valid.
+std::string GangCheckpoint(const std::vector<TaskEntry>& aMembers)
+{
+  const auto saved =
+    std::ranges::find_if(aMembers, [](const TaskEntry& aMember) {
+      return !aMember.mCheckpoint.empty();
+    });
+  return saved == aMembers.end() ? std::string() : saved->mCheckpoint;
+}
+
+} // namespace
+
+StartOrder CellScheduler::OrderFor(const JobEntry& aJob,
+                                   const TaskRef& aTask,
+                                   RunNumber aRun,
+                                   const WorkerEntry& aWorker,
+                                   Instant aNow) const
+{
+  const StepSpec& spec = aJob.Spec(aTask);
+  const std::size_t step = static_cast<std::size_t>(aTask.mStep);
+  const StepEntry& entry =
+    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)].mSteps[step];
+  const std::vector<TaskEntry>& tasks = entry.mTasks;
+  const std::string* ticket =
+    entry.mAdvice.Ticket(aWorker.mInfo.mIncarnation, aNow);
+  return { .mTask = aTask,
+           .mRun = aRun,
+           .mPayload = aJob.Graph().mPayload,
+           .mCheckpoint =
+             spec.mGang
+               ? GangCheckpoint(tasks)
+               : tasks[static_cast<std::size_t>(aTask.mIndex)].mCheckpoint,
+           .mTicket = ticket == nullptr ? std::string() : *ticket,
+           .mLatencyTarget = spec.mLatencyTarget,
+           .mLeftover = spec.mLeftover,
+           .mImage = spec.mImage,
+           .mReserved = Reservation(spec) };
+}
+
+TaskRun* CellScheduler::FindRun(const AgentId& aAgent, const StartOrder& aOrder)
+{
+  const auto job = mJobs.find(aOrder.mTask.mJob);
+  TaskEntry* task =
+    job == mJobs.end() ? nullptr : job->second.Find(aOrder.mTask);
+  return task == nullptr ? nullptr : task->FindRun(aAgent, aOrder.mRun);
+}
+
+std::vector<AgentId> CellScheduler::AgentsWithOrders() const
+{
+  std::vector<AgentId> agents;
+  for (const auto& [agent, orders] : mOrders) {
+    if (!orders.mStarts.empty() || !orders.mStops.empty() ||
+        !orders.mTraits.empty()) {
+      agents.push_back(agent);
+    }
+  }
+  return agents;
+}
+
+std::optional<Instant> CellScheduler::OrderedAt(const OrderRequest& aOrders)
+{
+  if (aOrders.mStarts.empty()) {
+    return std::nullopt;
+  }
+  const StartOrder& first = aOrders.mStarts.front();
+  const auto job = mJobs.find(first.mTask.mJob);
+  const TaskEntry* task =
+    job == mJobs.end() ? nullptr : job->second.Find(first.mTask);
+  return task == nullptr || task->mRuns.empty()
+           ? std::nullopt
+           : std::optional(task->mRuns.back().mOrderedAt);
+}
+
+OrderRequest CellScheduler::TakeOrders(const AgentId& aAgent)
+{
+  OrderRequest orders;
+  if (const auto found = mOrders.find(aAgent); found != mOrders.end()) {
+    orders = std::move(found->second);
+    mOrders.erase(found);
+  }
+  if (const auto worker = mWorkers.find(aAgent); worker != mWorkers.end()) {
+    orders.mSession = worker->second.mSession;
+    orders.mNumber = ++worker->second.mLastOrder;
+    orders.mIncarnation = worker->second.mInfo.mIncarnation;
+  }
+  for (const StartOrder& start : orders.mStarts) {
+    if (TaskRun* run = FindRun(aAgent, start)) {
+      run->mSent = true;
+      AnnounceStart(mJobs.at(start.mTask.mJob), start.mTask, *run);
+    }
+  }
+  return orders;
+}
+
+} // namespace foxtailbarrow::cell
