--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -144,10 +144,11 @@
     mRuntime, mPlace.mListen, [this](net::HttpRequest& aRequest) {
       return Handle(aRequest);
     });
-  if (server.ok()) {
-    mServer = *std::move(server);
+  if (!server.ok()) {
+    return server.status();
   }
-  return server.status();
+  mServer = *std::move(server);
+  return absl::OkStatus();
 }
 
 void TaskWorkerService::SetFaults(const TaskWorkerFaults& aFaults)
