The tests of the task agent listen at addresses of their own

Cause, by elimination: Start() fails only where it cannot listen; the ports of the fixture were free a moment before and not held, so that any process may take one. Not shown by a run: 60 runs with the error's text printed, six at a time beside load, did not fail. Change: a loopback address of the process and the call (PrivateEndpoint); the error is printed. For all users of FreeEndpoint it was tried and taken back: two tests of BusyOwner need 127.0.0.1 (red in three runs of three). No check changed.

--- /dev/null
+++ b/tests/net/PrivateEndpoint.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+#include "src/net/HttpServer.h"
+
+namespace foxtailbarrow::net {
+
+/// An address of this machine that nobody listens at. Each call names a
+/// loopback address of its own, so that no other process or test takes the port
+/// before it is used.
+inline Endpoint PrivateEndpoint(FiberRuntime& aRuntime)
+{
+  constexpr int kOctet = 256;
+  constexpr int kLastOctet = 254;
+  static int calls = 0;
+  const int process = ::getpid();
+  const std::string address =
+    "127." + std::to_string(1 + process / kOctet % kLastOctet) + "." +
+    std::to_string(process % kOctet) + "." +
+    std::to_string(1 + calls++ % kLastOctet);
+  auto server = HttpServer::Start(
+    aRuntime, { address, 0 }, [](HttpRequest&) { return HttpResponse(); });
+  EXPECT_TRUE(server.ok());
+  return (*server)->ListeningEndpoint();
+}
+
+} // namespace foxtailbarrow::net
--- a/tests/taskagent/TaskAgentTest.cpp
+++ b/tests/taskagent/TaskAgentTest.cpp
@@ -9,7 +9,7 @@
 #include "apps/taskagent/TaskAgent.h"
 #include "src/net/TypedRpc.h"
 #include "standins/taskworker/TaskWorkerService.h"
-#include "tests/net/FreeEndpoint.h"
+#include "tests/net/PrivateEndpoint.h"
 
 namespace foxtailbarrow::taskagent::test {
 
@@ -45,13 +45,14 @@
     ASSERT_TRUE(owner.ok());
     mOwner = *std::move(owner);
     mSettings.mId = AgentId("agent");
-    mSettings.mListen = net::FreeEndpoint(mWorld);
+    mSettings.mListen = net::PrivateEndpoint(mWorld);
     mSettings.mAdvertised = mSettings.mListen;
-    mSettings.mControl = net::FreeEndpoint(mWorld);
-    mSettings.mWorker = net::FreeEndpoint(mWorld);
-    mSettings.mStore = net::FreeEndpoint(mWorld); // Nobody answers there.
+    mSettings.mControl = net::PrivateEndpoint(mWorld);
+    mSettings.mWorker = net::PrivateEndpoint(mWorld);
+    mSettings.mStore = net::PrivateEndpoint(mWorld); // Nobody answers there.
     mAgent = std::make_unique<TaskAgent>(mSettings, mRuntime);
-    ASSERT_TRUE(mAgent->Start().ok());
+    const absl::Status started = mAgent->Start();
+    ASSERT_TRUE(started.ok()) << started;
     auto worker = standin::TaskWorkerService::Start(
       mWorld,
       { mSettings.mWorker, mSettings.mControl, "worker", "service", "rack" },
