A start that has not been sent goes with its run

Cause: RemoveRun() left the unsent order of a lost run with the owner. While an agent settles starts at a worker that does not answer, orders wait; they were sent to the worker's next incarnation, beside the runs that had replaced the lost ones. UnsentStartTest: 6 of 6 red before, green now. Ruled out: a late order at the worker (it began on the next incarnation), an order of an earlier incarnation at the agent (it checks that). Why this works: the order is withdrawn where the run is removed, in one place for all ways.

--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -365,6 +365,10 @@
 
   // Orders (CellSchedulerOrders.cpp).
   TaskRun* FindRun(const AgentId& aAgent, const StartOrder& aOrder);
+  /// Leaves out a start that has not been sent. No effect on one that has.
+  void WithdrawStart(const AgentId& aAgent,
+                     const TaskRef& aTask,
+                     RunNumber aRun);
   StartOrder OrderFor(const JobEntry& aJob,
                       const TaskRef& aTask,
                       RunNumber aRun,
--- a/src/core/cell/CellSchedulerOrders.cpp
+++ b/src/core/cell/CellSchedulerOrders.cpp
@@ -55,6 +55,17 @@
   return task == nullptr ? nullptr : task->FindRun(aAgent, aOrder.mRun);
 }
 
+void CellScheduler::WithdrawStart(const AgentId& aAgent,
+                                  const TaskRef& aTask,
+                                  RunNumber aRun)
+{
+  if (const auto orders = mOrders.find(aAgent); orders != mOrders.end()) {
+    std::erase_if(orders->second.mStarts, [&](const StartOrder& aStart) {
+      return aStart.mTask == aTask && aStart.mRun == aRun;
+    });
+  }
+}
+
 std::vector<AgentId> CellScheduler::AgentsWithOrders() const
 {
   std::vector<AgentId> agents;
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -240,9 +240,6 @@
   while (task.mIndex-- > 0) {
     const AgentId agent = aJob.Find(task)->mRuns.front().mAgent;
     RemoveRun(aJob, task, agent, run, aClock);
-    std::erase_if(mOrders[agent].mStarts, [&](const StartOrder& aStart) {
-      return aStart.mTask == task;
-    });
   }
 }
 
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -55,6 +55,8 @@
   if (removed == 0) {
     return;
   }
+  // Left there, it would be sent to the worker's next incarnation.
+  WithdrawStart(aAgent, aTask, aRun);
   task.mIdleSince = aClock.mNow;
   WorkerEntry& worker = mWorkers.at(aAgent);
   worker.mRuns.erase(aTask);
@@ -112,10 +114,7 @@
     return;
   }
   Tell("task-stop", aTask, aWorker.mId, aRun, aReason);
-  // A start that has not been sent is not stopped but left out.
-  std::erase_if(orders.mStarts, [&](const StartOrder& aStart) {
-    return aStart.mTask == aTask && aStart.mRun == aRun;
-  });
+  WithdrawStart(aWorker.mId, aTask, aRun);
   orders.mStops.push_back({ aTask, aRun });
 }
 
@@ -287,7 +286,7 @@
   for (const auto& [task, number] : runs) {
     const TaskRun& run =
       *mJobs.at(task.mJob).Find(task)->FindRun(aWorker.mId, number);
-    Tell("task-lost",
+    Tell(run.mSent ? "task-lost" : "task-start-withdrawn",
          task,
          aWorker.mId,
          number,
--- /dev/null
+++ b/tests/cell/UnsentStartTest.cpp
@@ -0,0 +1,81 @@
+// Soak.Shrinking9101: starts that had not been sent when their worker crashed
+// were sent to its next incarnation, beside the runs that replaced them.
+
+#include "tests/cell/CrashFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+struct LossCase
+{
+  const char* mName;
+  /// The report by which the owner learns that its runs are lost.
+  const char* mIncarnation;
+  bool mAnswers;
+  bool mEnded;
+  Duration mAfter;
+};
+
+class UnsentStartTest
+  : public CrashFixture
+  , public testing::WithParamInterface<LossCase>
+{
+protected:
+  /// The orders stay with the owner, as the agent has not answered the last
+  /// ones.
+  void LoseWorkerBeforeOrdersLeave()
+  {
+    AttachAndGrant("a");
+    AddRecorded(Graph("job", { Step(2) }));
+    mScheduler.Schedule(Clock());
+    const LossCase& loss = GetParam();
+    ReportRequest report = ReportOf("a", State(loss.mIncarnation));
+    report.mWorkerAnswers = loss.mAnswers;
+    report.mWorkerEnded = loss.mEnded;
+    mScheduler.TakeReport(report, Clock());
+    if (loss.mAfter > Duration::zero()) {
+      Pass(loss.mAfter);
+      report.mSequence++;
+      mScheduler.TakeReport(report, Clock());
+    }
+    Record();
+  }
+};
+
+TEST_P(UnsentStartTest, IsNotSentAfterItsRunIsLost)
+{
+  LoseWorkerBeforeOrdersLeave();
+  EXPECT_TRUE(mScheduler.TakeOrders(AgentId("a")).mStarts.empty());
+}
+
+TEST_P(UnsentStartTest, IsPlacedAgainOnce)
+{
+  LoseWorkerBeforeOrdersLeave();
+  AttachAndGrant("b");
+  Pass(mSettings.mSuspectPause);
+  Grant("a");
+  Grant("b");
+  std::set<TaskRef> started;
+  mScheduler.Schedule(Clock());
+  for (const char* agent : { "a", "b" }) {
+    for (const StartOrder& start :
+         mScheduler.TakeOrders(AgentId(agent)).mStarts) {
+      EXPECT_TRUE(started.insert(start.mTask).second) << ToString(start.mTask);
+    }
+  }
+  EXPECT_EQ(started.size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Losses,
+  UnsentStartTest,
+  testing::Values(
+    LossCase{ "Restarted", "a-next", true, false, Duration::zero() },
+    LossCase{ "Ended", "a-life", false, true, Duration::zero() },
+    LossCase{ "Silent", "a-life", false, false, seconds(10) }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
