Lost tasks of old lasting jobs come before newer lasting jobs

Cause: a lasting job was judged by a deadline that its estimate gave; seconds after it was accepted it was hopeless, and its lost tasks came after all newer jobs of its priority. Ruled out: trials of suspects (none of these tasks was suspected). Why this works: one prospect at any age; then the oldest comes first, as the order is by deadline. Batch work that can be on time stays before lasting work. Tests: LastingJobOrderTest, 2 of 3 rows red before (the third says what must stay).

--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -158,7 +158,9 @@
         candidates.push_back(
           { leftover,
             job.mPolicy.mPriority,
-            ProspectOf(job, occurrence, begun, aClock.mNow),
+            job.Graph().mSteps[step].mStanding
+              ? kLastingProspect
+              : ProspectOf(job, occurrence, begun, aClock.mNow),
             leftover && !begun,
             leftover ? RemainingWork(job.Graph(), occurrence) : 0.0,
             job.mDeadline,
--- /dev/null
+++ b/tests/cell/LastingJobOrderTest.cpp
@@ -0,0 +1,77 @@
+// Grown Trasówka, day deadly-task, seed 990018: tasks of old lasting jobs that
+// were lost with their workers never started again, as every newer job came
+// before them.
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "tests/cell/CellFixture.h"
+
+namespace foxtailbarrow::cell::test {
+
+namespace {
+
+constexpr std::int64_t kHalfWorker = 4000; ///< Millicores.
+
+struct NewerJob
+{
+  const char* mName;
+  std::int32_t mReplicas;
+  bool mStanding;
+  std::size_t mOldStarts; ///< Of two tasks of the old job.
+};
+
+class LastingJobOrderTest
+  : public CellFixture
+  , public testing::WithParamInterface<NewerJob>
+{
+protected:
+  /// A lasting job fills the worker for a minute, and is lost with it.
+  void LoseLastingJob()
+  {
+    StepSpec step = Step(2, kHalfWorker);
+    step.mStanding = true;
+    AttachAndGrant("a");
+    AddRecorded(Graph("old", { step }));
+    const OrderRequest orders = Orders("a");
+    ASSERT_EQ(orders.mStarts.size(), 2U);
+    Started("a", orders);
+    std::vector<RunningTask> running;
+    for (const StartOrder& start : orders.mStarts) {
+      running.push_back(Running(start.mTask, start.mRun));
+    }
+    Pass(seconds(60));
+    Report("a", State("a-life", running));
+    Report("a", State("a-next"));
+    Record();
+    Grant("a");
+  }
+};
+
+/// Batch work that can be on time still comes first.
+TEST_P(LastingJobOrderTest, LostTasksComeBeforeNewerLastingJobs)
+{
+  LoseLastingJob();
+  StepSpec step = Step(GetParam().mReplicas, kHalfWorker);
+  step.mStanding = GetParam().mStanding;
+  AddRecorded(Graph("newer", { step }));
+  std::multiset<JobId> started;
+  for (const StartOrder& start : Orders("a").mStarts) {
+    started.insert(start.mTask.mJob);
+  }
+  EXPECT_EQ(started.size(), 2U);
+  EXPECT_EQ(started.count(JobId("old")), GetParam().mOldStarts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Newer,
+  LastingJobOrderTest,
+  testing::Values(NewerJob{ "LastingJob", 1, true, 2 },
+                  NewerJob{ "WideLastingJob", 20, true, 2 },
+                  NewerJob{ "BatchJob", 1, false, 1 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+} // namespace
+
+} // namespace foxtailbarrow::cell::test
