--- a/apps/scheduler/CellOwnerDesks.cpp
+++ b/apps/scheduler/CellOwnerDesks.cpp
@@ -153,8 +153,8 @@
   return aDesk.mRecorded;
 }
 
-/// The next owner waits for every agent that has a record: without this, up to
-/// 5.95 s for one that has left.
+/// The next owner waits for every agent that has a record, even for one that
+/// has left.
 void CellOwner::RemoveRecord(const AgentId& aAgent, Desk& aDesk)
 {
   if (!std::exchange(aDesk.mRecorded, false)) {
--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -19,8 +19,7 @@
 
 /// Until a write that failed is tried again.
 constexpr Duration kRecordRetry = std::chrono::milliseconds(100);
-/// Ends that come within this are recorded by one transaction: at 60 ends a
-/// second some 15 writes a second instead of 60.
+/// Ends that come within this are recorded by one transaction.
 constexpr Duration kRecordLinger = std::chrono::milliseconds(15);
 /// A transaction takes 32 compares and writes: the cell's record, and two a
 /// job.
--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -88,10 +88,8 @@
   if (const auto record = FromJsonText<OwnerRecord>(entry->mValue);
       record.ok()) {
     SeeOwner(*record);
-    // Whoever listened here before is dead, and so is its term: after a kill of
-    // all processes the cell has an owner after 0.6 s instead of 1.9 s, when
-    // the key lapses. Worth of short jobs over 42 days of each of three
-    // deployments: 0.880 to 0.898, 0.891 to 0.903, 0.868 to 0.884.
+    // Whoever listened here before is dead, and so is its term: there is no
+    // need to wait until the key lapses.
     if (record->mScheduler == mSettings.mId &&
         record->mEndpoint == mSettings.mAdvertised) {
       return TryTake(entry->mModRevision);
--- a/src/core/cell/Candidacy.h
+++ b/src/core/cell/Candidacy.h
@@ -7,8 +7,7 @@
 namespace foxtailbarrow::cell {
 
 /// Decides when a scheduler tries to take a cell that has no owner: those with
-/// little processor time let others go first. An owner of 53 workers used 0.13
-/// of a core in its worst second, and some front VMs have 0.12. Pure.
+/// little processor time let others go first. Pure.
 class Candidacy
 {
 public:
@@ -31,8 +30,8 @@
 
 private:
   static constexpr double kAmpleShare = 0.2;
-  /// Longer than a store call and a change of owner by a planned stop;
-  /// processes that start together do so within 300 ms.
+  /// Longer than a store call, than a change of owner by a planned stop, and
+  /// than the time between starts of processes that start together.
   static constexpr Duration kWeakDelay = std::chrono::milliseconds(500);
 
   Duration mDelay;
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -84,7 +84,7 @@
   job.mInherited = aProgressRevision != 0;
   job.mProgressRevision = aProgressRevision;
   if (job.Final()) {
-    // Not told one by one: 980 lines at a takeover pushed others out.
+    // Not told one by one: at a takeover they would push out other lines.
     return;
   }
   mSink({ .mEvent = "job-known",
--- a/src/core/cell/FullFor.h
+++ b/src/core/cell/FullFor.h
@@ -10,8 +10,7 @@
 
 /// Leftover tasks that no worker takes in the present round of placing. Within
 /// a round workers only get fuller, so that what asks for as much is not tried
-/// again: 406 us a round of 64 workers and 64 waiting jobs without it, 170 us
-/// with it (bench-cell-ScheduleRound, one run each). Pure.
+/// again. Pure.
 class FullFor
 {
 public:
--- a/src/core/cell/Interference.h
+++ b/src/core/cell/Interference.h
@@ -52,18 +52,14 @@
   double mCalmShare = 0.45;
   double mCalmVariance = 0.03;
   /// Variance of the logarithm of one look at a job's tasks on a worker:
-  /// rounding, roughness, and what a sum of weights cannot explain. Measured on
-  /// 28,800 figures with little beside them: 0.003 to 0.02. 0.532 of 20 replays
-  /// of the worst load at 0.05, 0.554 with this.
+  /// rounding, roughness, and what a sum of weights cannot explain.
   double mNoise = 0.02;
-  /// Variance of a standing job's load about the mean of its image. Measured
-  /// on the same figures: a wave of 14 s, by half the logarithm either way,
-  /// that all tasks of a job share.
+  /// Variance of a standing job's load about the mean of its image; all tasks
+  /// of a job share it.
   double mLoadVariance = 0.1;
   LoadTrackSettings mLoadTrack;
-  /// How far ahead placing looks: leftover tasks last two seconds and more, and
-  /// the load may rise by a third of the logarithm in one. 0.537 of 20 replays
-  /// of the worst load without a forecast, 0.554 with this, 0.536 with 2 s.
+  /// How far ahead placing looks: leftover tasks last longer, and the load
+  /// rises meanwhile.
   Duration mForecast = std::chrono::milliseconds(1000);
   /// An estimate is worth keeping once its variance has come down to this share
   /// of the one that it began with, and is adopted with that variance.
--- a/src/core/cell/LoadTrack.h
+++ b/src/core/cell/LoadTrack.h
@@ -6,11 +6,9 @@
 
 struct LoadTrackSettings
 {
-  /// Spectral density of the change of the rate, per cubed second: a swing of
-  /// half the logarithm in 10 s to 14 s bends by 0.1 to 0.2 per squared second.
+  /// Spectral density of the change of the rate, per cubed second.
   double mBend = 0.05;
-  /// Variance of the rate at the start, per squared second: the same swings
-  /// rise by up to 0.3 a second.
+  /// Variance of the rate at the start, per squared second.
   double mRateVariance = 0.03;
   /// A forecast does not go beyond this change of the level.
   double mMostChange = 0.4;
--- a/src/core/cell/OutageAnswers.cpp
+++ b/src/core/cell/OutageAnswers.cpp
@@ -17,8 +17,8 @@
 constexpr double kShareOfAge = 0.5;
 /// Waits lie within this share of their mean, either way.
 constexpr double kSpread = 0.5;
-/// Jobs that may be in doubt at a time. At 300 submissions a second those of
-/// the half second before a silence is noticed are 150.
+/// Jobs that may be in doubt at a time. Above the submissions that come before
+/// a silence is noticed.
 constexpr std::size_t kMostInDoubt = 1024;
 
 } // namespace
--- a/src/core/cell/PeerReach.h
+++ b/src/core/cell/PeerReach.h
@@ -16,13 +16,10 @@
 class PeerReach
 {
 public:
-  /// Longer than the time-out of a connection, shorter than a restart takes
-  /// with its first look at the store. In a silent store with one dead
-  /// scheduler of four, 14 of 64 refusals took 1.0 s without this, the others
-  /// 2 ms at most (one played day).
+  /// Longer than the timeout of a connection, shorter than a restart takes
+  /// with its first look at the store.
   static constexpr Duration kLeftOutFor = std::chrono::milliseconds(2000);
-  /// Of an answer by a scheduler that the store serves: 99 of 100 of 1,612
-  /// submissions were accepted within 17 ms (five played days).
+  /// Of an answer by a scheduler that the store serves.
   static constexpr Duration kUsualAnswer = std::chrono::milliseconds(100);
 
   /// True when the scheduler may be asked; where it has not answered before,
--- a/src/core/cell/RoundPacing.h
+++ b/src/core/cell/RoundPacing.h
@@ -7,17 +7,14 @@
 namespace foxtailbarrow::cell {
 
 /// Spaces rounds of placing, so that an owner has time left for reports and
-/// orders when rounds get long: with 160 workers and a burst of leftover jobs a
-/// round takes 1 ms to 4 ms, and one after every report took 0.62 of a core in
-/// the worst second of a play.
-/// Pure.
+/// orders when rounds get long. Pure.
 class RoundPacing
 {
 public:
   /// Events that come within this are decided on together.
   static constexpr Duration kGather = std::chrono::milliseconds(2);
   /// Share of the time that rounds may take. A task waits for half of the time
-  /// between two rounds on average: 6 ms more for rounds of 2 ms.
+  /// between two rounds on average.
   static constexpr double kShare = 0.15;
   /// However long rounds take, one comes so often: what lapses is seen then.
   static constexpr Duration kLongestPause = std::chrono::milliseconds(100);
--- a/src/core/cell/StorePulse.h
+++ b/src/core/cell/StorePulse.h
@@ -14,7 +14,7 @@
 {
 public:
   /// Calls unanswered for so long, with no other answer meanwhile, mean that
-  /// the store is silent. Above the 0.37 s that a slow store takes.
+  /// the store is silent. Above the time that a slow store takes.
   static constexpr Duration kSilentAfter = std::chrono::milliseconds(450);
 
   void NoteSent(Instant aNow) { mSent.insert(aNow); }
--- a/src/core/cell/WorkerChange.h
+++ b/src/core/cell/WorkerChange.h
@@ -9,9 +9,8 @@
 namespace foxtailbarrow::cell {
 
 /// What changed at a worker since a state that both sides know. An agent tells
-/// changes, since most of its reports come because one task ended: with 160
-/// workers in a burst, 95 of 100 jobs began within 114 ms instead of 3,774 ms,
-/// when every report named all tasks (one play each of the same day).
+/// changes, since most of its reports come because one task ended, and an owner
+/// of many workers would spend its time on reading what it knows.
 struct WorkerChange
 {
   std::optional<WorkerInfo> mInfo;   ///< Nothing: as before.
--- a/src/core/cell/WorkerPressure.h
+++ b/src/core/cell/WorkerPressure.h
@@ -33,9 +33,7 @@
 
 /// What presses on the serving tasks of a worker over what they can bear, kept
 /// for a while: a round of placing asks for it once for each image that waits.
-/// A round of 160 full workers, nine waiting images and learned weights takes
-/// 219 us of processor time instead of 669 us (bench-cell-ScheduleRound, one
-/// run each on a busy machine). Pure.
+/// Pure.
 class WorkerPressure
 {
 public:
