--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -26,12 +26,6 @@
 /// Between looks that the worker answers at once although they may wait.
 constexpr Duration kShortestRound = std::chrono::milliseconds(25);
 constexpr Duration kAfterFailure = std::chrono::milliseconds(50);
-/// Without an answer for so long, the worker counts as silent.
-constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
-/// A worker whose machine refuses so many connections in a row has ended: no
-/// other process listens there, and a worker that is cut off, hangs or is
-/// overloaded does not answer at all.
-constexpr int kRefusalsOfEnded = 2;
 /// A pace without an answer is sent again at once: the next look may be late.
 constexpr int kPaceTries = 2;
 /// Crashes that are remembered for an owner that has not heard of them: at four
@@ -55,24 +49,20 @@
     return false;
   }
   if (aInfo.mIncarnation != mInfo.mIncarnation) {
-    LogChange(
-      "worker-incarnation",
-      { { "incarnation", aInfo.mIncarnation },
-        { "before", mInfo.mIncarnation },
-        { "ran", mBook.Running().size() },
-        { "answerAgeMs", WholeMilliseconds(MonotonicNow() - mAliveAt) } });
-    if (!mEnded) {
+    LogChange("worker-incarnation",
+              { { "incarnation", aInfo.mIncarnation },
+                { "before", mInfo.mIncarnation },
+                { "ran", mBook.Running().size() },
+                { "answerAgeMs",
+                  WholeMilliseconds(MonotonicNow() - mLiveness.AliveAt()) } });
+    if (!mLiveness.Ended()) {
       NoteCrash();
     }
     mWorker.Expect(aInfo.mIncarnation);
     mBook.Reset();
     mLease.ForgetWorker();
     mGovernor = cell::PaceGovernor();
-    mAnswers = true;
-    mRefusals = 0;
-    mEnded = false;
-    mAnsweredAt = MonotonicNow();
-    mAliveAt = mAnsweredAt;
+    mLiveness.Begin(MonotonicNow());
   }
   if (aInfo.mDraining != mInfo.mDraining) {
     LogChange("worker-draining",
@@ -89,7 +79,8 @@
   if (mInfo.mIncarnation.Empty() || mInfo.mDraining) {
     return;
   }
-  if (auto crash = mBook.CrashAfter(mAliveAt); !crash.mRuns.empty()) {
+  if (auto crash = mBook.CrashAfter(mLiveness.AliveAt());
+      !crash.mRuns.empty()) {
     mCrashes.push_back(std::move(crash));
   }
   if (mCrashes.size() > kCrashesKept) {
@@ -123,7 +114,8 @@
   mOrdersDone = 0;
   mFence = aSession;
   const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
-  if ((!Settle(aSession) && !mEnded) || incarnation != mInfo.mIncarnation) {
+  if ((!Settle(aSession) && !mLiveness.Ended()) ||
+      incarnation != mInfo.mIncarnation) {
     return absl::UnavailableError("the worker does not answer");
   }
   mBook.NoteAllSettled();
@@ -146,7 +138,7 @@
     if (!reply.ok()) {
       NoteFailedLook(reply.status());
     }
-    if (mEnded) {
+    if (mLiveness.Ended()) {
       return false; // What was sent may have run before.
     }
     boost::this_fiber::sleep_for(kSettlePause);
@@ -188,15 +180,11 @@
     return reply;
   }
   mLease.SampleClock(reply->mClock, now);
-  mAnsweredAt = now;
-  mAliveAt = now;
-  if (!mAnswers) {
+  const bool ended = mLiveness.Ended();
+  if (!mLiveness.NoteLook(now)) {
     LogChange("worker-answers",
-              { { "incarnation", incarnation }, { "ended", mEnded ? 1 : 0 } });
+              { { "incarnation", incarnation }, { "ended", ended ? 1 : 0 } });
   }
-  mAnswers = true;
-  mRefusals = 0;
-  mEnded = false;
   // An answer to an older fence may be older than what is known.
   if (fence == mFence && mBook.TakeLook(*reply, sentAt, now)) {
     mOnNews();
@@ -224,7 +212,7 @@
   const Instant sentAt = MonotonicNow();
   // While the worker is silent, leases are not extended: the owner waits for
   // the end of the last one.
-  const auto reply = LookOnce(kLookWait, mAnswers);
+  const auto reply = LookOnce(kLookWait, mLiveness.Answers());
   if (!reply.ok()) {
     NoteFailedLook(reply.status());
     return kAfterFailure;
@@ -236,21 +224,19 @@
 
 void WorkerControl::NoteFailedLook(const absl::Status& aStatus)
 {
-  mRefusals = net::IsConnectionRefused(aStatus) ? mRefusals + 1 : 0;
-  const bool ended = mRefusals >= kRefusalsOfEnded;
-  const bool silent = MonotonicNow() - mAnsweredAt > kSilentAfter;
-  const bool news = ended ? !mEnded : silent && mAnswers;
-  if (!news) {
+  const cell::LivenessNews news =
+    mLiveness.NoteFailedLook(net::IsConnectionRefused(aStatus), MonotonicNow());
+  if (news == cell::LivenessNews::None) {
     return;
   }
-  mAnswers = false;
+  const bool ended = news == cell::LivenessNews::Ended;
   if (ended) {
-    mEnded = true;
     NoteCrash();
   }
   LogWarning(ended ? "worker-ended" : "worker-silent",
              { { "incarnation", mInfo.mIncarnation },
-               { "answerAgeMs", WholeMilliseconds(MonotonicNow() - mAliveAt) },
+               { "answerAgeMs",
+                 WholeMilliseconds(MonotonicNow() - mLiveness.AliveAt()) },
                { "error", aStatus.ToString() } });
   mOnNews();
 }
@@ -323,16 +309,16 @@
 {
   WorkerSnapshot snapshot;
   snapshot.mState.mInfo = mInfo;
-  if (!mEnded) {
+  if (!mLiveness.Ended()) {
     snapshot.mState.mRunning = mBook.Running();
   }
   snapshot.mState.mEnded = mBook.Ended();
   snapshot.mState.mCrashes = { mCrashes.begin(), mCrashes.end() };
-  snapshot.mAnswers = mAnswers;
-  snapshot.mEnded = mEnded;
+  snapshot.mAnswers = mLiveness.Answers();
+  snapshot.mEnded = mLiveness.Ended();
   snapshot.mOrdersDone = mOrdersDone;
   const Instant now = MonotonicNow();
-  snapshot.mAnsweredAt = mAliveAt.time_since_epoch();
+  snapshot.mAnsweredAt = mLiveness.AliveAt().time_since_epoch();
   snapshot.mLeaseLeft = mLease.LeaseLeft(now);
   return snapshot;
 }
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -19,6 +19,7 @@
 #include "src/core/cell/PaceGovernor.h"
 #include "src/core/cell/TaskWorker.h"
 #include "src/core/cell/WorkerBook.h"
+#include "src/core/cell/WorkerLiveness.h"
 
 namespace foxtailbarrow::taskagent {
 
@@ -125,11 +126,7 @@
   bool mBegun = false;          ///< The worker was looked at in this session.
   std::int64_t mOrdersDone = 0; ///< Number of the newest of this session.
   cell::Fence mFence = 0;
-  Instant mAnsweredAt{}; ///< Its newest answer to a look.
-  Instant mAliveAt{};    ///< Its newest answer to any call.
-  bool mAnswers = false;
-  int mRefusals = 0;              ///< Of connections, in a row.
-  bool mEnded = false;            ///< This incarnation's process is gone.
+  cell::WorkerLiveness mLiveness; ///< Of this incarnation.
   boost::fibers::mutex mSettling; ///< One settles at a time.
 };
 
--- a/apps/taskagent/WorkerControlOrders.cpp
+++ b/apps/taskagent/WorkerControlOrders.cpp
@@ -107,7 +107,7 @@
   StartOutcome outcome = StartOutcome::NotStarted;
   bool fateKnown = true;
   if (reply.ok()) {
-    mAliveAt = MonotonicNow();
+    mLiveness.NoteCall(MonotonicNow());
     outcome = reply->mOutcome;
   } else if (VerdictOf(reply.status()) == Verdict::NotRun) {
     outcome = OutcomeOf(reply.status());
--- a/tests/net/PrivateEndpoint.h
+++ b/tests/net/PrivateEndpoint.h
@@ -4,9 +4,7 @@
 
 #include <unistd.h>
 
-#include <gtest/gtest.h>
-
-#include "src/net/HttpServer.h"
+#include "tests/net/FreeEndpoint.h"
 
 namespace foxtailbarrow::net {
 
@@ -23,10 +21,7 @@
     "127." + std::to_string(1 + process / kOctet % kLastOctet) + "." +
     std::to_string(process % kOctet) + "." +
     std::to_string(1 + calls++ % kLastOctet);
-  auto server = HttpServer::Start(
-    aRuntime, { address, 0 }, [](HttpRequest&) { return HttpResponse(); });
-  EXPECT_TRUE(server.ok());
-  return (*server)->ListeningEndpoint();
+  return FreeEndpoint(aRuntime, address);
 }
 
 } // namespace foxtailbarrow::net
