--- a/tests/scheduler/BusyOwnerTest.cpp
+++ b/tests/scheduler/BusyOwnerTest.cpp
@@ -52,7 +52,8 @@
     mSettings.mStore = link;
     mSettings.mDrainTimeout = milliseconds(100);
     mScheduler = std::make_unique<Scheduler>(mSettings, mRuntime);
-    ASSERT_TRUE(mScheduler->Start().ok());
+    const absl::Status started = mScheduler->Start();
+    ASSERT_TRUE(started.ok()) << started;
     StartAgents();
   }
 
--- a/tests/soak/SilentConnectionTest.cpp
+++ b/tests/soak/SilentConnectionTest.cpp
@@ -4,7 +4,7 @@
 #include "foxtailbarrow/Verdict.h"
 #include "soak/LinkProxy.h"
 #include "src/net/HttpClient.h"
-#include "tests/net/FreeEndpoint.h"
+#include "tests/net/PrivateEndpoint.h"
 
 namespace foxtailbarrow::soak::test {
 
@@ -28,7 +28,7 @@
       return net::HttpResponse();
     });
   ASSERT_TRUE(server.ok());
-  const Endpoint link = net::FreeEndpoint(runtime);
+  const Endpoint link = net::PrivateEndpoint(runtime);
   auto proxy = LinkProxy::Start(link, (*server)->ListeningEndpoint());
   ASSERT_TRUE(proxy.ok());
   runtime.RunAndWait([&] {
