--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -159,7 +159,7 @@
           { leftover,
             job.mPolicy.mPriority,
             job.Graph().mSteps[step].mStanding
-              ? kLastingProspect
+              ? kStandingProspect
               : ProspectOf(job, occurrence, begun, aClock.mNow),
             leftover && !begun,
             leftover ? RemainingWork(job.Graph(), occurrence) : 0.0,
--- a/src/core/cell/Prospect.h
+++ b/src/core/cell/Prospect.h
@@ -14,10 +14,10 @@
   Hopeless,
 };
 
-/// Of tasks that last, at any age: they earn by the time that they run, and the
+/// Of standing tasks, at any age: they earn by the time that they run, and the
 /// oldest job is served first. Batch work that can be on time comes before
 /// them, as it soon frees its room.
-inline constexpr Prospect kLastingProspect = Prospect::Late;
+inline constexpr Prospect kStandingProspect = Prospect::Late;
 
 /// What a job can still earn by one occurrence, by declared run times. Pure.
 Prospect ProspectOf(const JobEntry& aJob,
--- a/src/core/cell/WorkerLiveness.h
+++ b/src/core/cell/WorkerLiveness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 #include "foxtailbarrow/Time.h"
--- a/tests/cell/LastingJobOrderTest.cpp
+++ b/tests/cell/StandingJobOrderTest.cpp
@@ -1,4 +1,4 @@
-// Grown Trasówka, day deadly-task, seed 990018: tasks of old lasting jobs that
+// Grown Trasówka, day deadly-task, seed 990018: tasks of old standing jobs that
 // were lost with their workers never started again, as every newer job came
 // before them.
 
@@ -22,13 +22,13 @@
   std::size_t mOldStarts; ///< Of two tasks of the old job.
 };
 
-class LastingJobOrderTest
+class StandingJobOrderTest
   : public CellFixture
   , public testing::WithParamInterface<NewerJob>
 {
 protected:
-  /// A lasting job fills the worker for a minute, and is lost with it.
-  void LoseLastingJob()
+  /// A standing job fills the worker for a minute, and is lost with it.
+  void LoseStandingJob()
   {
     StepSpec step = Step(2, kHalfWorker);
     step.mStanding = true;
@@ -50,9 +50,9 @@
 };
 
 /// Batch work that can be on time still comes first.
-TEST_P(LastingJobOrderTest, LostTasksComeBeforeNewerLastingJobs)
+TEST_P(StandingJobOrderTest, LostTasksComeBeforeNewerStandingJobs)
 {
-  LoseLastingJob();
+  LoseStandingJob();
   StepSpec step = Step(GetParam().mReplicas, kHalfWorker);
   step.mStanding = GetParam().mStanding;
   AddRecorded(Graph("newer", { step }));
@@ -66,9 +66,9 @@
 
 INSTANTIATE_TEST_SUITE_P(
   Newer,
-  LastingJobOrderTest,
-  testing::Values(NewerJob{ "LastingJob", 1, true, 2 },
-                  NewerJob{ "WideLastingJob", 20, true, 2 },
+  StandingJobOrderTest,
+  testing::Values(NewerJob{ "StandingJob", 1, true, 2 },
+                  NewerJob{ "WideStandingJob", 20, true, 2 },
                   NewerJob{ "BatchJob", 1, false, 1 }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
