--- a/tests/cell/StandingJobOrderTest.cpp
+++ b/tests/cell/StandingJobOrderTest.cpp
@@ -1,6 +1,5 @@
 // Grown Trasówka, day deadly-task, seed 990018: tasks of old standing jobs that
-// were lost with their workers never started again, as every newer job came
-// before them.
+// were lost with their workers waited behind every newer job.
 
 #include <algorithm>
 #include <set>
