Soak: outages that are timed by crashes

Change: CRASH_OUTAGE=1 (--crash-outage) begins a store outage up to 3 s after a crash of a crashing task, and kills all processes up to 0.5 s after the task's next start. The checks are unchanged.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -115,9 +115,10 @@
         "rack" + std::to_string(i % 2) },
       settings,
       mSettings.mSeed + i,
-      [&aChecker](const std::string& aIncarnation,
-                  const standin::RunEvent& aEvent) {
+      [this, &aChecker](const std::string& aIncarnation,
+                        const standin::RunEvent& aEvent) {
         aChecker.OnRunEvent(aIncarnation, aEvent);
+        mRunEventSink(aEvent);
       });
     if (!worker.ok()) {
       return worker.status();
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -49,6 +51,14 @@
   }
   LinkProxy& AgentLink(unsigned aIndex) { return *ItemAt(mAgentLinks, aIndex); }
 
+  using RunEventSink = std::function<void(const standin::RunEvent&)>;
+
+  /// Called for the run events of all workers, after the checker.
+  void SetRunEventSink(RunEventSink aSink)
+  {
+    mRunEventSink = std::move(aSink);
+  }
+
   /// Starts every process that is not running.
   void StartAll();
   void KillAll();
@@ -83,6 +93,7 @@
   FleetSettings mSettings;
   std::string mNetwork; ///< First three octets of all addresses.
   std::int64_t mVersion = 0;
+  RunEventSink mRunEventSink = [](const standin::RunEvent&) {};
   std::unique_ptr<standin::KvService> mStore;
   std::vector<std::unique_ptr<standin::TaskWorkerService>> mWorkers;
   std::vector<std::unique_ptr<LinkProxy>> mStoreLinks;
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "soak/Callers.h"
+#include "soak/CrashOutage.h"
 #include "soak/ForeignWriter.h"
 #include "soak/Injector.h"
 #include "src/telemetry/Log.h"
@@ -34,6 +35,7 @@
   Duration mLength = std::chrono::seconds(20);
   std::int64_t mWorkers = 5;
   std::int64_t mCrashingPercent = 0; ///< Of the jobs.
+  std::int64_t mCrashOutage = 0;     ///< 1 = outages at crashes.
   std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
   std::int64_t mForeign = 0;         ///< 1 = a foreign writer runs.
   std::int64_t mServing = 0;         ///< 1 = serving and best-effort tasks.
@@ -105,11 +107,16 @@
   if (aSettings.mForeign != 0) {
     foreign.Start();
   }
+  CrashOutage crashOutage(aRuntime, **fleet, aSettings.mFleet.mSeed);
+  if (aSettings.mCrashOutage != 0) {
+    crashOutage.Start();
+  }
   callers.Start(kCallers);
   boost::this_fiber::sleep_for(kWarmUp);
   const std::vector<Fault> plan = MakePlan(aSettings);
   checker.SetFaultTimeline({ plan, MonotonicNow(), aSettings.mWorkers });
   injector.InjectAll(plan);
+  crashOutage.Stop();
   injector.EndAllFaults();
   foreign.Stop();
   callers.Stop();
@@ -155,6 +162,10 @@
                     values.mCrashingPercent,
                     { 0, 50 },
                     "Jobs whose task crashes its worker");
+  settings.AddCount("--crash-outage",
+                    values.mCrashOutage,
+                    { 0, 1 },
+                    "1: store outages and power losses timed by crashes");
   settings.AddCount("--shrinking",
                     values.mShrinking,
                     { 0, 1 },
