Save a suspect's start before it is sent

Cause: the start of a task that a crash counts against was saved behind its order. While the store takes no writes it is not saved at all, and if owner, agent and worker are lost then, nothing counts it. The first crash was awaited for 3 s at most. Ruled out: that the crash before the start was not saved; that saved starts are not counted. Change: the run number of such a start is saved with the job's progress, and the order follows the save; so, too, for a task with a start whose outcome is unknown. The bound of 3 s is gone. Members of a gang are saved together and keep their number while they wait for room. The fixture's Orders() now plays a store that accepts the save of a planned start; three tests save what the 15 ms batch would have saved. No other expected value changed.

--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -314,6 +314,11 @@
                              Instant aNow);
   void ClearUnexplainedLosses(WorkerEntry& aWorker);
   void RecordStart(JobEntry& aJob, const TaskRef& aTask, const TaskRun& aRun);
+  bool PrepareStart(JobEntry& aJob,
+                    const TaskRef& aTask,
+                    RunNumber aRun,
+                    const AgentId& aAgent,
+                    const CellClock& aClock);
   bool CountForgottenStart(const TaskRef& aTask, const CellClock& aClock);
   bool CrashesAllowStart(const JobEntry& aJob,
                          const TaskRef& aTask,
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -7,14 +7,6 @@
 
 namespace foxtailbarrow::cell {
 
-namespace {
-
-/// Longest wait for the save of a first crash. A store that refuses writes for
-/// a while accepts one again within this time.
-constexpr Duration kFirstCrashSaveTime = std::chrono::seconds(3);
-
-} // namespace
-
 /// Returns the task if a crash can still count against it, else null.
 TaskEntry* CellScheduler::FindOpenTask(const TaskRef& aTask)
 {
@@ -77,8 +69,7 @@
   }
   JobEntry& job = mJobs.at(aRun.mTask.mJob);
   MarkUnsaved(job, aClock.mNow);
-  task->mCrashVersion = job.mVersion;
-  task->mCrashedAt = aClock.mNow;
+  task->mRequiredVersion = job.mVersion;
   if (task->mCrashes.Suspect()) {
     task->mFailedOn.push_back(aAgent);
     job.mSuspects.insert(aRun.mTask);
@@ -198,10 +189,11 @@
   aWorker.mUnexplained.clear();
 }
 
-/// Saves the start with the job's progress; its order does not wait for that.
-/// If this owner and the agent are both lost, the next owner counts the start
-/// as a crash. Otherwise a task that crashes its worker could be restarted
-/// without limit. A proven task is not the cause of crashes and is skipped.
+/// Saves the start with the job's progress; its order does not wait for that
+/// (see PrepareStart() for the starts that do). If this owner and the agent are
+/// both lost, the next owner counts the start as a crash. Otherwise a task that
+/// crashes its worker could be restarted without limit. A proven task is not
+/// the cause of crashes and is skipped.
 void CellScheduler::RecordStart(JobEntry& aJob,
                                 const TaskRef& aTask,
                                 const TaskRun& aRun)
@@ -214,6 +206,29 @@
   MarkUnsaved(aJob, aRun.mOrderedAt);
 }
 
+/// Returns true if the start may be sent. If the task may have crashed a worker
+/// already, its start is saved first: with an unavailable store, a start that
+/// is saved later is lost together with its owner, its agent and the worker, so
+/// that the task crashes another worker without a count. CrashesAllowStart()
+/// holds the task until the save. Its job cannot complete before the store is
+/// available either.
+bool CellScheduler::PrepareStart(JobEntry& aJob,
+                                 const TaskRef& aTask,
+                                 RunNumber aRun,
+                                 const AgentId& aAgent,
+                                 const CellClock& aClock)
+{
+  TaskEntry& task = *aJob.Find(aTask);
+  if (!task.mCrashes.MustRecordFirst(aRun)) {
+    return true;
+  }
+  task.mCrashes.RecordStart(aRun);
+  MarkUnsaved(aJob, aClock.mNow);
+  task.mRequiredVersion = aJob.mVersion;
+  LogDecision("task-start-recorded", aTask, aAgent, aRun, "crashes-count");
+  return false;
+}
+
 /// Counts a start that an earlier owner sent and no agent knows of as a crash:
 /// all processes that knew of the run were lost. The start may also never have
 /// arrived, so the first one does not make the task a suspect. Returns true if
@@ -240,17 +255,14 @@
 }
 
 /// Returns false while one more start could exceed the crash limit, or while a
-/// crash of the task is not saved, so that a next owner would not count it.
+/// crash or the coming start of the task is not saved, so that a next owner
+/// would not count it.
 bool CellScheduler::CrashesAllowStart(const JobEntry& aJob,
                                       const TaskRef& aTask,
                                       Instant aNow) const
 {
   const TaskEntry& task = *aJob.Find(aTask);
-  // An unsaved first crash costs only one more start if all processes are lost,
-  // so an unavailable store delays the task for a bounded time only.
-  const bool mayWait =
-    task.mCrashes.Count() > 1 || aNow - task.mCrashedAt < kFirstCrashSaveTime;
-  if ((task.mCrashVersion > aJob.mSavedVersion && mayWait) ||
+  if (task.mRequiredVersion > aJob.mSavedVersion ||
       !task.mCrashes.MayStart(aNow)) {
     return false;
   }
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -208,7 +208,7 @@
       continue;
     }
     if (!PlaceTask(aJob, task, NextRun(entry), aClock) &&
-        !entry.mCrashes.Suspect()) {
+        !entry.mCrashes.Implicated()) {
       return; // The tasks of a step are alike: no other one fits either.
     }
   }
@@ -230,6 +230,15 @@
     run = std::max(run, NextRun(member));
     ++task.mIndex;
   }
+  bool mayStart = true;
+  task = aFirst;
+  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
+    mayStart = !CountForgottenStart(task, aClock) && !aJob.Final() &&
+               PrepareStart(aJob, task, run, {}, aClock) && mayStart;
+  }
+  if (!mayStart) {
+    return;
+  }
   task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     if (!PlaceTask(aJob, task, run, aClock)) {
@@ -239,10 +248,17 @@
   if (task.mIndex == aJob.Spec(aFirst).mReplicas) {
     return;
   }
-  // Not all fit. Nothing has been sent yet, so the placed runs are removed.
+  // Not all fit. Nothing has been sent yet, so the placed runs are removed, and
+  // the next attempt uses the same run number, which may be recorded already.
   while (task.mIndex-- > 0) {
-    const AgentId agent = aJob.Find(task)->mRuns.front().mAgent;
+    TaskEntry& member = *aJob.Find(task);
+    const AgentId agent = member.mRuns.front().mAgent;
+    const bool recorded = member.mCrashes.UnsettledStart() == run;
     RemoveRun(aJob, task, agent, run, aClock);
+    member.mLastRun = run - 1;
+    if (recorded) {
+      member.mCrashes.RecordStart(run);
+    }
   }
 }
 
@@ -287,6 +303,12 @@
     }
     return false;
   }
+  if (!PrepareStart(aJob, aTask, aRun, *agent, aClock)) {
+    if (isolated) {
+      mTrials.Reserve(*agent, aTask, mWorkers.size(), aClock.mNow);
+    }
+    return false;
+  }
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
     aClock.mNow - aJob.mAcceptedAt);
   LogDecision("task-start", aTask, *agent, aRun, "room", waited.count());
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -74,7 +74,7 @@
   /// The worker answers again and had not crashed.
   void ClearUnexplainedLoss(RunNumber aRun);
 
-  /// A start was sent. It is stored, so that a next owner knows of the run even
+  /// A start is sent. It is stored, so that a next owner knows of the run even
   /// if every other process that knew of it was lost.
   void RecordStart(RunNumber aRun)
   {
@@ -85,6 +85,15 @@
   /// The newest run that was started and is not settled; 0 = none.
   RunNumber UnsettledStart() const { return mUnsettledStart; }
 
+  /// True if the task may have crashed a worker: a crash counts against it, or
+  /// the outcome of a start is unknown.
+  bool Implicated() const { return Count() > 0 || mUnsettledStart != 0; }
+  /// True if the start must be recorded, and that saved, before it is sent.
+  bool MustRecordFirst(RunNumber aRun) const
+  {
+    return Implicated() && mUnsettledStart != aRun;
+  }
+
   /// A run ended by itself or reached kProvenUptime, so the task is not the
   /// cause. Returns false if no crash counted against it.
   bool Clear(RunNumber aRun);
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -73,8 +73,7 @@
   CrashHistory mCrashes;
   bool mProven = false; ///< A run of it has reached kProvenUptime.
   /// Version of the job's progress that must be saved before a start.
-  std::uint64_t mCrashVersion = 0;
-  Instant mCrashedAt{}; ///< When the newest crash was recorded.
+  std::uint64_t mRequiredVersion = 0;
 
   bool Idle() const { return !mDone && mRuns.empty(); }
 
--- a/tests/cell/CellFixture.h
+++ b/tests/cell/CellFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -148,10 +149,26 @@
                                    Clock());
   }
 
+  /// Runs a placement round with a store that accepts writes: starts that must
+  /// be saved first are, and another round sends them. What was unsaved before
+  /// remains so.
+  void Schedule()
+  {
+    const std::vector<UnsavedProgress> before = mScheduler.UnsavedJobs(100);
+    mScheduler.Schedule(Clock());
+    for (const UnsavedProgress& job : mScheduler.UnsavedJobs(100)) {
+      if (std::ranges::find(before, job.mJob, &UnsavedProgress::mJob) ==
+          before.end()) {
+        mScheduler.OnProgressSaved(job.mJob, job.mVersion, ++mRevision);
+      }
+    }
+    mScheduler.Schedule(Clock());
+  }
+
   /// Runs a placement round and returns the orders of an agent.
   OrderRequest Orders(const std::string& aAgent)
   {
-    mScheduler.Schedule(Clock());
+    Schedule();
     return mScheduler.TakeOrders(AgentId(aAgent));
   }
 
--- a/tests/cell/CrashingTaskTest.cpp
+++ b/tests/cell/CrashingTaskTest.cpp
@@ -53,7 +53,7 @@
   /// Returns the agent that was ordered to start the first task of the job.
   std::optional<std::string> Started()
   {
-    mScheduler.Schedule(Clock());
+    Schedule();
     for (const std::string& agent : kAgents) {
       const OrderRequest orders = mScheduler.TakeOrders(AgentId(agent));
       CellFixture::Started(agent, orders);
--- a/tests/cell/SuspectTrialTest.cpp
+++ b/tests/cell/SuspectTrialTest.cpp
@@ -129,6 +129,7 @@
          State("a-life",
                {},
                { Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  SaveProgress();
   EXPECT_EQ(Orders("a").mStarts.size(), 1U);
 }
 
@@ -145,7 +146,7 @@
   AddInherited(Graph("job", { gang, second }), progress);
   AttachAndGrant("a");
   AttachAndGrant("b");
-  mScheduler.Schedule(Clock());
+  Schedule();
   RunNumber run = 0;
   for (const char* agent : { "a", "b" }) {
     const OrderRequest orders = mScheduler.TakeOrders(AgentId(agent));
