Keep each start whose outcome is unknown in a task's record

Cause: the record holds the newest start that is not settled. While a worker is silent its task starts elsewhere, and that start replaced the first one in the record. A planned start that was not sent is replaced by the next plan. The format of the record is unchanged. The log event of a planned start is task-start-planned. CrashOutage.cpp and Fleet.h: formatter only.

--- a/soak/CrashOutage.cpp
+++ b/soak/CrashOutage.cpp
@@ -91,8 +91,8 @@
 
 Duration CrashOutage::Random(Duration aMax)
 {
-  return Duration(std::uniform_int_distribution<Duration::rep>(
-    0, aMax.count())(mRandom));
+  return Duration(
+    std::uniform_int_distribution<Duration::rep>(0, aMax.count())(mRandom));
 }
 
 } // namespace foxtailbarrow::soak
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -54,10 +54,7 @@
   using RunEventSink = std::function<void(const standin::RunEvent&)>;
 
   /// Called for the run events of all workers, after the checker.
-  void SetRunEventSink(RunEventSink aSink)
-  {
-    mRunEventSink = std::move(aSink);
-  }
+  void SetRunEventSink(RunEventSink aSink) { mRunEventSink = std::move(aSink); }
 
   /// Starts every process that is not running.
   void StartAll();
--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -143,7 +143,7 @@
   const Duration uptime = aRun.mUptime;
   if (uptime >= kProvenUptime) {
     task.mProven = true;
-    task.mCrashes.Settle(aRun.mNumber);
+    task.mCrashes.SettleUpTo(aRun.mNumber);
   }
   if (task.mCrashes.Count() == 0) {
     return;
@@ -199,7 +199,7 @@
                                 const TaskRun& aRun)
 {
   TaskEntry& task = *aJob.Find(aTask);
-  if (task.mProven && task.mCrashes.Count() == 0) {
+  if (task.mProven && !task.mCrashes.Implicated()) {
     return;
   }
   task.mCrashes.RecordStart(aRun.mNumber);
@@ -219,13 +219,13 @@
                                  const CellClock& aClock)
 {
   TaskEntry& task = *aJob.Find(aTask);
-  if (!task.mCrashes.MustRecordFirst(aRun)) {
+  if (!task.mCrashes.MustPlanStart(aRun)) {
     return true;
   }
-  task.mCrashes.RecordStart(aRun);
+  task.mCrashes.PlanStart(aRun);
   MarkUnsaved(aJob, aClock.mNow);
   task.mRequiredVersion = aJob.mVersion;
-  LogDecision("task-start-recorded", aTask, aAgent, aRun, "crashes-count");
+  LogDecision("task-start-planned", aTask, aAgent, aRun, "crashes-count");
   return false;
 }
 
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -253,11 +253,11 @@
   while (task.mIndex-- > 0) {
     TaskEntry& member = *aJob.Find(task);
     const AgentId agent = member.mRuns.front().mAgent;
-    const bool recorded = member.mCrashes.UnsettledStart() == run;
+    const bool planned = member.mCrashes.UnsettledStart() == run;
     RemoveRun(aJob, task, agent, run, aClock);
     member.mLastRun = run - 1;
-    if (recorded) {
-      member.mCrashes.RecordStart(run);
+    if (planned) {
+      member.mCrashes.PlanStart(run);
     }
   }
 }
--- a/src/core/cell/CrashHistory.cpp
+++ b/src/core/cell/CrashHistory.cpp
@@ -1,6 +1,7 @@
 #include "src/core/cell/CrashHistory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace foxtailbarrow::cell {
@@ -67,15 +68,57 @@
   Settle(aRun);
 }
 
+void CrashHistory::PlanStart(RunNumber aRun)
+{
+  if (mStartIsPlanned) {
+    mUnsettledStart = 0;
+  }
+  RecordStart(aRun);
+  mStartIsPlanned = true;
+}
+
+void CrashHistory::RecordStart(RunNumber aRun)
+{
+  mStartIsPlanned = false;
+  const RunNumber earlier = std::min(mUnsettledStart, aRun);
+  mUnsettledStart = std::max(mUnsettledStart, aRun);
+  if (earlier != 0 && earlier != mUnsettledStart &&
+      !Contains(mEarlierStarts, earlier)) {
+    mEarlierStarts.push_back(earlier);
+  }
+}
+
 void CrashHistory::Settle(RunNumber aRun)
 {
   const bool unexplained =
     std::ranges::any_of(mUnexplained, [aRun](const Unexplained& aLoss) {
       return aLoss.mRun == aRun;
     });
-  if (aRun == mUnsettledStart && !unexplained) {
+  if (unexplained) {
+    return;
+  }
+  if (aRun == mUnsettledStart) {
     mUnsettledStart = 0;
   }
+  std::erase(mEarlierStarts, aRun);
+}
+
+void CrashHistory::SettleUpTo(RunNumber aRun)
+{
+  Settle(aRun);
+  std::erase_if(mEarlierStarts,
+                [aRun](RunNumber aEarlier) { return aEarlier < aRun; });
+}
+
+CrashHistory::Runs CrashHistory::CrashesToStore() const
+{
+  Runs runs = mRuns;
+  std::ranges::copy_if(mEarlierStarts,
+                       std::back_inserter(runs.mUnconfirmed),
+                       [this](RunNumber aRun) {
+                         return !Contains(mRuns, aRun) && aRun > mClearedTo;
+                       });
+  return runs;
 }
 
 bool CrashHistory::Clear(RunNumber aRun)
--- a/src/core/cell/CrashHistory.h
+++ b/src/core/cell/CrashHistory.h
@@ -74,22 +74,26 @@
   /// The worker answers again and had not crashed.
   void ClearUnexplainedLoss(RunNumber aRun);
 
+  /// A start will be sent once it is saved. Replaces one that was not sent.
+  void PlanStart(RunNumber aRun);
   /// A start is sent. It is stored, so that a next owner knows of the run even
   /// if every other process that knew of it was lost.
-  void RecordStart(RunNumber aRun)
-  {
-    mUnsettledStart = std::max(mUnsettledStart, aRun);
-  }
+  void RecordStart(RunNumber aRun);
   /// The outcome of the run is known. No effect while its loss is unexplained.
   void Settle(RunNumber aRun);
+  /// The run has reached kProvenUptime: no earlier start is evidence any more.
+  void SettleUpTo(RunNumber aRun);
   /// The newest run that was started and is not settled; 0 = none.
   RunNumber UnsettledStart() const { return mUnsettledStart; }
 
   /// True if the task may have crashed a worker: a crash counts against it, or
   /// the outcome of a start is unknown.
-  bool Implicated() const { return Count() > 0 || mUnsettledStart != 0; }
-  /// True if the start must be recorded, and that saved, before it is sent.
-  bool MustRecordFirst(RunNumber aRun) const
+  bool Implicated() const
+  {
+    return Count() > 0 || mUnsettledStart != 0 || !mEarlierStarts.empty();
+  }
+  /// True if the start must be planned, and the plan saved, before it is sent.
+  bool MustPlanStart(RunNumber aRun) const
   {
     return Implicated() && mUnsettledStart != aRun;
   }
@@ -120,11 +124,11 @@
   /// False while unexplained losses, if crashes, would give the task up.
   bool MayStart(Instant aNow) const;
 
-  bool Empty() const
-  {
-    return Count() == 0 && mClearedTo == 0 && mUnsettledStart == 0;
-  }
+  bool Empty() const { return mClearedTo == 0 && !Implicated(); }
   const Runs& Crashes() const { return mRuns; }
+  /// As Crashes(), with the earlier starts that are not settled as unconfirmed
+  /// crashes: a next owner hears of them only if their agents still know them.
+  Runs CrashesToStore() const;
   RunNumber ClearedTo() const { return mClearedTo; }
 
 private:
@@ -142,6 +146,9 @@
   Runs mRuns;
   RunNumber mClearedTo = 0; ///< Crashes of runs up to this one are cleared.
   RunNumber mUnsettledStart = 0;
+  bool mStartIsPlanned = false; ///< mUnsettledStart has not been sent.
+  /// Earlier starts that are not settled: their workers do not answer.
+  std::vector<RunNumber> mEarlierStarts;
   std::vector<Unexplained> mUnexplained;
 };
 
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -126,7 +126,7 @@
     }
     if (!task.mDone && !task.mCrashes.Empty()) {
       stored.mCrashes.push_back({ static_cast<std::int32_t>(index),
-                                  task.mCrashes.Crashes(),
+                                  task.mCrashes.CrashesToStore(),
                                   task.mCrashes.ClearedTo(),
                                   task.mCrashes.UnsettledStart() });
     }
--- a/tests/cell/ForgottenStartTest.cpp
+++ b/tests/cell/ForgottenStartTest.cpp
@@ -79,6 +79,42 @@
   EXPECT_EQ(mScheduler.PhaseOf(kFirst.mJob), JobPhase::Failed);
 }
 
+/// A worker falls silent just after a start, and the task is started elsewhere
+/// once the leases have expired. If all processes are lost then, both starts
+/// count. The second one replaced the first one in the record.
+TEST_F(ForgottenStarts, EachStartOfUnknownOutcomeCounts)
+{
+  AttachAndGrant("a");
+  AddSavedJob(Graph("job", { Step(1) }));
+  ASSERT_EQ(Orders("a").mStarts.size(), 1U);
+  SaveProgress();
+  mScheduler.DetachWorker(AgentId("a"), Clock());
+  AdvanceClock(mSettings.mMaxTaskLease + mSettings.mLeaseMargin +
+               milliseconds(1));
+  AttachAndGrant("b");
+  ASSERT_EQ(Orders("b").mStarts.size(), 1U);
+  SaveProgress();
+  TakeOverAfterPowerLoss();
+  EXPECT_EQ(Crashes(kFirst).Count(), 2U);
+}
+
+/// As above, but the first worker answers again and had not crashed.
+TEST_F(ForgottenStarts, AStartOnAWorkerThatHadNotCrashedDoesNotCount)
+{
+  AttachAndGrant("a");
+  AddSavedJob(Graph("job", { Step(1) }));
+  ASSERT_EQ(Orders("a").mStarts.size(), 1U);
+  SaveProgress();
+  mScheduler.DetachWorker(AgentId("a"), Clock());
+  AdvanceClock(mSettings.mMaxTaskLease + mSettings.mLeaseMargin +
+               milliseconds(1));
+  AttachAndGrant("b");
+  ASSERT_EQ(Orders("b").mStarts.size(), 1U);
+  Attach("a", State("a-life"));
+  TakeOverAfterPowerLoss();
+  EXPECT_EQ(Crashes(kFirst).Count(), 1U);
+}
+
 TEST_F(ForgottenStarts, AStartThatWasNotSentIsNotSaved)
 {
   AttachAndGrant("a");
