A planned trial keeps its worker while its start is saved

Cause: only the reservation of a busy worker was made for it, which is refused above two at a time; another start took the worker within the 20 ms of the save. Change: CrashTrials::Plan keeps the worker and a place among the trials for kReservationTime, as for a trial that has begun. Evidence: CrashTrials.APlannedTrialKeepsItsWorkerAndItsPlace (new with the method).

--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -276,10 +276,8 @@
   const bool starving = Starving(aJob, aTask, aClock.mNow);
   const Suspicion suspected = aJob.Find(aTask)->mCrashes.Suspected();
   const bool suspect = suspected != Suspicion::None;
-  if (suspect &&
-      !mTrials.MayBegin({ { aTask, aRun }, aJob.Graph().mQueue, suspected },
-                        mWorkers.size(),
-                        aClock.mNow)) {
+  const SuspectStart trial{ { aTask, aRun }, aJob.Graph().mQueue, suspected };
+  if (suspect && !mTrials.MayBegin(trial, mWorkers.size(), aClock.mNow)) {
     return false;
   }
   const bool comparable =
@@ -304,8 +302,8 @@
     return false;
   }
   if (!PrepareStart(aJob, aTask, aRun, *agent, aClock)) {
-    if (isolated) {
-      mTrials.Reserve(*agent, aTask, mWorkers.size(), aClock.mNow);
+    if (suspect) {
+      mTrials.Plan(*agent, trial, aClock.mNow);
     }
     return false;
   }
--- a/src/core/cell/CrashTrials.cpp
+++ b/src/core/cell/CrashTrials.cpp
@@ -19,9 +19,24 @@
 
 } // namespace
 
+void CrashTrials::Plan(const AgentId& aAgent,
+                       const SuspectStart& aStart,
+                       Instant aNow)
+{
+  std::erase_if(mPlanned, [&](const auto& aPlanned) {
+    return aPlanned.second.mUntil <= aNow ||
+           aPlanned.second.mStart.mRun.mTask == aStart.mRun.mTask;
+  });
+  mPlanned.insert_or_assign(aAgent,
+                            PlannedTrial{ aStart, aNow + kReservationTime });
+}
+
 void CrashTrials::Begin(const AgentId& aAgent, const SuspectStart& aStart)
 {
   mTrials.insert_or_assign(aAgent, aStart);
+  std::erase_if(mPlanned, [&](const auto& aPlanned) {
+    return aPlanned.second.mStart.mRun.mTask == aStart.mRun.mTask;
+  });
   std::erase_if(mReserved, [&](const auto& aReserved) {
     return aReserved.second.mTask == aStart.mRun.mTask;
   });
@@ -50,10 +65,33 @@
       reserved->second.mTask != aTask) {
     return false;
   }
+  const auto allowsBeside = [aSuspicion](const SuspectStart& aTrial) {
+    return aSuspicion == Suspicion::None &&
+           aTrial.mSuspicion == Suspicion::Weak;
+  };
+  if (const auto planned = mPlanned.find(aAgent);
+      planned != mPlanned.end() && aNow < planned->second.mUntil &&
+      planned->second.mStart.mRun.mTask != aTask &&
+      !allowsBeside(planned->second.mStart)) {
+    return false;
+  }
   const auto found = mTrials.find(aAgent);
-  return found == mTrials.end() ||
-         (aSuspicion == Suspicion::None &&
-          found->second.mSuspicion == Suspicion::Weak);
+  return found == mTrials.end() || allowsBeside(found->second);
+}
+
+std::vector<const SuspectStart*> CrashTrials::TrialsBeside(const TaskRef& aTask,
+                                                           Instant aNow) const
+{
+  std::vector<const SuspectStart*> trials;
+  for (const auto& [agent, trial] : mTrials) {
+    trials.push_back(&trial);
+  }
+  for (const auto& [agent, planned] : mPlanned) {
+    if (planned.mStart.mRun.mTask != aTask && aNow < planned.mUntil) {
+      trials.push_back(&planned.mStart);
+    }
+  }
+  return trials;
 }
 
 bool CrashTrials::MayBegin(const SuspectStart& aStart,
@@ -63,16 +101,16 @@
   std::size_t ofKind = 0;
   std::size_t ofQueue = 0;
   bool ofGang = false;
-  for (const auto& [agent, trial] : mTrials) {
-    if (trial.mSuspicion == aStart.mSuspicion) {
+  for (const SuspectStart* trial : TrialsBeside(aStart.mRun.mTask, aNow)) {
+    if (trial->mSuspicion == aStart.mSuspicion) {
       ++ofKind;
-      ofQueue += trial.mQueue == aStart.mQueue ? 1 : 0;
+      ofQueue += trial->mQueue == aStart.mQueue ? 1 : 0;
     }
-    if (trial.mRun.mTask.mJob != aStart.mRun.mTask.mJob) {
+    if (trial->mRun.mTask.mJob != aStart.mRun.mTask.mJob) {
       continue;
     }
-    if (trial.mRun.mRun != aStart.mRun.mRun ||
-        trial.mRun.mTask == aStart.mRun.mTask) {
+    if (trial->mRun.mRun != aStart.mRun.mRun ||
+        trial->mRun.mTask == aStart.mRun.mTask) {
       return false;
     }
     ofGang = true;
--- a/src/core/cell/CrashTrials.h
+++ b/src/core/cell/CrashTrials.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
@@ -54,6 +55,9 @@
   /// How long a rejected queue keeps its claim to the next free trial.
   static constexpr Duration kTurnTime = std::chrono::milliseconds(1000);
 
+  /// Keeps the worker and a place among the trials while the start is saved,
+  /// for kReservationTime.
+  void Plan(const AgentId& aAgent, const SuspectStart& aStart, Instant aNow);
   void Begin(const AgentId& aAgent, const SuspectStart& aStart);
   /// No effect if another run is on trial on the worker.
   void End(const AgentId& aAgent, const RunRef& aRun);
@@ -88,16 +92,25 @@
   std::size_t Count() const { return mTrials.size(); }
 
 private:
+  struct PlannedTrial
+  {
+    SuspectStart mStart;
+    Instant mUntil{};
+  };
   struct Reservation
   {
     TaskRef mTask;
     Instant mUntil{};
   };
 
+  /// Trials that have begun, and those that are planned for other tasks.
+  std::vector<const SuspectStart*> TrialsBeside(const TaskRef& aTask,
+                                                Instant aNow) const;
   /// True if a suspect of the same kind of another queue was rejected recently.
   bool OtherQueuesWait(const SuspectStart& aStart, Instant aNow) const;
 
   std::map<AgentId, SuspectStart> mTrials;
+  std::map<AgentId, PlannedTrial> mPlanned;
   /// When suspects were last rejected for the limit.
   std::map<std::pair<QueueId, Suspicion>, Instant> mRejectedAt;
   std::map<AgentId, Reservation> mReserved;
--- a/tests/cell/CrashEvidenceTest.cpp
+++ b/tests/cell/CrashEvidenceTest.cpp
@@ -261,6 +261,30 @@
   EXPECT_TRUE(trials.MayBegin(next, kWorkers, kNow + CrashTrials::kTurnTime));
 }
 
+/// A trial whose start is being saved keeps its worker and its place; without
+/// that another start took the worker, and the trial waited for seconds.
+TEST(CrashTrials, APlannedTrialKeepsItsWorkerAndItsPlace)
+{
+  constexpr std::size_t kWorkers = 8; // Two strong trials.
+  constexpr Suspicion kKind = Suspicion::Strong;
+  const AgentId agent("0");
+  const TaskRef other{ JobId("other"), 0, 0, 0 };
+  const Instant end = kNow + CrashTrials::kReservationTime;
+  CrashTrials trials;
+  trials.Plan(agent, Suspect(0, kKind), kNow);
+  trials.Begin(AgentId("1"), Suspect(1, kKind));
+  EXPECT_FALSE(trials.MayBegin(Suspect(2, kKind), kWorkers, kNow));
+  EXPECT_TRUE(trials.MayBegin(Suspect(0, kKind), kWorkers, kNow));
+  EXPECT_FALSE(trials.AllowsStart(agent, other, Suspicion::None, kNow));
+  EXPECT_TRUE(trials.AllowsStart(agent, FirstOf(0).mTask, kKind, kNow));
+  // The store does not answer.
+  EXPECT_TRUE(trials.MayBegin(Suspect(2, kKind), kWorkers, end));
+  EXPECT_TRUE(trials.AllowsStart(agent, other, Suspicion::None, end));
+  // The trial begins elsewhere.
+  trials.Begin(AgentId("2"), Suspect(0, kKind));
+  EXPECT_TRUE(trials.AllowsStart(agent, other, Suspicion::None, kNow));
+}
+
 TEST(CrashTrials, AWorkerNeverTriesTwoSuspects)
 {
   CrashTrials trials;
--- a/tests/cell/SuspectTrialTest.cpp
+++ b/tests/cell/SuspectTrialTest.cpp
@@ -19,7 +19,7 @@
   AttachAndGrant("b");
   AttachAndGrant("c");
   AttachAndGrant("d");
-  mScheduler.Schedule(Clock());
+  Schedule();
   EXPECT_EQ(mScheduler.AgentsWithOrders().size(), 1U);
   for (const char* agent : { "b", "c", "d" }) {
     Started(agent, mScheduler.TakeOrders(AgentId(agent)));
