Only a crash that counts holds a task for its save; planned trials hold 0.5 s

Cause: the first form also held tasks that no crash counts against, whose worker had fallen silent, and a planned trial kept its worker for 2 s. Change: MustPlanStart() asks for a counted crash; kPlanTime is 0.5 s.

--- a/src/core/cell/CellSchedulerCrashes.cpp
+++ b/src/core/cell/CellSchedulerCrashes.cpp
@@ -199,19 +199,19 @@
                                 const TaskRun& aRun)
 {
   TaskEntry& task = *aJob.Find(aTask);
-  if (task.mProven && !task.mCrashes.Implicated()) {
+  if (task.mProven && task.mCrashes.Count() == 0) {
     return;
   }
   task.mCrashes.RecordStart(aRun.mNumber);
   MarkUnsaved(aJob, aRun.mOrderedAt);
 }
 
-/// Returns true if the start may be sent. If the task may have crashed a worker
-/// already, its start is saved first: with an unavailable store, a start that
-/// is saved later is lost together with its owner, its agent and the worker, so
-/// that the task crashes another worker without a count. CrashesAllowStart()
-/// holds the task until the save. Its job cannot complete before the store is
-/// available either.
+/// Returns true if the start may be sent. If a crash counts against the task,
+/// its start is saved first: with an unavailable store, a start that is saved
+/// later is lost together with its owner, its agent and the worker, so that the
+/// task crashes another worker without a count. CrashesAllowStart() holds the
+/// task until the save. Its job cannot complete before the store is available
+/// either.
 bool CellScheduler::PrepareStart(JobEntry& aJob,
                                  const TaskRef& aTask,
                                  RunNumber aRun,
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -208,7 +208,7 @@
       continue;
     }
     if (!PlaceTask(aJob, task, NextRun(entry), aClock) &&
-        !entry.mCrashes.Implicated()) {
+        entry.mCrashes.Count() == 0) {
       return; // The tasks of a step are alike: no other one fits either.
     }
   }
--- a/src/core/cell/CrashTrials.cpp
+++ b/src/core/cell/CrashTrials.cpp
@@ -27,8 +27,7 @@
     return aPlanned.second.mUntil <= aNow ||
            aPlanned.second.mStart.mRun.mTask == aStart.mRun.mTask;
   });
-  mPlanned.insert_or_assign(aAgent,
-                            PlannedTrial{ aStart, aNow + kReservationTime });
+  mPlanned.insert_or_assign(aAgent, PlannedTrial{ aStart, aNow + kPlanTime });
 }
 
 void CrashTrials::Begin(const AgentId& aAgent, const SuspectStart& aStart)
--- a/src/core/cell/CrashTrials.h
+++ b/src/core/cell/CrashTrials.h
@@ -52,11 +52,15 @@
   /// Longer than kFreshUptime and the delay of the report that shows it.
   static constexpr Duration kReservationTime = std::chrono::milliseconds(2000);
 
+  /// How long a planned trial keeps its worker and its place. Longer than a
+  /// save takes while the store answers; otherwise the worker would idle.
+  static constexpr Duration kPlanTime = std::chrono::milliseconds(500);
+
   /// How long a rejected queue keeps its claim to the next free trial.
   static constexpr Duration kTurnTime = std::chrono::milliseconds(1000);
 
   /// Keeps the worker and a place among the trials while the start is saved,
-  /// for kReservationTime.
+  /// for kPlanTime.
   void Plan(const AgentId& aAgent, const SuspectStart& aStart, Instant aNow);
   void Begin(const AgentId& aAgent, const SuspectStart& aStart);
   /// No effect if another run is on trial on the worker.
