--- a/soak/CrashOutage.cpp
+++ b/soak/CrashOutage.cpp
@@ -30,16 +30,16 @@
 {
 }
 
-void CrashOutage::Start()
+void CrashOutage::Start(OutageStart aStart)
 {
-  mIsStarted = true;
+  mStart = aStart;
   mFleet.SetRunEventSink(
     [this](const standin::RunEvent& aEvent) { OnRunEvent(aEvent); });
 }
 
 void CrashOutage::Stop()
 {
-  mIsStarted = false;
+  mStart = OutageStart::Never;
   while (mIsRunning) {
     boost::this_fiber::sleep_for(kPollInterval);
   }
@@ -48,47 +48,72 @@
 void CrashOutage::OnRunEvent(const standin::RunEvent& aEvent)
 {
   if (aEvent.mKind == standin::RunEventKind::Started) {
-    if (standin::ParseTaskProgram(aEvent.mPayload).mCrashes) {
-      mCrashing.insert(aEvent.mTask);
-    }
     if (mAwaited == aEvent.mTask) {
       mAwaited.reset();
     }
+    if (!standin::ParseTaskProgram(aEvent.mPayload).mCrashes) {
+      return;
+    }
+    mCrashing.insert(aEvent.mTask);
+    if (mStart == OutageStart::AtStart && !mIsRunning) {
+      mIsRunning = true;
+      StopStore();
+      mRuntime.Spawn([this] { RunAtStart(); });
+    }
     return;
   }
-  if (aEvent.mKind == standin::RunEventKind::Lost && mIsStarted &&
-      !mIsRunning && mCrashing.contains(aEvent.mTask)) {
+  if (aEvent.mKind == standin::RunEventKind::Lost &&
+      mStart == OutageStart::AfterCrash && !mIsRunning &&
+      mCrashing.contains(aEvent.mTask)) {
     mIsRunning = true;
     mAwaited = aEvent.mTask;
-    mRuntime.Spawn([this, task = aEvent.mTask] { Run(task); });
+    mRuntime.Spawn([this, task = aEvent.mTask] { RunAfterCrash(task); });
   }
 }
 
-void CrashOutage::Run(const cell::TaskRef& aTask)
+void CrashOutage::RunAfterCrash(const cell::TaskRef& aTask)
 {
   boost::this_fiber::sleep_for(Random(kMaxUntilOutage));
   if (mAwaited == aTask) {
-    standin::KvFaults faults;
-    faults.mOutage = std::bernoulli_distribution()(mRandom)
-                       ? standin::KvOutage::Refuses
-                       : standin::KvOutage::Silent;
-    mFleet.Store().SetFaults(faults);
+    StopStore();
     const Instant end = MonotonicNow() + kMaxOutage;
     while (mAwaited && MonotonicNow() < end) {
       boost::this_fiber::sleep_for(kPollInterval);
     }
   }
   if (!mAwaited) {
-    boost::this_fiber::sleep_for(Random(kMaxUntilKill));
-    mFleet.KillAll();
-    boost::this_fiber::sleep_for(kRestartDelay);
-    mFleet.StartAll();
+    LoseAll();
   }
   mAwaited.reset();
   mFleet.Store().SetFaults({});
   mIsRunning = false;
 }
 
+void CrashOutage::RunAtStart()
+{
+  LoseAll();
+  mFleet.Store().SetFaults({});
+  boost::this_fiber::sleep_for(Random(kMaxUntilOutage));
+  mIsRunning = false;
+}
+
+void CrashOutage::StopStore()
+{
+  standin::KvFaults faults;
+  faults.mOutage = std::bernoulli_distribution()(mRandom)
+                     ? standin::KvOutage::Refuses
+                     : standin::KvOutage::Silent;
+  mFleet.Store().SetFaults(faults);
+}
+
+void CrashOutage::LoseAll()
+{
+  boost::this_fiber::sleep_for(Random(kMaxUntilKill));
+  mFleet.KillAll();
+  boost::this_fiber::sleep_for(kRestartDelay);
+  mFleet.StartAll();
+}
+
 Duration CrashOutage::Random(Duration aMax)
 {
   return Duration(
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -35,7 +35,7 @@
   Duration mLength = std::chrono::seconds(20);
   std::int64_t mWorkers = 5;
   std::int64_t mCrashingPercent = 0; ///< Of the jobs.
-  std::int64_t mCrashOutage = 0;     ///< 1 = outages at crashes.
+  std::int64_t mCrashOutage = 0;     ///< An OutageStart.
   std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
   std::int64_t mForeign = 0;         ///< 1 = a foreign writer runs.
   std::int64_t mServing = 0;         ///< 1 = serving and best-effort tasks.
@@ -109,7 +109,7 @@
   }
   CrashOutage crashOutage(aRuntime, **fleet, aSettings.mFleet.mSeed);
   if (aSettings.mCrashOutage != 0) {
-    crashOutage.Start();
+    crashOutage.Start(static_cast<OutageStart>(aSettings.mCrashOutage));
   }
   callers.Start(kCallers);
   boost::this_fiber::sleep_for(kWarmUp);
@@ -164,8 +164,9 @@
                     "Jobs whose task crashes its worker");
   settings.AddCount("--crash-outage",
                     values.mCrashOutage,
-                    { 0, 1 },
-                    "1: store outages and power losses timed by crashes");
+                    { 0, 2 },
+                    "1: store outages and power losses after crashes, 2: at "
+                    "starts of crashing tasks");
   settings.AddCount("--shrinking",
                     values.mShrinking,
                     { 0, 1 },
