Tests and soak restart workers under the id that they had

A worker may now restart under its id: it runs nothing, numbers ends and heartbeats anew, and says in `born` when it started.

The stand-in worker keeps its id on request, states `born`, and its clock may step back. KEPT_ID_PERCENT lets the soak restart workers so, some at once and some twice in a row.

--- a/soak/ForeignWriter.cpp
+++ b/soak/ForeignWriter.cpp
@@ -92,7 +92,7 @@
   net::HttpRequest request;
   request.mMethod = "PUT";
   request.mTarget =
-    "/runners/" + (own ? mFleet.Worker(agent).Incarnation() : "foreign");
+    "/runners/" + (own ? mFleet.Worker(agent).Id() : "foreign");
   request.mBody = BadText();
   // The agent may be down, and is expected to reject the heartbeat.
   (void)mClient.Call(mFleet.AgentControl(agent), request, kHeartbeatTimeout);
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::uint32_t kLinkStates = 5;
 /// Time from the exit of a process to its restart.
+constexpr Duration kClockStep = std::chrono::seconds(30);
 constexpr Duration kRestartDelay = milliseconds(300);
 constexpr unsigned kMaxHosts = 64;
 /// Time between two capacities of a worker that alternates between them.
@@ -60,10 +61,18 @@
 
 } // namespace
 
-Injector::Injector(net::FiberRuntime& aRuntime, Fleet& aFleet)
+Injector::Injector(net::FiberRuntime& aRuntime,
+                   Fleet& aFleet,
+                   std::int64_t aKeptIdPercent)
   : mRuntime(aRuntime)
   , mFleet(aFleet)
+  , mKeptIdPercent(aKeptIdPercent)
 {
+  if (mKeptIdPercent > 0) {
+    for (unsigned host = 0; host < kMaxHosts; ++host) {
+      mFleet.Worker(host).SetCrashRestartId(standin::RestartId::Kept);
+    }
+  }
 }
 
 void Injector::InjectAll(const std::vector<Fault>& aFaults)
@@ -95,7 +104,7 @@
     mFleet.Worker(host).SetFaults({});
     mFleet.Worker(host).Resize(standin::TaskWorkerSettings().mCapacity);
     if (!mFleet.Worker(host).Up()) {
-      mFleet.Worker(host).Restart();
+      RestartWorker(host, 0);
     }
   }
   mFleet.StartAll();
@@ -197,6 +206,7 @@
   }
   if (aFault.mKind == FaultKind::WorkerCrashes) {
     worker.Crash();
+    RestartAtOnce(aFault);
   } else if (aFault.mKind == FaultKind::WorkerLeaves) {
     worker.Leave();
   } else {
@@ -206,10 +216,37 @@
   worker.SetFaults({});
   // The worker of the last fault may go down only after EndAllFaults().
   if (!worker.Up()) {
-    worker.Restart();
+    RestartWorker(aFault.mTarget, aFault.mVariant);
+  }
+}
+
+/// Some crashed workers restart at once, some of these twice in a row.
+void Injector::RestartAtOnce(const Fault& aFault)
+{
+  constexpr std::uint32_t kWays = 3;
+  const std::uint32_t restarts = aFault.mVariant % kWays;
+  if (mKeptIdPercent == 0) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < restarts; ++i) {
+    if (i > 0) {
+      mFleet.Worker(aFault.mTarget).Crash();
+    }
+    RestartWorker(aFault.mTarget, aFault.mVariant);
   }
 }
 
+void Injector::RestartWorker(unsigned aWorker, std::uint32_t aVariant)
+{
+  constexpr std::uint32_t kPercent = 100;
+  const bool kept = aVariant / kLinkStates % kPercent < mKeptIdPercent;
+  // The time of start of a later incarnation may be the earlier one.
+  mFleet.Worker(aWorker).StepClock(aVariant % 2 == 0 ? kClockStep
+                                                     : -kClockStep);
+  mFleet.Worker(aWorker).Restart(kept ? standin::RestartId::Kept
+                                      : standin::RestartId::New);
+}
+
 /// Shrinks the worker to nothing, a quarter or a half, or alternates between a
 /// half and full capacity faster than heartbeats report it.
 void Injector::InjectShrinking(const Fault& aFault)
--- a/soak/Injector.h
+++ b/soak/Injector.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "soak/FaultPlan.h"
 #include "soak/Fleet.h"
 
@@ -9,7 +11,10 @@
 class Injector
 {
 public:
-  Injector(net::FiberRuntime& aRuntime, Fleet& aFleet);
+  /// `aKeptIdPercent`: of the restarts of workers, those under the id before.
+  Injector(net::FiberRuntime& aRuntime,
+           Fleet& aFleet,
+           std::int64_t aKeptIdPercent);
 
   /// Returns after the last fault has begun; each ends in its own fiber.
   void InjectAll(const std::vector<Fault>& aFaults);
@@ -25,8 +30,12 @@
   void InjectShrinking(const Fault& aFault);
   void InjectLinkFault(const Fault& aFault, LinkProxy& aLink);
 
+  void RestartAtOnce(const Fault& aFault);
+  void RestartWorker(unsigned aWorker, std::uint32_t aVariant);
+
   net::FiberRuntime& mRuntime;
   Fleet& mFleet;
+  std::int64_t mKeptIdPercent;
   bool mAllEnded = false;
 };
 
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -39,6 +39,7 @@
   std::int64_t mShrinking = 0;       ///< 1 = workers shrink and grow.
   std::int64_t mForeign = 0;         ///< 1 = a foreign writer runs.
   std::int64_t mServing = 0;         ///< 1 = serving and best-effort tasks.
+  std::int64_t mKeptIdPercent = 0;   ///< Of the restarts of workers.
 };
 
 /// Waits until nothing is missing; returns what is at the end of the recovery.
@@ -102,7 +103,7 @@
                   aSettings.mFleet.mSeed,
                   { .mCrashingPercent = aSettings.mCrashingPercent,
                     .mServing = aSettings.mServing != 0 });
-  Injector injector(aRuntime, **fleet);
+  Injector injector(aRuntime, **fleet, aSettings.mKeptIdPercent);
   ForeignWriter foreign(aRuntime, **fleet, aSettings.mFleet.mSeed);
   if (aSettings.mForeign != 0) {
     foreign.Start();
@@ -179,6 +180,10 @@
                     values.mServing,
                     { 0, 1 },
                     "1: serving tasks and best-effort tasks that interfere");
+  settings.AddCount("--kept-id-percent",
+                    values.mKeptIdPercent,
+                    { 0, 100 },
+                    "Restarts of workers under the id that they had");
   if (const auto code = settings.Parse(argc, argv)) {
     return *code;
   }
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -1,5 +1,6 @@
 #include "standins/taskworker/TaskWorkerService.h"
 
+#include <chrono>
 #include <iostream>
 #include <limits>
 #include <optional>
@@ -103,6 +104,17 @@
   return body;
 }
 
+/// Unix time in ms by a clock that may step; another one than that of the
+/// incarnation before.
+std::int64_t NextBirth(Duration aClockStep, std::int64_t aBefore)
+{
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch() +
+                     aClockStep)
+                     .count();
+  return now == aBefore ? now + 1 : now;
+}
+
 } // namespace
 
 TaskWorkerService::TaskWorkerService(net::FiberRuntime& aRuntime,
@@ -132,7 +144,7 @@
   if (absl::Status status = service->Listen(); !status.ok()) {
     return status;
   }
-  service->Restart();
+  service->Restart(RestartId::New);
   aRuntime.Spawn([worker = service.get()] { worker->RunHeartbeats(); });
   aRuntime.Spawn([worker = service.get()] { worker->Tick(); });
   return service;
@@ -167,7 +179,7 @@
   }
 }
 
-void TaskWorkerService::Restart()
+void TaskWorkerService::Restart(RestartId aId)
 {
   while (mServer == nullptr) {
     if (const absl::Status status = Listen(); !status.ok()) {
@@ -176,6 +188,10 @@
     }
   }
   mIncarnation = mRegistration.mName + "-" + std::to_string(++mIncarnations);
+  if (aId == RestartId::New) {
+    mId = mIncarnation;
+  }
+  mBornUnixMs = NextBirth(mClockStep, mBornUnixMs);
   mModel = std::make_shared<TaskWorkerModel>(
     mSettings,
     MonotonicNow(),
@@ -199,7 +215,7 @@
   }
   net::HttpRequest request;
   request.mMethod = "DELETE";
-  request.mTarget = "/runners/" + mIncarnation;
+  request.mTarget = "/runners/" + mId;
   (void)mClient.Call(mRegistration.mAgent, request, kHeartbeatTimeout);
   if (incarnation == mIncarnations) {
     Crash();
@@ -229,7 +245,7 @@
   boost::this_fiber::sleep_for(std::chrono::milliseconds(
     std::uniform_int_distribution<int>(kMinDownMs, kMaxDownMs)(mRandom)));
   if (incarnation == mIncarnations) {
-    Restart();
+    Restart(mCrashRestartId);
   }
 }
 
@@ -252,6 +268,7 @@
   body["Zone"] = "zone";
   body["State"] = mDraining ? "draining" : "ready";
   body["DrainLeftMs"] = 1000;
+  body["born"] = Json::Int64{ mBornUnixMs };
   body["CallSeq"] = Json::Int64{ mSequence };
   body["Capacity"]["Cpu"] = Json::Int64{ mCapacity.mMillicores };
   body["Capacity"]["MemMb"] = Json::Int64{ mCapacity.mMemoryMb };
@@ -259,7 +276,7 @@
   body["Labels"].append(mRegistration.mRack);
   net::HttpRequest request;
   request.mMethod = "PUT";
-  request.mTarget = "/runners/" + mIncarnation;
+  request.mTarget = "/runners/" + mId;
   request.mBody = FormatJson(body);
   mHeartbeatSink(heartbeat);
   const auto reply =
@@ -305,7 +322,7 @@
 net::HttpResponse TaskWorkerService::Execute(const net::HttpRequest& aRequest)
 {
   const auto expected = aRequest.mHeaders.Find("Expect-Instance");
-  if (expected && *expected != mIncarnation) {
+  if (expected && *expected != mId) {
     return Reply(kMisdirected, Json::objectValue);
   }
   const auto body = platform::ParseObject(aRequest.mBody);
@@ -379,7 +396,9 @@
     return LeaveUnanswered();
   }
   model->Advance(MonotonicNow());
-  return Reply(kOk, ViewBody(model->View(MonotonicNow())));
+  Json::Value view = ViewBody(model->View(MonotonicNow()));
+  view["born"] = Json::Int64{ mBornUnixMs };
+  return Reply(kOk, view);
 }
 
 } // namespace foxtailbarrow::standin
--- a/standins/taskworker/TaskWorkerService.h
+++ b/standins/taskworker/TaskWorkerService.h
@@ -24,6 +24,13 @@
   bool mAnswered = false;
 };
 
+/// Which id a worker has after a restart.
+enum class RestartId : std::uint8_t
+{
+  Kept, ///< Only its time of start tells the incarnations apart.
+  New,
+};
+
 /// Stand-in of a worker of the users' platform with its HTTP API: executes the
 /// agent's commands, sends it heartbeats, crashes, leaves and restarts as a new
 /// incarnation. All methods must be called on the single thread of the runtime.
@@ -63,13 +70,20 @@
   /// like a lost machine.
   void Crash();
   /// Starts the next incarnation after Crash() or Leave().
-  void Restart();
+  void Restart(RestartId aId);
+  /// Of restarts after a task has crashed the worker.
+  void SetCrashRestartId(RestartId aId) { mCrashRestartId = aId; }
+  /// Steps the clock from which later incarnations take their time of start.
+  void StepClock(Duration aBy) { mClockStep += aBy; }
   /// Reports that it is draining, keeps running for a while, deregisters and
   /// stops. Suspends the calling fiber meanwhile.
   void Leave();
 
   bool Up() const { return mUp; }
+  /// Name of the incarnation in events; not known to the agent.
   const std::string& Incarnation() const { return mIncarnation; }
+  const std::string& Id() const { return mId; }
+  std::int64_t BornUnixMs() const { return mBornUnixMs; }
 
 private:
   TaskWorkerService(net::FiberRuntime& aRuntime,
@@ -98,6 +112,10 @@
   RunEventSink mSink;
   TaskWorkerFaults mFaults;
   std::shared_ptr<TaskWorkerModel> mModel;
+  std::string mId;
+  std::int64_t mBornUnixMs = 0;
+  Duration mClockStep{};
+  RestartId mCrashRestartId = RestartId::New;
   std::string mIncarnation;
   int mIncarnations = 0;
   std::int64_t mSequence = 0;
