Tell a worker's incarnations apart by id and time of start

What callers saw: tasks that had ended as done ran again (TWICE), failed tasks were repeated beyond their attempts (BUDGET). Both on workers that had restarted under their id some seconds before.

Cause: the id alone was a worker's identity. For a restarted worker nothing was reset: the agent dropped ends numbered up to the newest of the process before and acknowledged them unread (`Acked`), the owner did the same one step later; heartbeats, numbered anew, counted as old, and after a deregistration for good, so that the worker was not used again; leases were computed on a clock that was gone; orders for the process before reached the next one. Class: an identity that is reused, and state keyed by it.

Change: a WorkerIncarnation is the id and the time of start, decoded once by platform/IncarnationCodec and compared for equality alone, as clocks step. All that is reset for a new incarnation hangs on it. Between two incarnations the worker is asked, as before for two ids. A poll that finds another incarnation ends the one before. A new incarnation first gets a higher fence, so that a late order to the one before is rejected; a run that it lists nevertheless is kept, not counted lost and started beside it. A deregistration that does not state its sender counts once the worker does not answer as the current incarnation. Tickets are asked for anew in each incarnation.

Messages are read strictly, so that an agent states the time of start only to an owner that attached it by agent.attachWithBirth; an owner falls back to agent.attach. An incarnation without a time is taken for the same one.

--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -136,6 +136,8 @@
   bool SaveAgentRecord(const AgentId& aAgent, AgentLink& aLink);
   void RemoveAgentRecord(const AgentId& aAgent, AgentLink& aLink);
   void ForgetAgent(const AgentId& aAgent, AgentLink& aLink);
+  absl::StatusOr<cell::AttachReply> CallAttach(const Endpoint& aAgent,
+                                               cell::Session aSession);
   Duration AttachRound(const AgentId& aAgent, AgentLink& aLink);
   Duration OrderRound(const AgentId& aAgent, AgentLink& aLink);
   void Detach(const AgentId& aAgent);
--- a/apps/scheduler/CellOwnerAgents.cpp
+++ b/apps/scheduler/CellOwnerAgents.cpp
@@ -179,6 +179,20 @@
   mAgentLinks.erase(aAgent);
 }
 
+absl::StatusOr<AttachReply> CellOwner::CallAttach(const Endpoint& aAgent,
+                                                  Session aSession)
+{
+  const AttachRequest request{ mTerm.OwnGeneration(), aSession, mParts.mSelf };
+  auto reply = net::CallTyped<AttachReply>(
+    mParts.mRpc, aAgent, kAttachWithBirthMethod, request, kAttachTimeout);
+  if (!absl::IsUnimplemented(reply.status())) {
+    return reply;
+  }
+  // An agent of an earlier version.
+  return net::CallTyped<AttachReply>(
+    mParts.mRpc, aAgent, kAttachMethod, request, kAttachTimeout);
+}
+
 Duration CellOwner::AttachRound(const AgentId& aAgent, AgentLink& aLink)
 {
   if (mLogic.RunsNothing(aAgent)) {
@@ -192,12 +206,7 @@
     return kAttachRetry;
   }
   const Session session = NextSession();
-  const auto reply = net::CallTyped<AttachReply>(
-    mParts.mRpc,
-    aLink.mEndpoint,
-    kAttachMethod,
-    AttachRequest{ mTerm.OwnGeneration(), session, mParts.mSelf },
-    kAttachTimeout);
+  const auto reply = CallAttach(aLink.mEndpoint, session);
   if (mEnded) {
     return Duration::zero();
   }
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -24,6 +24,16 @@
 /// Time without a reply of the owner after which a new one is searched for.
 constexpr Duration kLostAfter = std::chrono::milliseconds(900);
 
+/// The report as an owner of an earlier version reads it.
+ReportRequest WithoutBirth(ReportRequest aReport)
+{
+  aReport.mState.mInfo.mIncarnation.mBornUnixMs.reset();
+  if (aReport.mChange && aReport.mChange->mInfo) {
+    aReport.mChange->mInfo->mIncarnation.mBornUnixMs.reset();
+  }
+  return aReport;
+}
+
 } // namespace
 
 OwnerLink::OwnerLink(const TaskAgentSettings& aSettings,
@@ -107,8 +117,13 @@
   const Session session = report.mSession;
   ++mReports;
   const Endpoint owner = *mOwner;
+  const bool readsBirth = session != 0 && mReadsBirth == mGeneration;
   const auto reply =
-    CallTyped<ReportReply>(mRpc, owner, kReportMethod, report, kReportTimeout);
+    CallTyped<ReportReply>(mRpc,
+                           owner,
+                           kReportMethod,
+                           readsBirth ? report : WithoutBirth(report),
+                           kReportTimeout);
   if (!reply.ok()) {
     mEncoder.Forget();
     LogWarning("report-failed",
@@ -204,7 +219,8 @@
   return true;
 }
 
-absl::StatusOr<AttachReply> OwnerLink::OnAttach(const AttachRequest& aRequest)
+absl::StatusOr<AttachReply> OwnerLink::OnAttach(const AttachRequest& aRequest,
+                                                OwnerReadsBirth aReadsBirth)
 {
   AttachReply reply;
   reply.mGeneration = mGeneration;
@@ -226,6 +242,12 @@
   reply.mAttached = true;
   reply.mGeneration = mGeneration;
   reply.mState = *state;
+  if (aReadsBirth == OwnerReadsBirth::Yes) {
+    mReadsBirth = mGeneration;
+  } else {
+    mReadsBirth = 0;
+    reply.mState.mInfo.mIncarnation.mBornUnixMs.reset();
+  }
   RequestReport(); // Its reply has the first grant.
   return reply;
 }
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -14,6 +14,13 @@
 
 namespace foxtailbarrow::taskagent {
 
+/// Whether an owner accepts messages that state when the worker started.
+enum class OwnerReadsBirth : std::uint8_t
+{
+  No,
+  Yes,
+};
+
 /// The agent's link to the cell's owner. Sends reports on changes and at
 /// intervals, and finds a new owner through the store or the schedulers when
 /// the owner does not answer.
@@ -40,7 +47,8 @@
 
   /// Handles `agent.attach`.
   absl::StatusOr<cell::AttachReply> OnAttach(
-    const cell::AttachRequest& aRequest);
+    const cell::AttachRequest& aRequest,
+    OwnerReadsBirth aReadsBirth);
 
   cell::Generation KnownGeneration() const { return mGeneration; }
   Instant LastContact() const { return mLastContactAt; }
@@ -69,6 +77,8 @@
   Waker mWaker;
   std::optional<Endpoint> mOwner;
   cell::Generation mGeneration = 0;
+  /// The owner of this generation reads the time of the worker's start.
+  cell::Generation mReadsBirth = 0;
   cell::Session mReportedSession = 0;
   std::optional<cell::Session> mPendingReport; ///< Session of the report.
   bool mReportRequested = false;               ///< While one is pending.
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -17,6 +17,10 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 
+/// How long a worker may take to end after its deregistration. If it answers
+/// for longer, an earlier incarnation sent it.
+constexpr Duration kMaxDeparture = std::chrono::seconds(3);
+
 double Seconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -90,6 +94,7 @@
   }
   mFibers.Repeat(mPollWaker, [this] {
     OnResume();
+    ConfirmDeregistration();
     return mWorker.Poll();
   });
   mFibers.Repeat(mOwner.RoundWaker(), [this] { return mOwner.Round(); });
@@ -100,7 +105,11 @@
 {
   net::AddTyped<AttachRequest>(
     mDispatcher, kAttachMethod, [this](const AttachRequest& aRequest) {
-      return mOwner.OnAttach(aRequest);
+      return mOwner.OnAttach(aRequest, OwnerReadsBirth::No);
+    });
+  net::AddTyped<AttachRequest>(
+    mDispatcher, kAttachWithBirthMethod, [this](const AttachRequest& aRequest) {
+      return mOwner.OnAttach(aRequest, OwnerReadsBirth::Yes);
     });
   net::AddTyped<OrderRequest>(
     mDispatcher, kOrderMethod, [this](const OrderRequest& aRequest) {
@@ -138,6 +147,10 @@
     "serving_over_longest_seconds",
     "Longest time that a serving image was over its target.",
     [this] { return Seconds(mWorker.Throttling().LongestOverTarget()); });
+  mMetrics.SampledGauge(
+    "worker_incarnations",
+    "Processes of the worker that were seen, including restarts.",
+    [this] { return static_cast<double>(mWorker.Incarnations()); });
   mMetrics.SampledGauge(
     "foreign_heartbeats",
     "Heartbeats that are not from this agent's worker.",
@@ -180,7 +193,7 @@
     incarnation == before &&
     aHeartbeat.mInfo.mService != mWorker.Info().mService;
   if (decision == HeartbeatDecision::Foreign || otherService) {
-    OnForeignHeartbeat(incarnation.Value(),
+    OnForeignHeartbeat(incarnation.mId.Value(),
                        otherService ? "another service"
                                     : "implausible sequence number");
     return;
@@ -193,6 +206,9 @@
   if (mHeartbeats.Current() != before) {
     return; // The incarnation changed meanwhile; wait for the next heartbeat.
   }
+  if (incarnation != before) {
+    mAwaitsEndUntil.reset();
+  }
   mHeartbeats.OnAccepted(incarnation, aHeartbeat.mSequence);
   if (mWorker.UpdateInfo(aHeartbeat.mInfo)) {
     mWorker.PollFirst();
@@ -223,10 +239,47 @@
 
 void TaskAgent::OnWorkerMessage(const platform::WorkerDeregistration& aGone)
 {
-  if (!mHeartbeats.OnWorkerLeft(aGone.mIncarnation)) {
+  const DeregistrationDecision decision =
+    mHeartbeats.ClassifyDeregistration(aGone.mIncarnation);
+  LogChange(
+    "worker-deregistered",
+    { { "incarnation", ToString(aGone.mIncarnation) },
+      { "current", ToString(mHeartbeats.Current()) },
+      { "confirms", decision == DeregistrationDecision::Confirm ? 1 : 0 } });
+  if (decision == DeregistrationDecision::Accept) {
+    OnWorkerLeft();
+  } else if (decision == DeregistrationDecision::Confirm) {
+    mAwaitsEndUntil = MonotonicNow() + kMaxDeparture;
+    mPollWaker.Wake();
+  }
+}
+
+/// Also called between polls: the worker may take a while to end.
+void TaskAgent::ConfirmDeregistration()
+{
+  if (!mAwaitsEndUntil) {
     return;
   }
-  LogChange("worker-gone", { { "incarnation", aGone.mIncarnation } });
+  const WorkerIncarnation leaving = mHeartbeats.Current();
+  const bool ended = mWorker.HasEnded();
+  if (mHeartbeats.Current() != leaving) {
+    return; // A heartbeat has shown the next incarnation meanwhile.
+  }
+  if (ended) {
+    OnWorkerLeft();
+  } else if (MonotonicNow() > *mAwaitsEndUntil) {
+    LogWarning("deregistration-ignored",
+               { { "incarnation", ToString(leaving) } });
+    mAwaitsEndUntil.reset();
+  }
+}
+
+void TaskAgent::OnWorkerLeft()
+{
+  mAwaitsEndUntil.reset();
+  mHeartbeats.OnWorkerLeft();
+  LogChange("worker-gone",
+            { { "incarnation", ToString(mHeartbeats.Current()) } });
   WorkerInfo info = mWorker.Info();
   info.mDraining = true;
   info.mDrainLeft = Duration::zero();
--- a/apps/taskagent/TaskAgent.h
+++ b/apps/taskagent/TaskAgent.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "absl/status/status.h"
@@ -41,6 +42,9 @@
   /// After a suspension of the machine, reports at once to find out whether the
   /// session is still in force. Leases expire by the clock.
   void OnResume();
+  /// Finishes a deregistration that awaits confirmation.
+  void ConfirmDeregistration();
+  void OnWorkerLeft();
   void OnForeignHeartbeat(std::string_view aSender, std::string_view aReason);
   void AddMethods();
   void AddViews();
@@ -58,6 +62,8 @@
   StateDump mState;
   AdminPages mAdmin;
   cell::HeartbeatOrder mHeartbeats;
+  /// Until when the end of the current incarnation is awaited.
+  std::optional<Instant> mAwaitsEndUntil;
   cell::LogRateLimiter mForeignLogLimiter;
   std::int64_t mForeignHeartbeats = 0;
   std::unique_ptr<net::HttpServer> mWorkerServer;
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -53,8 +53,8 @@
   if (aInfo.mIncarnation != mInfo.mIncarnation) {
     LogChange(
       "worker-incarnation",
-      { { "incarnation", aInfo.mIncarnation },
-        { "before", mInfo.mIncarnation },
+      { { "incarnation", ToString(aInfo.mIncarnation) },
+        { "before", ToString(mInfo.mIncarnation) },
         { "ran", mStateTracker.Running().size() },
         { "answerAgeMs",
           WholeMilliseconds(MonotonicNow() - mLiveness.LastAnswerAt()) } });
@@ -66,10 +66,14 @@
     mLease.ResetWorker();
     mThrottleController = cell::ThrottleController();
     mLiveness.Begin(MonotonicNow());
+    ++mIncarnations;
+    // A late order to the earlier incarnation must not be carried out by this
+    // one, which has received no fence.
+    RaiseFence(mFence);
   }
   if (aInfo.mDraining != mInfo.mDraining) {
     LogChange("worker-draining",
-              { { "incarnation", aInfo.mIncarnation },
+              { { "incarnation", ToString(aInfo.mIncarnation) },
                 { "draining", aInfo.mDraining ? 1 : 0 } });
   }
   mInfo = aInfo;
@@ -96,8 +100,8 @@
 {
   const auto present = mWorker.IsPresent(aIncarnation, mFence, kPollTimeout);
   LogChange("other-incarnation",
-            { { "incarnation", aIncarnation },
-              { "current", mInfo.mIncarnation },
+            { { "incarnation", ToString(aIncarnation) },
+              { "current", ToString(mInfo.mIncarnation) },
               { "outcome",
                 !present.ok() ? present.status().ToString()
                 : *present    ? "there"
@@ -105,6 +109,13 @@
   return present.ok() && *present;
 }
 
+bool WorkerControl::HasEnded()
+{
+  const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
+  const auto present = mWorker.IsPresent(incarnation, mFence, kPollTimeout);
+  return present.ok() ? !*present : net::IsConnectionRefused(present.status());
+}
+
 absl::StatusOr<cell::WorkerState> WorkerControl::Attach(cell::Session aSession)
 {
   if (mInfo.mIncarnation.Empty()) {
@@ -180,7 +191,7 @@
   auto reply = mWorker.Poll(call, aWait + kPollTimeout);
   const Instant now = MonotonicNow();
   if (incarnation != mInfo.mIncarnation) {
-    return absl::AbortedError("the worker was replaced during the poll");
+    return absl::CancelledError("the worker was replaced during the poll");
   }
   if (!reply.ok()) {
     return reply;
@@ -188,8 +199,9 @@
   mLease.SampleClock(reply->mClock, now);
   const bool ended = mLiveness.Ended();
   if (!mLiveness.OnPoll(now)) {
-    LogChange("worker-answers",
-              { { "incarnation", incarnation }, { "ended", ended ? 1 : 0 } });
+    LogChange(
+      "worker-answers",
+      { { "incarnation", ToString(incarnation) }, { "ended", ended ? 1 : 0 } });
   }
   // The reply to a poll under an older fence may be outdated.
   if (fence == mFence && mStateTracker.OnPoll(*reply, sentAt, now)) {
@@ -205,7 +217,7 @@
   }
   if (const auto reply = PollOnce(Duration::zero(), false); !reply.ok()) {
     LogWarning("worker-not-greeted",
-               { { "incarnation", mInfo.mIncarnation },
+               { { "incarnation", ToString(mInfo.mIncarnation) },
                  { "error", reply.status().ToString() } });
   }
 }
@@ -230,8 +242,11 @@
 
 void WorkerControl::OnPollFailed(const absl::Status& aStatus)
 {
+  // Aborted: another incarnation answers.
+  const bool ends =
+    net::IsConnectionRefused(aStatus) || absl::IsAborted(aStatus);
   const cell::LivenessChange change =
-    mLiveness.OnPollFailed(net::IsConnectionRefused(aStatus), MonotonicNow());
+    mLiveness.OnPollFailed(ends, MonotonicNow());
   if (change == cell::LivenessChange::None) {
     return;
   }
@@ -240,7 +255,7 @@
     RecordCrash();
   }
   LogWarning(ended ? "worker-ended" : "worker-silent",
-             { { "incarnation", mInfo.mIncarnation },
+             { { "incarnation", ToString(mInfo.mIncarnation) },
                { "answerAgeMs",
                  WholeMilliseconds(MonotonicNow() - mLiveness.LastAnswerAt()) },
                { "error", aStatus.ToString() } });
@@ -293,6 +308,10 @@
       mThrottleController.OnThrottled(aChange);
       return;
     }
+    if (absl::IsDeadlineExceeded(status) &&
+        VerdictOf(status) == Verdict::NotRun) {
+      continue;
+    }
     if (VerdictOf(status) != Verdict::MayHaveRun) {
       return;
     }
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -53,6 +53,10 @@
   /// answer.
   bool IsPresent(const cell::WorkerIncarnation& aIncarnation);
 
+  /// True if the current incarnation has certainly ended: its address refuses
+  /// connections, or another one answers there.
+  bool HasEnded();
+
   /// Ends all earlier sessions at the worker and returns its state.
   absl::StatusOr<cell::WorkerState> Attach(cell::Session aSession);
 
@@ -84,6 +88,8 @@
   WorkerSnapshot Snapshot() const;
   /// Number of starts refused because they exceed the worker's capacity.
   std::int64_t RefusedOverCapacity() const { return mRefusedOverCapacity; }
+  /// Incarnations of the worker that were seen.
+  std::int64_t Incarnations() const { return mIncarnations; }
   const ThrottleLog& Throttling() const { return mThrottleLog; }
   /// The session in force; 0 while one begins. The known state may then be
   /// older than the session, and a report could lack running tasks.
@@ -117,6 +123,7 @@
   cell::TaskWorker& mWorker;
   std::function<void()> mOnChange;
   cell::WorkerInfo mInfo;
+  std::int64_t mIncarnations = 0;
   cell::WorkerStateTracker mStateTracker;
   std::deque<cell::CrashedWorker> mCrashes; ///< Newest ones, oldest first.
   cell::CapacityGate mGate;
--- a/apps/taskagent/WorkerControlOrders.cpp
+++ b/apps/taskagent/WorkerControlOrders.cpp
@@ -69,7 +69,7 @@
 bool WorkerControl::InForce(const cell::OrderRequest& aOrders) const
 {
   return aOrders.mSession == mSession &&
-         aOrders.mIncarnation == mInfo.mIncarnation;
+         aOrders.mIncarnation.MayBeSame(mInfo.mIncarnation);
 }
 
 StartOutcome WorkerControl::Start(const cell::OrderRequest& aOrders,
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -247,18 +247,20 @@
                       const std::vector<RunningTask>& aRunning,
                       std::int64_t aOrdersDone,
                       const CellClock& aClock);
-  /// Removes all runs of the worker. Unexplained: it may have crashed.
+  /// Removes all runs of the worker but those that `aListed` contains.
+  /// Unexplained: it may have crashed.
   void OnRunsLost(WorkerEntry& aWorker,
                   std::string_view aReason,
                   LossCause aCause,
-                  const CellClock& aClock);
+                  const CellClock& aClock,
+                  const WorkerState& aListed = {});
   RunNumber NextRun(const TaskEntry& aTask) const;
 
   // Workers (CellSchedulerWorkers.cpp).
   /// The worker refused a start: it gets none until it has answered again.
   void MarkUnhealthy(WorkerEntry& aWorker);
   void UpdateInfo(WorkerEntry& aWorker,
-                  const WorkerInfo& aInfo,
+                  const WorkerState& aState,
                   const CellClock& aClock);
   /// Applies the worker's newest report, already merged into its state.
   void ApplyReport(WorkerEntry& aWorker,
@@ -270,9 +272,12 @@
   void OnReportedCrashes(const WorkerEntry& aWorker,
                          const std::vector<CrashedWorker>& aCrashes,
                          const CellClock& aClock);
-  void OnWorkerReplaced(WorkerEntry& aWorker, const CellClock& aClock);
+  void OnWorkerReplaced(WorkerEntry& aWorker,
+                        const WorkerState& aNext,
+                        const CellClock& aClock);
   void OnWorkerEnded(WorkerEntry& aWorker,
                      std::string_view aReason,
+                     const WorkerState& aNext,
                      const CellClock& aClock);
   void ExpireWorkers(const CellClock& aClock);
   void OnWorkerLeft(const ReportRequest& aReport,
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -20,6 +20,16 @@
            Reservation(aSpec) };
 }
 
+/// True if the state shows the run, as running or ended.
+bool Lists(const WorkerState& aState, const TaskRef& aTask, RunNumber aRun)
+{
+  const auto same = [&](const auto& aEntry) {
+    return aEntry.mTask == aTask && aEntry.mRun == aRun;
+  };
+  return std::ranges::any_of(aState.mRunning, same) ||
+         std::ranges::any_of(aState.mEnded, same);
+}
+
 } // namespace
 
 void CellScheduler::AddRun(JobEntry& aJob,
@@ -283,10 +293,14 @@
 void CellScheduler::OnRunsLost(WorkerEntry& aWorker,
                                std::string_view aReason,
                                LossCause aCause,
-                               const CellClock& aClock)
+                               const CellClock& aClock,
+                               const WorkerState& aListed)
 {
   const auto runs = aWorker.mRuns;
   for (const auto& [task, number] : runs) {
+    if (Lists(aListed, task, number)) {
+      continue;
+    }
     const TaskRun& run =
       *mJobs.at(task.mJob).Find(task)->FindRun(aWorker.mId, number);
     LogDecision(run.mSent ? "task-lost" : "task-start-withdrawn",
--- a/src/core/cell/CellSchedulerWorkers.cpp
+++ b/src/core/cell/CellSchedulerWorkers.cpp
@@ -37,7 +37,7 @@
     std::max(worker.mLeasedUntil, aClock.mNow + mSettings.mMaxTaskLease);
   mOrders.erase(aAgent);
   LogDecision("worker-attached", {}, aAgent, aSession, "session");
-  UpdateInfo(worker, aState.mInfo, aClock);
+  UpdateInfo(worker, aState, aClock);
   OnEndedTasks(worker, aState.mEnded, aClock);
   OnReportedCrashes(worker, aState.mCrashes, aClock);
   OnRunningTasks(worker, aState.mRunning, Duration::zero(), aClock);
@@ -95,7 +95,7 @@
   const bool full = aReport.mBase == 0;
   const WorkerState& state = aWorker.mReported;
   if (full || (aReport.mChange && aReport.mChange->mInfo)) {
-    UpdateInfo(aWorker, state.mInfo, aClock);
+    UpdateInfo(aWorker, state, aClock);
   }
   if (!state.mInfo.mIncarnation.Empty()) {
     mExpectedAgents.erase(aReport.mAgent);
@@ -110,7 +110,7 @@
     ClearUnexplainedLosses(aWorker);
     aWorker.mEnded = false;
   } else if (aReport.mWorkerEnded && !aWorker.mEnded) {
-    OnWorkerEnded(aWorker, "worker-ended", aClock);
+    OnWorkerEnded(aWorker, "worker-ended", {}, aClock);
     aWorker.mEnded = true;
   }
   aWorker.mAnsweredAt = std::max(aWorker.mAnsweredAt, aReport.mAnsweredAt);
@@ -144,8 +144,8 @@
   const bool stale = aInSession
                        ? aReport.mSequence <= worker.mLastSequence
                        : !first && (worker.mLink == WorkerLink::Attached ||
-                                    worker.mInfo.mIncarnation !=
-                                      aReport.mState.mInfo.mIncarnation);
+                                    !worker.mInfo.mIncarnation.MayBeSame(
+                                      aReport.mState.mInfo.mIncarnation));
   if (stale || worker.mLink == WorkerLink::Lost) {
     return;
   }
@@ -153,7 +153,7 @@
   worker.mEndpoint = aReport.mEndpoint;
   mExpectedAgents.erase(aReport.mAgent);
   if (aInSession) {
-    UpdateInfo(worker, aReport.mState.mInfo, aClock);
+    UpdateInfo(worker, aReport.mState, aClock);
     OnEndedTasks(worker, aReport.mState.mEnded, aClock);
   }
   LogDecision("worker-lost", {}, worker.mId, worker.mSession, "left");
@@ -185,7 +185,7 @@
                 {},
                 aWorker.mId,
                 aWorker.mSession,
-                aReport.mState.mInfo.mIncarnation.Value());
+                ToString(aReport.mState.mInfo.mIncarnation));
     aWorker.mSilentLeaseEnd = aClock.mNow + aReport.mLeaseLeft;
     mNeedsPlacement = true;
   }
@@ -276,33 +276,39 @@
 }
 
 void CellScheduler::UpdateInfo(WorkerEntry& aWorker,
-                               const WorkerInfo& aInfo,
+                               const WorkerState& aState,
                                const CellClock& aClock)
 {
-  if (aInfo.mIncarnation.Empty()) {
+  const WorkerInfo& info = aState.mInfo;
+  if (info.mIncarnation.Empty()) {
     return; // The agent has just started and has no answer of its worker yet.
   }
-  if (aWorker.mEnds.Incarnation() != aInfo.mIncarnation) {
-    OnWorkerReplaced(aWorker, aClock);
-    aWorker.mEnds.Reset(aInfo.mIncarnation);
+  if (aWorker.mEnds.Incarnation() != info.mIncarnation) {
+    // An agent of an earlier version does not state when the worker started.
+    // Absent runs are then dropped one by one.
+    if (!aWorker.mInfo.mIncarnation.MayBeSame(info.mIncarnation)) {
+      OnWorkerReplaced(aWorker, aState, aClock);
+    }
+    aWorker.mEnds.Reset(info.mIncarnation);
     aWorker.mForeign.clear();
     aWorker.mAvoidUntil = {};
     aWorker.mFailuresInRow = 0;
     aWorker.mFailingJobs.clear();
   }
-  if (aInfo.mDraining && !aWorker.mInfo.mDraining) {
+  if (info.mDraining && !aWorker.mInfo.mDraining) {
     LogDecision(
-      "worker-draining", {}, aWorker.mId, 0, aInfo.mIncarnation.Value());
+      "worker-draining", {}, aWorker.mId, 0, ToString(info.mIncarnation));
   }
-  if (aInfo.mDraining) {
-    aWorker.mLeavesAt = aClock.mNow + aInfo.mDrainLeft;
+  if (info.mDraining) {
+    aWorker.mLeavesAt = aClock.mNow + info.mDrainLeft;
   }
-  mNeedsPlacement = mNeedsPlacement || aWorker.mInfo != aInfo;
-  aWorker.mInfo = aInfo;
+  mNeedsPlacement = mNeedsPlacement || aWorker.mInfo != info;
+  aWorker.mInfo = info;
 }
 
 /// Another incarnation of the worker answers.
 void CellScheduler::OnWorkerReplaced(WorkerEntry& aWorker,
+                                     const WorkerState& aNext,
                                      const CellClock& aClock)
 {
   if (aWorker.mInfo.mIncarnation.Empty()) {
@@ -312,13 +318,15 @@
     aWorker.mEnded = false; // Its end is already handled.
     return;
   }
-  OnWorkerEnded(aWorker, "worker-restarted", aClock);
+  OnWorkerEnded(aWorker, "worker-restarted", aNext, aClock);
 }
 
-/// All runs of the incarnation are lost. Unless it was draining, it has
-/// crashed.
+/// All runs of the incarnation are lost but those that `aNext` lists: a late
+/// order can be carried out by the next incarnation. Unless it was draining, it
+/// has crashed.
 void CellScheduler::OnWorkerEnded(WorkerEntry& aWorker,
                                   std::string_view aReason,
+                                  const WorkerState& aNext,
                                   const CellClock& aClock)
 {
   const bool crashed = !aWorker.mInfo.mDraining;
@@ -326,10 +334,10 @@
               {},
               aWorker.mId,
               static_cast<RunNumber>(aWorker.mRuns.size()),
-              aWorker.mInfo.mIncarnation.Value());
+              ToString(aWorker.mInfo.mIncarnation));
   const CrashedWorker crash = CrashOf(aWorker);
   aWorker.mUnexplained.clear();
-  OnRunsLost(aWorker, aReason, LossCause::Known, aClock);
+  OnRunsLost(aWorker, aReason, LossCause::Known, aClock, aNext);
   if (crashed) {
     ++mCrashCounters.mWorkers;
     aWorker.mCrashedAt = aClock.mNow;
--- a/src/core/cell/HeartbeatOrder.cpp
+++ b/src/core/cell/HeartbeatOrder.cpp
@@ -36,13 +36,14 @@
   mGone = false;
 }
 
-bool HeartbeatOrder::OnWorkerLeft(const WorkerIncarnation& aIncarnation)
+DeregistrationDecision HeartbeatOrder::ClassifyDeregistration(
+  const WorkerIncarnation& aIncarnation) const
 {
-  if (aIncarnation != mCurrent || mGone) {
-    return false;
+  if (mGone || !aIncarnation.MayBeSame(mCurrent)) {
+    return DeregistrationDecision::Ignore;
   }
-  mGone = true;
-  return true;
+  return aIncarnation == mCurrent ? DeregistrationDecision::Accept
+                                  : DeregistrationDecision::Confirm;
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/HeartbeatOrder.h
+++ b/src/core/cell/HeartbeatOrder.h
@@ -16,6 +16,15 @@
            ///< is newer, or a late heartbeat of one that has crashed.
 };
 
+/// What to do with a worker's deregistration.
+enum class DeregistrationDecision : std::uint8_t
+{
+  Accept,
+  Ignore,  ///< From another incarnation, or repeated.
+  Confirm, ///< It does not state when its sender started: the current
+           ///< incarnation has left if it does not answer any more.
+};
+
 /// Orders the heartbeats that an agent receives: within one incarnation by
 /// sequence number, between incarnations by asking the worker. Does no I/O.
 class HeartbeatOrder
@@ -27,8 +36,11 @@
   void OnAccepted(const WorkerIncarnation& aIncarnation,
                   std::int64_t aSequence);
 
-  /// The worker announces that it leaves. False when it is not the current one.
-  bool OnWorkerLeft(const WorkerIncarnation& aIncarnation);
+  DeregistrationDecision ClassifyDeregistration(
+    const WorkerIncarnation& aIncarnation) const;
+
+  /// The current incarnation has left.
+  void OnWorkerLeft() { mGone = true; }
 
   const WorkerIncarnation& Current() const { return mCurrent; }
 
--- a/src/core/cell/WorkerLiveness.h
+++ b/src/core/cell/WorkerLiveness.h
@@ -21,9 +21,9 @@
 public:
   /// A worker that answers no poll for this long counts as silent.
   static constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
-  /// A worker whose machine refuses this many connections in a row has ended:
-  /// no other process listens there, and a worker that is partitioned, hangs or
-  /// is overloaded does not answer at all.
+  /// A worker whose machine refuses this many connections in a row, or answers
+  /// as another incarnation, has ended: no other process listens there, and a
+  /// worker that is partitioned, hangs or is overloaded does not answer at all.
   static constexpr int kRefusalsToEnd = 2;
 
   /// An incarnation begins.
--- a/src/core/cell/WorkerState.h
+++ b/src/core/cell/WorkerState.h
@@ -10,13 +10,10 @@
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CrashedWorker.h"
 #include "src/core/cell/TaskRef.h"
+#include "src/core/cell/WorkerIncarnation.h"
 
 namespace foxtailbarrow::cell {
 
-/// Identifies one process of a worker: a restarted worker has another
-/// incarnation and runs nothing.
-using WorkerIncarnation = Id<struct WorkerIncarnationTag>;
-
 /// What a worker reports about itself.
 struct WorkerInfo
 {
--- a/src/core/message/detail/CellWorkerFields.h
+++ b/src/core/message/detail/CellWorkerFields.h
@@ -9,7 +9,8 @@
 template<typename Visitor, Is<cell::WorkerInfo> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Optional("incarnation", aMessage.mIncarnation);
+  aVisitor.Optional("incarnation", aMessage.mIncarnation.mId);
+  aVisitor.Optional("bornUnixMs", aMessage.mIncarnation.mBornUnixMs);
   aVisitor.Optional("service", aMessage.mService);
   aVisitor.Optional("failureDomain", aMessage.mFailureDomain);
   aVisitor.Optional("rack", aMessage.mRack);
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -108,10 +108,10 @@
 /// incarnation before.
 std::int64_t NextBirth(Duration aClockStep, std::int64_t aBefore)
 {
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-                     std::chrono::system_clock::now().time_since_epoch() +
-                     aClockStep)
-                     .count();
+  const auto now =
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch() + aClockStep)
+      .count();
   return now == aBefore ? now + 1 : now;
 }
 
@@ -153,8 +153,10 @@
 absl::Status TaskWorkerService::Listen()
 {
   auto server = net::HttpServer::Start(
-    mRuntime, mRegistration.mListen, [this](net::HttpRequest& aRequest) {
-      return Handle(aRequest);
+    mRuntime,
+    mRegistration.mListen,
+    [this, incarnation = mIncarnations + 1](net::HttpRequest& aRequest) {
+      return Handle(aRequest, incarnation);
     });
   if (!server.ok()) {
     return server.status();
@@ -173,7 +175,14 @@
 {
   mUp = false;
   mModel->Crash();
-  if (mIncarnations % 2 == 0 && mServer != nullptr) {
+  if (mIncarnations % 2 == 0) {
+    CloseServer();
+  }
+}
+
+void TaskWorkerService::CloseServer()
+{
+  if (mServer != nullptr) {
     mServer->Drain();
     mClosedServer = std::move(mServer);
   }
@@ -181,6 +190,9 @@
 
 void TaskWorkerService::Restart(RestartId aId)
 {
+  if (mIncarnations > 0) {
+    CloseServer();
+  }
   while (mServer == nullptr) {
     if (const absl::Status status = Listen(); !status.ok()) {
       std::cerr << mRegistration.mName << ": " << status << std::endl;
@@ -287,10 +299,11 @@
   }
 }
 
-net::HttpResponse TaskWorkerService::LeaveUnanswered()
+net::HttpResponse TaskWorkerService::LeaveUnanswered(int aIncarnation)
 {
   const Instant end = MonotonicNow() + kSilenceTimeout;
-  while (mServer != nullptr && MonotonicNow() < end) {
+  while (mServer != nullptr && aIncarnation == mIncarnations &&
+         MonotonicNow() < end) {
     boost::this_fiber::sleep_for(kTick);
   }
   net::HttpResponse response;
@@ -298,10 +311,12 @@
   return response;
 }
 
-net::HttpResponse TaskWorkerService::Handle(const net::HttpRequest& aRequest)
+/// `aIncarnation`: the one that accepted the connection, which ends with it.
+net::HttpResponse TaskWorkerService::Handle(const net::HttpRequest& aRequest,
+                                            int aIncarnation)
 {
-  if (!mUp || mFaults.mMute) {
-    return LeaveUnanswered();
+  if (aIncarnation != mIncarnations || !mUp || mFaults.mMute) {
+    return LeaveUnanswered(aIncarnation);
   }
   const bool executeLate =
     std::uniform_real_distribution<double>(0, 1)(mRandom) < mFaults.mLateShare;
@@ -316,7 +331,7 @@
       mExecutesLate = false;
     }
   });
-  return LeaveUnanswered();
+  return LeaveUnanswered(aIncarnation);
 }
 
 net::HttpResponse TaskWorkerService::Execute(const net::HttpRequest& aRequest)
@@ -373,6 +388,7 @@
 net::HttpResponse TaskWorkerService::Poll(const Json::Value& aBody)
 {
   const std::shared_ptr<TaskWorkerModel> model = mModel;
+  const int incarnation = mIncarnations;
   cell::PollCall call;
   call.mFence = NumberOf(aBody, "Fence");
   call.mAcknowledged = NumberOf(aBody, "Acked");
@@ -393,7 +409,7 @@
     boost::this_fiber::sleep_for(kTick);
   }
   if (!mUp || model != mModel) {
-    return LeaveUnanswered();
+    return LeaveUnanswered(incarnation);
   }
   model->Advance(MonotonicNow());
   Json::Value view = ViewBody(model->View(MonotonicNow()));
--- a/standins/taskworker/TaskWorkerService.h
+++ b/standins/taskworker/TaskWorkerService.h
@@ -92,12 +92,13 @@
                     unsigned aSeed,
                     RunEventSink aSink);
 
-  net::HttpResponse Handle(const net::HttpRequest& aRequest);
+  net::HttpResponse Handle(const net::HttpRequest& aRequest, int aIncarnation);
   net::HttpResponse Execute(const net::HttpRequest& aRequest);
   void SendHeartbeat();
   net::HttpResponse Poll(const Json::Value& aBody);
-  net::HttpResponse LeaveUnanswered();
+  net::HttpResponse LeaveUnanswered(int aIncarnation);
   absl::Status Listen();
+  void CloseServer();
   void RunHeartbeats();
   void Tick();
   void CrashAndRestart();
--- a/tests/cell/HeartbeatOrderTest.cpp
+++ b/tests/cell/HeartbeatOrderTest.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -26,7 +27,9 @@
   HeartbeatOrder order;
   order.OnAccepted(WorkerIncarnation("x"), 5);
   if (GetParam().mLeft) {
-    EXPECT_TRUE(order.OnWorkerLeft(WorkerIncarnation("x")));
+    EXPECT_EQ(order.ClassifyDeregistration(WorkerIncarnation("x")),
+              DeregistrationDecision::Accept);
+    order.OnWorkerLeft();
   }
   EXPECT_EQ(order.Classify(WorkerIncarnation(GetParam().mIncarnation),
                            GetParam().mSequence),
@@ -73,11 +76,65 @@
 {
   HeartbeatOrder order;
   order.OnAccepted(WorkerIncarnation("y"), 1);
-  EXPECT_FALSE(order.OnWorkerLeft(WorkerIncarnation("x")));
+  EXPECT_EQ(order.ClassifyDeregistration(WorkerIncarnation("x")),
+            DeregistrationDecision::Ignore);
   EXPECT_EQ(order.Classify(WorkerIncarnation("y"), 2),
             HeartbeatDecision::Accept);
 }
 
+constexpr std::int64_t kBorn = 1'700'000'000'000;
+
+struct IncarnationCase
+{
+  const char* mName;
+  std::optional<std::int64_t> mBornUnixMs;
+  HeartbeatDecision mHeartbeat;
+  DeregistrationDecision mDeregistration;
+};
+
+class RestartedUnderItsId : public testing::TestWithParam<IncarnationCase>
+{};
+
+/// A worker that restarted under its id counts its heartbeats from 1.
+TEST_P(RestartedUnderItsId, IsAnotherIncarnation)
+{
+  HeartbeatOrder order;
+  order.OnAccepted(WorkerIncarnation("x", kBorn), 5);
+  const WorkerIncarnation next("x", GetParam().mBornUnixMs);
+  EXPECT_EQ(order.Classify(next, 1), GetParam().mHeartbeat);
+  EXPECT_EQ(order.ClassifyDeregistration(next), GetParam().mDeregistration);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  RestartedUnderItsId,
+  testing::Values(IncarnationCase{ "Later",
+                                   kBorn + 1,
+                                   HeartbeatDecision::Confirm,
+                                   DeregistrationDecision::Ignore },
+                  IncarnationCase{ "BySteppedClockEarlier",
+                                   kBorn - 60'000,
+                                   HeartbeatDecision::Confirm,
+                                   DeregistrationDecision::Ignore },
+                  IncarnationCase{ "NotStated",
+                                   std::nullopt,
+                                   HeartbeatDecision::Confirm,
+                                   DeregistrationDecision::Confirm },
+                  IncarnationCase{ "TheSame",
+                                   kBorn,
+                                   HeartbeatDecision::Ignore,
+                                   DeregistrationDecision::Accept }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+TEST(RestartedAfterLeaving, IsAnotherIncarnation)
+{
+  HeartbeatOrder order;
+  order.OnAccepted(WorkerIncarnation("x", kBorn), 5);
+  order.OnWorkerLeft();
+  EXPECT_EQ(order.Classify(WorkerIncarnation("x", kBorn + 1), 1),
+            HeartbeatDecision::Confirm);
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::cell::test
--- a/tests/platform/AdviceCodecTest.cpp
+++ b/tests/platform/AdviceCodecTest.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -12,24 +13,26 @@
 
 using std::chrono::milliseconds;
 
+const std::vector<cell::WorkerIncarnation> kWorkers{
+  cell::WorkerIncarnation("i-1", 1'700'000),
+  cell::WorkerIncarnation("i-2")
+};
 const cell::TaskRef kTask{ JobId("5c0e7a21d94b36f8"), 0, 1, 0 };
 
 TEST(AdviceCodec, FormatsStepAndWorkersOfAQuery)
 {
-  EXPECT_EQ(FormatAdviceQuery({ kTask,
-                                { cell::WorkerIncarnation("i-1"),
-                                  cell::WorkerIncarnation("i-2") },
-                                {} }),
+  EXPECT_EQ(FormatAdviceQuery({ kTask, kWorkers, {} }),
             R"({"Step":"5c0e7a21d94b36f8.0.1","Workers":["i-1","i-2"]})");
 }
 
 TEST(AdviceCodec, ParsesTickets)
 {
-  const auto reply =
-    ParseAdvice(R"({"Granted":[["i-1","c81e"]],"ValidMs":3000,"New":1})");
+  const auto reply = ParseAdvice(
+    R"({"Granted":[["i-1","c81e"],["i-9","x"]],"ValidMs":3000,"New":1})",
+    kWorkers);
   ASSERT_TRUE(reply.ok()) << reply.status();
   ASSERT_EQ(reply->mGranted.size(), 1U);
-  EXPECT_EQ(reply->mGranted[0].mWorker, cell::WorkerIncarnation("i-1"));
+  EXPECT_EQ(reply->mGranted[0].mWorker, kWorkers[0]);
   EXPECT_EQ(reply->mGranted[0].mTicket, "c81e");
   EXPECT_EQ(reply->mTicketLifetime, milliseconds(3000));
 }
@@ -39,7 +42,7 @@
 
 TEST_P(BadAdvice, IsRefused)
 {
-  EXPECT_FALSE(ParseAdvice(GetParam()).ok());
+  EXPECT_FALSE(ParseAdvice(GetParam(), kWorkers).ok());
 }
 
 INSTANTIATE_TEST_SUITE_P(Table,
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -1,10 +1,13 @@
+#include <optional>
 #include <string>
 
 #include <gtest/gtest.h>
 
 #include "platform/ConfigurationCodec.h"
+#include "platform/IncarnationCodec.h"
 #include "platform/KvCodec.h"
 #include "platform/TaskName.h"
+#include "platform/WireJson.h"
 #include "platform/WorkerCodec.h"
 #include "platform/WorkerHeartbeat.h"
 
@@ -199,6 +202,74 @@
   EXPECT_EQ(heartbeat.mInfo.mDrainLeft, std::chrono::milliseconds(900));
 }
 
+TEST(WorkerHeartbeat, StatesWhenTheWorkerStarted)
+{
+  net::HttpRequest request;
+  request.mMethod = "PUT";
+  request.mTarget = "/runners/i-1";
+  request.mBody =
+    R"({"Service":"s","Zone":"z","State":"ready","CallSeq":1,
+        "Capacity":{"Cpu":1,"MemMb":1},"born":1764793845123})";
+  const auto message = ParseWorkerMessage(request);
+  ASSERT_TRUE(message.ok());
+  EXPECT_EQ(std::get<WorkerHeartbeat>(*message).mInfo.mIncarnation,
+            cell::WorkerIncarnation("i-1", 1'764'793'845'123));
+}
+
+struct DeregistrationCase
+{
+  const char* mBody;
+  std::optional<cell::WorkerIncarnation> mSender; ///< Empty: refused.
+};
+
+class Deregistrations : public testing::TestWithParam<DeregistrationCase>
+{};
+
+TEST_P(Deregistrations, MayStateWhenTheWorkerStarted)
+{
+  net::HttpRequest request;
+  request.mMethod = "DELETE";
+  request.mTarget = "/runners/i-1";
+  request.mBody = GetParam().mBody;
+  const auto message = ParseWorkerMessage(request);
+  ASSERT_EQ(message.ok(), GetParam().mSender.has_value());
+  if (message.ok()) {
+    EXPECT_EQ(std::get<WorkerDeregistration>(*message).mIncarnation,
+              GetParam().mSender);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  Deregistrations,
+  testing::Values(DeregistrationCase{ "", cell::WorkerIncarnation("i-1") },
+                  DeregistrationCase{ "{}", cell::WorkerIncarnation("i-1") },
+                  DeregistrationCase{ R"({"born":7})",
+                                      cell::WorkerIncarnation("i-1", 7) },
+                  DeregistrationCase{ R"({"born":-7})", std::nullopt },
+                  DeregistrationCase{ "[", std::nullopt }));
+
+class BadTimesOfStart : public testing::TestWithParam<const char*>
+{};
+
+TEST_P(BadTimesOfStart, AreRefused)
+{
+  const auto body = ParseObject(std::string(R"({"born":)") + GetParam() + "}");
+  ASSERT_TRUE(body.ok());
+  EXPECT_FALSE(ReadIncarnation(cell::WorkerId("i-1"), *body).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BadTimesOfStart,
+                         testing::Values("-1",
+                                         "1.5",
+                                         "\"1764793845123\"",
+                                         "1e300",
+                                         "18446744073709551615",
+                                         "253402300800000",
+                                         "true",
+                                         "[1]"));
+
 struct HeartbeatCase
 {
   const char* mMethod;
@@ -226,6 +297,10 @@
     HeartbeatCase{ "GET", "/runners/i-1", "" },
     HeartbeatCase{ "PUT", "/runners/", "{}" },
     HeartbeatCase{ "PUT", "/runners/i-1", "[" },
+    HeartbeatCase{ "PUT",
+                   "/runners/i-1",
+                   R"({"Service":"s","Zone":"z","State":"ready","CallSeq":1,
+                       "Capacity":{"Cpu":1,"MemMb":1},"born":-1})" },
     HeartbeatCase{ "PUT", "/runners/i-1", R"({"Zone":1})" },
     HeartbeatCase{ "PUT", "/runners/i-1", R"({"Labels":[1]})" },
     HeartbeatCase{ "PUT", "/runners/i-1", R"({"Capacity":{"Cpu":-1}})" }));
--- a/tests/taskagent/RestartedWorkerTest.cpp
+++ b/tests/taskagent/RestartedWorkerTest.cpp
@@ -110,6 +110,33 @@
   });
 }
 
+/// Its messages would be refused for an unknown field.
+TEST_F(TaskAgentTest, AnOwnerOfAnEarlierVersionIsNotToldTheTimeOfStart)
+{
+  mTestRuntime.RunAndWait([this] {
+    const auto earlier = Attach(cell::kAttachMethod);
+    ASSERT_TRUE(earlier.ok()) << earlier.status();
+    const cell::WorkerId worker(mWorker->Id());
+    EXPECT_EQ(earlier->mState.mInfo.mIncarnation,
+              cell::WorkerIncarnation(worker.Value()));
+    ASSERT_TRUE(
+      Await([&] { return mReported.mInfo.mIncarnation.mId == worker; }));
+    EXPECT_FALSE(mReported.mInfo.mIncarnation.mBornUnixMs);
+    EXPECT_TRUE(RunsToItsEnd());
+  });
+}
+
+TEST_F(TaskAgentTest, ItsOwnerIsToldTheTimeOfStart)
+{
+  mTestRuntime.RunAndWait([this] {
+    const auto attached = Attach();
+    ASSERT_TRUE(attached.ok()) << attached.status();
+    const cell::WorkerIncarnation worker(mWorker->Id(), mWorker->BornUnixMs());
+    EXPECT_EQ(attached->mState.mInfo.mIncarnation, worker);
+    EXPECT_TRUE(Await([&] { return mReported.mInfo.mIncarnation == worker; }));
+  });
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::taskagent::test
--- a/tests/taskagent/TaskAgentFixture.h
+++ b/tests/taskagent/TaskAgentFixture.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/fiber/operations.hpp>
@@ -72,14 +73,15 @@
   }
 
   /// Attaches the agent and returns its reply, or an error on a timeout.
-  absl::StatusOr<cell::AttachReply> Attach()
+  absl::StatusOr<cell::AttachReply> Attach(
+    std::string_view aMethod = cell::kAttachWithBirthMethod)
   {
     const Instant end = MonotonicNow() + kTimeout;
     for (;;) {
       auto reply = net::CallTyped<cell::AttachReply>(
         mRpc,
         mSettings.mListen,
-        cell::kAttachMethod,
+        aMethod,
         cell::AttachRequest{ 1, kSession, mOwner->ListeningEndpoint() },
         std::chrono::seconds(2));
       if ((reply.ok() && reply->mAttached) || MonotonicNow() > end) {
@@ -101,10 +103,12 @@
   static bool Await(const Condition& aCondition)
   {
     const Instant end = MonotonicNow() + kTimeout;
-    while (!aCondition() && MonotonicNow() < end) {
+    bool holds = aCondition();
+    while (!holds && MonotonicNow() < end) {
       boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+      holds = aCondition();
     }
-    return aCondition();
+    return holds;
   }
 
   /// Orders starts of 1000 millicores each, for the incarnation that the agent
@@ -189,7 +193,7 @@
   std::unique_ptr<net::HttpServer> mOwner;
   std::unique_ptr<TaskAgent> mAgent;
   std::unique_ptr<standin::TaskWorkerService> mWorker;
-  cell::WorkerState mReported; ///< Of the newest report.
+  cell::WorkerState mReported;          ///< Of the newest report.
   std::set<std::int32_t> mReportedEnds; ///< Indexes of tasks.
   int mStarts = 0;
   int mAnswered = 0;
--- a/tests/taskagent/TaskAgentTest.cpp
+++ b/tests/taskagent/TaskAgentTest.cpp
@@ -47,8 +47,7 @@
     EXPECT_TRUE(mClient.Call(mSettings.mControl, late, seconds(2)).ok());
     const auto attached = Attach();
     ASSERT_TRUE(attached.ok()) << attached.status();
-    EXPECT_EQ(attached->mState.mInfo.mIncarnation.Value(),
-              mWorker->Id());
+    EXPECT_EQ(attached->mState.mInfo.mIncarnation.mId.Value(), mWorker->Id());
     EXPECT_EQ(attached->mState.mInfo.mCapacity.mMillicores, 16'000);
   });
 }
