An incarnation that never answered is not taken for ended

What callers would see: two runs of a task at once. A restarted agent can take a late heartbeat of a crashed incarnation for that of its worker. Two polls that find another incarnation then ended the one that it knew, and a session with the owner began with the dead incarnation: the owner, which knows the next one, would count its runs as lost while they go on.

--- a/tests/taskagent/WorkerControlTest.cpp
+++ b/tests/taskagent/WorkerControlTest.cpp
@@ -27,6 +27,7 @@
   int mStarts = 0;                  ///< Number of calls.
   bool mDropsCalls = false;         ///< Ignores calls without an answer.
   bool mRefusesConnections = false; ///< Nothing listens at its address.
+  bool mIsAnother = false;          ///< Another incarnation answers.
 
   void Expect(const cell::WorkerIncarnation&) override {}
 
@@ -66,6 +67,10 @@
       return net::WithConnectionRefused(WithVerdict(
         absl::UnavailableError("connection refused"), Verdict::NotRun));
     }
+    if (mIsAnother) {
+      return WithVerdict(absl::AbortedError("another incarnation answers"),
+                         Verdict::NotRun);
+    }
     if (mDropsCalls) {
       return Timeout();
     }
@@ -207,6 +212,31 @@
   });
 }
 
+TEST_F(WorkerControlTest, AWorkerThatAnswersAsAnotherIncarnationHasEnded)
+{
+  RunOnFiber([&] {
+    Attach();
+    mWorker.mIsAnother = true;
+    mControl->Poll();
+    mControl->Poll();
+    EXPECT_TRUE(mControl->Snapshot().mEnded);
+    EXPECT_TRUE(mControl->Snapshot().mState.mRunning.empty());
+  });
+}
+
+/// A restarted agent took a late heartbeat of a crashed incarnation for that of
+/// its worker. The owner, which knew of the next one, would have counted the
+/// runs of that one as lost.
+TEST_F(WorkerControlTest, AnIncarnationThatNeverAnsweredHasNotEnded)
+{
+  RunOnFiber([&] {
+    mWorker.mAnswers = true;
+    mWorker.mIsAnother = true;
+    EXPECT_FALSE(mControl->Attach(kSession).ok());
+    EXPECT_FALSE(mControl->Snapshot().mEnded);
+  });
+}
+
 TEST_F(WorkerControlTest, AWorkerThatDoesNotAnswerHasNotEnded)
 {
   RunOnFiber([&] {
