--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -244,9 +244,8 @@
 {
   // Aborted: another incarnation answers. One that never answered before may be
   // the earlier of the two, known by a late heartbeat.
-  const bool ends =
-    net::IsConnectionRefused(aStatus) ||
-    (absl::IsAborted(aStatus) && mLease.HasClockSample());
+  const bool ends = net::IsConnectionRefused(aStatus) ||
+                    (absl::IsAborted(aStatus) && mLease.HasClockSample());
   const cell::LivenessChange change =
     mLiveness.OnPollFailed(ends, MonotonicNow());
   if (change == cell::LivenessChange::None) {
