--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -353,6 +353,10 @@
 
   // Placing (CellSchedulerPlacing.cpp).
   void RefreshInterference(WorkerEntry& aWorker, Instant aNow);
+  static Duration IdleTime(const JobEntry& aJob,
+                           const TaskRef& aTask,
+                           Instant aNow);
+  const char* HeldBy(JobEntry& aJob, const TaskRef& aTask, Instant aNow) const;
   bool Starving(const JobEntry& aJob, const TaskRef& aTask, Instant aNow) const;
   bool MayRunUnreported(const JobEntry& aJob, Instant aNow) const;
   std::vector<Candidate> Candidates(const CellClock& aClock);
--- a/src/core/cell/CellSchedulerPlacing.cpp
+++ b/src/core/cell/CellSchedulerPlacing.cpp
@@ -107,11 +107,10 @@
   return aJob.mInherited && !mExpectedAgents.empty() && aNow < mExpectedUntil;
 }
 
-/// True when no task of the step's occurrence has run for mStarvingAfter and
-/// the cell is not busy.
-bool CellScheduler::Starving(const JobEntry& aJob,
-                             const TaskRef& aTask,
-                             Instant aNow) const
+/// For how long no task of the step's occurrence has run.
+Duration CellScheduler::IdleTime(const JobEntry& aJob,
+                                 const TaskRef& aTask,
+                                 Instant aNow)
 {
   const OccurrenceEntry& occurrence =
     aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)];
@@ -119,12 +118,21 @@
   for (const StepEntry& step : occurrence.mSteps) {
     for (const TaskEntry& task : step.mTasks) {
       if (!task.mRuns.empty()) {
-        return false;
+        return Duration::zero();
       }
       since = std::max(since, task.mIdleSince);
     }
   }
-  return aNow - since > mSettings.mStarvingAfter &&
+  return aNow - since;
+}
+
+/// True when no task of the step's occurrence has run for mStarvingAfter and
+/// the cell is not busy.
+bool CellScheduler::Starving(const JobEntry& aJob,
+                             const TaskRef& aTask,
+                             Instant aNow) const
+{
+  return IdleTime(aJob, aTask, aNow) > mSettings.mStarvingAfter &&
          mReservedShare < mSettings.mBusyShare;
 }
 
--- a/src/core/cell/CellSchedulerWaiting.cpp
+++ b/src/core/cell/CellSchedulerWaiting.cpp
@@ -16,6 +16,11 @@
 /// Waiting steps are logged this often, one line per image.
 constexpr Duration kLogWaitingInterval = std::chrono::seconds(1);
 
+/// A job without a running task for this long is logged. The bound for callers
+/// is 3 s.
+constexpr Duration kLongIdle = std::chrono::milliseconds(1500);
+constexpr int kMaxIdleJobsLogged = 5;
+
 std::string ToText(const RefusalCounts& aCounts)
 {
   std::string text;
@@ -88,8 +93,23 @@
                            images));
 }
 
-/// Logs, for the first waiting step of each best-effort image, why no worker
-/// accepts it.
+/// What else than the workers may keep the task from being placed.
+const char* CellScheduler::HeldBy(JobEntry& aJob,
+                                  const TaskRef& aTask,
+                                  Instant aNow) const
+{
+  const TaskEntry& task = *aJob.Find(aTask);
+  if (task.mNotBefore > aNow) {
+    return "pause";
+  }
+  if (!CrashesAllowStart(aJob, aTask, aNow)) {
+    return "crashes";
+  }
+  return task.mCrashes.Suspect() ? "trial" : "none";
+}
+
+/// Logs, for the first waiting step of each best-effort image and for jobs that
+/// have been idle for long, why no worker accepts it.
 void CellScheduler::LogWaiting(const std::vector<Candidate>& aCandidates,
                                const CellClock& aClock)
 {
@@ -99,13 +119,21 @@
   mWaitingLoggedAt = aClock.mNow;
   LogLoad();
   std::set<std::string> loggedImages;
+  int idleJobs = 0;
   for (const Candidate& candidate : aCandidates) {
     JobEntry& job = mJobs.at(candidate.mFirstTask.mJob);
     const StepSpec& spec = job.Spec(candidate.mFirstTask);
     std::vector<TaskEntry>& tasks = job.StepOf(candidate.mFirstTask).mTasks;
     const auto idle = std::ranges::find_if(tasks, &TaskEntry::Idle);
-    if (!spec.mBestEffort || idle == tasks.end() ||
-        !loggedImages.insert(spec.mImage).second) {
+    if (idle == tasks.end()) {
+      continue;
+    }
+    const Duration idleTime = IdleTime(job, candidate.mFirstTask, aClock.mNow);
+    const bool first =
+      spec.mBestEffort && loggedImages.insert(spec.mImage).second;
+    const bool longIdle =
+      idleTime > kLongIdle && ++idleJobs <= kMaxIdleJobsLogged;
+    if (!first && !longIdle) {
       continue;
     }
     TaskRef task = candidate.mFirstTask;
@@ -122,8 +150,11 @@
                              spec.mImage,
                              " idle=",
                              std::ranges::count_if(tasks, &TaskEntry::Idle),
+                             " heldBy=",
+                             HeldBy(job, task, aClock.mNow),
                              " ",
-                             ToText(refusals)));
+                             ToText(refusals)),
+                WholeMilliseconds(idleTime));
   }
 }
 
