--- a/soak/ForeignWriter.cpp
+++ b/soak/ForeignWriter.cpp
@@ -91,8 +91,7 @@
   const bool own = mRandom() % 2 == 0;
   net::HttpRequest request;
   request.mMethod = "PUT";
-  request.mTarget =
-    "/runners/" + (own ? mFleet.Worker(agent).Id() : "foreign");
+  request.mTarget = "/runners/" + (own ? mFleet.Worker(agent).Id() : "foreign");
   request.mBody = BadText();
   // The agent may be down, and is expected to reject the heartbeat.
   (void)mClient.Call(mFleet.AgentControl(agent), request, kHeartbeatTimeout);
