Name the start time plainly; copy no report for owners that read it

A report is copied only for an owner of an earlier version. A deregistration that awaits confirmation, too, takes another incarnation's answer as the end of the current one only if that one has answered before, as polls do since.

--- a/apps/scheduler/CellOwnerAgents.cpp
+++ b/apps/scheduler/CellOwnerAgents.cpp
@@ -184,7 +184,7 @@
 {
   const AttachRequest request{ mTerm.OwnGeneration(), aSession, mParts.mSelf };
   auto reply = net::CallTyped<AttachReply>(
-    mParts.mRpc, aAgent, kAttachWithBirthMethod, request, kAttachTimeout);
+    mParts.mRpc, aAgent, kAttachWithStartTimeMethod, request, kAttachTimeout);
   if (!absl::IsUnimplemented(reply.status())) {
     return reply;
   }
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -1,6 +1,7 @@
 #include "apps/taskagent/OwnerLink.h"
 
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "src/core/cell/CellRecords.h"
@@ -25,11 +26,11 @@
 constexpr Duration kLostAfter = std::chrono::milliseconds(900);
 
 /// The report as an owner of an earlier version reads it.
-ReportRequest WithoutBirth(ReportRequest aReport)
+ReportRequest WithoutStartTime(ReportRequest aReport)
 {
-  aReport.mState.mInfo.mIncarnation.mBornUnixMs.reset();
+  aReport.mState.mInfo.mIncarnation.mStartedUnixMs.reset();
   if (aReport.mChange && aReport.mChange->mInfo) {
-    aReport.mChange->mInfo->mIncarnation.mBornUnixMs.reset();
+    aReport.mChange->mInfo->mIncarnation.mStartedUnixMs.reset();
   }
   return aReport;
 }
@@ -117,13 +118,11 @@
   const Session session = report.mSession;
   ++mReports;
   const Endpoint owner = *mOwner;
-  const bool readsBirth = session != 0 && mReadsBirth == mGeneration;
-  const auto reply =
-    CallTyped<ReportReply>(mRpc,
-                           owner,
-                           kReportMethod,
-                           readsBirth ? report : WithoutBirth(report),
-                           kReportTimeout);
+  const bool readsStartTime = session != 0 && mReadsStartTime == mGeneration;
+  const std::optional<ReportRequest> reduced =
+    readsStartTime ? std::nullopt : std::optional(WithoutStartTime(report));
+  const auto reply = CallTyped<ReportReply>(
+    mRpc, owner, kReportMethod, reduced ? *reduced : report, kReportTimeout);
   if (!reply.ok()) {
     mEncoder.Forget();
     LogWarning("report-failed",
@@ -219,8 +218,9 @@
   return true;
 }
 
-absl::StatusOr<AttachReply> OwnerLink::OnAttach(const AttachRequest& aRequest,
-                                                OwnerReadsBirth aReadsBirth)
+absl::StatusOr<AttachReply> OwnerLink::OnAttach(
+  const AttachRequest& aRequest,
+  OwnerReadsStartTime aReadsStartTime)
 {
   AttachReply reply;
   reply.mGeneration = mGeneration;
@@ -242,11 +242,11 @@
   reply.mAttached = true;
   reply.mGeneration = mGeneration;
   reply.mState = *state;
-  if (aReadsBirth == OwnerReadsBirth::Yes) {
-    mReadsBirth = mGeneration;
+  if (aReadsStartTime == OwnerReadsStartTime::Yes) {
+    mReadsStartTime = mGeneration;
   } else {
-    mReadsBirth = 0;
-    reply.mState.mInfo.mIncarnation.mBornUnixMs.reset();
+    mReadsStartTime = 0;
+    reply.mState.mInfo.mIncarnation.mStartedUnixMs.reset();
   }
   RequestReport(); // Its reply has the first grant.
   return reply;
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -15,7 +15,7 @@
 namespace foxtailbarrow::taskagent {
 
 /// Whether an owner accepts messages that state when the worker started.
-enum class OwnerReadsBirth : std::uint8_t
+enum class OwnerReadsStartTime : std::uint8_t
 {
   No,
   Yes,
@@ -48,7 +48,7 @@
   /// Handles `agent.attach`.
   absl::StatusOr<cell::AttachReply> OnAttach(
     const cell::AttachRequest& aRequest,
-    OwnerReadsBirth aReadsBirth);
+    OwnerReadsStartTime aReadsStartTime);
 
   cell::Generation KnownGeneration() const { return mGeneration; }
   Instant LastContact() const { return mLastContactAt; }
@@ -78,7 +78,7 @@
   std::optional<Endpoint> mOwner;
   cell::Generation mGeneration = 0;
   /// The owner of this generation reads the time of the worker's start.
-  cell::Generation mReadsBirth = 0;
+  cell::Generation mReadsStartTime = 0;
   cell::Session mReportedSession = 0;
   std::optional<cell::Session> mPendingReport; ///< Session of the report.
   bool mReportRequested = false;               ///< While one is pending.
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -105,12 +105,14 @@
 {
   net::AddTyped<AttachRequest>(
     mDispatcher, kAttachMethod, [this](const AttachRequest& aRequest) {
-      return mOwner.OnAttach(aRequest, OwnerReadsBirth::No);
-    });
-  net::AddTyped<AttachRequest>(
-    mDispatcher, kAttachWithBirthMethod, [this](const AttachRequest& aRequest) {
-      return mOwner.OnAttach(aRequest, OwnerReadsBirth::Yes);
+      return mOwner.OnAttach(aRequest, OwnerReadsStartTime::No);
     });
+  net::AddTyped<AttachRequest>(mDispatcher,
+                               kAttachWithStartTimeMethod,
+                               [this](const AttachRequest& aRequest) {
+                                 return mOwner.OnAttach(
+                                   aRequest, OwnerReadsStartTime::Yes);
+                               });
   net::AddTyped<OrderRequest>(
     mDispatcher, kOrderMethod, [this](const OrderRequest& aRequest) {
       return mWorker.CarryOut(aRequest);
--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -111,9 +111,10 @@
 
 bool WorkerControl::HasEnded()
 {
-  const cell::WorkerIncarnation incarnation = mInfo.mIncarnation;
-  const auto present = mWorker.IsPresent(incarnation, mFence, kPollTimeout);
-  return present.ok() ? !*present : net::IsConnectionRefused(present.status());
+  const auto present =
+    mWorker.IsPresent(mInfo.mIncarnation, mFence, kPollTimeout);
+  return present.ok() ? !*present && mLease.HasClockSample()
+                      : net::IsConnectionRefused(present.status());
 }
 
 absl::StatusOr<cell::WorkerState> WorkerControl::Attach(cell::Session aSession)
@@ -311,7 +312,7 @@
     }
     if (absl::IsDeadlineExceeded(status) &&
         VerdictOf(status) == Verdict::NotRun) {
-      continue;
+      continue; // The check of a new connection got no answer.
     }
     if (VerdictOf(status) != Verdict::MayHaveRun) {
       return;
--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -54,7 +54,7 @@
   bool IsPresent(const cell::WorkerIncarnation& aIncarnation);
 
   /// True if the current incarnation has certainly ended: its address refuses
-  /// connections, or another one answers there.
+  /// connections, or another one answers there after it has answered itself.
   bool HasEnded();
 
   /// Ends all earlier sessions at the worker and returns its state.
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -240,7 +240,7 @@
 {
   constexpr std::uint32_t kPercent = 100;
   const bool kept = aVariant / kLinkStates % kPercent < mKeptIdPercent;
-  // The time of start of a later incarnation may be the earlier one.
+  // The time of start (`born`) of a later incarnation may be the earlier one.
   mFleet.Worker(aWorker).StepClock(aVariant % 2 == 0 ? kClockStep
                                                      : -kClockStep);
   mFleet.Worker(aWorker).Restart(kept ? standin::RestartId::Kept
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -212,8 +212,8 @@
 
 /// As kAttachMethod, by an owner that reads the time of the worker's start:
 /// messages are read strictly, so that agents state it to such owners only.
-inline constexpr std::string_view kAttachWithBirthMethod =
-  "agent.attachWithBirth";
+inline constexpr std::string_view kAttachWithStartTimeMethod =
+  "agent.attachWithStartTime";
 inline constexpr std::string_view kAttachMethod = "agent.attach";
 inline constexpr std::string_view kOrderMethod = "agent.order";
 inline constexpr std::string_view kReportMethod = "cell.report";
--- a/src/core/cell/WorkerIncarnation.h
+++ b/src/core/cell/WorkerIncarnation.h
@@ -22,23 +22,23 @@
 {
   WorkerIncarnation() = default;
   explicit WorkerIncarnation(std::string aId,
-                             std::optional<std::int64_t> aBornUnixMs = {})
+                             std::optional<std::int64_t> aStartedUnixMs = {})
     : mId(std::move(aId))
-    , mBornUnixMs(aBornUnixMs)
+    , mStartedUnixMs(aStartedUnixMs)
   {
   }
 
   WorkerId mId;
   /// Unix time in ms; empty where the worker or a peer does not state it.
-  std::optional<std::int64_t> mBornUnixMs;
+  std::optional<std::int64_t> mStartedUnixMs;
 
   bool Empty() const { return mId.Empty(); }
 
   /// False when the two are certainly different processes.
   bool MayBeSame(const WorkerIncarnation& aOther) const
   {
-    return mId == aOther.mId && (!mBornUnixMs || !aOther.mBornUnixMs ||
-                                 mBornUnixMs == aOther.mBornUnixMs);
+    return mId == aOther.mId && (!mStartedUnixMs || !aOther.mStartedUnixMs ||
+                                 mStartedUnixMs == aOther.mStartedUnixMs);
   }
 
   // NOLINTNEXTLINE(modernize-use-nullptr): as in Id.
@@ -48,9 +48,10 @@
 /// For logs: the id, and `@` and the time of start if it is known.
 inline std::string ToString(const WorkerIncarnation& aIncarnation)
 {
-  return aIncarnation.mBornUnixMs ? aIncarnation.mId.Value() + "@" +
-                                      std::to_string(*aIncarnation.mBornUnixMs)
-                                  : aIncarnation.mId.Value();
+  return aIncarnation.mStartedUnixMs
+           ? aIncarnation.mId.Value() + "@" +
+               std::to_string(*aIncarnation.mStartedUnixMs)
+           : aIncarnation.mId.Value();
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -69,7 +69,7 @@
   aVisitor.Required("session", aMessage.mSession);
   aVisitor.Required("number", aMessage.mNumber);
   aVisitor.Optional("incarnation", aMessage.mIncarnation.mId);
-  aVisitor.Optional("bornUnixMs", aMessage.mIncarnation.mBornUnixMs);
+  aVisitor.Optional("startedUnixMs", aMessage.mIncarnation.mStartedUnixMs);
   aVisitor.Optional("starts", aMessage.mStarts);
   aVisitor.Optional("stops", aMessage.mStops);
   aVisitor.Optional("traits", aMessage.mMetadata);
--- a/src/core/message/detail/CellWorkerFields.h
+++ b/src/core/message/detail/CellWorkerFields.h
@@ -10,7 +10,7 @@
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Optional("incarnation", aMessage.mIncarnation.mId);
-  aVisitor.Optional("bornUnixMs", aMessage.mIncarnation.mBornUnixMs);
+  aVisitor.Optional("startedUnixMs", aMessage.mIncarnation.mStartedUnixMs);
   aVisitor.Optional("service", aMessage.mService);
   aVisitor.Optional("failureDomain", aMessage.mFailureDomain);
   aVisitor.Optional("rack", aMessage.mRack);
--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -106,7 +106,7 @@
 
 /// Unix time in ms by a clock that may step; another one than that of the
 /// incarnation before.
-std::int64_t NextBirth(Duration aClockStep, std::int64_t aBefore)
+std::int64_t NextStart(Duration aClockStep, std::int64_t aBefore)
 {
   const auto now =
     std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -203,7 +203,7 @@
   if (aId == RestartId::New) {
     mId = mIncarnation;
   }
-  mBornUnixMs = NextBirth(mClockStep, mBornUnixMs);
+  mStartedUnixMs = NextStart(mClockStep, mStartedUnixMs);
   mModel = std::make_shared<TaskWorkerModel>(
     mSettings,
     MonotonicNow(),
@@ -280,7 +280,7 @@
   body["Zone"] = "zone";
   body["State"] = mDraining ? "draining" : "ready";
   body["DrainLeftMs"] = 1000;
-  body["born"] = Json::Int64{ mBornUnixMs };
+  body["born"] = Json::Int64{ mStartedUnixMs };
   body["CallSeq"] = Json::Int64{ mSequence };
   body["Capacity"]["Cpu"] = Json::Int64{ mCapacity.mMillicores };
   body["Capacity"]["MemMb"] = Json::Int64{ mCapacity.mMemoryMb };
@@ -413,7 +413,7 @@
   }
   model->Advance(MonotonicNow());
   Json::Value view = ViewBody(model->View(MonotonicNow()));
-  view["born"] = Json::Int64{ mBornUnixMs };
+  view["born"] = Json::Int64{ mStartedUnixMs };
   return Reply(kOk, view);
 }
 
--- a/standins/taskworker/TaskWorkerService.h
+++ b/standins/taskworker/TaskWorkerService.h
@@ -83,7 +83,7 @@
   /// Name of the incarnation in events; not known to the agent.
   const std::string& Incarnation() const { return mIncarnation; }
   const std::string& Id() const { return mId; }
-  std::int64_t BornUnixMs() const { return mBornUnixMs; }
+  std::int64_t StartedUnixMs() const { return mStartedUnixMs; }
 
 private:
   TaskWorkerService(net::FiberRuntime& aRuntime,
@@ -114,7 +114,7 @@
   TaskWorkerFaults mFaults;
   std::shared_ptr<TaskWorkerModel> mModel;
   std::string mId;
-  std::int64_t mBornUnixMs = 0;
+  std::int64_t mStartedUnixMs = 0;
   Duration mClockStep{};
   RestartId mCrashRestartId = RestartId::New;
   std::string mIncarnation;
--- a/tests/cell/HeartbeatOrderTest.cpp
+++ b/tests/cell/HeartbeatOrderTest.cpp
@@ -82,12 +82,12 @@
             HeartbeatDecision::Accept);
 }
 
-constexpr std::int64_t kBorn = 1'700'000'000'000;
+constexpr std::int64_t kStartedUnixMs = 1'700'000'000'000;
 
 struct IncarnationCase
 {
   const char* mName;
-  std::optional<std::int64_t> mBornUnixMs;
+  std::optional<std::int64_t> mStartedUnixMs;
   HeartbeatDecision mHeartbeat;
   DeregistrationDecision mDeregistration;
 };
@@ -99,8 +99,8 @@
 TEST_P(RestartedUnderItsId, IsAnotherIncarnation)
 {
   HeartbeatOrder order;
-  order.OnAccepted(WorkerIncarnation("x", kBorn), 5);
-  const WorkerIncarnation next("x", GetParam().mBornUnixMs);
+  order.OnAccepted(WorkerIncarnation("x", kStartedUnixMs), 5);
+  const WorkerIncarnation next("x", GetParam().mStartedUnixMs);
   EXPECT_EQ(order.Classify(next, 1), GetParam().mHeartbeat);
   EXPECT_EQ(order.ClassifyDeregistration(next), GetParam().mDeregistration);
 }
@@ -109,11 +109,11 @@
   Table,
   RestartedUnderItsId,
   testing::Values(IncarnationCase{ "Later",
-                                   kBorn + 1,
+                                   kStartedUnixMs + 1,
                                    HeartbeatDecision::Confirm,
                                    DeregistrationDecision::Ignore },
                   IncarnationCase{ "BySteppedClockEarlier",
-                                   kBorn - 60'000,
+                                   kStartedUnixMs - 60'000,
                                    HeartbeatDecision::Confirm,
                                    DeregistrationDecision::Ignore },
                   IncarnationCase{ "NotStated",
@@ -121,7 +121,7 @@
                                    HeartbeatDecision::Confirm,
                                    DeregistrationDecision::Confirm },
                   IncarnationCase{ "TheSame",
-                                   kBorn,
+                                   kStartedUnixMs,
                                    HeartbeatDecision::Ignore,
                                    DeregistrationDecision::Accept }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
@@ -129,9 +129,9 @@
 TEST(RestartedAfterLeaving, IsAnotherIncarnation)
 {
   HeartbeatOrder order;
-  order.OnAccepted(WorkerIncarnation("x", kBorn), 5);
+  order.OnAccepted(WorkerIncarnation("x", kStartedUnixMs), 5);
   order.OnWorkerLeft();
-  EXPECT_EQ(order.Classify(WorkerIncarnation("x", kBorn + 1), 1),
+  EXPECT_EQ(order.Classify(WorkerIncarnation("x", kStartedUnixMs + 1), 1),
             HeartbeatDecision::Confirm);
 }
 
--- a/tests/cell/RestartedIncarnationTest.cpp
+++ b/tests/cell/RestartedIncarnationTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::int64_t kBorn = 1'700'000'000'000;
+constexpr std::int64_t kStartedUnixMs = 1'700'000'000'000;
 const TaskRef kFirst{ JobId("job"), 0, 0, 0 };
 
 /// How the owner hears of the worker's next incarnation.
@@ -23,7 +23,7 @@
 {
   const char* mName;
   Channel mChannel;
-  std::optional<std::int64_t> mBornUnixMs;
+  std::optional<std::int64_t> mStartedUnixMs;
 };
 
 /// A worker restarts under its id after its end number 5 was acknowledged.
@@ -32,18 +32,18 @@
   , public testing::WithParamInterface<RestartCase>
 {
 protected:
-  static WorkerState StateOf(std::optional<std::int64_t> aBornUnixMs,
+  static WorkerState StateOf(std::optional<std::int64_t> aStartedUnixMs,
                              std::vector<RunningTask> aRunning = {},
                              std::vector<EndedTask> aEnded = {})
   {
     WorkerState state = State("a-life", std::move(aRunning), std::move(aEnded));
-    state.mInfo.mIncarnation.mBornUnixMs = aBornUnixMs;
+    state.mInfo.mIncarnation.mStartedUnixMs = aStartedUnixMs;
     return state;
   }
 
   void Begin()
   {
-    Attach("a", StateOf(kBorn));
+    Attach("a", StateOf(kStartedUnixMs));
     Grant("a");
     AddSavedJob(Graph("earlier", { Step(1) }));
     const OrderRequest orders = Orders("a");
@@ -52,7 +52,7 @@
     Report(
       "a",
       StateOf(
-        kBorn,
+        kStartedUnixMs,
         {},
         { Ended(
           5, orders.mStarts[0].mTask, orders.mStarts[0].mRun, RunEnd::Done) }));
@@ -86,11 +86,11 @@
 TEST_P(RestartedIncarnationTest, ItsEndsCount)
 {
   Begin();
-  Hear(StateOf(GetParam().mBornUnixMs));
+  Hear(StateOf(GetParam().mStartedUnixMs));
   EXPECT_EQ(mScheduler.Acknowledged(AgentId("a")), 0);
   const RunNumber run = StartFirst();
   Report("a",
-         StateOf(GetParam().mBornUnixMs,
+         StateOf(GetParam().mStartedUnixMs,
                  {},
                  { Ended(1, kFirst, run, RunEnd::Done) }));
   SaveProgress();
@@ -103,7 +103,7 @@
 {
   Begin();
   const RunNumber lost = StartFirst();
-  Hear(StateOf(GetParam().mBornUnixMs));
+  Hear(StateOf(GetParam().mStartedUnixMs));
   const OrderRequest orders = Orders("a");
   ASSERT_EQ(orders.mStarts.size(), 1U);
   EXPECT_GT(orders.mStarts[0].mRun, lost);
@@ -114,10 +114,10 @@
 {
   Begin();
   const RunNumber run = StartFirst();
-  Hear(StateOf(GetParam().mBornUnixMs, { Running(kFirst, run) }));
+  Hear(StateOf(GetParam().mStartedUnixMs, { Running(kFirst, run) }));
   EXPECT_TRUE(Orders("a").mStarts.empty());
   Report("a",
-         StateOf(GetParam().mBornUnixMs,
+         StateOf(GetParam().mStartedUnixMs,
                  {},
                  { Ended(1, kFirst, run, RunEnd::Done) }));
   SaveProgress();
@@ -129,7 +129,7 @@
   Begin();
   const RunNumber run = StartFirst();
   Hear(StateOf(
-    GetParam().mBornUnixMs, {}, { Ended(1, kFirst, run, RunEnd::Done) }));
+    GetParam().mStartedUnixMs, {}, { Ended(1, kFirst, run, RunEnd::Done) }));
   EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
 }
 
@@ -137,26 +137,30 @@
   Table,
   RestartedIncarnationTest,
   testing::Values(
-    RestartCase{ "Report", Channel::Report, kBorn + 5000 },
-    RestartCase{ "Attach", Channel::Attach, kBorn + 5000 },
-    RestartCase{ "ReportByAnEarlierClock", Channel::Report, kBorn - 5000 },
-    RestartCase{ "AttachByAnEarlierClock", Channel::Attach, kBorn - 5000 },
+    RestartCase{ "Report", Channel::Report, kStartedUnixMs + 5000 },
+    RestartCase{ "Attach", Channel::Attach, kStartedUnixMs + 5000 },
+    RestartCase{ "ReportByAnEarlierClock",
+                 Channel::Report,
+                 kStartedUnixMs - 5000 },
+    RestartCase{ "AttachByAnEarlierClock",
+                 Channel::Attach,
+                 kStartedUnixMs - 5000 },
     // The agent was replaced by one of an earlier version.
-    RestartCase{ "AttachWithoutBirth", Channel::Attach, std::nullopt }),
+    RestartCase{ "AttachWithoutStartTime", Channel::Attach, std::nullopt }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
-class UnstatedBirthTest : public RestartedIncarnationTest
+class UnstatedStartTimeTest : public RestartedIncarnationTest
 {};
 
 /// Agents of both versions take turns on one worker, which runs on.
-TEST_F(UnstatedBirthTest, TheWorkerIsNotTakenForRestarted)
+TEST_F(UnstatedStartTimeTest, TheWorkerIsNotTakenForRestarted)
 {
-  Attach("a", StateOf(kBorn));
+  Attach("a", StateOf(kStartedUnixMs));
   Grant("a");
   AddSavedJob(Graph("job", { Step(1) }));
   const RunNumber run = StartFirst();
   Attach("a", StateOf(std::nullopt, { Running(kFirst, run) }));
-  Attach("a", StateOf(kBorn, { Running(kFirst, run) }));
+  Attach("a", StateOf(kStartedUnixMs, { Running(kFirst, run) }));
   Grant("a");
   EXPECT_TRUE(Orders("a").mStarts.empty());
   EXPECT_FALSE(WasLogged("worker-crashed"));
--- a/tests/platform/WorkerClientTest.cpp
+++ b/tests/platform/WorkerClientTest.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr Duration kTimeout = std::chrono::seconds(5);
-constexpr std::int64_t kBorn = 1'764'793'845'123;
-const cell::WorkerIncarnation kExpected("i-1", kBorn);
+constexpr std::int64_t kStartedUnixMs = 1'764'793'845'123;
+const cell::WorkerIncarnation kExpected("i-1", kStartedUnixMs);
 
 struct ListCase
 {
@@ -108,7 +108,7 @@
     EXPECT_TRUE(Stop().ok());
     EXPECT_TRUE(Stop().ok());
     EXPECT_EQ(mLists, 1);
-    mClient->Expect(cell::WorkerIncarnation("i-1", kBorn + 1));
+    mClient->Expect(cell::WorkerIncarnation("i-1", kStartedUnixMs + 1));
     EXPECT_TRUE(absl::IsAborted(Stop()));
     EXPECT_EQ(mLists, 2);
     EXPECT_EQ(mStops, 2);
--- a/tests/taskagent/RestartedWorkerTest.cpp
+++ b/tests/taskagent/RestartedWorkerTest.cpp
@@ -121,7 +121,7 @@
               cell::WorkerIncarnation(worker.Value()));
     ASSERT_TRUE(
       Await([&] { return mReported.mInfo.mIncarnation.mId == worker; }));
-    EXPECT_FALSE(mReported.mInfo.mIncarnation.mBornUnixMs);
+    EXPECT_FALSE(mReported.mInfo.mIncarnation.mStartedUnixMs);
     EXPECT_TRUE(RunsToItsEnd());
   });
 }
@@ -131,7 +131,8 @@
   mTestRuntime.RunAndWait([this] {
     const auto attached = Attach();
     ASSERT_TRUE(attached.ok()) << attached.status();
-    const cell::WorkerIncarnation worker(mWorker->Id(), mWorker->BornUnixMs());
+    const cell::WorkerIncarnation worker(mWorker->Id(),
+                                         mWorker->StartedUnixMs());
     EXPECT_EQ(attached->mState.mInfo.mIncarnation, worker);
     EXPECT_TRUE(Await([&] { return mReported.mInfo.mIncarnation == worker; }));
   });
--- a/tests/taskagent/TaskAgentFixture.h
+++ b/tests/taskagent/TaskAgentFixture.h
@@ -74,7 +74,7 @@
 
   /// Attaches the agent and returns its reply, or an error on a timeout.
   absl::StatusOr<cell::AttachReply> Attach(
-    std::string_view aMethod = cell::kAttachWithBirthMethod)
+    std::string_view aMethod = cell::kAttachWithStartTimeMethod)
   {
     const Instant end = MonotonicNow() + kTimeout;
     for (;;) {
