Interfaces of the parts for heavy load, and the setting for long stops

Cause: two deployments load the cell beyond what it serves well, and their workers take up to 900 ms to stop a task, 400 ms elsewhere. The parts are built side by side, so what they share comes first.

No decision is changed.

--- a/apps/scheduler/CellOwnerAgents.cpp
+++ b/apps/scheduler/CellOwnerAgents.cpp
@@ -143,7 +143,7 @@
   StoreTransaction transaction;
   transaction.mCompares.push_back(CellUnchanged());
   transaction.mWrites.push_back(
-    { AgentKey(aAgent), ToJsonText(AgentContact{ endpoint }) });
+    { AgentKey(aAgent), ToJsonText(AgentContact{ endpoint, false, {} }) });
   const auto result = mParts.mStore.Commit(transaction);
   aLink.mSaved = result.ok() && result->mApplied && endpoint == aLink.mEndpoint;
   if (aLink.mSaved) {
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -48,10 +48,11 @@
   return response;
 }
 
-CellSettings CellSettingsFor(Duration aMaxWorkerLease)
+CellSettings CellSettingsFor(const SchedulerSettings& aSettings)
 {
   CellSettings settings;
-  const Duration longest = aMaxWorkerLease - kLeaseReserve;
+  settings.mStopTime = aSettings.mStopTime;
+  const Duration longest = aSettings.mMaxWorkerLease - kLeaseReserve;
   settings.mOwnershipTimeout = std::min(settings.mOwnershipTimeout, longest);
   settings.mMaxTaskLease = std::min(settings.mMaxTaskLease, longest);
   return settings;
@@ -81,7 +82,7 @@
 
 Scheduler::Scheduler(SchedulerSettings aSettings, net::FiberRuntime& aRuntime)
   : mSettings(std::move(aSettings))
-  , mCellSettings(CellSettingsFor(mSettings.mMaxWorkerLease))
+  , mCellSettings(CellSettingsFor(mSettings))
   , mRuntime(aRuntime)
   , mPlainStore(aRuntime, { .mEndpoint = mSettings.mStore })
   , mCountedStore(mPlainStore)
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -44,6 +44,10 @@
                             aValues.mMaxWorkerLease,
                             { milliseconds(1000), hours(1) },
                             "Longest lease that workers accept");
+  aSettings.AddMilliseconds("--stop-ms",
+                            aValues.mStopTime,
+                            { milliseconds(0), hours(1) },
+                            "Longest time that workers take to stop a task");
   aSettings.AddMilliseconds("--keep-ended-ms",
                             aValues.mKeepEnded,
                             { milliseconds(0), hours(24 * 30) },
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -28,6 +28,8 @@
   double mProcessorShare = 1.0;
   /// Longest lease that a worker of this platform accepts.
   Duration mMaxWorkerLease = std::chrono::milliseconds(6000);
+  /// Longest time that a worker of this platform takes to stop a task.
+  Duration mStopTime = std::chrono::milliseconds(400);
   /// How long ended jobs can still be read.
   Duration mKeepEnded = std::chrono::seconds(120);
   /// Counted from SIGTERM; shorter than the platform's delay until SIGKILL.
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -5,9 +5,16 @@
 
 namespace foxtailbarrow::cell {
 
+/// Shortest time of a stop that counts as long. A decision that turns out wrong
+/// is corrected by stopping the task and starting it elsewhere; from here on
+/// the correction takes about as long as a short task runs.
+inline constexpr Duration kLongStop = std::chrono::milliseconds(500);
+
 /// Times and thresholds of the owner's decisions.
 struct CellSettings
 {
+  /// Longest time that a worker of the platform takes to stop a task.
+  Duration mStopTime = std::chrono::milliseconds(400);
   /// Longest lease of a task after the last contact of its agent with the
   /// owner. Tasks of a lost worker restart after it; tasks survive a shorter
   /// interruption.
@@ -79,6 +86,10 @@
   /// reports of them, or every second one would be skipped.
   Duration mObserveInterval = std::chrono::milliseconds(450);
   InterferenceSettings mInterference;
+
+  /// True where stops are long, so that decisions are worth some effort to
+  /// avoid moves.
+  bool LooksAhead() const { return mStopTime >= kLongStop; }
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/records/CellRecords.h
+++ b/src/core/cell/records/CellRecords.h
@@ -116,6 +116,11 @@
 struct AgentContact
 {
   Endpoint mEndpoint;
+  /// Nothing is started there any more until the record is written again.
+  bool mClosed = false;
+  /// In a closed record: every task that may run there, or whose end there is
+  /// not acknowledged.
+  std::vector<TaskRef> mTasks;
 };
 
 /// Under no lease: a LearnedInterference, written every few seconds by the
--- a/src/core/message/detail/CellRecordFields.h
+++ b/src/core/message/detail/CellRecordFields.h
@@ -130,6 +130,8 @@
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("endpoint", aMessage.mEndpoint);
+  aVisitor.Optional("closed", aMessage.mClosed);
+  aVisitor.Optional("tasks", aMessage.mTasks);
 }
 
 } // namespace foxtailbarrow::detail
