--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -13,8 +13,6 @@
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/JobGraph.h"
 #include "src/core/cell/throttling/InterferenceEstimator.h"
-#include "src/core/cell/throttling/LoadTrend.h"
-#include "src/core/cell/throttling/TaskRank.h"
 #include "src/core/cell/workers/WorkerChange.h"
 #include "src/core/cell/workers/WorkerState.h"
 
@@ -170,10 +168,6 @@
   bool mSendFullState = false;
   /// Of the images on the agent's worker.
   std::vector<InterferenceWeight> mInterferenceWeights;
-  /// Of the best-effort tasks and of the serving images on the agent's worker.
-  /// Only sent to agents that were attached by kAttachWithOutlookMethod.
-  std::vector<TaskRank> mTaskRanks;
-  std::vector<LoadTrend> mLoadTrends;
 };
 
 /// `cell.find`: any process to a scheduler.
@@ -232,10 +226,6 @@
 /// messages are read strictly, so that agents state it to such owners only.
 inline constexpr std::string_view kAttachWithStartTimeMethod =
   "agent.attachWithStartTime";
-/// As kAttachWithStartTimeMethod, answered by agents that read the ranks and
-/// trends of a ReportReply.
-inline constexpr std::string_view kAttachWithOutlookMethod =
-  "agent.attachWithOutlook";
 inline constexpr std::string_view kAttachMethod = "agent.attach";
 inline constexpr std::string_view kCordonNoticeMethod = "agent.cordon";
 inline constexpr std::string_view kCordonRowsMethod = "cell.cordons";
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -123,22 +123,6 @@
   aVisitor.Optional("pairs", aMessage.mPairs);
 }
 
-template<typename Visitor, Is<cell::TaskRank> Message>
-void Fields(Visitor& aVisitor, Message& aMessage)
-{
-  aVisitor.Required("task", aMessage.mTask);
-  aVisitor.Required("rank", aMessage.mRank);
-}
-
-template<typename Visitor, Is<cell::LoadTrend> Message>
-void Fields(Visitor& aVisitor, Message& aMessage)
-{
-  // Far beyond any trend; the agent bounds what it makes of one.
-  constexpr NumberRule<double> kRule{ -100, 100 };
-  aVisitor.Required("serving", aMessage.mServing);
-  aVisitor.Required("risePerS", aMessage.mRisePerS, kRule);
-}
-
 template<typename Visitor, Is<cell::ReportReply> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
@@ -150,8 +134,6 @@
   aVisitor.Optional("acknowledged", aMessage.mAcknowledged);
   aVisitor.Optional("sendWhole", aMessage.mSendFullState);
   aVisitor.Optional("pressures", aMessage.mInterferenceWeights);
-  aVisitor.Optional("ranks", aMessage.mTaskRanks);
-  aVisitor.Optional("trends", aMessage.mLoadTrends);
 }
 
 template<typename Visitor, Is<cell::FindOwner> Message>
