Count an outage from the first refused call, too

Cause: Retry-After follows the age of the store's outage, which was that of its silence.

Change: StoreHealth::OutageAge() counts from the first call that was refused or not answered until one is served. HealthTrackingStore tells refusals from results such as a missing key.

--- a/apps/scheduler/JobRequestHandler.cpp
+++ b/apps/scheduler/JobRequestHandler.cpp
@@ -134,7 +134,7 @@
 Duration JobRequestHandler::RetryAfter()
 {
   std::uniform_real_distribution<double> any(0.0, 1.0);
-  return RetryDelay(mStore.SilentFor(), any(mRandom));
+  return RetryDelay(mStore.OutageAge(), any(mRandom));
 }
 
 JobRefused JobRequestHandler::RefusalOf(const JobId& aJob, JobRefused aRefusal)
--- a/src/core/cell/StoreHealth.h
+++ b/src/core/cell/StoreHealth.h
@@ -1,15 +1,24 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <set>
 
 #include "foxtailbarrow/Time.h"
 
 namespace foxtailbarrow::cell {
 
-/// Tracks whether the store answers, from the calls in progress. A write sent
-/// to a silent store leaves its request in doubt; one that is not sent can be
-/// refused as not run.
+/// How a call to the store ended.
+enum class StoreCallEnd : std::uint8_t
+{
+  Served,
+  Refused, ///< Turned away: nothing was done.
+  Unanswered,
+};
+
+/// Tracks whether the store answers, from the calls in progress, and for how
+/// long it has served none. A write sent to a silent store leaves its request
+/// in doubt; one that is not sent can be refused as not run.
 class StoreHealth
 {
 public:
@@ -24,15 +33,24 @@
   {
     mAnsweredAt = aNow;
     mSilentSince = {};
+    mOutageSince = {};
   }
 
-  void OnEnded(Instant aSentAt, bool aAnswered, Instant aNow)
+  void OnEnded(Instant aSentAt, StoreCallEnd aEnd, Instant aNow)
   {
     if (const auto found = mSent.find(aSentAt); found != mSent.end()) {
       mSent.erase(found);
     }
-    if (aAnswered) {
+    if (aEnd == StoreCallEnd::Served) {
       OnAnswer(aNow);
+      return;
+    }
+    if (mOutageSince == Instant{}) {
+      mOutageSince = aSentAt;
+    }
+    if (aEnd == StoreCallEnd::Refused) {
+      mAnsweredAt = aNow;
+      mSilentSince = {};
     } else if (mSilentSince == Instant{}) {
       mSilentSince = aSentAt;
     }
@@ -63,11 +81,24 @@
     return aNow - since;
   }
 
+  /// How long the store has served no call, whether it was silent or refused
+  /// them; 0 while it serves. Callers that were told to come back after the
+  /// shortest delay each time spent their retries within an outage in which the
+  /// store refused all calls.
+  Duration OutageAge(Instant aNow) const
+  {
+    const Duration silent = SilentFor(aNow);
+    return mOutageSince == Instant{} ? silent
+                                     : std::max(silent, aNow - mOutageSince);
+  }
+
 private:
   std::multiset<Instant> mSent;
   Instant mAnsweredAt{};
   /// When the call was sent that ended without an answer, if none came since.
   Instant mSilentSince{};
+  /// When the first call was sent that was not served, if none was since.
+  Instant mOutageSince{};
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/platform/store/HealthTrackingStore.h
+++ b/src/platform/store/HealthTrackingStore.h
@@ -28,12 +28,24 @@
     const Instant sentAt = MonotonicNow();
     mHealth.OnSent(sentAt);
     auto result = aCall();
-    const absl::Status& status = StatusOf(result);
-    const bool answered = status.ok() || VerdictOf(status) == Verdict::NotRun;
-    mHealth.OnEnded(sentAt, answered, MonotonicNow());
+    mHealth.OnEnded(sentAt, EndOf(StatusOf(result)), MonotonicNow());
     return result;
   }
 
+  static cell::StoreCallEnd EndOf(const absl::Status& aStatus)
+  {
+    if (aStatus.ok()) {
+      return cell::StoreCallEnd::Served;
+    }
+    if (VerdictOf(aStatus) != Verdict::NotRun) {
+      return cell::StoreCallEnd::Unanswered;
+    }
+    // Other errors, as a missing key, are results.
+    const bool refused =
+      absl::IsUnavailable(aStatus) || absl::IsResourceExhausted(aStatus);
+    return refused ? cell::StoreCallEnd::Refused : cell::StoreCallEnd::Served;
+  }
+
 public:
   explicit HealthTrackingStore(Store& aStore)
     : mStore(aStore)
@@ -42,7 +54,7 @@
 
   bool Answers() const { return mHealth.Answers(MonotonicNow()); }
   Duration SinceAnswer() const { return mHealth.SinceAnswer(MonotonicNow()); }
-  Duration SilentFor() const { return mHealth.SilentFor(MonotonicNow()); }
+  Duration OutageAge() const { return mHealth.OutageAge(MonotonicNow()); }
 
   absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
   {
