Close the records of agents whose workers drain or are silent

Cause: after a takeover all inherited work waits, 5.95 s at most, until every agent with a record has attached, since its worker may run any of the tasks.

Change: the owner closes the record of an agent once its worker drains or has been detached for 500 ms. A closed record names every task that may run there or whose end there is not acknowledged; nothing starts on the worker until an open record is saved (WorkerBlock::RecordClosed). The next owner holds back only the named tasks (UnreportedTasks). Writes are conditional on the record's last known revision and made by a fiber of their own. Only where stops are long; found closed records are obeyed everywhere.

Ruled out: a record of the workers before each start, a list written behind the starts, shorter waits after the earlier owner has ended (design 0019).

Calls of ExpectAgents in two older tests only changed their braces.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -167,18 +167,22 @@
   if (!agents.ok()) {
     return agents.status();
   }
-  std::set<AgentId> expected;
+  std::vector<ExpectedAgent> expected;
   for (const StoreEntry& entry : agents->mEntries) {
     const AgentId id{ std::string(KeyName(entry.mKey, kAgentPrefix)) };
-    // Tasks may run there even if its record is unreadable.
-    expected.insert(id);
-    if (const auto contact = ReadEntry<AgentContact>(entry)) {
+    // Any task may run there if its record is unreadable.
+    ExpectedAgent& agent = expected.emplace_back(ExpectedAgent{ id });
+    if (auto contact = ReadEntry<AgentContact>(entry)) {
       AgentLink& link = AgentLinkOf(id, contact->mEndpoint);
       link.mSaved = true;
       link.mRecordRevision = entry.mModRevision;
+      link.mRecordClosed = contact->mClosed;
+      link.mClosedTasks = contact->mTasks;
+      agent.mRecordClosed = contact->mClosed;
+      agent.mTasks = std::move(contact->mTasks);
     }
   }
-  mLogic.ExpectAgents(expected,
+  mLogic.ExpectAgents(std::move(expected),
                       MonotonicNow() + mSettings.mOwnershipTimeout +
                         mSettings.mLeaseMargin);
   return absl::OkStatus();
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -112,9 +112,14 @@
     bool mCordonTold = false; ///< Sent to the agent, or about to be.
     bool mWorkerLeft = false; ///< As of the agent's newest report.
     bool mSaved = false;      ///< The store has the agent's record.
-    /// Revision of the agent's record. Removals are conditional on it, so that
-    /// a delayed one cannot remove a newer record.
+    /// Last known revision of the agent's record; 0 = none. Writes are
+    /// conditional on it, so that a delayed one cannot replace a newer record.
     Revision mRecordRevision = 0;
+    /// The store may hold a closed record: no start until an open one is saved.
+    bool mRecordClosed = false;
+    bool mCloseSaved = false;     ///< The store holds the closed record.
+    bool mRecordInFlight = false; ///< A write of it is not answered.
+    std::vector<cell::TaskRef> mClosedTasks; ///< In the closed record.
   };
 
   template<typename Record>
@@ -143,7 +148,14 @@
   cell::ReportReply HandleReport(const cell::ReportRequest& aReport);
   AgentLink& AgentLinkOf(const AgentId& aAgent, const Endpoint& aEndpoint);
   bool Attached(const AgentId& aAgent) const;
+  // Records of agents (CellOwnerAgentRecords.cpp).
+  bool WriteAgentRecord(const AgentId& aAgent,
+                        AgentLink& aLink,
+                        const cell::AgentContact& aContact);
   bool SaveAgentRecord(const AgentId& aAgent, AgentLink& aLink);
+  void UpdateAgentRecord(const AgentId& aAgent, AgentLink& aLink);
+  void CloseAgentRecord(const AgentId& aAgent, AgentLink& aLink);
+  void OpenAgentRecord(const AgentId& aAgent, AgentLink& aLink);
   void RemoveAgentRecord(const AgentId& aAgent, AgentLink& aLink);
   void ForgetAgent(const AgentId& aAgent, AgentLink& aLink);
   absl::StatusOr<cell::AttachReply> CallAttach(const Endpoint& aAgent,
--- a/apps/scheduler/CellOwnerAgents.cpp
+++ b/apps/scheduler/CellOwnerAgents.cpp
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <utility>
 
-#include "src/core/cell/records/CellRecords.h"
 #include "src/core/message/Codec.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
@@ -120,10 +119,12 @@
 void CellOwner::RunAgentLink(const AgentId& aAgent, AgentLink& aLink)
 {
   while (!mEnded) {
-    if (MonotonicNow() - aLink.mLastContactAt > kForgetAfter) {
+    if (MonotonicNow() - aLink.mLastContactAt > kForgetAfter &&
+        !aLink.mRecordInFlight) {
       ForgetAgent(aAgent, aLink);
       return;
     }
+    UpdateAgentRecord(aAgent, aLink);
     const Duration pause =
       Attached(aAgent) ? OrderRound(aAgent, aLink) : AttachRound(aAgent, aLink);
     if (!mEnded && pause > Duration::zero()) {
@@ -132,53 +133,6 @@
   }
 }
 
-/// An agent is attached only after its record is in the store, so that the next
-/// owner knows all agents that may run tasks.
-bool CellOwner::SaveAgentRecord(const AgentId& aAgent, AgentLink& aLink)
-{
-  if (aLink.mSaved) {
-    return true;
-  }
-  const Endpoint endpoint = aLink.mEndpoint;
-  StoreTransaction transaction;
-  transaction.mCompares.push_back(CellUnchanged());
-  transaction.mWrites.push_back(
-    { AgentKey(aAgent), ToJsonText(AgentContact{ endpoint, false, {} }) });
-  const auto result = mParts.mStore.Commit(transaction);
-  aLink.mSaved = result.ok() && result->mApplied && endpoint == aLink.mEndpoint;
-  if (aLink.mSaved) {
-    aLink.mRecordRevision = result->mRevision;
-  }
-  return aLink.mSaved;
-}
-
-/// The next owner waits for every agent that has a record, even if it has left.
-void CellOwner::RemoveAgentRecord(const AgentId& aAgent, AgentLink& aLink)
-{
-  if (!std::exchange(aLink.mSaved, false)) {
-    return;
-  }
-  StoreTransaction transaction;
-  transaction.mCompares.push_back(CellUnchanged());
-  transaction.mCompares.push_back({ AgentKey(aAgent), aLink.mRecordRevision });
-  transaction.mWrites.push_back({ AgentKey(aAgent), std::nullopt });
-  const auto result = mParts.mStore.Commit(transaction);
-  LogChange("agent-record-removed",
-            { { "agent", aAgent },
-              { "revision", aLink.mRecordRevision },
-              { "outcome",
-                !result.ok()       ? result.status().ToString()
-                : result->mApplied ? "ok"
-                                   : "changed" } });
-}
-
-void CellOwner::ForgetAgent(const AgentId& aAgent, AgentLink& aLink)
-{
-  LogChange("agent-forgotten", { { "agent", aAgent } });
-  RemoveAgentRecord(aAgent, aLink);
-  mAgentLinks.erase(aAgent);
-}
-
 absl::StatusOr<AttachReply> CellOwner::CallAttach(const Endpoint& aAgent,
                                                   Session aSession)
 {
@@ -224,6 +178,7 @@
   aLink.mAttachedAt = aLink.mLastContactAt;
   aLink.mWeightsSentAt = {}; // The agent may have restarted.
   mLogic.AttachWorker(aAgent, aLink.mEndpoint, session, reply->mState, Clock());
+  mLogic.SetRecordClosed(aAgent, aLink.mRecordClosed);
   aLink.mCordonTold = false; // An agent's session begins without a cordon.
   TellCordon(aAgent, aLink);
   mScheduleWaker.Wake();
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "foxtailbarrow/Time.h"
@@ -21,6 +22,7 @@
 #include "src/core/cell/placing/RefusedDemands.h"
 #include "src/core/cell/placing/WorkerChoice.h"
 #include "src/core/cell/records/UnsavedProgress.h"
+#include "src/core/cell/recovery/UnreportedTasks.h"
 #include "src/core/cell/workers/WorkerEntry.h"
 
 namespace foxtailbarrow::cell {
@@ -69,8 +71,14 @@
   // Workers.
 
   /// Sets the agents of the previous owner. Until each has attached, or until
-  /// `aUntil`, inherited tasks that no agent reports may be running.
-  void ExpectAgents(const std::set<AgentId>& aAgents, Instant aUntil);
+  /// `aUntil`, inherited tasks that no agent reports may be running there.
+  void ExpectAgents(std::vector<ExpectedAgent> aAgents, Instant aUntil)
+  {
+    mUnreported.Expect(std::move(aAgents), aUntil);
+  }
+
+  /// While the record of its agent is closed, nothing starts on the worker.
+  void SetRecordClosed(const AgentId& aAgent, bool aClosed);
 
   /// Begins a session with the agent. `aState` is the worker's full state.
   void AttachWorker(const AgentId& aAgent,
@@ -379,7 +387,9 @@
                            Instant aNow);
   const char* HeldBy(JobEntry& aJob, const TaskRef& aTask, Instant aNow) const;
   bool Starving(const JobEntry& aJob, const TaskRef& aTask, Instant aNow) const;
-  bool MayRunUnreported(const JobEntry& aJob, Instant aNow) const;
+  bool MayRunUnreported(const JobEntry& aJob,
+                        const TaskRef& aTask,
+                        Instant aNow) const;
   std::vector<Candidate> Candidates(const CellClock& aClock);
   std::vector<Candidate> SortedCandidates(const CellClock& aClock);
   bool StandingTasksComeFirst(std::span<const Candidate> aCandidates,
@@ -435,8 +445,7 @@
   /// See NeedsPlacement().
   bool mNeedsPlacement = false;
   std::map<AgentId, OrderRequest> mOrders;
-  std::set<AgentId> mExpectedAgents; ///< Not attached since the takeover.
-  Instant mExpectedUntil{};
+  UnreportedTasks mUnreported; ///< Of earlier owners.
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -114,11 +114,13 @@
   }
 }
 
-/// True when an agent that has not reported since the takeover may run an
-/// unknown task of this job.
-bool CellScheduler::MayRunUnreported(const JobEntry& aJob, Instant aNow) const
+/// True when a worker that has not been reported since the takeover may run the
+/// task.
+bool CellScheduler::MayRunUnreported(const JobEntry& aJob,
+                                     const TaskRef& aTask,
+                                     Instant aNow) const
 {
-  return aJob.mInherited && !mExpectedAgents.empty() && aNow < mExpectedUntil;
+  return aJob.mInherited && mUnreported.MayRun(aTask, aNow);
 }
 
 /// For how long no task of the step's occurrence has run.
@@ -158,7 +160,8 @@
     JobEntry& job = mJobs.at(id);
     // Without a progress record, the next owner would assume that no task of
     // the job has started.
-    if (job.mProgressRevision == 0 || MayRunUnreported(job, aClock.mNow)) {
+    if (job.mProgressRevision == 0 ||
+        (job.mInherited && mUnreported.MayRunAny(aClock.mNow))) {
       continue;
     }
     for (std::size_t number = 0; number < job.mOccurrences.size(); ++number) {
@@ -265,6 +268,7 @@
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     const TaskEntry& entry = *aJob.Find(task);
     if (!entry.Idle() || entry.mNotBefore > aClock.mNow ||
+        MayRunUnreported(aJob, task, aClock.mNow) ||
         !CrashesAllowStart(aJob, task, aClock.mNow)) {
       continue;
     }
@@ -285,6 +289,7 @@
   TaskRef task = aFirst;
   for (const TaskEntry& member : members) {
     if (!member.Idle() || member.mNotBefore > aClock.mNow ||
+        MayRunUnreported(aJob, task, aClock.mNow) ||
         !CrashesAllowStart(aJob, task, aClock.mNow)) {
       return;
     }
--- a/src/core/cell/placing/CellSchedulerWaiting.cpp
+++ b/src/core/cell/placing/CellSchedulerWaiting.cpp
@@ -99,6 +99,9 @@
                                   Instant aNow) const
 {
   const TaskEntry& task = *aJob.Find(aTask);
+  if (MayRunUnreported(aJob, aTask, aNow)) {
+    return "unreported";
+  }
   if (task.mNotBefore > aNow) {
     return "pause";
   }
--- a/src/core/cell/workers/CellSchedulerWorkers.cpp
+++ b/src/core/cell/workers/CellSchedulerWorkers.cpp
@@ -5,11 +5,12 @@
 
 namespace foxtailbarrow::cell {
 
-void CellScheduler::ExpectAgents(const std::set<AgentId>& aAgents,
-                                 Instant aUntil)
+void CellScheduler::SetRecordClosed(const AgentId& aAgent, bool aClosed)
 {
-  mExpectedAgents = aAgents;
-  mExpectedUntil = aUntil;
+  if (const auto found = mWorkers.find(aAgent); found != mWorkers.end()) {
+    mNeedsPlacement = mNeedsPlacement || found->second.mRecordClosed != aClosed;
+    found->second.mRecordClosed = aClosed;
+  }
 }
 
 void CellScheduler::AttachWorker(const AgentId& aAgent,
@@ -49,7 +50,7 @@
     mJobs.at(task.mJob).Find(task)->FindRun(aAgent, number)->mOrderNumber = 0;
   }
   if (!aState.mInfo.mIncarnation.Empty()) {
-    mExpectedAgents.erase(aAgent);
+    mUnreported.OnReported(aAgent);
   }
 }
 
@@ -98,7 +99,7 @@
     UpdateInfo(aWorker, state, aClock);
   }
   if (!state.mInfo.mIncarnation.Empty()) {
-    mExpectedAgents.erase(aReport.mAgent);
+    mUnreported.OnReported(aReport.mAgent);
   }
   if (full || (aReport.mChange && !aReport.mChange->mEnded.empty())) {
     OnEndedTasks(aWorker, state.mEnded, aClock);
@@ -151,7 +152,7 @@
   }
   worker.mId = aReport.mAgent;
   worker.mEndpoint = aReport.mEndpoint;
-  mExpectedAgents.erase(aReport.mAgent);
+  mUnreported.OnReported(aReport.mAgent);
   if (aInSession) {
     UpdateInfo(worker, aReport.mState, aClock);
     OnEndedTasks(worker, aReport.mState.mEnded, aClock);
@@ -195,11 +196,12 @@
   }
 }
 
-void CellScheduler::DetachWorker(const AgentId& aAgent, const CellClock&)
+void CellScheduler::DetachWorker(const AgentId& aAgent, const CellClock& aClock)
 {
   if (const auto found = mWorkers.find(aAgent);
       found != mWorkers.end() && found->second.mLink == WorkerLink::Attached) {
     found->second.mLink = WorkerLink::Detached;
+    found->second.mDetachedAt = aClock.mNow;
     mOrders.erase(aAgent);
     LogDecision(
       "worker-detached", {}, aAgent, found->second.mSession, "silent");
--- a/src/core/cell/workers/WorkerBlock.cpp
+++ b/src/core/cell/workers/WorkerBlock.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kBlocks = 11;
+constexpr std::size_t kBlocks = 12;
 
 constexpr EnumText<WorkerBlock, kBlocks> kNames({
   { WorkerBlock::None, "none" },
@@ -20,6 +20,7 @@
   { WorkerBlock::ForeignTasks, "foreign-tasks" },
   { WorkerBlock::FailsTasks, "fails-tasks" },
   { WorkerBlock::NoGrant, "no-grant" },
+  { WorkerBlock::RecordClosed, "record-closed" },
 });
 
 } // namespace
@@ -64,8 +65,10 @@
   if (aWorker.mAvoidUntil > aNow) {
     return WorkerBlock::FailsTasks;
   }
-  return aWorker.mGrantedUntil <= aNow ? WorkerBlock::NoGrant
-                                       : WorkerBlock::None;
+  if (aWorker.mGrantedUntil <= aNow) {
+    return WorkerBlock::NoGrant;
+  }
+  return aWorker.mRecordClosed ? WorkerBlock::RecordClosed : WorkerBlock::None;
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/workers/WorkerBlock.h
+++ b/src/core/cell/workers/WorkerBlock.h
@@ -24,6 +24,8 @@
   ForeignTasks, ///< It runs tasks that belong to no job of this owner.
   FailsTasks,   ///< All its recent tasks failed.
   NoGrant,      ///< Its agent has no grant for leases.
+  /// The record of its agent is closed and must be written again first.
+  RecordClosed,
 };
 
 std::string_view ToString(WorkerBlock aBlock);
--- a/src/core/cell/workers/WorkerEntry.h
+++ b/src/core/cell/workers/WorkerEntry.h
@@ -49,12 +49,15 @@
   Instant mGrantedUntil{}; ///< End of the newest grant of this owner.
   /// Latest end of a lease that this or an earlier owner may have granted.
   Instant mLeasedUntil{};
+  Instant mDetachedAt{};    ///< Valid while detached.
   Instant mCrashedAt{};     ///< When its newest crash was reported.
   Instant mStalledStopAt{}; ///< When a stalled task was last stopped.
   Instant mLeavesAt{};      ///< Valid while it drains.
   Instant mObservedAt{};    ///< When interference was last observed.
   bool mAnswers = true;     ///< It answers its agent.
   bool mCordoned = false;   ///< The operator wants no start in its domain.
+  /// Its agent's record promises a next owner that nothing starts here.
+  bool mRecordClosed = false;
   /// By the newest report, every run has an uptime of kFreshUptime or more.
   bool mAllPastFreshUptime = false;
   /// Its newest answer that its agent reported, by the agent's clock.
--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -191,7 +191,7 @@
 TEST_F(CellSchedulerTest, InheritedTasksWaitForAgentsThatHaveNotReported)
 {
   AddInherited(Graph("job", { Step(1) }));
-  mScheduler.ExpectAgents({ AgentId("a"), AgentId("b") },
+  mScheduler.ExpectAgents({ { AgentId("a") }, { AgentId("b") } },
                           mNow + mSettings.mOwnershipTimeout);
   AttachAndGrant("b");
   EXPECT_TRUE(Orders("b").mStarts.empty());
--- a/tests/cell/WorkerLeaveTest.cpp
+++ b/tests/cell/WorkerLeaveTest.cpp
@@ -54,7 +54,7 @@
 
 TEST_F(WorkerLeaveTest, ANextOwnerDoesNotWaitForIt)
 {
-  mScheduler.ExpectAgents({ kAgent }, mNow + seconds(6));
+  mScheduler.ExpectAgents({ { kAgent } }, mNow + seconds(6));
   AddInherited(Graph("job", { Step(1) }));
   AttachAndGrant("b");
   EXPECT_TRUE(Orders("b").mStarts.empty());
