--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -53,7 +53,12 @@
   CellSettings settings;
   settings.mStopTime = aSettings.mStopTime;
   const Duration longest = aSettings.mMaxWorkerLease - kLeaseReserve;
-  settings.mOwnershipTimeout = std::min(settings.mOwnershipTimeout, longest);
+  // Where stops are long, tasks outlive an outage of the store for as long as
+  // workers accept leases. An owner that is lost right after an outage of four
+  // seconds leaves the next one no time to take over before all leases end.
+  settings.mOwnershipTimeout =
+    settings.LooksAhead() ? longest
+                          : std::min(settings.mOwnershipTimeout, longest);
   settings.mMaxTaskLease = std::min(settings.mMaxTaskLease, longest);
   return settings;
 }
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// The stop of a task that still runs is ordered again after this time. Above
-/// the longest stop of the platform.
-constexpr Duration kStopRetryDelay = std::chrono::milliseconds(800);
-
 TaskMetadata MetadataOf(const TaskRef& aTask, const StepSpec& aSpec)
 {
   return { aTask,
@@ -183,7 +179,7 @@
     found->second.mPhase = JobPhase::Running;
   }
   if (run->mPhase == RunPhase::Stopping &&
-      aClock.mNow - run->mStopOrderedAt > kStopRetryDelay) {
+      aClock.mNow - run->mStopOrderedAt > mSettings.StopRetryDelay()) {
     // The stop was lost, or ordered in an earlier session. Stops are
     // idempotent.
     StopRun(*run, aRunning.mTask, "again", aClock);
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/throttling/InterferenceEstimator.h"
 
@@ -35,9 +37,9 @@
   /// Before the next trial of a suspect whose worker was just lost: about the
   /// time that a crashed worker takes to restart.
   Duration mSuspectPause = std::chrono::milliseconds(2500);
-  /// Tasks with checkpoints are stopped so long before a draining worker
-  /// leaves.
-  Duration mStopBeforeLeave = std::chrono::milliseconds(900);
+  /// Tasks with checkpoints are stopped at least so long before a draining
+  /// worker leaves.
+  Duration mMinStopBeforeLeave = std::chrono::milliseconds(900);
   /// Demand of best-effort tasks on a worker over what it has for them. Some
   /// are throttled at any moment, and the others use what these leave; at a far
   /// higher ratio all of them are late.
@@ -87,6 +89,23 @@
   Duration mObserveInterval = std::chrono::milliseconds(450);
   InterferenceSettings mInterference;
 
+  /// When tasks with checkpoints are stopped before a draining worker leaves:
+  /// early enough for the stop, its order and the report of its end. Otherwise
+  /// the work since the last checkpoint is lost.
+  Duration StopBeforeLeave() const
+  {
+    constexpr Duration kReserve = std::chrono::milliseconds(500);
+    return std::max(mMinStopBeforeLeave, mStopTime + kReserve);
+  }
+
+  /// The stop of a task that still runs is ordered again after this time.
+  Duration StopRetryDelay() const
+  {
+    constexpr Duration kMinDelay = std::chrono::milliseconds(800);
+    constexpr Duration kReserve = std::chrono::milliseconds(200);
+    return std::max(kMinDelay, mStopTime + kReserve);
+  }
+
   /// True where stops are long, so that decisions are worth some effort to
   /// avoid moves.
   bool LooksAhead() const { return mStopTime >= kLongStop; }
--- a/src/core/cell/workers/CellSchedulerWorkers.cpp
+++ b/src/core/cell/workers/CellSchedulerWorkers.cpp
@@ -374,7 +374,7 @@
 void CellScheduler::DrainWorker(WorkerEntry& aWorker, const CellClock& aClock)
 {
   const bool leaves =
-    aClock.mNow >= aWorker.mLeavesAt - mSettings.mStopBeforeLeave;
+    aClock.mNow >= aWorker.mLeavesAt - mSettings.StopBeforeLeave();
   for (const auto& [task, number] : aWorker.mRuns) {
     JobEntry& job = mJobs.at(task.mJob);
     const StepSpec& spec = job.Spec(task);
