Wait less for silent workers once the earlier owner has ended

Change: an owner that restarted at its own address knows that the process before it grants no more leases. If that one held the cell for 5 s, which its record of what was learned shows, no earlier owner does either, and all leases end 3.85 s after the takeover, 4.95 s where workers accept leases of 10 s. The line takeover-waits says each second which agents are waited for.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -182,12 +182,22 @@
       agent.mTasks = std::move(contact->mTasks);
     }
   }
-  mLogic.ExpectAgents(std::move(expected),
-                      MonotonicNow() + mSettings.mOwnershipTimeout +
-                        mSettings.mLeaseMargin);
+  mLogic.ExpectAgents(std::move(expected), EarlierLeasesEnd());
   return absl::OkStatus();
 }
 
+/// When all leases that earlier owners granted are over.
+Instant CellOwner::EarlierLeasesEnd()
+{
+  Revision learnedRevision = 0;
+  if (mTerm.Before().mEnded) {
+    const auto learned = mParts.mStore.Read(kLearnedKey);
+    learnedRevision = learned.ok() ? learned->mModRevision : 0;
+  }
+  return cell::EarlierLeasesEnd(
+    mTerm.Before(), learnedRevision, mSettings, MonotonicNow());
+}
+
 void CellOwner::End()
 {
   if (std::exchange(mEnded, true)) {
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -144,6 +144,7 @@
 
   absl::Status LoadJobs();
   absl::Status LoadAgents();
+  Instant EarlierLeasesEnd();
   void OnJobEvent(const StoreEvent& aEvent);
   cell::ReportReply HandleReport(const cell::ReportRequest& aReport);
   AgentLink& AgentLinkOf(const AgentId& aAgent, const Endpoint& aEndpoint);
--- a/apps/scheduler/CellOwnerLearned.cpp
+++ b/apps/scheduler/CellOwnerLearned.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// Interval of saving and logging what was learned. Pairs are learned over
-/// seconds, and at this interval the saves are 1% of an owner's writes.
-constexpr Duration kLearnedSaveInterval = std::chrono::seconds(5);
 /// Smallest weight per core that is logged.
 constexpr double kMinLoggedWeight = 0.03;
 constexpr double kPerThousand = 1000.0;
--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -156,7 +156,9 @@
   if (!*won) {
     return Duration(1); // Another scheduler was faster.
   }
-  OwnerTerm term(record.mGeneration, **won, sentAt, mCellSettings);
+  // An owner key that is replaced is that of this process before its restart.
+  const Predecessor before{ aOwnerRevision != 0, revision };
+  OwnerTerm term(record.mGeneration, **won, sentAt, mCellSettings, before);
   term.ExtendKey(leaseSentAt, kOwnerTtl);
   Begin(record, term, *lease);
   return kRenewInterval;
--- a/src/core/cell/OwnerTerm.h
+++ b/src/core/cell/OwnerTerm.h
@@ -6,6 +6,7 @@
 #include "foxtailbarrow/Time.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/CellSettings.h"
+#include "src/core/cell/recovery/Predecessor.h"
 
 namespace foxtailbarrow::cell {
 
@@ -22,11 +23,13 @@
   OwnerTerm(Generation aGeneration,
             Revision aCellRevision,
             Instant aConfirmedAt,
-            CellSettings aSettings)
+            CellSettings aSettings,
+            Predecessor aBefore = {})
     : mGeneration(aGeneration)
     , mCellRevision(aCellRevision)
     , mConfirmedAt(aConfirmedAt)
     , mSettings(aSettings)
+    , mBefore(aBefore)
   {
   }
 
@@ -34,6 +37,8 @@
   /// Every write of the owner depends on this revision of the cell's record.
   Revision CellRevision() const { return mCellRevision; }
   Instant ConfirmedAt() const { return mConfirmedAt; }
+  /// The owner that this one has replaced.
+  const Predecessor& Before() const { return mBefore; }
 
   void Confirm(Instant aSentAt)
   {
@@ -66,6 +71,7 @@
   Instant mConfirmedAt;
   Instant mKeyUntil{};
   CellSettings mSettings;
+  Predecessor mBefore;
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/placing/CellSchedulerWaiting.cpp
+++ b/src/core/cell/placing/CellSchedulerWaiting.cpp
@@ -93,6 +93,34 @@
                            images));
 }
 
+/// Logs which agents inherited tasks wait for after a takeover, and how many
+/// tasks: all of them (`open`), or those that a closed record names.
+void CellScheduler::LogUnreported(Instant aNow) const
+{
+  const auto missing = mUnreported.Missing(aNow);
+  if (missing.empty()) {
+    return;
+  }
+  std::string text;
+  int open = 0;
+  std::size_t named = 0;
+  int agents = 0;
+  for (const auto& [agent, tasks] : missing) {
+    open += tasks ? 0 : 1;
+    named += tasks.value_or(0);
+    if (!tasks && ++agents <= kMaxIdleJobsLogged) {
+      text += " " + agent.Value();
+    }
+  }
+  LogDecision(
+    "takeover-waits",
+    {},
+    {},
+    0,
+    absl::StrCat(
+      "agents=", missing.size(), " open=", open, " named=", named, text));
+}
+
 /// What else than the workers may keep the task from being placed.
 const char* CellScheduler::HeldBy(JobEntry& aJob,
                                   const TaskRef& aTask,
@@ -121,6 +149,7 @@
   }
   mWaitingLoggedAt = aClock.mNow;
   LogLoad();
+  LogUnreported(aClock.mNow);
   std::set<std::string> loggedImages;
   int idleJobs = 0;
   for (const Candidate& candidate : aCandidates) {
--- a/src/core/cell/records/CellRecords.h
+++ b/src/core/cell/records/CellRecords.h
@@ -126,6 +126,10 @@
 /// Under no lease: a LearnedInterference, written every few seconds by the
 /// owner. Only saves time for the next owner: it may be outdated or absent.
 inline constexpr std::string_view kLearnedKey = "foxtailbarrow/learned";
+/// Interval of its writes, the first of which follows the takeover by as much.
+/// Pairs are learned over seconds, and at this interval the writes are 1% of an
+/// owner's.
+inline constexpr Duration kLearnedSaveInterval = std::chrono::seconds(5);
 inline constexpr std::string_view kOwnerKey = "foxtailbarrow/owner";
 inline constexpr std::string_view kCellKey = "foxtailbarrow/cell";
 inline constexpr std::string_view kJobPrefix = "foxtailbarrow/j/";
--- a/src/core/cell/recovery/UnreportedTasks.cpp
+++ b/src/core/cell/recovery/UnreportedTasks.cpp
@@ -37,4 +37,20 @@
          });
 }
 
+std::map<AgentId, std::optional<std::size_t>> UnreportedTasks::Missing(
+  Instant aNow) const
+{
+  std::map<AgentId, std::optional<std::size_t>> missing;
+  if (aNow >= mUntil) {
+    return missing;
+  }
+  for (const AgentId& agent : mOpen) {
+    missing.emplace(agent, std::nullopt);
+  }
+  for (const auto& [agent, tasks] : mClosed) {
+    missing.emplace(agent, tasks.size());
+  }
+  return missing;
+}
+
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/recovery/UnreportedTasks.h
+++ b/src/core/cell/recovery/UnreportedTasks.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,6 +38,10 @@
   /// True if any task may run on a worker that has not been reported.
   bool MayRunAny(Instant aNow) const { return aNow < mUntil && !mOpen.empty(); }
 
+  /// The agents that have not reported, with the number of tasks that their
+  /// closed records name; nullopt for an open record.
+  std::map<AgentId, std::optional<std::size_t>> Missing(Instant aNow) const;
+
 private:
   std::set<AgentId> mOpen; ///< Agents whose workers may run any task.
   std::map<AgentId, std::set<TaskRef>> mClosed;
