--- a/tests/scheduler/ElectionTest.cpp
+++ b/tests/scheduler/ElectionTest.cpp
@@ -65,6 +65,7 @@
     EXPECT_EQ(owner != nullptr, GetParam().mAcquired);
     if (owner) {
       EXPECT_GT(owner->Logic().OwnGeneration(), 4);
+      EXPECT_TRUE(owner->Term().Before().mEnded);
     }
     election.Resign();
     store.Close();
--- a/tests/scheduler/ReportingAgent.cpp
+++ b/tests/scheduler/ReportingAgent.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr int kTasks = 22;
 constexpr Duration kReportTimeout = std::chrono::milliseconds(700);
 
 } // namespace
@@ -57,6 +56,7 @@
   state.mInfo.mService = ServiceId("service");
   state.mInfo.mFailureDomain = FailureDomainId(kFailureDomain);
   state.mInfo.mCapacity = { 64'000, 256'000, 0 };
+  state.mInfo.mDraining = mDraining;
   for (int i = 0; i < kTasks; ++i) {
     RunningTask task;
     task.mTask = { JobId("0123456789abcdef"), 0, 0, i };
--- a/tests/scheduler/ReportingAgent.h
+++ b/tests/scheduler/ReportingAgent.h
@@ -26,6 +26,9 @@
 
   std::uint64_t AcceptedReports() const { return mAcceptedReports; }
 
+  static constexpr int kTasks = 22;
+  bool mDraining = false; ///< The worker states that it will leave.
+
 private:
   cell::WorkerState State();
 
