Do not save an agent's record while another write of it is unanswered

Cause: an agent that comes back at another address while its record is being opened has its record saved by a second fiber, which still counts it as closed. After the conflict that save would close the record again, the open would be believed, and starts would follow that a next owner does not wait for.

--- a/apps/scheduler/CellOwnerAgentRecords.cpp
+++ b/apps/scheduler/CellOwnerAgentRecords.cpp
@@ -67,6 +67,9 @@
   if (aLink.mSaved) {
     return true;
   }
+  if (aLink.mRecordInFlight) {
+    return false; // It may be opening the record that this would close.
+  }
   const Endpoint endpoint = aLink.mEndpoint;
   const bool written = WriteAgentRecord(
     aAgent, aLink, { endpoint, aLink.mRecordClosed, aLink.mClosedTasks });
