Compose the texts of waiting work outside the scheduler's class

Cause: two members of CellScheduler only composed log texts.

Change: LoadText() and ToText() are local to CellSchedulerWaiting.cpp. Lines as before.

--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -376,8 +376,6 @@
 
   // Waiting work (CellSchedulerWaiting.cpp).
   void OnStepDone(JobEntry& aJob, const TaskRef& aTask);
-  void LogLoad() const;
-  void LogUnreported(Instant aNow) const;
   void LogWaiting(const std::vector<Candidate>& aCandidates,
                   const CellClock& aClock);
 
--- a/src/core/cell/placing/CellSchedulerWaiting.cpp
+++ b/src/core/cell/placing/CellSchedulerWaiting.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -32,41 +33,21 @@
   return text;
 }
 
-} // namespace
-
-/// Logs how the last task of a best-effort step spent its time.
-void CellScheduler::OnStepDone(JobEntry& aJob, const TaskRef& aTask)
-{
-  const StepSpec& spec = aJob.Spec(aTask);
-  if (!spec.mBestEffort) {
-    return;
-  }
-  LogDecision("step-done",
-              aTask,
-              {},
-              0,
-              absl::StrCat(ToString(aJob.Find(aTask)->mTime),
-                           " image=",
-                           spec.mImage,
-                           " tasks=",
-                           spec.mReplicas));
-}
-
-/// Logs, in cores, what the workers leave to best-effort tasks and how much of
-/// it these demand, are stalled with and use; and the number of workers by
-/// their count of serving images.
-void CellScheduler::LogLoad() const
+/// In cores, what the workers leave to best-effort tasks and how much of it
+/// these demand, are stalled with and use; and the number of workers by their
+/// count of serving images.
+std::string LoadText(const WorkerTable& aWorkers, const CellSettings& aSettings)
 {
   double left = 0;
   double wanted = 0;
   double stalled = 0;
   double used = 0;
   std::map<std::size_t, int> byImages;
-  for (const auto& [id, worker] : mWorkers) {
+  for (const auto& [id, worker] : aWorkers) {
     if (worker.mLink != WorkerLink::Attached) {
       continue;
     }
-    left += BestEffortMillicores(worker, mSettings);
+    left += BestEffortMillicores(worker, aSettings);
     wanted += static_cast<double>(worker.mUse.mBestEffort);
     used += static_cast<double>(worker.mUse.mBestEffortUsed);
     for (const auto& [image, millicores] : worker.mUse.mStalledByImage) {
@@ -78,47 +59,55 @@
   for (const auto& [count, workers] : byImages) {
     images += " images" + std::to_string(count) + "=" + std::to_string(workers);
   }
-  LogDecision("leftover-load",
-              {},
-              {},
-              0,
-              absl::StrCat("left=",
-                           std::llround(left / kMillicores),
-                           " wanted=",
-                           std::llround(wanted / kMillicores),
-                           " stalled=",
-                           std::llround(stalled / kMillicores),
-                           " used=",
-                           std::llround(used / kMillicores),
-                           images));
+  return absl::StrCat("left=",
+                      std::llround(left / kMillicores),
+                      " wanted=",
+                      std::llround(wanted / kMillicores),
+                      " stalled=",
+                      std::llround(stalled / kMillicores),
+                      " used=",
+                      std::llround(used / kMillicores),
+                      images);
 }
 
-/// Logs which agents inherited tasks wait for after a takeover, and how many
-/// tasks: all of them (`open`), or those that a closed record names.
-void CellScheduler::LogUnreported(Instant aNow) const
+/// The agents that inherited tasks wait for after a takeover: how many of them
+/// may run any task (`open`), and how many tasks the records of the others
+/// name.
+std::string ToText(
+  const std::map<AgentId, std::optional<std::size_t>>& aMissing)
 {
-  const auto missing = mUnreported.Missing(aNow);
-  if (missing.empty()) {
-    return;
-  }
-  std::string text;
+  constexpr int kMaxNamed = 5;
+  std::string names;
   int open = 0;
-  std::size_t named = 0;
-  int agents = 0;
-  for (const auto& [agent, tasks] : missing) {
-    open += tasks ? 0 : 1;
-    named += tasks.value_or(0);
-    if (!tasks && ++agents <= kMaxIdleJobsLogged) {
-      text += " " + agent.Value();
+  std::size_t tasks = 0;
+  for (const auto& [agent, named] : aMissing) {
+    tasks += named.value_or(0);
+    if (!named && ++open <= kMaxNamed) {
+      names += " " + agent.Value();
     }
   }
-  LogDecision(
-    "takeover-waits",
-    {},
-    {},
-    0,
-    absl::StrCat(
-      "agents=", missing.size(), " open=", open, " named=", named, text));
+  return absl::StrCat(
+    "agents=", aMissing.size(), " open=", open, " named=", tasks, names);
+}
+
+} // namespace
+
+/// Logs how the last task of a best-effort step spent its time.
+void CellScheduler::OnStepDone(JobEntry& aJob, const TaskRef& aTask)
+{
+  const StepSpec& spec = aJob.Spec(aTask);
+  if (!spec.mBestEffort) {
+    return;
+  }
+  LogDecision("step-done",
+              aTask,
+              {},
+              0,
+              absl::StrCat(ToString(aJob.Find(aTask)->mTime),
+                           " image=",
+                           spec.mImage,
+                           " tasks=",
+                           spec.mReplicas));
 }
 
 /// What else than the workers may keep the task from being placed.
@@ -148,8 +137,10 @@
     return;
   }
   mWaitingLoggedAt = aClock.mNow;
-  LogLoad();
-  LogUnreported(aClock.mNow);
+  LogDecision("leftover-load", {}, {}, 0, LoadText(mWorkers, mSettings));
+  if (const auto missing = mUnreported.Missing(aClock.mNow); !missing.empty()) {
+    LogDecision("takeover-waits", {}, {}, 0, ToText(missing));
+  }
   std::set<std::string> loggedImages;
   int idleJobs = 0;
   for (const Candidate& candidate : aCandidates) {
