Probe the store by serializable reads, and watch for half of the configuration's bound

Change: the probe is a serializable read, a tenth of the price and not counted toward the store's rate; it does not end a silence or an outage, which a linearizable read does. A watch waits for half of the time in which a change must be in force (new setting).

Ruled out: longer watches on all deployments: a lost response delays a change by the watch's wait and 0.6 s, and the shortest bound is 2 s.

--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -23,10 +23,10 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
-/// Longest time without an answer of the store; then a small read is sent. The
-/// two watches of an idle scheduler yield two answers a second.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(300);
 constexpr Duration kProbeCheck = std::chrono::milliseconds(100);
+/// Longest time that a watch call waits for a change. A platform without long
+/// calls, or a proxy between, may end them after a minute.
+constexpr Duration kLongestWatchWait = std::chrono::seconds(10);
 /// Interval of checks for the first configuration. Until it is read, this
 /// scheduler takes no part in the election: an owner would have no policies for
 /// its jobs.
@@ -63,6 +63,17 @@
   return settings;
 }
 
+/// If the response to a watch call is lost, a change is noticed when the call
+/// times out, which has to leave time to read it.
+platform::KvStoreSettings StoreSettingsFor(const SchedulerSettings& aSettings)
+{
+  platform::KvStoreSettings settings;
+  settings.mEndpoint = aSettings.mStore;
+  settings.mWatchWait =
+    std::min(aSettings.mConfigurationTimeout / 2, kLongestWatchWait);
+  return settings;
+}
+
 std::vector<Endpoint> PeersOf(const SchedulerSettings& aSettings)
 {
   std::vector<Endpoint> peers = aSettings.mSeeds;
@@ -89,9 +100,10 @@
   : mSettings(std::move(aSettings))
   , mCellSettings(CellSettingsFor(mSettings))
   , mRuntime(aRuntime)
-  , mPlainStore(aRuntime, { .mEndpoint = mSettings.mStore })
+  , mPlainStore(aRuntime, StoreSettingsFor(mSettings))
   , mCountedStore(mPlainStore)
   , mStore(mCountedStore)
+  , mStoreProbe(mStore)
   , mAdvice(aRuntime, mSettings.mAdvice)
   , mClient(aRuntime)
   , mRpc(mClient)
@@ -224,11 +236,7 @@
   });
   mFibers.Repeat(mProbeWaker, kProbeCheck, [this] {
     OnResume();
-    absl::Status status;
-    if (mStore.SinceAnswer() >= kProbeInterval || !mStore.Answers()) {
-      status = mStore.Read(cell::kCellKey).status();
-    }
-    LogStoreHealth(status);
+    mStoreProbe.Round();
   });
   return absl::OkStatus();
 }
@@ -314,15 +322,6 @@
   return absl::OkStatus();
 }
 
-void Scheduler::LogStoreHealth(const absl::Status& aStatus)
-{
-  const bool answers = mStore.Answers();
-  if (answers != std::exchange(mLoggedStoreAnswers, answers)) {
-    LogChange(answers ? "store-answers" : "store-silent",
-              { { "status", aStatus.ToString() } });
-  }
-}
-
 net::HttpResponse Scheduler::ServeReady(const net::HttpRequest&)
 {
   const absl::Status ready = Readiness();
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -10,6 +10,7 @@
 #include "apps/scheduler/Election.h"
 #include "apps/scheduler/JobRequestHandler.h"
 #include "apps/scheduler/SchedulerSettings.h"
+#include "apps/scheduler/StoreProbe.h"
 #include "platform/AdviceClient.h"
 #include "platform/KvStore.h"
 #include "src/core/base/SuspendDetector.h"
@@ -42,7 +43,6 @@
   net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
   absl::Status Readiness() const;
   void OnResume();
-  void LogStoreHealth(const absl::Status& aStatus);
   absl::Status Listen(const Endpoint& aEndpoint,
                       net::HttpServer::Handler aHandler,
                       std::unique_ptr<net::HttpServer>& aServer);
@@ -67,6 +67,7 @@
   platform::KvStore mPlainStore;
   CountingStore mCountedStore;
   HealthTrackingStore mStore;
+  StoreProbe mStoreProbe;
   platform::AdviceClient mAdvice;
   net::HttpClient mClient;
   net::RpcClient mRpc;
@@ -82,7 +83,6 @@
   prometheus::Histogram& mAnswerTime;
   bool mDraining = false;
   bool mLoggedReady = false;
-  bool mLoggedStoreAnswers = true;
   Waker mConfigurationWaker;
   Waker mProbeWaker;
   Waker mResumeWaker;
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -48,6 +48,11 @@
                             aValues.mStopTime,
                             { milliseconds(0), hours(1) },
                             "Longest time that workers take to stop a task");
+  aSettings.AddMilliseconds(
+    "--config-apply-ms",
+    aValues.mConfigurationTimeout,
+    { milliseconds(1000), hours(1) },
+    "Longest time until a change of the configuration is in force");
   aSettings.AddMilliseconds("--keep-ended-ms",
                             aValues.mKeepEnded,
                             { milliseconds(0), hours(24 * 30) },
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -30,6 +30,8 @@
   Duration mMaxWorkerLease = std::chrono::milliseconds(6000);
   /// Longest time that a worker of this platform takes to stop a task.
   Duration mStopTime = std::chrono::milliseconds(400);
+  /// Longest time until a change of the configuration is in force.
+  Duration mConfigurationTimeout = std::chrono::milliseconds(2000);
   /// How long ended jobs can still be read.
   Duration mKeepEnded = std::chrono::seconds(120);
   /// Counted from SIGTERM; shorter than the platform's delay until SIGKILL.
--- a/include/foxtailbarrow/Store.h
+++ b/include/foxtailbarrow/Store.h
@@ -98,6 +98,14 @@
   /// Reads a key; NotFound if it does not exist.
   virtual absl::StatusOr<StoreEntry> Read(std::string_view aKey) = 0;
 
+  /// Reads a key as of some earlier moment, up to several seconds ago. Costs
+  /// the store a fraction of Read(). Stores without such reads return the
+  /// newest.
+  virtual absl::StatusOr<StoreEntry> ReadSerializable(std::string_view aKey)
+  {
+    return Read(aKey);
+  }
+
   /// Lists every key with the prefix `aPrefix`, sorted by key.
   virtual absl::StatusOr<StoreListing> List(std::string_view aPrefix) = 0;
 
--- a/src/core/cell/StoreHealth.h
+++ b/src/core/cell/StoreHealth.h
@@ -36,11 +36,17 @@
     mOutageSince = {};
   }
 
+  /// A serializable read was served. That shows that the store is reachable,
+  /// not that it serves other calls, so it does not end a silence or an outage.
+  void OnSerializableRead(Instant aSentAt, Instant aNow)
+  {
+    Erase(aSentAt);
+    mHeardAt = aNow;
+  }
+
   void OnEnded(Instant aSentAt, StoreCallEnd aEnd, Instant aNow)
   {
-    if (const auto found = mSent.find(aSentAt); found != mSent.end()) {
-      mSent.erase(found);
-    }
+    Erase(aSentAt);
     if (aEnd == StoreCallEnd::Served) {
       OnAnswer(aNow);
       return;
@@ -67,7 +73,10 @@
 
   /// Time since the newest answer. A read that only probes the store is not
   /// needed shortly after one.
-  Duration SinceAnswer(Instant aNow) const { return aNow - mAnsweredAt; }
+  Duration SinceAnswer(Instant aNow) const
+  {
+    return aNow - std::max(mAnsweredAt, mHeardAt);
+  }
 
   /// How long the store has not answered; 0 while it does.
   Duration SilentFor(Instant aNow) const
@@ -93,8 +102,16 @@
   }
 
 private:
+  void Erase(Instant aSentAt)
+  {
+    if (const auto found = mSent.find(aSentAt); found != mSent.end()) {
+      mSent.erase(found);
+    }
+  }
+
   std::multiset<Instant> mSent;
   Instant mAnsweredAt{};
+  Instant mHeardAt{}; ///< Newest reply to a serializable read.
   /// When the call was sent that ended without an answer, if none came since.
   Instant mSilentSince{};
   /// When the first call was sent that was not served, if none was since.
--- a/src/platform/store/CountingStore.cpp
+++ b/src/platform/store/CountingStore.cpp
@@ -13,6 +13,13 @@
   return mStore.Read(aKey);
 }
 
+absl::StatusOr<StoreEntry> CountingStore::ReadSerializable(
+  std::string_view aKey)
+{
+  mCounts.Add(StoreCall::ReadSerializable);
+  return mStore.ReadSerializable(aKey);
+}
+
 absl::StatusOr<StoreListing> CountingStore::List(std::string_view aPrefix)
 {
   mCounts.Add(StoreCall::List);
--- a/src/platform/store/CountingStore.h
+++ b/src/platform/store/CountingStore.h
@@ -15,6 +15,7 @@
   const StoreCallCounts& Counts() const { return mCounts; }
 
   absl::StatusOr<StoreEntry> Read(std::string_view aKey) override;
+  absl::StatusOr<StoreEntry> ReadSerializable(std::string_view aKey) override;
   absl::StatusOr<StoreListing> List(std::string_view aPrefix) override;
   absl::StatusOr<StoreTransactionResult> Commit(
     const StoreTransaction& aTransaction) override;
--- a/src/platform/store/HealthTrackingStore.h
+++ b/src/platform/store/HealthTrackingStore.h
@@ -60,6 +60,19 @@
   {
     return Track([&] { return mStore.Read(aKey); });
   }
+  absl::StatusOr<StoreEntry> ReadSerializable(std::string_view aKey) override
+  {
+    const Instant sentAt = MonotonicNow();
+    mHealth.OnSent(sentAt);
+    auto entry = mStore.ReadSerializable(aKey);
+    const Instant now = MonotonicNow();
+    if (EndOf(entry.status()) == cell::StoreCallEnd::Served) {
+      mHealth.OnSerializableRead(sentAt, now);
+    } else {
+      mHealth.OnEnded(sentAt, EndOf(entry.status()), now);
+    }
+    return entry;
+  }
   absl::StatusOr<StoreListing> List(std::string_view aPrefix) override
   {
     return Track([&] { return mStore.List(aPrefix); });
--- a/src/platform/store/StoreCall.cpp
+++ b/src/platform/store/StoreCall.cpp
@@ -14,6 +14,7 @@
   { StoreCall::KeepAlive, "keep-alive" },
   { StoreCall::RevokeLease, "revoke-lease" },
   { StoreCall::Watch, "watch" },
+  { StoreCall::ReadSerializable, "read-serializable" },
 });
 
 } // namespace
--- a/src/platform/store/StoreCall.h
+++ b/src/platform/store/StoreCall.h
@@ -16,12 +16,13 @@
   KeepAlive,
   RevokeLease,
   Watch,
+  ReadSerializable,
 };
 
-inline constexpr std::size_t kStoreCallKinds = 7;
+inline constexpr std::size_t kStoreCallKinds = 8;
 
 /// The metrics label: `read`, `list`, `commit`, `grant-lease`, `keep-alive`,
-/// `revoke-lease` or `watch`.
+/// `revoke-lease`, `watch` or `read-serializable`.
 std::string_view ToString(StoreCall aCall);
 
 /// Whether the call changes the store, so that its outcome is unknown after a
--- a/standins/kv/KvFaults.h
+++ b/standins/kv/KvFaults.h
@@ -18,6 +18,7 @@
 {
   KvOutage mOutage = KvOutage::None;
   bool mLeasesPause = false; ///< Leases do not expire during an outage.
+  bool mWatchesGone = false; ///< No watch finds the history that it needs.
   Duration mDelay{};         ///< Added to every response.
   double mLoseShare = 0;     ///< Share of writes applied without a response.
   double mLateShare = 0;     ///< Share of writes applied late, no response.
--- a/standins/kv/KvService.cpp
+++ b/standins/kv/KvService.cpp
@@ -188,6 +188,12 @@
 net::HttpResponse KvService::Handle(const net::HttpRequest& aRequest)
 {
   ++mCalls;
+  if (const std::size_t query = aRequest.mTarget.find('?');
+      query != std::string::npos &&
+      Parameter(std::string_view(aRequest.mTarget).substr(query + 1),
+                "Serializable") == "1") {
+    ++mSerializableReads;
+  }
   if (mFaults.mOutage == KvOutage::Refuses) {
     return Reply(kUnavailable);
   }
@@ -293,7 +299,7 @@
   for (;;) {
     Expire();
     const auto events = mTable.EventsAfter(range, from);
-    if (!events.ok() || from < mCompactedRevision) {
+    if (!events.ok() || from < mCompactedRevision || mFaults.mWatchesGone) {
       return Reply(kGone);
     }
     if (!events->empty() || MonotonicNow() >= end) {
--- a/standins/kv/KvService.h
+++ b/standins/kv/KvService.h
@@ -34,6 +34,8 @@
 
   Endpoint ListeningEndpoint() const { return mServer->ListeningEndpoint(); }
   std::uint64_t Calls() const { return mCalls; }
+  /// Those of Calls() that accept an earlier state.
+  std::uint64_t SerializableReads() const { return mSerializableReads; }
 
 private:
   KvService(net::FiberRuntime& aRuntime, unsigned aSeed);
@@ -59,6 +61,7 @@
   Duration mPaused{}; ///< Total time for which leases were paused.
   Instant mPausedSince{};
   std::uint64_t mCalls = 0;
+  std::uint64_t mSerializableReads = 0;
   std::unique_ptr<net::HttpServer> mServer;
 };
 
--- a/tests/cell/StoreHealthTest.cpp
+++ b/tests/cell/StoreHealthTest.cpp
@@ -124,6 +124,37 @@
                               milliseconds(1500) }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
+/// A store without a quorum still serves serializable reads.
+TEST(StoreHealth, ASerializableReadDoesNotEndASilence)
+{
+  StoreHealth health;
+  health.OnSent(At(0));
+  health.OnEnded(At(0), StoreCallEnd::Unanswered, At(1000));
+  health.OnSent(At(1100));
+  health.OnSerializableRead(At(1100), At(1104));
+  EXPECT_FALSE(health.Answers(At(1105)));
+  EXPECT_EQ(health.SinceAnswer(At(1204)), milliseconds(100));
+}
+
+TEST(StoreHealth, SerializableReadsDoNotHideAWriteWithoutAnAnswer)
+{
+  StoreHealth health;
+  health.OnAnswer(At(0));
+  health.OnSent(At(10)); // The write.
+  health.OnSent(At(300));
+  health.OnSerializableRead(At(300), At(304));
+  EXPECT_TRUE(health.Answers(At(400)));
+  EXPECT_FALSE(health.Answers(At(460)));
+}
+
+TEST(StoreHealth, ASerializableReadWithoutAnAnswerShowsASilence)
+{
+  StoreHealth health;
+  health.OnAnswer(At(0));
+  health.OnSent(At(300));
+  EXPECT_FALSE(health.Answers(At(760)));
+}
+
 TEST(StoreHealth, AStoreThatRefusesAnswers)
 {
   StoreHealth health;
