Back off where the store accepts no watch, and watch the owner from the store's revision

Cause: a store that drops its history ends the watch; the owner's key was then watched from its own, older revision, so every further watch ended at once, for good: a read and a watch each 150 ms and scheduler. The configuration's watch was listed again each 100 ms.

Change: the watch starts at the store's revision; pauses between failed calls double, with full jitter, up to 1 s (Backoff, a decision without I/O), which leaves a change half of the shortest time in which it must be in force.

--- a/apps/scheduler/ConfigurationWatch.cpp
+++ b/apps/scheduler/ConfigurationWatch.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Duration kRetry = std::chrono::milliseconds(100);
+/// While the store accepts no watch, a change is found by listing, within half
+/// of the shortest time in which it must be in force.
+constexpr Duration kLongestRetry = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -20,6 +23,7 @@
   : mStore(aStore)
   , mOnChange(std::move(aOnChange))
   , mOnCordons(std::move(aOnCordons))
+  , mBackoff(kRetry, kLongestRetry)
 {
 }
 
@@ -92,17 +96,18 @@
 {
   const auto listing = Read();
   if (!listing.ok()) {
-    return kRetry;
+    return mBackoff.Next(mRandom);
   }
   const absl::Status ended =
     mStore.Watch(platform::kOperatorPrefix,
                  listing->mRevision,
                  [this](const std::vector<StoreEvent>& aEvents) {
+                   mBackoff.Reset();
                    OnEvents(aEvents);
                    return true;
                  });
   LogDebug("configuration-watch-ended", { { "error", ended.ToString() } });
-  return ended.ok() ? Duration(1) : kRetry;
+  return ended.ok() ? Duration(1) : mBackoff.Next(mRandom);
 }
 
 void ConfigurationWatch::Apply(std::string_view aText)
--- a/apps/scheduler/ConfigurationWatch.h
+++ b/apps/scheduler/ConfigurationWatch.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "src/core/base/Snapshot.h"
 #include "src/core/cell/CellConfiguration.h"
 #include "src/core/cell/workers/CordonTable.h"
+#include "src/core/retry/Backoff.h"
 
 namespace foxtailbarrow::scheduler {
 
@@ -81,6 +83,8 @@
   std::uint64_t mStaleMarks = 0; ///< Calls of MarkStale().
   Instant mLastContactAt{};
   bool mReachable = false;
+  std::mt19937_64 mRandom{ std::random_device{}() };
+  Backoff mBackoff;
 };
 
 } // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kRenewInterval = std::chrono::milliseconds(450);
 constexpr Duration kRenewRetry = std::chrono::milliseconds(150);
 constexpr Duration kRetry = std::chrono::milliseconds(150);
+/// Bounds how long a vacant cell waits for a store that is back.
+constexpr Duration kLongestRetry = std::chrono::milliseconds(1000);
 /// Keeps tokens exact as JSON numbers.
 constexpr std::int64_t kMaxToken = (std::int64_t{ 1 } << 52) - 1;
 
@@ -34,6 +36,7 @@
   , mCellSettings(aCellSettings)
   , mStore(aStore)
   , mMakeOwner(std::move(aMakeOwner))
+  , mBackoff(kRetry, kLongestRetry)
   , mCandidacy(aSettings.mProcessorShare)
 {
 }
@@ -82,8 +85,11 @@
   }
   if (!entry.ok()) {
     const bool vacant = absl::IsNotFound(entry.status());
-    return vacant && mCandidacy.MayTake(MonotonicNow()) ? TryAcquire(0)
-                                                        : kRetry;
+    if (!vacant) {
+      return mBackoff.Next(mRandom);
+    }
+    mBackoff.Reset();
+    return mCandidacy.MayTake(MonotonicNow()) ? TryAcquire(0) : kRetry;
   }
   mCandidacy.OnOwnerSeen();
   if (const auto record = FromJsonText<OwnerRecord>(entry->mValue);
@@ -100,17 +106,20 @@
              { { "error", record.status().ToString() } });
   }
   bool deleted = false;
+  // Not from the entry's own revision: the store may have dropped the history
+  // since then, and every watch from there would end at once.
   const absl::Status ended =
     mStore.Watch(kOwnerKey,
-                 entry->mModRevision,
+                 WatchStart(*entry),
                  [this, &deleted](const std::vector<StoreEvent>& aEvents) {
                    mSeenAt = MonotonicNow();
+                   mBackoff.Reset();
                    for (const StoreEvent& event : aEvents) {
                      deleted = !event.mValue;
                    }
                    return aEvents.empty() && !mResigned;
                  });
-  return deleted || ended.ok() ? Duration(1) : kRetry;
+  return deleted || ended.ok() ? Duration(1) : mBackoff.Next(mRandom);
 }
 
 std::string Election::OwnerText(Generation aGeneration,
@@ -124,7 +133,7 @@
 {
   const auto cell = mStore.Read(kCellKey);
   if (!cell.ok() && !absl::IsNotFound(cell.status())) {
-    return kRetry;
+    return mBackoff.Next(mRandom);
   }
   CellRecord record;
   Revision revision = 0;
@@ -133,7 +142,7 @@
     if (!parsed.ok()) {
       LogError("cell-record-unreadable",
                { { "error", parsed.status().ToString() } });
-      return kRetry;
+      return mBackoff.Next(mRandom);
     }
     record = *parsed;
     revision = cell->mModRevision;
@@ -145,13 +154,13 @@
   const Instant leaseSentAt = MonotonicNow();
   const auto lease = mStore.GrantLease(kOwnerTtl);
   if (!lease.ok() || mResigned) {
-    return kRetry;
+    return mBackoff.Next(mRandom);
   }
   const Instant sentAt = MonotonicNow();
   const auto won = Propose(record, { aOwnerRevision, revision }, *lease);
   if (!won.ok()) {
     LogWarning("election-unsettled", { { "error", won.status().ToString() } });
-    return kRetry;
+    return mBackoff.Next(mRandom);
   }
   if (!*won) {
     return Duration(1); // Another scheduler was faster.
--- a/apps/scheduler/Election.h
+++ b/apps/scheduler/Election.h
@@ -11,6 +11,7 @@
 #include "foxtailbarrow/Store.h"
 #include "src/core/cell/Candidacy.h"
 #include "src/core/cell/records/CellRecords.h"
+#include "src/core/retry/Backoff.h"
 #include "src/net/Waker.h"
 
 namespace foxtailbarrow::scheduler {
@@ -86,6 +87,7 @@
   MakeOwner mMakeOwner;
   Waker mWaker;
   std::mt19937_64 mRandom{ std::random_device{}() };
+  Backoff mBackoff;
   std::shared_ptr<CellOwner> mOwner;
   StoreLease mLease = 0;
   std::int64_t mToken = 0;
--- a/tests/scheduler/StoreLoadTest.cpp
+++ b/tests/scheduler/StoreLoadTest.cpp
@@ -25,6 +25,9 @@
   R"("TimeoutMs":3000,"SloMs":250,"Service":"service",)"
   R"("Attempts":3,"Stretch":1.5}]})";
 
+/// The target size: schedulers, and reads that the store accepts a second.
+constexpr double kSchedulers = 1130;
+constexpr double kReadsPerSecond = 16'000;
 /// What idle schedulers may cost: 15,000 calls of 183 of them in 67 s.
 constexpr double kIdleCallsPerSecond = 15'000.0 / 183 / 67;
 /// Cost of a serializable read, in calls.
@@ -131,10 +134,41 @@
 
 void Nothing(standin::KvService&) {}
 
+void DropHistory(standin::KvService& aStore)
+{
+  aStore.Put("other", "1");
+  aStore.CompactHistory();
+}
+
+void RefuseWatches(standin::KvService& aStore)
+{
+  standin::KvFaults faults;
+  faults.mWatchesGone = true;
+  aStore.SetFaults(faults);
+}
+
+void Refuse(standin::KvService& aStore)
+{
+  standin::KvFaults faults;
+  faults.mOutage = standin::KvOutage::Refuses;
+  aStore.SetFaults(faults);
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Table,
   StoreLoadTest,
-  testing::Values(StoreLoadCase{ "Idle", Nothing, false, kIdleCallsPerSecond }),
+  testing::Values(
+    StoreLoadCase{ "Idle", Nothing, false, kIdleCallsPerSecond },
+    // The listings and watches that the reset needs come in addition.
+    StoreLoadCase{ "DroppedHistory",
+                   DropHistory,
+                   true,
+                   2 * kIdleCallsPerSecond },
+    StoreLoadCase{ "WatchesGone",
+                   RefuseWatches,
+                   true,
+                   kReadsPerSecond / kSchedulers },
+    StoreLoadCase{ "Outage", Refuse, true, kReadsPerSecond / kSchedulers }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
 } // namespace
