Stagger the candidates for a vacant cell

Cause: when the owner's key goes, all schedulers see it at once, and each with enough processor time read the cell, took a lease and proposed: three calls each, two of them writes, in the same milliseconds; 50 of 183 schedulers here, some 300 at 6,060 machines.

Change: each candidate has a turn of up to 120 ms, drawn with a density that grows exponentially (timer-based suppression), so that the number that act before they see the new owner hardly depends on how many there are. Until its turn a scheduler looks for the new owner by serializable reads.

Ruled out: turns drawn uniformly: the number of attempts grows with the schedulers.

--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -1,5 +1,6 @@
 #include "apps/scheduler/Election.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -37,7 +38,9 @@
   , mStore(aStore)
   , mMakeOwner(std::move(aMakeOwner))
   , mBackoff(kRetry, kLongestRetry)
-  , mCandidacy(aSettings.mProcessorShare)
+  , mCandidacy(
+      aSettings.mProcessorShare,
+      Candidacy::Turn(std::uniform_real_distribution<double>()(mRandom)))
 {
 }
 
@@ -79,47 +82,70 @@
 
 Duration Election::Follow()
 {
+  if (mVacant && !mCandidacy.MayTake(MonotonicNow())) {
+    return AwaitOwner();
+  }
   const auto entry = mStore.Read(kOwnerKey);
   if (mResigned) {
     return kRetry;
   }
+  if (absl::IsNotFound(entry.status())) {
+    mBackoff.Reset();
+    mVacant = true;
+    return mCandidacy.MayTake(MonotonicNow()) ? TryAcquire(0) : Duration(1);
+  }
   if (!entry.ok()) {
-    const bool vacant = absl::IsNotFound(entry.status());
-    if (!vacant) {
-      return mBackoff.Next(mRandom);
+    return mBackoff.Next(mRandom);
+  }
+  return WatchOwner(*entry);
+}
+
+/// Until this scheduler's turn to take the vacant cell. A stale reply shows the
+/// earlier owner or none, so a cheap read is enough to see the next one.
+Duration Election::AwaitOwner()
+{
+  const auto entry = mStore.ReadSerializable(kOwnerKey);
+  if (entry.ok()) {
+    if (const auto record = FromJsonText<OwnerRecord>(entry->mValue);
+        record.ok() && record->mGeneration > mGeneration) {
+      return WatchOwner(*entry);
     }
-    mBackoff.Reset();
-    return mCandidacy.MayTake(MonotonicNow()) ? TryAcquire(0) : kRetry;
   }
+  const Duration pause = Jitter(kRetry / 2, kRetry, mRandom);
+  return std::min(pause, mCandidacy.TakesIn(MonotonicNow()) + Duration(1));
+}
+
+Duration Election::WatchOwner(const StoreEntry& aEntry)
+{
+  mVacant = false;
   mCandidacy.OnOwnerSeen();
-  if (const auto record = FromJsonText<OwnerRecord>(entry->mValue);
+  if (const auto record = FromJsonText<OwnerRecord>(aEntry.mValue);
       record.ok()) {
     OnOwnerSeen(*record);
     // This process listens there now, so the process that owned the cell has
     // ended. Its key need not expire first.
     if (record->mScheduler == mSettings.mId &&
         record->mEndpoint == mSettings.mAdvertised) {
-      return TryAcquire(entry->mModRevision);
+      return TryAcquire(aEntry.mModRevision);
     }
   } else {
     LogError("owner-record-unreadable",
              { { "error", record.status().ToString() } });
   }
-  bool deleted = false;
   // Not from the entry's own revision: the store may have dropped the history
   // since then, and every watch from there would end at once.
   const absl::Status ended =
     mStore.Watch(kOwnerKey,
-                 WatchStart(*entry),
-                 [this, &deleted](const std::vector<StoreEvent>& aEvents) {
+                 WatchStart(aEntry),
+                 [this](const std::vector<StoreEvent>& aEvents) {
                    mSeenAt = MonotonicNow();
                    mBackoff.Reset();
                    for (const StoreEvent& event : aEvents) {
-                     deleted = !event.mValue;
+                     mVacant = !event.mValue;
                    }
                    return aEvents.empty() && !mResigned;
                  });
-  return deleted || ended.ok() ? Duration(1) : mBackoff.Next(mRandom);
+  return mVacant || ended.ok() ? Duration(1) : mBackoff.Next(mRandom);
 }
 
 std::string Election::OwnerText(Generation aGeneration,
@@ -163,6 +189,7 @@
     return mBackoff.Next(mRandom);
   }
   if (!*won) {
+    mVacant = false;
     return Duration(1); // Another scheduler was faster.
   }
   // An owner key that is replaced is that of this process before its restart.
@@ -221,6 +248,8 @@
   mToken = aRecord.mToken;
   mGeneration = aRecord.mGeneration;
   mSeenAt = MonotonicNow();
+  mVacant = false;
+  mCandidacy.OnOwnerSeen();
   LogChange(
     "election-won",
     { { "generation", mGeneration }, { "revision", aTerm.CellRevision() } });
--- a/apps/scheduler/Election.h
+++ b/apps/scheduler/Election.h
@@ -57,6 +57,8 @@
 
 private:
   Duration Follow();
+  Duration AwaitOwner();
+  Duration WatchOwner(const StoreEntry& aEntry);
   /// Revisions that a proposal replaces; 0 if the key does not exist.
   struct Replaced
   {
@@ -95,6 +97,7 @@
   std::optional<Endpoint> mOwnerAt;
   cell::Generation mGeneration = 0;
   Instant mSeenAt{};
+  bool mVacant = false; ///< The owner's key is gone, and no new one was seen.
   bool mResigned = false;
 };
 
