End the term of an owner that an agent tells of a later one

Cause: an owner that the store turned away did not learn that it was replaced. Each refusal named the later generation, which only a won election creates.

Change: the first such refusal ends the term.

Measured: DeposedOwnerTest, 20 agents: 40 attach calls in 200 ms and more after that before, at most one an agent now, none after 200 ms.

--- a/apps/scheduler/CellOwnerAgents.cpp
+++ b/apps/scheduler/CellOwnerAgents.cpp
@@ -172,6 +172,12 @@
   if (!reply->mAttached) {
     LogWarning("attach-refused",
                { { "agent", aAgent }, { "generation", reply->mGeneration } });
+    if (reply->mGeneration > mTerm.OwnGeneration()) {
+      // Only a won election creates a generation, so this term is over, whether
+      // or not the store can be asked.
+      mParts.mOnSuperseded();
+      return Duration::zero();
+    }
     return kAttachRetry;
   }
   aLink.mLastContactAt = MonotonicNow();
--- a/tests/scheduler/DeposedOwnerTest.cpp
+++ b/tests/scheduler/DeposedOwnerTest.cpp
@@ -77,15 +77,19 @@
   net::RpcDispatcher mDispatcher;
   std::unique_ptr<net::HttpServer> mAgents;
   SchedulerSettings mSettings;
-  Election mElection{ mSettings,
-                      {},
-                      mStore,
-                      [this](const cell::OwnerTerm& aTerm) {
-                        return MakePlainOwner(
-                          mRuntime, mStore, mRpc, aTerm, {}, {}, [this] {
-                            mElection.Superseded();
-                          });
-                      } };
+  std::shared_ptr<CellOwner> mOwner;
+  Election mElection{
+    mSettings,
+    {},
+    mStore,
+    [this](const cell::OwnerTerm& aTerm) {
+      mOwner = MakePlainOwner(
+        mRuntime, mStore, mRpc, aTerm, {}, { "127.0.0.1", 1 }, [this] {
+          mElection.Superseded();
+        });
+      return mOwner;
+    }
+  };
   int mAttaches = 0;
 };
 
@@ -95,15 +99,13 @@
 TEST_P(DeposedOwnerTest, EndsItsTermWithTheFirstLaterGeneration)
 {
   mRuntime.RunAndWait([this] {
-    std::shared_ptr<CellOwner> owner;
-    while (!owner) {
-      boost::this_fiber::sleep_for(mElection.Round());
-      owner = mElection.Owner();
+    while (!mOwner) { // Until its turn.
+      const Duration pause = mElection.Round();
+      boost::this_fiber::sleep_for(mOwner ? milliseconds(200) : pause);
     }
-    boost::this_fiber::sleep_for(milliseconds(200));
     const int attaches = mAttaches;
     boost::this_fiber::sleep_for(milliseconds(500));
-    EXPECT_EQ(owner->Active(), !GetParam().mTermEnds);
+    EXPECT_EQ(mOwner->Active(), !GetParam().mTermEnds);
     if (GetParam().mTermEnds) {
       EXPECT_LE(attaches, kAgents);
       EXPECT_EQ(mAttaches, attaches);
