Search for a lost owner by serializable reads, with backoff

Cause: an agent without an owner read the owner's key each 150 ms: 5,300 reads a second of 800 agents, 40,000 at 6,100, where the store accepts 16,000 and the next owner needs it too.

Change: serializable reads, which the store does not count, with pauses that double to 1.2 s with full jitter. A stale reply names an owner of a known generation; a new owner contacts the agents that it finds in the store by itself.

--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -22,6 +22,8 @@
 /// Pause before the next attempt without an owner or a session.
 constexpr Duration kRetry = std::chrono::milliseconds(150);
 constexpr Duration kSeedTimeout = std::chrono::milliseconds(400);
+/// Longest pause between two searches. A new owner also contacts the agents.
+constexpr Duration kLongestSearchPause = std::chrono::milliseconds(1200);
 /// Time without a reply of the owner after which a new one is searched for.
 constexpr Duration kLostAfter = std::chrono::milliseconds(900);
 
@@ -47,6 +49,7 @@
   , mWorker(aWorker)
   , mStore(aStore)
   , mRpc(aRpc)
+  , mSearches(kRetry, kLongestSearchPause)
 {
 }
 
@@ -63,7 +66,10 @@
     if (std::exchange(mInContact, false)) {
       LogWarning("owner-lost", { { "generation", mGeneration } });
     }
-    Find();
+    if (now >= mNextSearchAt) {
+      Find();
+      mNextSearchAt = MonotonicNow() + mSearches.Next(mRandom);
+    }
     return kRetry;
   }
   return mWorker.CurrentSession() == 0 ? kRetry : kReportInterval;
@@ -160,11 +166,11 @@
   if (aReply.mGeneration < mGeneration) {
     return; // The owner was replaced and has not noticed yet.
   }
-  mLastContactAt = MonotonicNow();
-  if (!std::exchange(mInContact, true)) {
+  if (!mInContact) {
     LogChange("owner-found",
               { { "owner", aOwner }, { "generation", aReply.mGeneration } });
   }
+  OnContact();
   if (aReply.mAttached &&
       mEncoder.Incarnation() == mWorker.Info().mIncarnation) {
     mWorker.OnGrant(
@@ -173,6 +179,13 @@
   }
 }
 
+void OwnerLink::OnContact()
+{
+  mLastContactAt = MonotonicNow();
+  mInContact = true;
+  mSearches.Reset();
+}
+
 void OwnerLink::Find()
 {
   if (!FindByStore()) {
@@ -182,7 +195,8 @@
 
 bool OwnerLink::FindByStore()
 {
-  const auto entry = mStore.Read(kOwnerKey);
+  // An earlier owner's record is ignored by its generation.
+  const auto entry = mStore.ReadSerializable(kOwnerKey);
   if (!entry.ok()) {
     return false;
   }
@@ -237,8 +251,7 @@
     return state.status();
   }
   OnOwnerFound(aRequest.mGeneration, aRequest.mOwner);
-  mLastContactAt = MonotonicNow();
-  mInContact = true;
+  OnContact();
   reply.mAttached = true;
   reply.mGeneration = mGeneration;
   reply.mState = *state;
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include "apps/taskagent/TaskAgentSettings.h"
@@ -9,6 +10,7 @@
 #include "foxtailbarrow/Store.h"
 #include "src/core/cell/CellMessages.h"
 #include "src/core/cell/workers/ReportEncoder.h"
+#include "src/core/retry/Backoff.h"
 #include "src/net/Rpc.h"
 #include "src/net/Waker.h"
 
@@ -65,6 +67,7 @@
                const cell::ReportRequest& aReport,
                Instant aSentAt);
   void Find();
+  void OnContact();
   bool FindByStore();
   bool FindBySeeds();
   bool OnOwnerFound(cell::Generation aGeneration, const Endpoint& aOwner);
@@ -87,6 +90,9 @@
   cell::ReportEncoder mEncoder;
   Instant mLastContactAt{};
   bool mInContact = false;
+  std::mt19937_64 mRandom{ std::random_device{}() };
+  Backoff mSearches;
+  Instant mNextSearchAt{};
   std::uint64_t mReports = 0;
 };
 
