Score each worker once for the alike tasks of a step

Change: StepChoices keeps the scores of a step's tasks in a heap for the round; a worker is scored again after a start on it. Tasks that differ (run, failed, stalled or suspected before, gangs, steps that belong on one rack) are chosen for as before.

Ruled out: looking at a sample of the workers: it changes the choice.

--- a/bench/cell/ScheduleRound.cpp
+++ b/bench/cell/ScheduleRound.cpp
@@ -1,5 +1,6 @@
 #include <benchmark/benchmark.h>
 
+#include <memory>
 #include <string>
 
 #include "src/core/cell/CellScheduler.h"
@@ -18,10 +19,10 @@
 constexpr int kServingPerWorker = 4;
 constexpr int kTasksPerJob = 20;
 
-class FullCell
+class EmptyCell
 {
 public:
-  explicit FullCell(int aWorkers)
+  explicit EmptyCell(int aWorkers)
     : mScheduler(1, {}, [](const CellDecision&) {})
   {
     QueuePolicy policy;
@@ -32,6 +33,63 @@
     for (int i = 0; i < aWorkers; ++i) {
       Attach(AgentId("agent" + std::to_string(i)));
     }
+  }
+
+  /// Schedules 5 ms after the previous round.
+  void Round()
+  {
+    mNow += std::chrono::milliseconds(5);
+    mScheduler.Schedule({ mNow, 0 });
+  }
+
+  /// Adds jobs of one step of forty short tasks.
+  void AddWideSteps(int aSteps)
+  {
+    constexpr int kWideStep = 40;
+    StepSpec step;
+    step.mReplicas = kWideStep;
+    step.mDemand = { 2'800, 4'000, 0 };
+    step.mEstimate = seconds(1);
+    for (int i = 0; i < aSteps; ++i) {
+      Add(i, step);
+    }
+  }
+
+protected:
+  void Add(int aId, StepSpec aStep)
+  {
+    JobGraph graph;
+    graph.mId = JobId("job" + std::to_string(aId));
+    graph.mQueue = QueueId("queue");
+    graph.mSteps = { std::move(aStep) };
+    mScheduler.AddJob({ graph, 0, false }, {}, 0, { mNow, 0 });
+    for (const UnsavedProgress& job : mScheduler.UnsavedJobs(1)) {
+      mScheduler.OnProgressSaved(job.mJob, job.mVersion, 1);
+    }
+  }
+
+  Instant mNow{ std::chrono::hours(1) };
+  CellScheduler mScheduler;
+
+private:
+  void Attach(const AgentId& aAgent)
+  {
+    WorkerState state;
+    state.mInfo.mIncarnation = WorkerIncarnation(aAgent.Value());
+    state.mInfo.mService = ServiceId("service");
+    state.mInfo.mCapacity = { 64'000, 256'000, 0 };
+    mScheduler.AttachWorker(
+      aAgent, { "127.0.0.1", 1 }, 256, state, { mNow, 0 });
+    mScheduler.OnGrant(aAgent, mNow + std::chrono::hours(1));
+  }
+};
+
+class FullCell : public EmptyCell
+{
+public:
+  explicit FullCell(int aWorkers)
+    : EmptyCell(aWorkers)
+  {
     for (int i = 0; i < aWorkers * kServingPerWorker / kTasksPerJob; ++i) {
       Add(i, Serving(i % kServingImages));
     }
@@ -42,13 +100,6 @@
     ReportPerformance();
   }
 
-  /// Schedules 5 ms after the previous round.
-  void Round()
-  {
-    mNow += std::chrono::milliseconds(5);
-    mScheduler.Schedule({ mNow, 0 });
-  }
-
 private:
   static StepSpec Serving(int aImage)
   {
@@ -100,32 +151,7 @@
     }
   }
 
-  void Attach(const AgentId& aAgent)
-  {
-    WorkerState state;
-    state.mInfo.mIncarnation = WorkerIncarnation(aAgent.Value());
-    state.mInfo.mService = ServiceId("service");
-    state.mInfo.mCapacity = { 64'000, 256'000, 0 };
-    mScheduler.AttachWorker(
-      aAgent, { "127.0.0.1", 1 }, 256, state, { mNow, 0 });
-    mScheduler.OnGrant(aAgent, mNow + std::chrono::hours(1));
-  }
-
-  void Add(int aId, StepSpec aStep)
-  {
-    JobGraph graph;
-    graph.mId = JobId("job" + std::to_string(aId));
-    graph.mQueue = QueueId("queue");
-    graph.mSteps = { std::move(aStep) };
-    mScheduler.AddJob({ graph, 0, false }, {}, 0, { mNow, 0 });
-    for (const UnsavedProgress& job : mScheduler.UnsavedJobs(1)) {
-      mScheduler.OnProgressSaved(job.mJob, job.mVersion, 1);
-    }
-  }
-
   std::vector<ReportRequest> mReports;
-  Instant mNow{ std::chrono::hours(1) };
-  CellScheduler mScheduler;
 };
 
 void RoundInAFullCell(benchmark::State& aState)
@@ -140,6 +166,30 @@
   ->Arg(64)
   ->Arg(160)
   ->Arg(320)
+  ->Arg(800)
+  ->Arg(1600)
+  ->Arg(6100)
+  ->Unit(benchmark::kMicrosecond);
+
+/// The round in which twenty steps of forty short tasks are released together.
+void RoundThatPlacesWideSteps(benchmark::State& aState)
+{
+  constexpr int kSteps = 20;
+  for (auto _ : aState) {
+    aState.PauseTiming();
+    auto cell = std::make_unique<EmptyCell>(static_cast<int>(aState.range(0)));
+    cell->AddWideSteps(kSteps);
+    aState.ResumeTiming();
+    cell->Round();
+    aState.PauseTiming();
+    cell.reset();
+    aState.ResumeTiming();
+  }
+}
+BENCHMARK(RoundThatPlacesWideSteps)
+  ->Arg(800)
+  ->Arg(1600)
+  ->Arg(6100)
   ->Unit(benchmark::kMicrosecond);
 
 } // namespace
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -27,6 +27,8 @@
 
 namespace foxtailbarrow::cell {
 
+class StepChoices;
+
 /// Decides which tasks run on which workers of one cell, on behalf of the
 /// cell's single owner. Input: jobs, workers and their reports. Output: orders
 /// for agents, progress to save and ends to acknowledge. Pure: no I/O, the
@@ -407,7 +409,8 @@
   bool PlaceTask(JobEntry& aJob,
                  const TaskRef& aTask,
                  RunNumber aRun,
-                 const CellClock& aClock);
+                 const CellClock& aClock,
+                 StepChoices& aChoices);
 
   // Orders (CellSchedulerOrders.cpp).
   TaskRun* FindRun(const AgentId& aAgent, const StartOrder& aOrder);
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -6,6 +6,7 @@
 
 #include "src/core/cell/placing/Candidate.h"
 #include "src/core/cell/placing/StandingBacklog.h"
+#include "src/core/cell/placing/StepChoices.h"
 #include "src/core/cell/placing/Timeliness.h"
 
 namespace foxtailbarrow::cell {
@@ -91,6 +92,7 @@
 void CellScheduler::PlaceCopies(const CellClock& aClock)
 {
   int copies = 0;
+  StepChoices choices;
   for (const JobId& id : mActiveJobs) {
     JobEntry& job = mJobs.at(id);
     TaskRef task{ id, 0, 0, 0 };
@@ -102,7 +104,7 @@
           copies += entry.mRuns.size() > 1 ? 1 : 0;
           if (copies < mSettings.mMaxCopies && job.Spec(task).mSpeculative &&
               NeedsCopy(job, entry, aClock.mNow) &&
-              PlaceTask(job, task, NextRun(entry), aClock)) {
+              PlaceTask(job, task, NextRun(entry), aClock, choices)) {
             ++copies;
           }
           ++task.mIndex;
@@ -264,6 +266,7 @@
                                const TaskRef& aFirst,
                                const CellClock& aClock)
 {
+  StepChoices choices;
   TaskRef task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
     const TaskEntry& entry = *aJob.Find(task);
@@ -272,7 +275,7 @@
         !CrashesAllowStart(aJob, task, aClock.mNow)) {
       continue;
     }
-    if (!PlaceTask(aJob, task, NextRun(entry), aClock) &&
+    if (!PlaceTask(aJob, task, NextRun(entry), aClock, choices) &&
         entry.mCrashes.Count() == 0) {
       return; // The tasks of a step are alike: no other one fits either.
     }
@@ -305,9 +308,10 @@
   if (!mayStart) {
     return;
   }
+  StepChoices choices;
   task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
-    if (!PlaceTask(aJob, task, run, aClock)) {
+    if (!PlaceTask(aJob, task, run, aClock, choices)) {
       break;
     }
   }
@@ -331,7 +335,8 @@
 bool CellScheduler::PlaceTask(JobEntry& aJob,
                               const TaskRef& aTask,
                               RunNumber aRun,
-                              const CellClock& aClock)
+                              const CellClock& aClock,
+                              StepChoices& aChoices)
 {
   // A forgotten start adds a crash, which may end the job; otherwise the task
   // is placed in the next round.
@@ -355,7 +360,7 @@
   const bool isolated = NeedsIsolatedTrial(suspected) && !spec.mGang;
   PlacementView view{ mWorkers,    mInterference, mSettings, mTrials,
                       aClock.mNow, starving,      isolated };
-  const auto agent = ChooseWorker(view, aJob, aTask);
+  const auto agent = aChoices.Choose(view, aJob, aTask);
   if (!agent) {
     view.mNoRecentStartOnly = false;
     if (const auto best = isolated ? ChooseWorker(view, aJob, aTask) : agent;
--- a/src/core/cell/placing/WorkerChoice.cpp
+++ b/src/core/cell/placing/WorkerChoice.cpp
@@ -302,6 +302,17 @@
          HasLabel(aWorker.mInfo, aJob.Spec(aTask).mRequiredLabel);
 }
 
+std::optional<double> ScoreOn(const PlacementView& aView,
+                              const WorkerEntry& aWorker,
+                              JobEntry& aJob,
+                              const TaskRef& aTask,
+                              InterferenceWeightCache& aWeights)
+{
+  const ScoreOrRefusal score = Score(aView, aWorker, aJob, aTask, aWeights);
+  const double* const found = std::get_if<double>(&score);
+  return found != nullptr ? std::optional(*found) : std::nullopt;
+}
+
 std::optional<AgentId> ChooseWorker(const PlacementView& aView,
                                     JobEntry& aJob,
                                     const TaskRef& aTask)
@@ -310,9 +321,8 @@
   double bestScore = std::numeric_limits<double>::max();
   InterferenceWeightCache weights(aView.mInterference, aJob.Spec(aTask).mImage);
   for (const auto& [id, worker] : aView.mWorkers) {
-    const ScoreOrRefusal score = Score(aView, worker, aJob, aTask, weights);
-    if (const double* found = std::get_if<double>(&score);
-        found != nullptr && *found < bestScore) {
+    if (const auto found = ScoreOn(aView, worker, aJob, aTask, weights);
+        found && *found < bestScore) {
       bestScore = *found;
       best = id;
     }
--- a/src/core/cell/placing/WorkerChoice.h
+++ b/src/core/cell/placing/WorkerChoice.h
@@ -8,6 +8,7 @@
 #include "src/core/cell/crashes/CrashTrials.h"
 #include "src/core/cell/placing/PlacementRefusal.h"
 #include "src/core/cell/throttling/InterferenceEstimator.h"
+#include "src/core/cell/throttling/WorkerInterference.h"
 #include "src/core/cell/workers/WorkerCapacity.h"
 
 namespace foxtailbarrow::cell {
@@ -32,6 +33,15 @@
   bool mNoRecentStartOnly = false;
 };
 
+/// Score of the worker for one more run of the task; lower scores are better.
+/// Nullopt if it does not accept the task now. `aWeights` are those of the
+/// step's image.
+std::optional<double> ScoreOn(const PlacementView& aView,
+                              const WorkerEntry& aWorker,
+                              JobEntry& aJob,
+                              const TaskRef& aTask,
+                              InterferenceWeightCache& aWeights);
+
 /// Picks the worker for one more run of a task, or none if no worker accepts it
 /// now. Serving tasks are packed by image. Best-effort tasks go where the most
 /// capacity is left for them and they interfere least with serving tasks.
