Keep the kept scores to one step where copies are placed

Cause: StepChoices is for one step, and PlaceCopies used one for all of them. Its tasks have runs, so no kept score was used; the next reader could not see that.

Change: one for each step; a comment that guessed at proxies is shortened.

Measured: cell-tests pass; no behaviour changes.

--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -24,8 +24,7 @@
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
 constexpr Duration kProbeCheck = std::chrono::milliseconds(100);
-/// Longest time that a watch call waits for a change. A platform without long
-/// calls, or a proxy between, may end them after a minute.
+/// Longest time that a watch call waits for a change.
 constexpr Duration kLongestWatchWait = std::chrono::seconds(10);
 /// Interval of checks for the first configuration. Until it is read, this
 /// scheduler takes no part in the election: an owner would have no policies for
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -92,13 +92,13 @@
 void CellScheduler::PlaceCopies(const CellClock& aClock)
 {
   int copies = 0;
-  StepChoices choices;
   for (const JobId& id : mActiveJobs) {
     JobEntry& job = mJobs.at(id);
     TaskRef task{ id, 0, 0, 0 };
     for (const OccurrenceEntry& occurrence : job.mOccurrences) {
       task.mStep = 0;
       for (const StepEntry& step : occurrence.mSteps) {
+        StepChoices choices;
         task.mIndex = 0;
         for (const TaskEntry& entry : step.mTasks) {
           copies += entry.mRuns.size() > 1 ? 1 : 0;
