Restart the stand-in of a worker once where two fibers ask for it

Its log: "worker4: cannot listen: Address already in use", then worker4-2 and worker4-3 within 47 ms. The end of a fault and the end of all faults restarted the worker at the same moment; both waited for the address, and the second incarnation replaced the first one's model without ending its runs, which counted as running for good.

Ruled out: the product: the owner waited out the leases of worker4-2, whose process was gone.

Change: one fiber restarts at a time.

--- a/standins/taskworker/TaskWorkerService.cpp
+++ b/standins/taskworker/TaskWorkerService.cpp
@@ -190,6 +190,11 @@
 
 void TaskWorkerService::Restart(RestartId aId)
 {
+  // A second incarnation would replace the first one's model without ending its
+  // runs.
+  if (std::exchange(mRestarting, true)) {
+    return;
+  }
   if (mIncarnations > 0) {
     CloseServer();
   }
@@ -215,6 +220,7 @@
   mSequence = 0;
   mDraining = false;
   mUp = true;
+  mRestarting = false;
 }
 
 void TaskWorkerService::Leave()
--- a/standins/taskworker/TaskWorkerService.h
+++ b/standins/taskworker/TaskWorkerService.h
@@ -71,7 +71,8 @@
   /// connections afterwards, odd-numbered ones accept them without a response,
   /// like a lost machine.
   void Crash();
-  /// Starts the next incarnation after Crash() or Leave().
+  /// Starts the next incarnation after Crash() or Leave(). Suspends the calling
+  /// fiber while the address is in use; has no effect while another fiber does.
   void Restart(RestartId aId);
   /// Of restarts after a task has crashed the worker.
   void SetCrashRestartId(RestartId aId) { mCrashRestartId = aId; }
@@ -123,6 +124,7 @@
   int mIncarnations = 0;
   std::int64_t mSequence = 0;
   bool mUp = false;
+  bool mRestarting = false; ///< A fiber is in Restart().
   bool mDraining = false;
   bool mExecutesLate = false;
   net::HttpClient mClient;
