--- a/review/harness/Cases.h
+++ b/review/harness/Cases.h
@@ -13,4 +13,10 @@
              Record& aRecord,
              bool aTrouble);
 
+inline constexpr unsigned kLargeOrdersRunners = 2;
+int LargeOrders(Deployment& aDeployment,
+                Runs& aRuns,
+                Record& aRecord,
+                bool aTrouble);
+
 } // namespace review
--- a/review/harness/Main.cpp
+++ b/review/harness/Main.cpp
@@ -21,6 +21,7 @@
 int main(int argc, char** argv)
 {
   const std::map<std::string, Case> cases{
+    { "large-orders", { kLargeOrdersRunners, LargeOrders } },
     { "many-ends", { kManyEndsRunners, ManyEnds } },
   };
   const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
