--- a/review/harness/Cases.h
+++ b/review/harness/Cases.h
@@ -19,4 +19,10 @@
                 Record& aRecord,
                 bool aTrouble);
 
+inline constexpr unsigned kManyJobsRunners = 3;
+int ManyJobs(Deployment& aDeployment,
+             Runs& aRuns,
+             Record& aRecord,
+             bool aTrouble);
+
 } // namespace review
--- a/review/harness/Deployment.h
+++ b/review/harness/Deployment.h
@@ -81,8 +81,19 @@
     }
   }
 
-  /// False if the process has ended by itself.
-  bool Runs() { return mPid > 0 && waitpid(mPid, nullptr, WNOHANG) == 0; }
+  /// How the process has ended by itself; empty while it runs.
+  std::string OwnEnd()
+  {
+    int status = 0;
+    if (mPid <= 0 || waitpid(mPid, &status, WNOHANG) == 0) {
+      return "";
+    }
+    mQuota.reset();
+    mPid = -1;
+    return WIFSIGNALED(status)
+             ? "signal " + std::to_string(WTERMSIG(status))
+             : "exit code " + std::to_string(WEXITSTATUS(status));
+  }
 
 private:
   void LimitProcess()
--- a/review/harness/Main.cpp
+++ b/review/harness/Main.cpp
@@ -22,6 +22,7 @@
 {
   const std::map<std::string, Case> cases{
     { "large-orders", { kLargeOrdersRunners, LargeOrders } },
+    { "many-jobs", { kManyJobsRunners, ManyJobs } },
     { "many-ends", { kManyEndsRunners, ManyEnds } },
   };
   const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
