--- a/review/harness/Store.h
+++ b/review/harness/Store.h
@@ -45,6 +45,7 @@
   void Put(const std::string& aKey, const std::string& aValue)
   {
     const std::lock_guard lock(mMutex);
+    ++mRevision;
     Write(aKey, Base64(aValue), 0);
     mChanged.notify_all();
   }
@@ -180,7 +181,6 @@
              const std::string& aValue,
              std::int64_t aLease)
   {
-    ++mRevision;
     Item& item = mItems[aKey];
     item.mCreated = item.mCreated == 0 ? mRevision : item.mCreated;
     item.mValue = aValue;
@@ -196,7 +196,7 @@
     }
     Json::Value row;
     row["Key"] = aKey;
-    row["Revision"] = Json::Int64{ ++mRevision };
+    row["Revision"] = Json::Int64{ mRevision };
     row["Tombstone"] = true;
     mEvents.push_back({ aKey, mRevision, row });
   }
@@ -204,6 +204,7 @@
   void EndLease(std::int64_t aLease)
   {
     mLeases.erase(aLease);
+    ++mRevision;
     std::vector<std::string> keys;
     for (const auto& [key, item] : mItems) {
       if (item.mLease == aLease) {
