Review: ends beyond 500 are lost and their tasks run again (TWICE)

Cause: a worker returns 500 ends at a time. The others are in neither of its lists, and DropAbsentRuns() takes their runs for lost; the ends are ignored and acknowledged later.

--- a/review/harness-2/Cases.h
+++ b/review/harness-2/Cases.h
@@ -29,4 +29,14 @@
 /// missing.
 int RunForeignHeartbeat(CaseContext& aContext);
 
+/// A client submits a job that repeats each minute for a week.
+int RunRepeatedJob(CaseContext& aContext);
+
+/// A client submits a job of one wide step, with the longest Spec.
+int RunWideJob(CaseContext& aContext);
+
+/// The store is silent for a while, and more tasks end on a runner meanwhile
+/// than one list of ends has.
+int RunManyEnds(CaseContext& aContext);
+
 } // namespace review
--- a/review/harness-2/Cell.cpp
+++ b/review/harness-2/Cell.cpp
@@ -1,6 +1,7 @@
 #include "Cell.h"
 
 #include <csignal>
+#include <fstream>
 
 #include <fcntl.h>
 #include <sys/wait.h>
@@ -16,6 +17,10 @@
 }
 
 constexpr double kPoll = 0.05;
+/// Longer bodies are left out of the record.
+constexpr std::size_t kLongestShown = 1000;
+/// Until a process that was killed is started again.
+constexpr double kRestartDelay = 0.3;
 
 } // namespace
 
@@ -79,6 +84,15 @@
   return mId < 0;
 }
 
+std::int64_t Process::MemoryMb() const
+{
+  constexpr std::int64_t kPagesPerMb = 256;
+  std::ifstream file("/proc/" + std::to_string(mId) + "/statm");
+  std::int64_t size = 0;
+  std::int64_t resident = 0;
+  return mId > 0 && file >> size >> resident ? resident / kPagesPerMb : 0;
+}
+
 void Process::AwaitEnd(int aTimeoutMs)
 {
   for (int waited = 0; !Ended(); waited += 10) {
@@ -95,7 +109,9 @@
 Cell::Cell(Record& aRecord,
            const std::string& aFolder,
            int aSchedulers,
-           const std::vector<std::string>& aKinds)
+           const std::vector<std::string>& aKinds,
+           std::int64_t aCpu,
+           std::int64_t aMemMb)
   : mRecord(aRecord)
   , mRuns(aRecord)
   , mStorePort(FreePort())
@@ -136,6 +152,8 @@
     runner.mZone = "zone-" + number;
     runner.mKind = aKinds[i];
     runner.mRack = "r1-" + number;
+    runner.mCpu = aCpu;
+    runner.mMemMb = aMemMb;
     runner.mPort = FreePort();
     runner.mControl = FreePort();
     mAgents.push_back(std::make_unique<Process>(
@@ -162,6 +180,10 @@
 
 Cell::~Cell()
 {
+  mStopping = true;
+  if (mMemoryGuard.joinable()) {
+    mMemoryGuard.join();
+  }
   for (const auto& process : mSchedulers) {
     process->Signal(SIGTERM);
   }
@@ -173,6 +195,39 @@
   mRunners.clear();
 }
 
+void Cell::EnforceMemory(std::int64_t aMemoryMb)
+{
+  mMemoryKills.resize(mSchedulers.size());
+  mMemoryGuard = std::thread([this, aMemoryMb] {
+    while (!mStopping) {
+      Sleep(0.02);
+      for (std::size_t i = 0; i < mSchedulers.size(); ++i) {
+        const std::int64_t used = mSchedulers[i]->MemoryMb();
+        if (!mSchedulers[i]->Ended() && used <= aMemoryMb) {
+          continue;
+        }
+        mRecord.Write("platform: front-" + std::to_string(i + 1) + " uses " +
+                      std::to_string(used) + " MB of " +
+                      std::to_string(aMemoryMb) + ": killed");
+        mSchedulers[i]->Signal(SIGKILL);
+        mSchedulers[i]->AwaitEnd(1000);
+        {
+          const std::lock_guard lock(mKillsMutex);
+          ++mMemoryKills[i];
+        }
+        Sleep(kRestartDelay);
+        mSchedulers[i]->Start();
+      }
+    }
+  });
+}
+
+std::vector<int> Cell::MemoryKills() const
+{
+  const std::lock_guard lock(mKillsMutex);
+  return mMemoryKills;
+}
+
 void Cell::Configure(std::int64_t aVersion,
                      const std::vector<std::string>& aQueues)
 {
@@ -271,12 +326,16 @@
          "Timeout-Ms: " + std::to_string(aTimeoutMs) + "\r\n");
   char took[32];
   std::snprintf(took, sizeof(took), "%.3f", mRecord.Now() - sentAt);
-  mRecord.Write(
-    "client: " + aMethod + " " + aTarget + (aBody.empty() ? "" : " " + aBody) +
-    " to front-" + std::to_string(aScheduler + 1) + " -> " +
-    (response ? std::to_string(response->mStatus) + " " + response->mBody
-              : "no answer") +
-    " after " + took + " s");
+  mRecord.Write("client: " + aMethod + " " + aTarget +
+                (aBody.size() > kLongestShown
+                   ? " (" + std::to_string(aBody.size()) + " bytes)"
+                 : aBody.empty() ? ""
+                                 : " " + aBody) +
+                " to front-" + std::to_string(aScheduler + 1) + " -> " +
+                (response
+                   ? std::to_string(response->mStatus) + " " + response->mBody
+                   : "no answer") +
+                " after " + took + " s");
   if (response && aAnswer != nullptr) {
     *aAnswer = response->mBody;
   }
@@ -285,8 +344,10 @@
 
 bool Cell::Submit(const std::string& aTarget, const std::string& aBody)
 {
-  for (int attempt = 0; attempt < 20; ++attempt) {
-    if (Ask("POST", aTarget, aBody) == 200) {
+  for (std::size_t attempt = 0; attempt < 20; ++attempt) {
+    // The platform leads a repeated request to another node.
+    const std::size_t scheduler = attempt % mAddresses.size();
+    if (Ask("POST", aTarget, aBody, nullptr, scheduler) == 200) {
       return true;
     }
     Sleep(0.5);
--- a/review/harness-2/Cell.h
+++ b/review/harness-2/Cell.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <sys/types.h>
@@ -31,6 +34,8 @@
   /// Waits until it has ended; kills it after this time.
   void AwaitEnd(int aTimeoutMs);
   bool Ended();
+  /// Resident memory in MB; 0 when it does not run.
+  std::int64_t MemoryMb() const;
 
 private:
   std::string mProgram;
@@ -55,7 +60,9 @@
   Cell(Record& aRecord,
        const std::string& aFolder,
        int aSchedulers,
-       const std::vector<std::string>& aKinds);
+       const std::vector<std::string>& aKinds,
+       std::int64_t aCpu = 8000,
+       std::int64_t aMemMb = 16000);
   ~Cell();
 
   Store& PlatformStore() { return *mStore; }
@@ -70,6 +77,12 @@
   void Configure(std::int64_t aVersion,
                  const std::vector<std::string>& aQueues);
 
+  /// From now on, as the platform does: a scheduler that uses more memory than
+  /// this is killed, and is started again after a short delay.
+  void EnforceMemory(std::int64_t aMemoryMb);
+  /// How often each scheduler was killed for that.
+  std::vector<int> MemoryKills() const;
+
   /// Waits until every scheduler is ready. Returns false after a while.
   bool AwaitReady();
   bool Ready(std::size_t aScheduler);
@@ -97,6 +110,10 @@
   std::vector<std::unique_ptr<Process>> mSchedulers;
   std::vector<std::unique_ptr<Process>> mAgents;
   std::vector<std::unique_ptr<Runner>> mRunners;
+  mutable std::mutex mKillsMutex;
+  std::vector<int> mMemoryKills;
+  std::atomic<bool> mStopping{ false };
+  std::thread mMemoryGuard;
 };
 
 void Sleep(double aSeconds);
--- a/review/harness-2/Main.cpp
+++ b/review/harness-2/Main.cpp
@@ -18,6 +18,9 @@
     { "removed-queue", review::RunRemovedQueue },
     { "late-submission", review::RunLateSubmission },
     { "foreign-heartbeat", review::RunForeignHeartbeat },
+    { "repeated-job", review::RunRepeatedJob },
+    { "wide-job", review::RunWideJob },
+    { "many-ends", review::RunManyEnds },
   };
   const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
--- a/review/harness-2/Runner.cpp
+++ b/review/harness-2/Runner.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t kStopMs = 100; ///< StopMs is 200.
 constexpr std::chrono::milliseconds kHeartbeat(1100);
 constexpr int kAckTimeoutMs = 1000;
+/// A list of ends has at most so many; the others follow once these are
+/// acknowledged.
+constexpr unsigned kEndsAtATime = 500;
 
 std::int64_t WorkOf(const std::string& aSpec)
 {
@@ -39,11 +42,23 @@
   std::vector<RunEvent> events;
   std::ranges::copy_if(
     mEvents, std::back_inserter(events), [&](const RunEvent& aEvent) {
-      return aEvent.mTask.starts_with(aJob + ".");
+      return aJob.empty() || aEvent.mTask.starts_with(aJob + ".");
     });
   return events;
 }
 
+void RunLog::OnAcknowledged(const std::string& aTask, std::int64_t aRun)
+{
+  const std::lock_guard lock(mMutex);
+  mAcknowledged.insert({ aTask, aRun });
+}
+
+bool RunLog::Acknowledged(const std::string& aTask, std::int64_t aRun) const
+{
+  const std::lock_guard lock(mMutex);
+  return mAcknowledged.contains({ aTask, aRun });
+}
+
 bool RunLog::Running(const std::string& aJob) const
 {
   std::int64_t open = 0;
@@ -242,8 +257,12 @@
 {
   Extend(aCall);
   const std::int64_t acked = aCall["Acked"].asInt64();
-  std::erase_if(mEnds,
-                [acked](const End& aEnd) { return aEnd.mNumber <= acked; });
+  std::erase_if(mEnds, [this, acked](const End& aEnd) {
+    if (aEnd.mNumber <= acked && aEnd.mLapses == mLapses) {
+      mLog.OnAcknowledged(aEnd.mTask, aEnd.mRun);
+    }
+    return aEnd.mNumber <= acked;
+  });
   const std::int64_t wait =
     std::min<std::int64_t>(aCall["WaitMs"].asInt64(), 2000);
   mChanged.wait_for(aLock, std::chrono::milliseconds(wait), [this] {
@@ -267,6 +286,9 @@
     reply["Running"].append(row);
   }
   for (const End& end : mEnds) {
+    if (reply["Ended"].size() == kEndsAtATime) {
+      break;
+    }
     Json::Value row;
     row.append(Json::Int64{ end.mNumber });
     row.append(end.mTask);
@@ -282,7 +304,7 @@
 {
   const std::int64_t number = mRuns.at(aTask).mNumber;
   mRuns.erase(aTask);
-  mEnds.push_back({ ++mLastEnd, aTask, number, aHow });
+  mEnds.push_back({ ++mLastEnd, aTask, number, aHow, mLapses });
   mHighest[aTask] = std::max(mHighest[aTask], number);
   mLog.Add(mSettings.mId, aTask, number, aHow);
   mChanged.notify_all();
@@ -292,6 +314,12 @@
 {
   const auto runs = mRuns;
   const std::int64_t now = ClockMs();
+  if (const bool lapsed = now >= mLeaseEnd; lapsed != mLapsed) {
+    mLapsed = lapsed;
+    mLapses += lapsed ? 1 : 0;
+    mRecord.Write("runner " + mSettings.mId +
+                  (lapsed ? ": the lease lapsed" : ": a lease holds"));
+  }
   for (const auto& [task, run] : runs) {
     if (now >= mLeaseEnd) {
       Finish(task, "lapsed");
--- a/review/harness-2/Runner.h
+++ b/review/harness-2/Runner.h
@@ -6,7 +6,9 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Http.h"
@@ -54,7 +56,12 @@
            const std::string& aTask,
            std::int64_t aRun,
            const std::string& aWhat);
+  /// Of one job; empty: of all.
   std::vector<RunEvent> Of(const std::string& aJob) const;
+  /// The end of this run was acknowledged, and the runner's lease did not lapse
+  /// between the two.
+  void OnAcknowledged(const std::string& aTask, std::int64_t aRun);
+  bool Acknowledged(const std::string& aTask, std::int64_t aRun) const;
   /// True when a task of the job runs.
   bool Running(const std::string& aJob) const;
 
@@ -62,6 +69,7 @@
   Record& mRecord;
   mutable std::mutex mMutex;
   std::vector<RunEvent> mEvents;
+  std::set<std::pair<std::string, std::int64_t>> mAcknowledged;
 };
 
 /// A sound application runner, as PROTOCOL.md describes it. A task works for
@@ -95,6 +103,7 @@
     std::string mTask;
     std::int64_t mRun = 0;
     std::string mHow;
+    int mLapses = 0; ///< How often the lease had lapsed before.
   };
 
   std::int64_t ClockMs() const;
@@ -118,6 +127,8 @@
   std::int64_t mLastEnd = 0;
   std::int64_t mFence = 0;
   std::int64_t mLeaseEnd = 0;
+  int mLapses = 0;
+  bool mLapsed = true;
   std::int64_t mSequence = 0;
   std::optional<std::int64_t> mDrainLeftMs;
   std::optional<double> mDrainAcknowledgedAt;
--- a/review/harness-2/Store.h
+++ b/review/harness-2/Store.h
@@ -31,6 +31,9 @@
   /// out after this time if its condition still holds then.
   void LoseCreationOf(const std::string& aKey, int aLateMs);
 
+  /// Answers nothing for so long.
+  void GoSilent(double aSeconds);
+
   /// True once the lost transaction was carried out or has failed.
   bool LostIsSettled();
 
@@ -72,6 +75,7 @@
   std::vector<Event> mEvents;
   std::int64_t mRevision = 1;
   std::int64_t mLastLease = 1000;
+  std::chrono::steady_clock::time_point mSilentUntil;
   std::string mLoseKey;
   int mLateMs = 0;
   bool mLostSettled = false;
