--- a/review/harness-2/Cases.h
+++ b/review/harness-2/Cases.h
@@ -39,4 +39,11 @@
 /// than one list of ends has.
 int RunManyEnds(CaseContext& aContext);
 
+/// A client submits a job whose data is on a rack with a space and a slash in
+/// its name.
+int RunRackName(CaseContext& aContext);
+
+/// One runner crashes while a gang has just started there.
+int RunGangAfterCrash(CaseContext& aContext);
+
 } // namespace review
--- a/review/harness-2/Cell.cpp
+++ b/review/harness-2/Cell.cpp
@@ -195,6 +195,18 @@
   mRunners.clear();
 }
 
+void Cell::CrashRunner(std::size_t aIndex, double aSeconds)
+{
+  RunnerSettings settings = mRunners[aIndex]->Settings();
+  mRecord.Write("runner " + settings.mId + ": crashes");
+  mRunners[aIndex].reset();
+  Sleep(aSeconds);
+  settings.mId += "b";
+  mRecord.Write("runner " + settings.mId + ": started in its place");
+  mRunners[aIndex] =
+    std::make_unique<Runner>(std::move(settings), mRuns, mRecord);
+}
+
 void Cell::EnforceMemory(std::int64_t aMemoryMb)
 {
   mMemoryKills.resize(mSchedulers.size());
--- a/review/harness-2/Cell.h
+++ b/review/harness-2/Cell.h
@@ -71,6 +71,9 @@
   Process& Scheduler(std::size_t aIndex) { return *mSchedulers[aIndex]; }
   Process& Agent(std::size_t aIndex) { return *mAgents[aIndex]; }
   Runner& RunnerAt(std::size_t aIndex) { return *mRunners[aIndex]; }
+  std::size_t Runners() const { return mRunners.size(); }
+  /// The runner crashes, and comes back with a new id after so long.
+  void CrashRunner(std::size_t aIndex, double aSeconds);
   std::size_t Schedulers() const { return mSchedulers.size(); }
 
   /// Writes a configuration with these queues (/NAME/).
--- a/review/harness-2/Main.cpp
+++ b/review/harness-2/Main.cpp
@@ -21,6 +21,8 @@
     { "repeated-job", review::RunRepeatedJob },
     { "wide-job", review::RunWideJob },
     { "many-ends", review::RunManyEnds },
+    { "rack-name", review::RunRackName },
+    { "gang-after-crash", review::RunGangAfterCrash },
   };
   const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
--- a/review/harness-2/Runner.cpp
+++ b/review/harness-2/Runner.cpp
@@ -12,15 +12,19 @@
 constexpr std::int64_t kHoldMaxMs = 6000;
 constexpr std::int64_t kStopMs = 100; ///< StopMs is 200.
 constexpr std::chrono::milliseconds kHeartbeat(1100);
+constexpr std::int64_t kGangMs = 3000;
 constexpr int kAckTimeoutMs = 1000;
 /// A list of ends has at most so many; the others follow once these are
 /// acknowledged.
 constexpr unsigned kEndsAtATime = 500;
 
-std::int64_t WorkOf(const std::string& aSpec)
+/// The number after a word of the Spec; 0 without the word.
+std::int64_t NumberIn(const std::string& aSpec, const std::string& aWord)
 {
-  const auto at = aSpec.find("ms=");
-  return at == std::string::npos ? 0 : std::atoll(aSpec.c_str() + at + 3);
+  const auto at = aSpec.find(aWord);
+  return at == std::string::npos
+           ? 0
+           : std::atoll(aSpec.c_str() + at + aWord.size());
 }
 
 } // namespace
@@ -95,6 +99,9 @@
     mStopping = true;
     for (const auto& [task, run] : mRuns) {
       mLog.Add(mSettings.mId, task, run.mNumber, "lost");
+      if (!run.mGang.empty()) {
+        mLog.AllGangs().Break(run.mGang);
+      }
     }
     mRuns.clear();
     mChanged.notify_all();
@@ -180,6 +187,9 @@
   }
   const Json::Value call = FromText(aRequest.mBody);
   std::unique_lock lock(mMutex);
+  if (mStopping) {
+    return { 200, "", true }; // It has crashed.
+  }
   Advance();
   if (call["Fence"].asInt64() < mFence) {
     return Refuse("fence");
@@ -245,8 +255,13 @@
   }
   Run run;
   run.mNumber = number;
-  run.mWorkMs = WorkOf(aCall["Spec"].asString());
+  run.mWorkMs = NumberIn(aCall["Spec"].asString(), "ms=");
   run.mStartedAt = ClockMs();
+  if (const auto size = NumberIn(aCall["Spec"].asString(), "gang="); size > 0) {
+    run.mGang = task.substr(0, task.rfind('.')) + "#" + std::to_string(number);
+    mLog.AllGangs().Join(
+      run.mGang, task, static_cast<std::size_t>(size), mRecord.Now());
+  }
   mRuns[task] = run;
   mLog.Add(mSettings.mId, task, number, "start");
   return { 200, ToText(reply) };
@@ -268,6 +283,9 @@
   mChanged.wait_for(aLock, std::chrono::milliseconds(wait), [this] {
     return mStopping || !mEnds.empty();
   });
+  if (mStopping) {
+    return { 200, "", true };
+  }
   Json::Value reply;
   reply["ClockMs"] = Json::Int64{ ClockMs() };
   reply["Running"] = Json::Value(Json::arrayValue);
@@ -303,6 +321,10 @@
 void Runner::Finish(const std::string& aTask, const std::string& aHow)
 {
   const std::int64_t number = mRuns.at(aTask).mNumber;
+  if (const std::string gang = mRuns.at(aTask).mGang;
+      !gang.empty() && aHow != "done") {
+    mLog.AllGangs().Break(gang);
+  }
   mRuns.erase(aTask);
   mEnds.push_back({ ++mLastEnd, aTask, number, aHow, mLapses });
   mHighest[aTask] = std::max(mHighest[aTask], number);
@@ -310,6 +332,35 @@
   mChanged.notify_all();
 }
 
+std::optional<std::string> Runner::EndOf(const Run& aRun,
+                                         std::int64_t aNow) const
+{
+  if (aNow >= mLeaseEnd) {
+    return "lapsed";
+  }
+  if (aRun.mStopAt && aNow >= *aRun.mStopAt) {
+    return "stopped";
+  }
+  if (aRun.mGang.empty()) {
+    const bool done =
+      aRun.mWorkMs > 0 && aNow - aRun.mStartedAt >= aRun.mWorkMs;
+    return done ? std::optional<std::string>("done") : std::nullopt;
+  }
+  const Gangs::State gang = mLog.AllGangs().Of(aRun.mGang);
+  if (gang.mBroken) {
+    return "broken";
+  }
+  if (!gang.mCompleteAt) {
+    const bool alone = aNow - aRun.mStartedAt >= kGangMs;
+    return alone ? std::optional<std::string>("alone") : std::nullopt;
+  }
+  constexpr double kMsPerSecond = 1000.0;
+  const double worked = (mRecord.Now() - *gang.mCompleteAt) * kMsPerSecond;
+  return worked >= static_cast<double>(aRun.mWorkMs)
+           ? std::optional<std::string>("done")
+           : std::nullopt;
+}
+
 void Runner::Advance()
 {
   const auto runs = mRuns;
@@ -321,12 +372,8 @@
                   (lapsed ? ": the lease lapsed" : ": a lease holds"));
   }
   for (const auto& [task, run] : runs) {
-    if (now >= mLeaseEnd) {
-      Finish(task, "lapsed");
-    } else if (run.mStopAt && now >= *run.mStopAt) {
-      Finish(task, "stopped");
-    } else if (run.mWorkMs > 0 && now - run.mStartedAt >= run.mWorkMs) {
-      Finish(task, "done");
+    if (const auto how = EndOf(run, now)) {
+      Finish(task, *how);
     }
   }
 }
--- a/review/harness-2/Runner.h
+++ b/review/harness-2/Runner.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "Gangs.h"
 #include "Http.h"
 #include "Record.h"
 
@@ -64,16 +65,19 @@
   bool Acknowledged(const std::string& aTask, std::int64_t aRun) const;
   /// True when a task of the job runs.
   bool Running(const std::string& aJob) const;
+  Gangs& AllGangs() { return mGangs; }
 
 private:
   Record& mRecord;
   mutable std::mutex mMutex;
+  Gangs mGangs;
   std::vector<RunEvent> mEvents;
   std::set<std::pair<std::string, std::int64_t>> mAcknowledged;
 };
 
 /// A sound application runner, as PROTOCOL.md describes it. A task works for
 /// the milliseconds that its `Spec` names as "ms=N"; 0: until it is stopped.
+/// With "gang=N" the N tasks of its step work together.
 class Runner
 {
 public:
@@ -96,6 +100,7 @@
     std::int64_t mStartedAt = 0;
     std::int64_t mPercent = 100;
     std::optional<std::int64_t> mStopAt;
+    std::string mGang; ///< Empty for a task of none.
   };
   struct End
   {
@@ -112,6 +117,8 @@
   Response Refuse(const char* aReason) const;
   Response Hold(const Json::Value& aCall, std::unique_lock<std::mutex>& aLock);
   void Extend(const Json::Value& aCall);
+  /// How the run ends now, if it does.
+  std::optional<std::string> EndOf(const Run& aRun, std::int64_t aNow) const;
   void Finish(const std::string& aTask, const std::string& aHow);
   void Advance();
   void Beat();
