--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 cd "$folder/../.." || exit 2
 [[ -x target/review-2/review-harness ]] || exit 2
-exec target/review-2/review-harness wide-job "$folder/record.txt"
+exec target/review-2/review-harness gang-after-crash "$folder/record.txt"
--- a/review/harness-2/RepeatedJob.cpp
+++ b/review/harness-2/RepeatedJob.cpp
@@ -41,7 +41,8 @@
     R"(,"StartMs":)" + std::to_string(UnixMs() + 1000) + R"(,"IntervalMs":)" +
     std::to_string(kMinuteMs) +
     R"(,"Steps":[{"Replicas":36,"Cpu":100,"MemMb":64,"EstimateMs":500},)"
-    R"({"Replicas":36,"Cpu":100,"MemMb":64,"EstimateMs":500,"After":[0]}]})";
+    R"({"Replicas":36,"Cpu":100,"MemMb":64,"EstimateMs":500,"After":[0]},)"
+    R"({"Replicas":36,"Cpu":100,"MemMb":64,"EstimateMs":500,"After":[1]}]})";
   if (!cell.Submit("/alpha/" + repeated, body)) {
     return kCouldNotRun;
   }
