--- a/review/harness-2/Cell.cpp
+++ b/review/harness-2/Cell.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -59,6 +60,7 @@
   environment.push_back(nullptr);
   mId = ::fork();
   if (mId == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Should this process be killed.
     const int log =
       ::open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, STDOUT_FILENO);
