--- a/review/harness-2/Http.cpp
+++ b/review/harness-2/Http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -272,13 +273,27 @@
 
 std::uint16_t FreePort()
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  ::bind(socket, reinterpret_cast<const sockaddr*>(&address), size);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return ntohs(address.sin_port);
+  // Below the range from which the system takes ports for outgoing connections.
+  constexpr int kFirst = 12'000;
+  constexpr int kLast = 30'000;
+  static std::mt19937 sRandom{ std::random_device{}() };
+  static std::set<std::uint16_t> sTaken;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(
+      std::uniform_int_distribution<int>(kFirst, kLast)(sRandom));
+    if (!sTaken.insert(port).second) {
+      continue;
+    }
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool isFree = ::bind(socket,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof(address)) == 0;
+    ::close(socket);
+    if (isFree) {
+      return port;
+    }
+  }
 }
 
 } // namespace review
