--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -133,31 +133,34 @@
 
 absl::Status CellOwner::LoadJobs()
 {
-  const auto progress = mParts.mStore.List(kProgressPrefix);
+  std::map<JobId, std::pair<StoredProgress, Revision>> known;
+  const auto progress =
+    mParts.mStore.ListEach(kProgressPrefix, [&](const StoreEntry& aEntry) {
+      const JobId job{ std::string(KeyName(aEntry.mKey, kProgressPrefix)) };
+      if (auto record = ReadEntry<StoredProgress>(aEntry)) {
+        known[job] = { *std::move(record), aEntry.mModRevision };
+      } else {
+        mUnreadableJobs.insert(job);
+      }
+    });
   if (!progress.ok()) {
     return progress.status();
   }
-  std::map<JobId, std::pair<StoredProgress, Revision>> known;
-  for (const StoreEntry& entry : progress->mEntries) {
-    const JobId job{ std::string(KeyName(entry.mKey, kProgressPrefix)) };
-    if (auto record = ReadEntry<StoredProgress>(entry)) {
-      known[job] = { *std::move(record), entry.mModRevision };
-    } else {
-      mUnreadableJobs.insert(job);
-    }
-  }
-  const auto jobs = mParts.mStore.List(kJobPrefix);
+  const auto jobs =
+    mParts.mStore.ListEach(kJobPrefix, [&](const StoreEntry& aEntry) {
+      const auto record = ReadJob(aEntry);
+      if (!record || mUnreadableJobs.contains(record->mGraph.mId)) {
+        return;
+      }
+      const auto state = known.extract(record->mGraph.mId);
+      const auto& [saved, revision] =
+        state.empty() ? std::pair<StoredProgress, Revision>() : state.mapped();
+      mLogic.AddJob(*record, saved, revision, Clock());
+    });
   if (!jobs.ok()) {
     return jobs.status();
   }
-  for (const StoreEntry& entry : jobs->mEntries) {
-    const auto record = ReadJob(entry);
-    if (record && !mUnreadableJobs.contains(record->mGraph.mId)) {
-      const auto& [state, revision] = known[record->mGraph.mId];
-      mLogic.AddJob(*record, state, revision, Clock());
-    }
-  }
-  mJobsFrom = jobs->mRevision;
+  mJobsFrom = *jobs;
   return absl::OkStatus();
 }
 
@@ -252,12 +255,14 @@
     LogDebug("job-watch-ended", { { "error", ended.ToString() } });
     boost::this_fiber::sleep_for(kStoreRetry);
     // The list has what the watch missed. Known jobs keep their state.
-    if (const auto jobs = mParts.mStore.List(kJobPrefix); jobs.ok()) {
-      for (const StoreEntry& entry : jobs->mEntries) {
-        OnJobEvent({ entry.mKey, entry.mValue, entry.mModRevision });
-      }
-      mJobsFrom = jobs->mRevision;
-    }
+    const Revision from = mJobsFrom;
+    const auto jobs =
+      mParts.mStore.ListEach(kJobPrefix, [this](StoreEntry aEntry) {
+        OnJobEvent(
+          { aEntry.mKey, std::move(aEntry.mValue), aEntry.mModRevision });
+      });
+    // After an incomplete list the watch has to repeat what it left out.
+    mJobsFrom = jobs.ok() ? *jobs : from;
   }
 }
 
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -136,6 +137,7 @@
   void LogDecision(const cell::CellDecision& aDecision);
   void RunProgressSaves();
   void RunCleanup();
+  bool DeleteJobs(std::span<const JobId> aJobs);
   void RunLearnedSaves();
   void LoadLearned();
   void SaveLearned();
--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <span>
+#include <utility>
 
 #include <boost/fiber/operations.hpp>
 
@@ -25,7 +27,12 @@
 /// record and two per job.
 constexpr std::size_t kJobsPerSave = 15;
 constexpr Duration kCleanupPause = std::chrono::seconds(10);
-constexpr std::size_t kDeletesPerCleanup = 15;
+constexpr std::size_t kDeletesPerTransaction = 15;
+/// Between two transactions of a cleanup, so that it uses few of the store's
+/// writes.
+constexpr Duration kCleanupTransactionPause = std::chrono::milliseconds(100);
+/// Larger transactions are split, unless they have one record.
+constexpr std::size_t kMaxBatchBytes = 512UL * 1024;
 
 } // namespace
 
@@ -46,19 +53,26 @@
 bool CellOwner::SaveBatch()
 {
   const Instant begin = MonotonicNow();
-  const std::vector<UnsavedProgress> batch = mLogic.UnsavedJobs(kJobsPerSave);
+  std::vector<UnsavedProgress> batch = mLogic.UnsavedJobs(kJobsPerSave);
   if (batch.empty()) {
     return true;
   }
   StoreTransaction transaction;
   transaction.mCompares.push_back(CellUnchanged());
+  std::size_t bytes = 0;
   for (const UnsavedProgress& job : batch) {
     const std::string key = ProgressKey(job.mJob);
+    std::string text = ToJsonText(job.mProgress);
+    bytes += text.size();
+    if (bytes > kMaxBatchBytes && !transaction.mWrites.empty()) {
+      break;
+    }
     transaction.mCompares.push_back({ key, job.mRevision });
-    transaction.mWrites.push_back({ key, ToJsonText(job.mProgress) });
+    transaction.mWrites.push_back({ key, std::move(text) });
     // Until the answer the store may show progress that this owner does not.
     mLogic.OnProgressSaveInDoubt(job.mJob);
   }
+  batch.resize(transaction.mWrites.size());
   const Instant sentAt = MonotonicNow();
   mLoad.RecordWork(OwnerWork::Records, sentAt - begin);
   const auto result = mParts.mStore.Commit(transaction);
@@ -123,25 +137,42 @@
     }
     const auto keep =
       std::chrono::duration_cast<std::chrono::milliseconds>(mParts.mKeepEnded);
-    std::vector<JobId> ended = mLogic.EndedBefore(UnixMsNow() - keep.count());
-    ended.resize(std::min(ended.size(), kDeletesPerCleanup));
-    if (ended.empty()) {
-      continue;
-    }
-    StoreTransaction transaction;
-    transaction.mCompares.push_back(CellUnchanged());
-    for (const JobId& job : ended) {
-      transaction.mWrites.push_back({ JobKey(job), std::nullopt });
-      transaction.mWrites.push_back({ ProgressKey(job), std::nullopt });
-    }
-    if (const auto result = mParts.mStore.Commit(transaction);
-        result.ok() && result->mApplied) {
-      LogChange("ended-jobs-deleted", { { "jobs", ended.size() } });
-      for (const JobId& job : ended) {
-        mLogic.DropJob(job);
+    const std::vector<JobId> ended =
+      mLogic.EndedBefore(UnixMsNow() - keep.count());
+    std::span<const JobId> left = ended;
+    while (!left.empty() && !mEnded) {
+      const auto next =
+        left.first(std::min(left.size(), kDeletesPerTransaction));
+      if (!DeleteJobs(next)) {
+        break;
       }
+      left = left.subspan(next.size());
+      boost::this_fiber::sleep_for(kCleanupTransactionPause);
     }
   }
 }
 
+/// Returns false if the store did not delete them, so far as is known.
+bool CellOwner::DeleteJobs(std::span<const JobId> aJobs)
+{
+  StoreTransaction transaction;
+  transaction.mCompares.push_back(CellUnchanged());
+  for (const JobId& job : aJobs) {
+    transaction.mWrites.push_back({ JobKey(job), std::nullopt });
+    transaction.mWrites.push_back({ ProgressKey(job), std::nullopt });
+  }
+  const auto result = mParts.mStore.Commit(transaction);
+  if (!result.ok() || !result->mApplied) {
+    LogWarning(
+      "ended-jobs-kept",
+      { { "jobs", aJobs.size() }, { "error", result.status().ToString() } });
+    return false;
+  }
+  LogChange("ended-jobs-deleted", { { "jobs", aJobs.size() } });
+  for (const JobId& job : aJobs) {
+    mLogic.DropJob(job);
+  }
+  return true;
+}
+
 } // namespace foxtailbarrow::scheduler
--- a/apps/scheduler/JobRequestHandler.cpp
+++ b/apps/scheduler/JobRequestHandler.cpp
@@ -5,8 +5,11 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include "absl/strings/str_cat.h"
+
 #include "apps/scheduler/JobRefusals.h"
 #include "apps/scheduler/WriteRetries.h"
+#include "src/core/cell/JobEntry.h"
 #include "src/core/cell/JobForward.h"
 #include "src/core/cell/records/CellRecords.h"
 #include "src/core/message/Codec.h"
@@ -200,9 +203,21 @@
   }
   const StoredJob job{ aSubmit.mGraph, UnixMsNow(), false };
   const std::string key = JobKey(job.mGraph.mId);
+  std::string text = ToJsonText(job);
+  if (text.size() > kMaxJobRecordBytes) {
+    return JobRefused{ RefusalCause::BadRequest,
+                       Verdict::NotRun,
+                       absl::StrCat("the job's record has ",
+                                    text.size(),
+                                    " bytes, more than ",
+                                    kMaxJobRecordBytes) };
+  }
+  if (auto refusal = RefuseWhileFull(id)) {
+    return *std::move(refusal);
+  }
   StoreTransaction transaction;
   transaction.mCompares.push_back({ key, 0 });
-  transaction.mWrites.push_back({ key, ToJsonText(job) });
+  transaction.mWrites.push_back({ key, std::move(text) });
   WriteRetries retries(aDeadline);
   for (;;) {
     const auto result = Commit(transaction, [this, job] { NotifyOwner(job); });
@@ -218,6 +233,51 @@
   }
 }
 
+std::optional<JobAnswer> JobRequestHandler::RefuseWhileFull(const JobId& aJob)
+{
+  if (OwnerAccepts()) {
+    return std::nullopt;
+  }
+  // A repeated submission of a job that is stored must not be refused.
+  const auto entry = mStore.Read(JobKey(aJob));
+  if (entry.ok()) {
+    return JobAccepted{};
+  }
+  if (!absl::IsNotFound(entry.status())) {
+    return RefusalOf(aJob, StoreUnavailable(entry.status()));
+  }
+  const absl::Status full =
+    absl::ResourceExhaustedError("the cell holds as many jobs as it can");
+  JobRefused refusal = mOutage.InDoubt(aJob, MonotonicNow())
+                         ? OutcomeUnknown(full)
+                         : StoreUnavailable(full);
+  refusal.mCause = RefusalCause::CellFull;
+  refusal.mRetryAfter = RetryAfter();
+  return refusal;
+}
+
+bool JobRequestHandler::OwnerAccepts()
+{
+  if (const auto owner = mElection.Owner()) {
+    return owner->Logic().AcceptsJobs();
+  }
+  if (!mGate.MustAsk()) {
+    return true;
+  }
+  const auto at = mElection.OwnerAt();
+  if (!at) {
+    return false;
+  }
+  const auto reply = net::CallTyped<QueryAcceptanceReply>(
+    mRpc, *at, kQueryAcceptanceMethod, QueryAcceptance{}, kOwnerTimeout);
+  if (!reply.ok() || !reply->mOwner) {
+    LogDebug("owner-not-asked", { { "error", reply.status().ToString() } });
+    return false;
+  }
+  mGate.OnOwnerAnswer(reply->mAccepts);
+  return reply->mAccepts;
+}
+
 JobAnswer JobRequestHandler::Handle(const CancelJob& aCancel, Instant aDeadline)
 {
   if (auto refusal = RefuseWhileSilent(aCancel.mJob)) {
@@ -356,18 +416,22 @@
     owner->OnRecordChanged(aJob);
     return;
   }
+  const std::size_t bytes = aJob.mCancelled ? 0 : MemoryOf(aJob.mGraph);
+  mGate.OnStored(bytes);
   const auto at = mElection.OwnerAt();
   if (!at) {
     return;
   }
-  mRuntime.Spawn([this, at = *at, aJob] {
+  mRuntime.Spawn([this, at = *at, aJob, bytes] {
     const auto reply = net::CallTyped<RecordChangedReply>(
       mRpc, at, kRecordChangedMethod, RecordChanged{ aJob }, kOwnerTimeout);
     if (!reply.ok()) {
       LogDebug(
         "owner-not-told",
         { { "job", aJob.mGraph.mId }, { "error", reply.status().ToString() } });
+      return;
     }
+    mGate.OnReported(bytes, reply->mFull);
   });
 }
 
--- a/apps/scheduler/JobRequestHandler.h
+++ b/apps/scheduler/JobRequestHandler.h
@@ -12,6 +12,7 @@
 #include "src/core/cell/OutagePolicy.h"
 #include "src/core/cell/OwnerSurvey.h"
 #include "src/core/cell/PeerAvailability.h"
+#include "src/core/cell/SubmissionGate.h"
 #include "src/net/FiberRuntime.h"
 #include "src/net/Rpc.h"
 #include "src/platform/store/HealthTrackingStore.h"
@@ -69,6 +70,10 @@
   std::optional<cell::JobPhase> AskOwner(const JobId& aJob);
   cell::JobAnswer ReadFromStore(const JobId& aJob);
   void NotifyOwner(const cell::StoredJob& aJob);
+  /// Refuses a submission for which the cell's owner has no memory. Returns
+  /// nullopt if it may be stored.
+  std::optional<cell::JobAnswer> RefuseWhileFull(const JobId& aJob);
+  bool OwnerAccepts();
 
   net::FiberRuntime& mRuntime;
   HealthTrackingStore& mStore;
@@ -77,6 +82,7 @@
   std::vector<Endpoint> mPeers; ///< Other schedulers.
   cell::OutagePolicy mOutage;
   cell::PeerAvailability mAvailability;
+  cell::SubmissionGate mGate;
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -51,6 +51,8 @@
 {
   CellSettings settings;
   settings.mStopTime = aSettings.mStopTime;
+  settings.mLimits =
+    CellLimits::ForMemory(static_cast<std::size_t>(aSettings.mMemoryMb) << 20U);
   const Duration longest = aSettings.mMaxWorkerLease - kLeaseReserve;
   // Where stops are long, tasks outlive an outage of the store for as long as
   // workers accept leases. An owner that is lost right after an outage of four
--- a/apps/scheduler/SchedulerPages.cpp
+++ b/apps/scheduler/SchedulerPages.cpp
@@ -74,9 +74,17 @@
     mDispatcher, kRecordChangedMethod, [this](const RecordChanged& aRequest) {
       if (const auto owner = mElection.Owner()) {
         owner->OnRecordChanged(aRequest.mJob);
+        return RecordChangedReply{ !owner->Logic().AcceptsJobs() };
       }
       return RecordChangedReply{};
     });
+  net::AddTyped<QueryAcceptance>(
+    mDispatcher, kQueryAcceptanceMethod, [this](const QueryAcceptance&) {
+      const auto owner = mElection.Owner();
+      return QueryAcceptanceReply{
+        owner != nullptr, owner != nullptr && owner->Logic().AcceptsJobs()
+      };
+    });
 }
 
 void Scheduler::AddCordonMethod()
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -80,6 +80,10 @@
                        aSettings.mProcessorShare,
                        { 0.0, 1024.0 },
                        "Processor time available to it, in cores");
+  settings.AddCount("--memory-mb",
+                    aSettings.mMemoryMb,
+                    { 64, 1024 * 1024 },
+                    "Memory available to it, in MB");
   settings.AddLogLevel(aSettings.mLogLevel);
   const auto exitCode = settings.Parse(argc, argv);
   if (aSettings.mAdvertised.mPort == 0) {
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -26,6 +26,8 @@
   /// Processor time of this process in cores. Schedulers with a small share
   /// let others take the cell first.
   double mProcessorShare = 1.0;
+  /// Memory of this process. Bounds the jobs that the cell accepts.
+  int mMemoryMb = 256;
   /// Longest lease that a worker of this platform accepts.
   Duration mMaxWorkerLease = std::chrono::milliseconds(6000);
   /// Longest time that a worker of this platform takes to stop a task.
--- a/include/foxtailbarrow/Store.h
+++ b/include/foxtailbarrow/Store.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -109,6 +110,23 @@
   /// Lists every key with the prefix `aPrefix`, sorted by key.
   virtual absl::StatusOr<StoreListing> List(std::string_view aPrefix) = 0;
 
+  /// As List(), but calls `aOnEntry` for each entry as it is read, so that not
+  /// all of them are in memory at a time. Returns the listing's revision. After
+  /// an error some entries may have been passed on.
+  virtual absl::StatusOr<Revision> ListEach(
+    std::string_view aPrefix,
+    const std::function<void(StoreEntry)>& aOnEntry)
+  {
+    absl::StatusOr<StoreListing> listing = List(aPrefix);
+    if (!listing.ok()) {
+      return listing.status();
+    }
+    for (StoreEntry& entry : listing->mEntries) {
+      aOnEntry(std::move(entry));
+    }
+    return listing->mRevision;
+  }
+
   virtual absl::StatusOr<StoreTransactionResult> Commit(
     const StoreTransaction& aTransaction) = 0;
 
--- /dev/null
+++ b/src/core/cell/CellLimits.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace foxtailbarrow::cell {
+
+/// Bounds on the state of a cell's owner. They hold for any mix of jobs, so
+/// that accepted jobs never take more memory than the process has.
+struct CellLimits
+{
+  static constexpr std::size_t kDefaultMemory = std::size_t{ 256 } << 20U;
+  /// Estimated memory of one open step, and of one task that has been started.
+  static constexpr std::size_t kBytesPerStep = 256;
+  static constexpr std::size_t kBytesPerTask = 1024;
+
+  /// The limits for a process that may use `aMemory` bytes.
+  static constexpr CellLimits ForMemory(std::size_t aMemory)
+  {
+    // The rest is for messages, the store's replies and the program.
+    constexpr std::size_t kShare = 5;
+    constexpr std::size_t kStepShare = 16;
+    return { aMemory / kShare,
+             static_cast<std::int64_t>(aMemory / kStepShare / kBytesPerStep),
+             static_cast<std::int64_t>(aMemory / kShare / kBytesPerTask) };
+  }
+
+  /// Memory of all jobs' records. Further jobs are refused.
+  std::size_t mJobBytes = kDefaultMemory / 5;
+  /// Steps of occurrences that are open besides the first one of their job.
+  /// Further ones open late.
+  std::int64_t mOpenSteps = kDefaultMemory / 16 / kBytesPerStep;
+  /// Tasks that run, or have run and are not done. Others start late.
+  std::int64_t mTasks = kDefaultMemory / 5 / kBytesPerTask;
+
+  /// So that one job cannot use all of mOpenSteps.
+  std::int64_t OpenStepsOfJob() const
+  {
+    constexpr std::int64_t kJobs = 8;
+    return mOpenSteps / kJobs;
+  }
+};
+
+} // namespace foxtailbarrow::cell
--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -222,6 +222,17 @@
   std::int64_t mWaiting = 0;
 };
 
+/// `cell.acceptance`: scheduler to owner, before it stores a job while the
+/// owner may be full.
+struct QueryAcceptance
+{};
+
+struct QueryAcceptanceReply
+{
+  bool mOwner = false;
+  bool mAccepts = false; ///< The owner has memory for more jobs.
+};
+
 /// As kAttachMethod, by an owner that reads the time of the worker's start:
 /// messages are read strictly, so that agents state it to such owners only.
 inline constexpr std::string_view kAttachWithStartTimeMethod =
@@ -234,6 +245,7 @@
 inline constexpr std::string_view kFindOwnerMethod = "cell.find";
 inline constexpr std::string_view kQueryJobMethod = "cell.query";
 inline constexpr std::string_view kQueryWaitingMethod = "cell.waiting";
+inline constexpr std::string_view kQueryAcceptanceMethod = "cell.acceptance";
 inline constexpr std::string_view kRecordChangedMethod = "cell.changed";
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -16,19 +16,6 @@
          aJob.mPolicy.mAllowance;
 }
 
-bool HasRuns(const JobEntry& aJob)
-{
-  return std::ranges::any_of(
-    aJob.mOccurrences, [](const OccurrenceEntry& aOccurrence) {
-      return std::ranges::any_of(
-        aOccurrence.mSteps, [](const StepEntry& aStep) {
-          return std::ranges::any_of(aStep.mTasks, [](const TaskEntry& aTask) {
-            return !aTask.mRuns.empty();
-          });
-        });
-    });
-}
-
 } // namespace
 
 CellScheduler::CellScheduler(Generation aGeneration,
@@ -81,6 +68,7 @@
     std::max<std::int64_t>(0, aClock.mUnixMs - aStored.mAcceptedUnixMs);
   job.mAcceptedAt = aClock.mNow - std::chrono::milliseconds(ageMs);
   job.mDeadline = DeadlineOf(job);
+  UpdateJobBytes(job, MemoryOf(job.Graph()));
   job.mInherited = aProgressRevision != 0;
   job.mProgressRevision = aProgressRevision;
   if (job.Final()) {
@@ -111,9 +99,33 @@
 
 void CellScheduler::DropJob(const JobId& aJob)
 {
-  mJobs.erase(aJob);
+  if (const auto found = mJobs.find(aJob); found != mJobs.end()) {
+    UpdateJobBytes(found->second, 0);
+    mJobs.erase(found);
+  }
   mActiveJobs.erase(aJob);
   mUnsaved.erase(aJob);
+  mToCompact.erase(aJob);
+}
+
+void CellScheduler::UpdateJobBytes(JobEntry& aJob, std::size_t aBytes)
+{
+  mJobBytes += aBytes;
+  mJobBytes -= std::exchange(aJob.mBytes, aBytes);
+}
+
+/// Releases what the jobs that have changed no longer need. Not done at the
+/// change itself, which may be in a loop over the same entries.
+void CellScheduler::CompactJobs()
+{
+  for (const JobId& id : mToCompact) {
+    if (const auto found = mJobs.find(id); found != mJobs.end()) {
+      JobEntry& job = found->second;
+      job.Compact();
+      UpdateJobBytes(job, MemoryOf(job.Graph()));
+    }
+  }
+  mToCompact.clear();
 }
 
 void CellScheduler::MarkUnsaved(JobEntry& aJob, Instant aNow)
@@ -139,22 +151,21 @@
           .mAgeMs = age.count() });
   StopRuns(aJob, aClock);
   MarkUnsaved(aJob, aClock.mNow);
+  mToCompact.insert(aJob.Graph().mId);
 }
 
 void CellScheduler::StopRuns(JobEntry& aJob, const CellClock& aClock)
 {
-  for (std::size_t number = 0; number < aJob.mOccurrences.size(); ++number) {
-    auto& steps = aJob.mOccurrences[number].mSteps;
-    for (std::size_t step = 0; step < steps.size(); ++step) {
-      for (std::size_t index = 0; index < steps[step].mTasks.size(); ++index) {
-        const TaskRef task{ aJob.Graph().mId,
-                            static_cast<std::int32_t>(number),
-                            static_cast<std::int32_t>(step),
-                            static_cast<std::int32_t>(index) };
-        for (TaskRun& run : steps[step].mTasks[index].mRuns) {
+  for (auto& [number, occurrence] : aJob.mOpen) {
+    TaskRef task{ aJob.Graph().mId, number, 0, 0 };
+    for (StepEntry& step : occurrence.mSteps) {
+      for (auto& [index, entry] : step.Touched()) {
+        task.mIndex = index;
+        for (TaskRun& run : entry.mRuns) {
           StopRun(run, task, "job-ended", aClock);
         }
       }
+      ++task.mStep;
     }
   }
 }
@@ -191,6 +202,9 @@
   job.mSaveInDoubt = false;
   if (job.mSavedVersion >= job.mVersion) {
     mUnsaved.erase(aJob);
+    if (job.Final()) {
+      mToCompact.insert(aJob);
+    }
   }
 }
 
@@ -253,7 +267,7 @@
 {
   std::vector<JobId> ended;
   for (const auto& [id, job] : mJobs) {
-    if (job.Final() && job.mSavedVersion >= job.mVersion && !HasRuns(job) &&
+    if (job.Final() && job.mSavedVersion >= job.mVersion && !job.HasRuns() &&
         job.mEndedUnixMs < aUnixMs) {
       ended.push_back(id);
     }
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -178,6 +178,12 @@
   /// Jobs that ended before `aUnixMs`, are saved and have no runs left.
   std::vector<JobId> EndedBefore(std::int64_t aUnixMs) const;
 
+  /// False while the jobs that are known use the memory set apart for them.
+  bool AcceptsJobs() const { return mJobBytes < mSettings.mLimits.mJobBytes; }
+  std::size_t JobBytes() const { return mJobBytes; }
+  std::int64_t OpenSteps() const { return mOpenSteps; }
+  std::int64_t TouchedTasks() const { return mTouchedTasks; }
+
   const std::map<JobId, JobEntry>& Jobs() const { return mJobs; }
   const WorkerTable& Workers() const { return mWorkers; }
   const InterferenceEstimator& Learned() const { return mInterference; }
@@ -194,6 +200,8 @@
 
   // Jobs (CellScheduler.cpp).
   void MarkUnsaved(JobEntry& aJob, Instant aNow);
+  void CompactJobs();
+  void UpdateJobBytes(JobEntry& aJob, std::size_t aBytes);
   void StopRuns(JobEntry& aJob, const CellClock& aClock);
   void FinishJob(JobEntry& aJob, JobPhase aPhase, const CellClock& aClock);
   std::uint64_t SavedVersion(const JobId& aJob) const;
@@ -227,7 +235,7 @@
                   const EndedTask& aEnded,
                   const AgentId& aAgent,
                   const CellClock& aClock);
-  std::size_t FailuresOf(JobEntry& aJob, const TaskRef& aTask) const;
+  static std::size_t FailuresOf(JobEntry& aJob, const TaskRef& aTask);
   void UpdateFailuresInRow(WorkerEntry& aWorker,
                            const EndedTask& aEnded,
                            const CellClock& aClock);
@@ -320,7 +328,8 @@
                             const CellClock& aClock);
 
   // Crashes (CellSchedulerCrashes.cpp).
-  TaskEntry* FindOpenTask(const TaskRef& aTask);
+  const TaskEntry* FindOpenTask(const TaskRef& aTask) const;
+  TaskEntry* TouchOpenTask(const TaskRef& aTask);
   CrashedWorker CrashOf(const WorkerEntry& aWorker);
   void OnWorkerCrash(const AgentId& aAgent,
                      const CrashedWorker& aCrash,
@@ -391,6 +400,8 @@
   bool MayRunUnreported(const JobEntry& aJob,
                         const TaskRef& aTask,
                         Instant aNow) const;
+  void OpenDueOccurrences(JobEntry& aJob, std::int64_t aUnixMs);
+  void CountUseOfMemory();
   std::vector<Candidate> Candidates(const CellClock& aClock);
   std::vector<Candidate> SortedCandidates(const CellClock& aClock);
   bool StandingTasksComeFirst(std::span<const Candidate> aCandidates,
@@ -434,11 +445,16 @@
   std::map<JobId, JobEntry> mJobs;
   std::set<JobId> mActiveJobs; ///< Jobs that have not ended.
   std::set<JobId> mUnsaved;
+  std::set<JobId> mToCompact; ///< Jobs that may hold state they do not need.
   WorkerTable mWorkers;
   std::set<FailureDomainId> mCordonedDomains;
   InterferenceEstimator mInterference;
   CrashTrials mTrials;
   CrashCounters mCrashCounters;
+  std::size_t mJobBytes = 0;         ///< Memory of all jobs' records.
+  std::int64_t mOpenSteps = 0;       ///< Of open occurrences.
+  std::int64_t mTouchedTasks = 0;    ///< Tasks with an entry.
+  std::int64_t mStartsOverLimit = 0; ///< Since the last log line.
   Instant mRunsReviewedAt{};
   Instant mWaitingLoggedAt{};
   RefusedDemands mRefusedDemands; ///< Of the current placement round.
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -42,7 +42,7 @@
     return kNeedsNoSave;
   }
   JobEntry& job = found->second;
-  TaskEntry* task = job.Find(aEnded.mTask);
+  const TaskEntry* task = job.Find(aEnded.mTask);
   if (task == nullptr) {
     return kNeedsNoSave;
   }
@@ -99,7 +99,7 @@
                              const AgentId& aAgent,
                              const CellClock& aClock)
 {
-  TaskEntry& task = *aJob.Find(aEnded.mTask);
+  TaskEntry& task = aJob.Touch(aEnded.mTask);
   task.mLastRun = std::max(task.mLastRun, aEnded.mRun);
   task.mCrashes.Settle(aEnded.mRun);
   if (!aEnded.mCheckpoint.empty()) {
@@ -133,31 +133,25 @@
                                  const TaskRef& aTask,
                                  const CellClock& aClock)
 {
-  TaskEntry& task = *aJob.Find(aTask);
-  if (task.mDone) {
+  StepEntry& step = aJob.StepOf(aTask);
+  if (!step.MarkDone(aTask.mIndex)) {
     return;
   }
-  task.mDone = true;
+  mToCompact.insert(aTask.mJob);
   aJob.mSuspects.erase(aTask); // The end may be that of another gang member.
   mNeedsPlacement = true;
   if (!aJob.Spec(aTask).mGang) {
-    for (TaskRun& run : task.mRuns) {
+    for (TaskRun& run : step.Touch(aTask.mIndex).mRuns) {
       StopRun(run, aTask, "copy-done", aClock);
     }
   }
   MarkUnsaved(aJob, aClock.mNow);
-  if (--aJob.StepOf(aTask).mTasksLeft > 0) {
+  if (step.TasksLeft() > 0) {
     return;
   }
   OnStepDone(aJob, aTask);
-  OccurrenceEntry& occurrence =
-    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)];
-  --occurrence.mStepsLeft;
-  const bool all =
-    std::ranges::all_of(aJob.mOccurrences, [](const OccurrenceEntry& aEntry) {
-      return aEntry.mStepsLeft == 0;
-    });
-  if (all) {
+  --aJob.Open(aTask.mOccurrence).mStepsLeft;
+  if (aJob.AllDone()) {
     FinishJob(aJob, JobPhase::Completed, aClock);
   }
 }
@@ -167,7 +161,7 @@
                                const AgentId& aAgent,
                                const CellClock& aClock)
 {
-  TaskEntry& task = *aJob.Find(aEnded.mTask);
+  TaskEntry& task = aJob.Touch(aEnded.mTask);
   if (std::ranges::find(task.mFailedRuns, aEnded.mRun) !=
       task.mFailedRuns.end()) {
     return; // Saved by an earlier owner, which did not acknowledge it.
@@ -183,14 +177,13 @@
 
 /// Failed runs of the task or its gang; members that fail in one run count
 /// once.
-std::size_t CellScheduler::FailuresOf(JobEntry& aJob,
-                                      const TaskRef& aTask) const
+std::size_t CellScheduler::FailuresOf(JobEntry& aJob, const TaskRef& aTask)
 {
   if (!aJob.Spec(aTask).mGang) {
     return aJob.Find(aTask)->mFailedRuns.size();
   }
   std::set<RunNumber> runs;
-  for (const TaskEntry& member : aJob.StepOf(aTask).mTasks) {
+  for (const auto& [index, member] : aJob.StepOf(aTask).Touched()) {
     runs.insert(member.mFailedRuns.begin(), member.mFailedRuns.end());
   }
   return runs.size();
--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -33,7 +33,7 @@
                            WorkerEntry& aWorker,
                            TaskRun aRun)
 {
-  TaskEntry& task = *aJob.Find(aTask);
+  TaskEntry& task = aJob.Touch(aTask);
   task.mLastRun = std::max(task.mLastRun, aRun.mNumber);
   aWorker.mRuns[aTask] = aRun.mNumber;
   aWorker.mAllPastFreshUptime = false;
@@ -54,7 +54,7 @@
                               RunNumber aRun,
                               const CellClock& aClock)
 {
-  TaskEntry& task = *aJob.Find(aTask);
+  TaskEntry& task = aJob.Touch(aTask);
   const auto removed = std::erase_if(task.mRuns, [&](const TaskRun& aEntry) {
     return aEntry.mAgent == aAgent && aEntry.mNumber == aRun;
   });
@@ -68,6 +68,7 @@
   worker.mRuns.erase(aTask);
   task.mCrashes.Settle(aRun);
   mTrials.End(aAgent, { aTask, aRun });
+  mToCompact.insert(aTask.mJob);
   CountUse(worker.mUse, aTask.mJob, aJob.Spec(aTask), -1);
   worker.mWorkerInterference.Invalidate();
   mNeedsPlacement = true;
@@ -94,9 +95,9 @@
     return;
   }
   TaskRef member = aMember;
-  for (member.mIndex = 0; member.mIndex < aJob.Spec(aMember).mReplicas;
-       ++member.mIndex) {
-    for (TaskRun& run : aJob.Find(member)->mRuns) {
+  for (auto& [index, entry] : aJob.StepOf(aMember).Touched()) {
+    member.mIndex = index;
+    for (TaskRun& run : entry.mRuns) {
       if (run.mNumber == aRun && run.mPhase != RunPhase::Stopping) {
         StopRun(run, member, "gang-incomplete", aClock);
       }
@@ -154,10 +155,10 @@
                                   const CellClock& aClock)
 {
   const auto found = mJobs.find(aRunning.mTask.mJob);
-  TaskEntry* task =
-    found == mJobs.end() ? nullptr : found->second.Find(aRunning.mTask);
   TaskRun* run =
-    task == nullptr ? nullptr : task->FindRun(aWorker.mId, aRunning.mRun);
+    found == mJobs.end()
+      ? nullptr
+      : found->second.FindRun(aRunning.mTask, aWorker.mId, aRunning.mRun);
   if (run == nullptr) {
     if (!Adopt(aWorker, aRunning, aClock) &&
         aWorker.mForeign.emplace(aRunning.mTask, aRunning.mRun).second) {
@@ -173,7 +174,7 @@
     run->mPercentChangedAt = aClock.mNow;
   }
   if (!aRunning.mCheckpoint.empty()) {
-    task->mCheckpoint = aRunning.mCheckpoint;
+    found->second.Touch(aRunning.mTask).mCheckpoint = aRunning.mCheckpoint;
   }
   if (found->second.mPhase == JobPhase::Queued) {
     found->second.mPhase = JobPhase::Running;
@@ -198,12 +199,12 @@
     return false;
   }
   JobEntry& job = found->second;
-  TaskEntry* task = job.Find(aRunning.mTask);
-  if (job.Final() || task == nullptr || task->mDone ||
-      task->mLastRun >= aRunning.mRun) {
+  const TaskEntry* known = job.Find(aRunning.mTask);
+  if (job.Final() || known == nullptr || known->mDone ||
+      known->mLastRun >= aRunning.mRun) {
     return false;
   }
-  if (!task->mRuns.empty() && !job.Spec(aRunning.mTask).mSpeculative) {
+  if (!known->mRuns.empty() && !job.Spec(aRunning.mTask).mSpeculative) {
     return false;
   }
   LogDecision("task-adopted",
@@ -222,11 +223,12 @@
            .mRunningSince = aClock.mNow,
            .mPercent = aRunning.mPercent,
            .mPercentChangedAt = aClock.mNow });
-  if (task->mCrashes.Count() > 0) {
-    RecordStart(job, aRunning.mTask, task->mRuns.back());
+  TaskEntry& task = job.Touch(aRunning.mTask);
+  if (task.mCrashes.Count() > 0) {
+    RecordStart(job, aRunning.mTask, task.mRuns.back());
   }
   if (!aRunning.mCheckpoint.empty()) {
-    task->mCheckpoint = aRunning.mCheckpoint;
+    task.mCheckpoint = aRunning.mCheckpoint;
   }
   if (job.mPhase == JobPhase::Queued) {
     job.mPhase = JobPhase::Running;
@@ -268,7 +270,7 @@
   }
   for (const auto& [task, number] : missing) {
     JobEntry& job = mJobs.at(task.mJob);
-    const TaskRun* run = job.Find(task)->FindRun(aWorker.mId, number);
+    const TaskRun* run = job.FindRun(task, aWorker.mId, number);
     if (run == nullptr) {
       continue; // Removed together with another member of its gang.
     }
@@ -309,7 +311,7 @@
       RecordUnexplainedLoss(aWorker, task, run, aClock.mNow);
     }
     if (number < FirstRunOf(mGeneration)) {
-      mJobs.at(task.mJob).Find(task)->mExpiredRuns.push_back(number);
+      mJobs.at(task.mJob).Touch(task).mExpiredRuns.push_back(number);
     }
     RemoveRun(mJobs.at(task.mJob), task, aWorker.mId, number, aClock);
     StopGang(mJobs.at(task.mJob), task, number, aClock);
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/CellLimits.h"
 #include "src/core/cell/throttling/InterferenceEstimator.h"
 
 namespace foxtailbarrow::cell {
@@ -88,6 +89,7 @@
   /// reports of them, or every second one would be skipped.
   Duration mObserveInterval = std::chrono::milliseconds(450);
   InterferenceSettings mInterference;
+  CellLimits mLimits;
 
   /// When tasks with checkpoints are stopped before a draining worker leaves:
   /// early enough for the stop, its order and the report of its end. Otherwise
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -9,72 +9,61 @@
 
 constexpr char kDoneMark = '1';
 constexpr char kNotDoneMark = '0';
+/// The store limits the size of a record. A checkpoint that is left out costs
+/// work after a change of owner, and nothing else.
+constexpr std::size_t kMaxCheckpointBytes = 256UL * 1024;
 
 bool InRange(std::int32_t aIndex, std::size_t aSize)
 {
   return aIndex >= 0 && static_cast<std::size_t>(aIndex) < aSize;
 }
 
-OccurrenceEntry MakeOccurrence(const JobGraph& aGraph, std::int32_t aNumber)
-{
-  OccurrenceEntry occurrence;
-  const Recurrence& recurrence = aGraph.mRecurrence;
-  if (recurrence.mCount > 0) {
-    occurrence.mDueUnixMs =
-      recurrence.mFirstDueUnixMs + aNumber * recurrence.mIntervalMs;
-  }
-  for (const StepSpec& spec : aGraph.mSteps) {
-    StepEntry step;
-    step.mTasks.resize(static_cast<std::size_t>(spec.mReplicas));
-    step.mTasksLeft = spec.mReplicas;
-    occurrence.mSteps.push_back(std::move(step));
-  }
-  occurrence.mStepsLeft = static_cast<std::int32_t>(aGraph.mSteps.size());
-  return occurrence;
-}
-
 void RestoreStep(const StoredStep& aStored, StepEntry& aStep)
 {
-  const std::size_t known = std::min(aStored.mDone.size(), aStep.mTasks.size());
+  const auto size = static_cast<std::size_t>(aStep.Size());
+  const std::size_t known = std::min(aStored.mDone.size(), size);
   for (std::size_t index = 0; index < known; ++index) {
-    if (aStored.mDone[index] == kDoneMark && !aStep.mTasks[index].mDone) {
-      aStep.mTasks[index].mDone = true;
-      --aStep.mTasksLeft;
+    if (aStored.mDone[index] == kDoneMark) {
+      aStep.MarkDone(static_cast<std::int32_t>(index));
     }
   }
   for (const StoredFailures& failures : aStored.mFailures) {
-    if (InRange(failures.mIndex, aStep.mTasks.size())) {
-      aStep.mTasks[static_cast<std::size_t>(failures.mIndex)].mFailedRuns =
-        failures.mRuns;
+    if (InRange(failures.mIndex, size)) {
+      aStep.Touch(failures.mIndex).mFailedRuns = failures.mRuns;
     }
   }
   for (const StoredCheckpoint& saved : aStored.mCheckpoints) {
-    if (InRange(saved.mIndex, aStep.mTasks.size())) {
-      aStep.mTasks[static_cast<std::size_t>(saved.mIndex)].mCheckpoint =
-        saved.mCheckpoint;
+    if (InRange(saved.mIndex, size)) {
+      aStep.Touch(saved.mIndex).mCheckpoint = saved.mCheckpoint;
     }
   }
   for (const StoredCrashes& crashes : aStored.mCrashes) {
-    if (InRange(crashes.mIndex, aStep.mTasks.size())) {
-      aStep.mTasks[static_cast<std::size_t>(crashes.mIndex)].mCrashes =
-        CrashHistory(
-          crashes.mRuns, crashes.mClearedTo, crashes.mUnsettledStart);
+    if (InRange(crashes.mIndex, size)) {
+      aStep.Touch(crashes.mIndex).mCrashes = CrashHistory(
+        crashes.mRuns, crashes.mClearedTo, crashes.mUnsettledStart);
     }
   }
 }
 
 void Restore(const StoredProgress& aProgress, JobEntry& aJob)
 {
+  aJob.mDoneOccurrences = IndexRanges(aProgress.mDoneOccurrences);
+  std::int32_t previous = -1;
   for (const StoredStep& stored : aProgress.mSteps) {
-    if (!InRange(stored.mOccurrence, aJob.mOccurrences.size()) ||
+    if (stored.mOccurrence < 0 ||
+        stored.mOccurrence >= Occurrences(aJob.Graph()) ||
+        aJob.mDoneOccurrences.Contains(stored.mOccurrence) ||
         !InRange(stored.mStep, aJob.Graph().mSteps.size())) {
       continue;
     }
-    OccurrenceEntry& occurrence =
-      aJob.mOccurrences[static_cast<std::size_t>(stored.mOccurrence)];
+    if (std::exchange(previous, stored.mOccurrence) != stored.mOccurrence) {
+      aJob.Compact(); // Records of earlier versions list done occurrences.
+    }
+    OccurrenceEntry& occurrence = aJob.Open(stored.mOccurrence);
     StepEntry& step = occurrence.mSteps[static_cast<std::size_t>(stored.mStep)];
+    const bool wasDone = step.TasksLeft() == 0;
     RestoreStep(stored, step);
-    if (step.mTasksLeft == 0) {
+    if (step.TasksLeft() == 0 && !wasDone) {
       --occurrence.mStepsLeft;
     }
     for (const StoredCrashes& crashes : stored.mCrashes) {
@@ -87,6 +76,7 @@
       }
     }
   }
+  aJob.Compact();
 }
 
 /// Length of the longest dependency path, over the steps that `aCounts`
@@ -108,48 +98,158 @@
   return longest;
 }
 
-StoredStep StoredOf(const StepEntry& aStep)
+/// `aCheckpointBytes`: left for checkpoints in the record.
+StoredStep StoredOf(const StepEntry& aStep, std::size_t& aCheckpointBytes)
 {
   StoredStep stored;
-  bool anyDone = false;
-  for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
-    const TaskEntry& task = aStep.mTasks[index];
-    stored.mDone.push_back(task.mDone ? kDoneMark : kNotDoneMark);
-    anyDone = anyDone || task.mDone;
-    if (!task.mDone && !task.mFailedRuns.empty()) {
-      stored.mFailures.push_back(
-        { static_cast<std::int32_t>(index), task.mFailedRuns });
-    }
-    if (!task.mDone && !task.mCheckpoint.empty()) {
-      stored.mCheckpoints.push_back(
-        { static_cast<std::int32_t>(index), task.mCheckpoint });
-    }
-    if (!task.mDone && !task.mCrashes.Empty()) {
-      stored.mCrashes.push_back({ static_cast<std::int32_t>(index),
+  if (aStep.TasksLeft() < aStep.Size()) {
+    stored.mDone.reserve(static_cast<std::size_t>(aStep.Size()));
+    for (std::int32_t index = 0; index < aStep.Size(); ++index) {
+      stored.mDone.push_back(aStep.Task(index).mDone ? kDoneMark
+                                                     : kNotDoneMark);
+    }
+  }
+  for (const auto& [index, task] : aStep.Touched()) {
+    if (task.mDone) {
+      continue;
+    }
+    if (!task.mFailedRuns.empty()) {
+      stored.mFailures.push_back({ index, task.mFailedRuns });
+    }
+    if (!task.mCheckpoint.empty() &&
+        task.mCheckpoint.size() <= aCheckpointBytes) {
+      aCheckpointBytes -= task.mCheckpoint.size();
+      stored.mCheckpoints.push_back({ index, task.mCheckpoint });
+    }
+    if (!task.mCrashes.Empty()) {
+      stored.mCrashes.push_back({ index,
                                   task.mCrashes.CrashesToStore(),
                                   task.mCrashes.ClearedTo(),
                                   task.mCrashes.UnsettledStart() });
     }
   }
-  if (!anyDone) {
-    stored.mDone.clear();
-  }
   return stored;
 }
 
 } // namespace
 
-TaskEntry* JobEntry::Find(const TaskRef& aTask)
+std::optional<std::int32_t> JobEntry::NextOccurrence()
 {
-  if (!InRange(aTask.mOccurrence, mOccurrences.size()) ||
-      !InRange(aTask.mStep, Graph().mSteps.size())) {
-    return nullptr;
+  const std::int32_t count = Occurrences(Graph());
+  while (mNextOccurrence < count &&
+         (mOpen.contains(mNextOccurrence) ||
+          mDoneOccurrences.Contains(mNextOccurrence))) {
+    ++mNextOccurrence;
   }
-  StepEntry& step = StepOf(aTask);
-  if (!InRange(aTask.mIndex, step.mTasks.size())) {
+  return mNextOccurrence < count ? std::optional(mNextOccurrence)
+                                 : std::nullopt;
+}
+
+std::int64_t JobEntry::DueUnixMs(std::int32_t aNumber) const
+{
+  const Recurrence& recurrence = Graph().mRecurrence;
+  return recurrence.mCount == 0
+           ? 0
+           : recurrence.mFirstDueUnixMs + aNumber * recurrence.mIntervalMs;
+}
+
+OccurrenceEntry& JobEntry::Open(std::int32_t aNumber)
+{
+  const auto [entry, isNew] = mOpen.try_emplace(aNumber);
+  OccurrenceEntry& occurrence = entry->second;
+  if (isNew) {
+    occurrence.mDueUnixMs = DueUnixMs(aNumber);
+    occurrence.mStepsLeft = static_cast<std::int32_t>(Graph().mSteps.size());
+    occurrence.mSteps.reserve(Graph().mSteps.size());
+    for (const StepSpec& spec : Graph().mSteps) {
+      occurrence.mSteps.emplace_back(spec.mReplicas);
+    }
+  }
+  return occurrence;
+}
+
+bool JobEntry::AllDone() const
+{
+  const auto count = static_cast<std::int64_t>(mOpen.size());
+  return count + mDoneOccurrences.Count() == Occurrences(Graph()) &&
+         std::ranges::all_of(mOpen, [](const auto& aEntry) {
+           return aEntry.second.mStepsLeft == 0;
+         });
+}
+
+bool JobEntry::HasRuns() const
+{
+  return std::ranges::any_of(
+    mOpen, [](const auto& aEntry) { return aEntry.second.HasRuns(); });
+}
+
+const TaskEntry* JobEntry::Find(const TaskRef& aTask) const
+{
+  static const StepEntry kUntouched;
+  static const TaskEntry kDone = [] {
+    TaskEntry task;
+    task.mDone = true;
+    return task;
+  }();
+  if (aTask.mOccurrence < 0 || aTask.mOccurrence >= Occurrences(Graph()) ||
+      !InRange(aTask.mStep, Graph().mSteps.size()) || aTask.mIndex < 0 ||
+      aTask.mIndex >= Spec(aTask).mReplicas) {
     return nullptr;
   }
-  return &step.mTasks[static_cast<std::size_t>(aTask.mIndex)];
+  const auto open = mOpen.find(aTask.mOccurrence);
+  if (open == mOpen.end()) {
+    return mDoneOccurrences.Contains(aTask.mOccurrence) ? &kDone
+                                                        : &kUntouched.Task(0);
+  }
+  return &open->second.mSteps[static_cast<std::size_t>(aTask.mStep)].Task(
+    aTask.mIndex);
+}
+
+TaskRun* JobEntry::FindRun(const TaskRef& aTask,
+                           const AgentId& aAgent,
+                           RunNumber aNumber)
+{
+  const TaskEntry* task = Find(aTask);
+  return task == nullptr || task->FindRun(aAgent, aNumber) == nullptr
+           ? nullptr
+           : Touch(aTask).FindRun(aAgent, aNumber);
+}
+
+void JobEntry::Compact()
+{
+  if (Final() && mSavedVersion >= mVersion && !HasRuns()) {
+    mOpen.clear();
+    mDoneOccurrences = {};
+    mSuspects.clear();
+    mStored.mGraph = JobGraph{ Graph().mId, Graph().mQueue, {}, {}, {} };
+    return;
+  }
+  for (auto entry = mOpen.begin(); entry != mOpen.end();) {
+    auto& [number, occurrence] = *entry;
+    for (StepEntry& step : occurrence.mSteps) {
+      step.Compact();
+    }
+    if (occurrence.mStepsLeft > 0 || occurrence.HasRuns()) {
+      ++entry;
+      continue;
+    }
+    mDoneOccurrences.Insert(number);
+    entry = mOpen.erase(entry);
+  }
+}
+
+std::size_t MemoryOf(const JobGraph& aGraph)
+{
+  constexpr std::size_t kNodes = 256; // Of the maps and sets that list the job.
+  std::size_t bytes = sizeof(JobEntry) + kNodes + aGraph.mPayload.capacity();
+  for (const StepSpec& spec : aGraph.mSteps) {
+    // One occurrence is open at a time at least.
+    bytes += sizeof(StepSpec) + sizeof(StepEntry) +
+             spec.mAfter.capacity() * sizeof(std::int32_t) +
+             spec.mRequiredLabel.capacity() + spec.mImage.capacity() +
+             spec.mDataRack.Value().capacity();
+  }
+  return bytes;
 }
 
 JobEntry MakeJobEntry(StoredJob aStored,
@@ -161,10 +261,11 @@
   job.mPolicy = std::move(aPolicy);
   job.mPhase = aProgress.mPhase;
   job.mEndedUnixMs = aProgress.mEndedUnixMs;
-  for (std::int32_t number = 0; number < Occurrences(job.Graph()); ++number) {
-    job.mOccurrences.push_back(MakeOccurrence(job.Graph(), number));
+  if (job.Final()) {
+    job.Compact();
+  } else {
+    Restore(aProgress, job);
   }
-  Restore(aProgress, job);
   return job;
 }
 
@@ -176,14 +277,15 @@
   if (aJob.Final()) {
     return progress; // No task of it runs again: the steps are not needed.
   }
-  for (std::size_t number = 0; number < aJob.mOccurrences.size(); ++number) {
-    const OccurrenceEntry& occurrence = aJob.mOccurrences[number];
+  progress.mDoneOccurrences = aJob.mDoneOccurrences.Flat();
+  std::size_t checkpointBytes = kMaxCheckpointBytes;
+  for (const auto& [number, occurrence] : aJob.mOpen) {
     for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      StoredStep stored = StoredOf(occurrence.mSteps[step]);
+      StoredStep stored = StoredOf(occurrence.mSteps[step], checkpointBytes);
       if (stored == StoredStep{}) {
         continue;
       }
-      stored.mOccurrence = static_cast<std::int32_t>(number);
+      stored.mOccurrence = number;
       stored.mStep = static_cast<std::int32_t>(step);
       progress.mSteps.push_back(std::move(stored));
     }
@@ -200,7 +302,7 @@
                                const OccurrenceEntry& aOccurrence)
 {
   return PathLength(aGraph, [&](std::size_t aStep) {
-    return aOccurrence.mSteps[aStep].mTasksLeft > 0;
+    return aOccurrence.mSteps[aStep].TasksLeft() > 0;
   });
 }
 
@@ -212,18 +314,14 @@
     const StepSpec& spec = aGraph.mSteps[step];
     const std::chrono::duration<double> estimate = spec.mEstimate;
     work += static_cast<double>(spec.mDemand.mMillicores) / kMillicores *
-            estimate.count() * aOccurrence.mSteps[step].mTasksLeft;
+            estimate.count() * aOccurrence.mSteps[step].TasksLeft();
   }
   return work;
 }
 
 bool HasBegun(const OccurrenceEntry& aOccurrence)
 {
-  return std::ranges::any_of(aOccurrence.mSteps, [](const StepEntry& aStep) {
-    return std::ranges::any_of(aStep.mTasks, [](const TaskEntry& aTask) {
-      return aTask.mDone || !aTask.mRuns.empty();
-    });
-  });
+  return std::ranges::any_of(aOccurrence.mSteps, &StepEntry::HasBegun);
 }
 
 bool Released(const JobGraph& aGraph,
@@ -232,8 +330,8 @@
 {
   return std::ranges::all_of(
     aGraph.mSteps[aStep].mAfter, [&](std::int32_t aBefore) {
-      return aOccurrence.mSteps[static_cast<std::size_t>(aBefore)].mTasksLeft ==
-             0;
+      return aOccurrence.mSteps[static_cast<std::size_t>(aBefore)]
+               .TasksLeft() == 0;
     });
 }
 
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -1,41 +1,45 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 #include "foxtailbarrow/Contract.h"
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/IndexRanges.h"
 #include "src/core/cell/QueuePolicy.h"
-#include "src/core/cell/TaskEntry.h"
-#include "src/core/cell/placing/StepAdvice.h"
+#include "src/core/cell/StepEntry.h"
 #include "src/core/cell/records/CellRecords.h"
 
 namespace foxtailbarrow::cell {
 
-struct StepEntry
-{
-  std::vector<TaskEntry> mTasks;
-  std::int32_t mTasksLeft = 0; ///< Tasks that are not done.
-  Instant mReleasedAt{};       ///< When its dependencies were found done.
-  StepAdvice mAdvice;          ///< Used where the queue's policy requires it.
-};
-
 /// One execution of the steps of a job.
 struct OccurrenceEntry
 {
   std::int64_t mDueUnixMs = 0; ///< 0 = at once.
   std::vector<StepEntry> mSteps;
   std::int32_t mStepsLeft = 0;
+
+  bool HasRuns() const
+  {
+    return std::ranges::any_of(mSteps, &StepEntry::HasRuns);
+  }
 };
 
-/// The owner's state of one job.
+/// The owner's state of one job. Its size depends on the occurrences that are
+/// open, which are due and not done, and on the tasks that were started in
+/// them, but not on what is done or not due yet.
 struct JobEntry
 {
   StoredJob mStored;
   QueuePolicy mPolicy;
   JobPhase mPhase = JobPhase::Queued;
-  std::vector<OccurrenceEntry> mOccurrences;
+  std::map<std::int32_t, OccurrenceEntry> mOpen; ///< By number.
+  IndexRanges mDoneOccurrences;                  ///< Done and not open.
+  std::int32_t mNextOccurrence = 0; ///< Those below are open or done.
   Instant mAcceptedAt{};
   /// Latest end at which the job is on time, by declared run times.
   Instant mDeadline{};
@@ -43,6 +47,7 @@
   /// reported yet may run them.
   bool mInherited = false;
   std::int64_t mEndedUnixMs = 0;
+  std::size_t mBytes = 0;      ///< Memory that it is counted with.
   std::set<TaskRef> mSuspects; ///< Tasks suspected of crashing workers.
 
   std::uint64_t mVersion = 0;      ///< Of the progress.
@@ -60,19 +65,46 @@
     return Graph().mSteps[static_cast<std::size_t>(aTask.mStep)];
   }
 
-  /// Null when the job has no such task.
-  TaskEntry* Find(const TaskRef& aTask);
-  const TaskEntry* Find(const TaskRef& aTask) const
+  /// Number of the first occurrence that is neither open nor done; nullopt if
+  /// there is none.
+  std::optional<std::int32_t> NextOccurrence();
+  /// When the occurrence is due; 0 = at once.
+  std::int64_t DueUnixMs(std::int32_t aNumber) const;
+  /// The occurrence, which is opened if it is not. It must not be done.
+  OccurrenceEntry& Open(std::int32_t aNumber);
+  /// True when every occurrence is done.
+  bool AllDone() const;
+  bool HasRuns() const;
+
+  /// Null when the job has no such task. Valid until the next Touch() or
+  /// Compact().
+  const TaskEntry* Find(const TaskRef& aTask) const;
+  /// The entry of a task that exists and whose occurrence is not closed. Valid
+  /// until Compact().
+  TaskEntry& Touch(const TaskRef& aTask)
   {
-    return const_cast<JobEntry*>(this)->Find(aTask);
+    return StepOf(aTask).Touch(aTask.mIndex);
   }
+  /// As Touch() for a run of the task; null when there is none.
+  TaskRun* FindRun(const TaskRef& aTask,
+                   const AgentId& aAgent,
+                   RunNumber aNumber);
+
+  /// Opens the occurrence if it is not.
   StepEntry& StepOf(const TaskRef& aTask)
   {
-    return mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
+    return Open(aTask.mOccurrence)
       .mSteps[static_cast<std::size_t>(aTask.mStep)];
   }
+
+  /// Closes occurrences that are done, and drops the state of an ended job once
+  /// its end is saved. Both remain while something of them runs.
+  void Compact();
 };
 
+/// Memory of a job with this graph, without what Open() and Touch() add.
+std::size_t MemoryOf(const JobGraph& aGraph);
+
 /// Restores a job from its record and its saved progress.
 JobEntry MakeJobEntry(StoredJob aStored,
                       const StoredProgress& aProgress,
--- a/src/core/cell/JobRequest.cpp
+++ b/src/core/cell/JobRequest.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-constexpr EnumText<RefusalCause, 6> kCauses({
+constexpr EnumText<RefusalCause, 7> kCauses({
   { RefusalCause::NoSuchQueue, "no-such-queue" },
   { RefusalCause::BadRequest, "bad-request" },
   { RefusalCause::NotReady, "not-ready" },
+  { RefusalCause::CellFull, "cell-full" },
   { RefusalCause::StoreUnavailable, "store-away" },
   { RefusalCause::Unsupported, "unsupported" },
   { RefusalCause::Unknown, "fate-unknown" },
--- a/src/core/cell/TaskEntry.h
+++ b/src/core/cell/TaskEntry.h
@@ -76,6 +76,13 @@
   std::uint64_t mRequiredVersion = 0;
 
   bool Idle() const { return !mDone && mRuns.empty(); }
+  /// True without any state that a start would depend on.
+  bool NeverStarted() const
+  {
+    return mLastRun == 0 && mFailedRuns.empty() && mFailedOn.empty() &&
+           mExpiredRuns.empty() && mCheckpoint.empty() && mCrashes.Empty() &&
+           mNotBefore == Instant{} && mRequiredVersion == 0;
+  }
 
   TaskRun* FindRun(const AgentId& aAgent, RunNumber aNumber)
   {
@@ -84,6 +91,10 @@
     });
     return found == mRuns.end() ? nullptr : &*found;
   }
+  const TaskRun* FindRun(const AgentId& aAgent, RunNumber aNumber) const
+  {
+    return const_cast<TaskEntry*>(this)->FindRun(aAgent, aNumber);
+  }
 };
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/crashes/CellSchedulerCrashes.cpp
+++ b/src/core/cell/crashes/CellSchedulerCrashes.cpp
@@ -8,16 +8,23 @@
 namespace foxtailbarrow::cell {
 
 /// Returns the task if a crash can still count against it, else null.
-TaskEntry* CellScheduler::FindOpenTask(const TaskRef& aTask)
+const TaskEntry* CellScheduler::FindOpenTask(const TaskRef& aTask) const
 {
   const auto found = mJobs.find(aTask.mJob);
   if (found == mJobs.end() || found->second.Final()) {
     return nullptr;
   }
-  TaskEntry* task = found->second.Find(aTask);
+  const TaskEntry* task = found->second.Find(aTask);
   return task == nullptr || task->mDone ? nullptr : task;
 }
 
+/// As FindOpenTask(), for a change.
+TaskEntry* CellScheduler::TouchOpenTask(const TaskRef& aTask)
+{
+  return FindOpenTask(aTask) == nullptr ? nullptr
+                                        : &mJobs.at(aTask.mJob).Touch(aTask);
+}
+
 /// Runs lost in the worker's crash, as far as this owner knows them.
 CrashedWorker CellScheduler::CrashOf(const WorkerEntry& aWorker)
 {
@@ -63,7 +70,7 @@
                                 CrashBlame aBlame,
                                 const CellClock& aClock)
 {
-  TaskEntry* task = FindOpenTask(aRun.mTask);
+  TaskEntry* task = TouchOpenTask(aRun.mTask);
   if (task == nullptr || !task->mCrashes.RecordCrash(aRun.mRun, aBlame)) {
     return;
   }
@@ -123,7 +130,7 @@
                                  RunNumber aRun,
                                  const CellClock& aClock)
 {
-  if (!aJob.Find(aTask)->mCrashes.Clear(aRun)) {
+  if (!aJob.Touch(aTask).mCrashes.Clear(aRun)) {
     return;
   }
   ++mCrashCounters.mQueues[aJob.Graph().mQueue].mCleared;
@@ -139,7 +146,7 @@
                                const TaskRun& aRun,
                                const CellClock& aClock)
 {
-  TaskEntry& task = *aJob.Find(aTask);
+  TaskEntry& task = aJob.Touch(aTask);
   const Duration uptime = aRun.mUptime;
   if (uptime >= kProvenUptime) {
     task.mProven = true;
@@ -174,15 +181,15 @@
     { aTask, aRun.mNumber, aRun.mUptime, aRun.Confirmed() });
   if (aRun.mUptime < kFreshUptime) {
     mJobs.at(aTask.mJob)
-      .Find(aTask)
-      ->mCrashes.RecordUnexplainedLoss(aRun.mNumber, aNow);
+      .Touch(aTask)
+      .mCrashes.RecordUnexplainedLoss(aRun.mNumber, aNow);
   }
 }
 
 void CellScheduler::ClearUnexplainedLosses(WorkerEntry& aWorker)
 {
   for (const CrashedRun& run : aWorker.mUnexplained) {
-    if (TaskEntry* task = FindOpenTask(run.mTask)) {
+    if (TaskEntry* task = TouchOpenTask(run.mTask)) {
       task->mCrashes.ClearUnexplainedLoss(run.mRun);
     }
   }
@@ -198,7 +205,7 @@
                                 const TaskRef& aTask,
                                 const TaskRun& aRun)
 {
-  TaskEntry& task = *aJob.Find(aTask);
+  TaskEntry& task = aJob.Touch(aTask);
   if (task.mProven && task.mCrashes.Count() == 0) {
     return;
   }
@@ -218,10 +225,10 @@
                                  const AgentId& aAgent,
                                  const CellClock& aClock)
 {
-  TaskEntry& task = *aJob.Find(aTask);
-  if (!task.mCrashes.MustPlanStart(aRun)) {
+  if (!aJob.Find(aTask)->mCrashes.MustPlanStart(aRun)) {
     return true;
   }
+  TaskEntry& task = aJob.Touch(aTask);
   task.mCrashes.PlanStart(aRun);
   MarkUnsaved(aJob, aClock.mNow);
   task.mRequiredVersion = aJob.mVersion;
@@ -236,7 +243,7 @@
 bool CellScheduler::CountForgottenStart(const TaskRef& aTask,
                                         const CellClock& aClock)
 {
-  TaskEntry* task = FindOpenTask(aTask);
+  const TaskEntry* task = FindOpenTask(aTask);
   if (task == nullptr) {
     return false;
   }
@@ -244,7 +251,7 @@
   if (run <= task->mLastRun || run >= FirstRunOf(mGeneration)) {
     return false;
   }
-  task->mLastRun = run;
+  TouchOpenTask(aTask)->mLastRun = run;
   LogDecision("task-start-forgotten", aTask, {}, run, "no-agent-knows-it");
   const bool first = task->mCrashes.Count() == 0;
   RecordCrash({},
--- a/src/core/cell/placing/CellSchedulerAdvice.cpp
+++ b/src/core/cell/placing/CellSchedulerAdvice.cpp
@@ -76,8 +76,9 @@
                              const CellClock& aClock)
 {
   const auto found = mJobs.find(aQuery.mStep.mJob);
-  if (found == mJobs.end()) {
-    return;
+  if (found == mJobs.end() ||
+      !found->second.mOpen.contains(aQuery.mStep.mOccurrence)) {
+    return; // The step has ended in the meantime.
   }
   StepAdvice& advice = found->second.StepOf(aQuery.mStep).mAdvice;
   LogDecision("advice",
--- a/src/core/cell/placing/CellSchedulerMoves.cpp
+++ b/src/core/cell/placing/CellSchedulerMoves.cpp
@@ -55,7 +55,7 @@
       if (!MayMove(worker, task, number, aClock.mNow)) {
         continue;
       }
-      TaskEntry& entry = *mJobs.at(task.mJob).Find(task);
+      TaskEntry& entry = mJobs.at(task.mJob).Touch(task);
       entry.mStalledOn = id;
       entry.mStalledUntil = aClock.mNow + mSettings.mStalledAvoidFor;
       worker.mStalledStopAt = aClock.mNow;
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -19,6 +19,7 @@
 
 void CellScheduler::Schedule(const CellClock& aClock)
 {
+  CompactJobs();
   ExpireWorkers(aClock);
   for (auto& [id, worker] : mWorkers) {
     if (worker.mLink != WorkerLink::Attached) {
@@ -95,23 +96,22 @@
   for (const JobId& id : mActiveJobs) {
     JobEntry& job = mJobs.at(id);
     TaskRef task{ id, 0, 0, 0 };
-    for (const OccurrenceEntry& occurrence : job.mOccurrences) {
+    for (const auto& [number, occurrence] : job.mOpen) {
+      task.mOccurrence = number;
       task.mStep = 0;
       for (const StepEntry& step : occurrence.mSteps) {
         StepChoices choices;
-        task.mIndex = 0;
-        for (const TaskEntry& entry : step.mTasks) {
+        for (const auto& [index, entry] : step.Touched()) {
+          task.mIndex = index;
           copies += entry.mRuns.size() > 1 ? 1 : 0;
           if (copies < mSettings.mMaxCopies && job.Spec(task).mSpeculative &&
               NeedsCopy(job, entry, aClock.mNow) &&
               PlaceTask(job, task, NextRun(entry), aClock, choices)) {
             ++copies;
           }
-          ++task.mIndex;
         }
         ++task.mStep;
       }
-      ++task.mOccurrence;
     }
   }
 }
@@ -130,16 +130,12 @@
                                  const TaskRef& aTask,
                                  Instant aNow)
 {
-  const OccurrenceEntry& occurrence =
-    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)];
   Instant since = aJob.mAcceptedAt;
-  for (const StepEntry& step : occurrence.mSteps) {
-    for (const TaskEntry& task : step.mTasks) {
-      if (!task.mRuns.empty()) {
-        return Duration::zero();
-      }
-      since = std::max(since, task.mIdleSince);
+  for (const StepEntry& step : aJob.mOpen.at(aTask.mOccurrence).mSteps) {
+    if (step.HasRuns()) {
+      return Duration::zero();
     }
+    since = std::max(since, step.IdleSince());
   }
   return aNow - since;
 }
@@ -154,9 +150,44 @@
          mReservedShare < mSettings.mBusyShare;
 }
 
+/// Opens the occurrences of the job that are due. A job always has one open;
+/// more only within the limits.
+void CellScheduler::OpenDueOccurrences(JobEntry& aJob, std::int64_t aUnixMs)
+{
+  const auto steps = static_cast<std::int64_t>(aJob.Graph().mSteps.size());
+  const auto mayOpen = [&] {
+    const auto open = static_cast<std::int64_t>(aJob.mOpen.size()) * steps;
+    return open == 0 || (open < mSettings.mLimits.OpenStepsOfJob() &&
+                         mOpenSteps < mSettings.mLimits.mOpenSteps);
+  };
+  for (auto next = aJob.NextOccurrence();
+       next && aJob.DueUnixMs(*next) <= aUnixMs && mayOpen();
+       next = aJob.NextOccurrence()) {
+    aJob.Open(*next);
+    mOpenSteps += steps;
+  }
+}
+
+/// Counts what the limits apply to. Starts within a round are counted as they
+/// are decided.
+void CellScheduler::CountUseOfMemory()
+{
+  mOpenSteps = 0;
+  mTouchedTasks = 0;
+  for (const JobId& id : mActiveJobs) {
+    for (const auto& [number, occurrence] : mJobs.at(id).mOpen) {
+      mOpenSteps += static_cast<std::int64_t>(occurrence.mSteps.size());
+      for (const StepEntry& step : occurrence.mSteps) {
+        mTouchedTasks += static_cast<std::int64_t>(step.Touched().size());
+      }
+    }
+  }
+}
+
 std::vector<CellScheduler::Candidate> CellScheduler::Candidates(
   const CellClock& aClock)
 {
+  CountUseOfMemory();
   std::vector<Candidate> candidates;
   for (const JobId& id : mActiveJobs) {
     JobEntry& job = mJobs.at(id);
@@ -166,16 +197,15 @@
         (job.mInherited && mUnreported.MayRunAny(aClock.mNow))) {
       continue;
     }
-    for (std::size_t number = 0; number < job.mOccurrences.size(); ++number) {
-      OccurrenceEntry& occurrence = job.mOccurrences[number];
+    OpenDueOccurrences(job, aClock.mUnixMs);
+    for (auto& [number, occurrence] : job.mOpen) {
       if (occurrence.mStepsLeft == 0 ||
           aClock.mUnixMs < occurrence.mDueUnixMs) {
         continue;
       }
       for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
         StepEntry& entry = occurrence.mSteps[step];
-        if (entry.mTasksLeft == 0 || !Released(job.Graph(), occurrence, step) ||
-            std::ranges::none_of(entry.mTasks, &TaskEntry::Idle)) {
+        if (!entry.HasIdle() || !Released(job.Graph(), occurrence, step)) {
           continue;
         }
         if (entry.mReleasedAt == Instant{}) {
@@ -192,10 +222,7 @@
             bestEffort && !begun,
             bestEffort ? RemainingWork(job.Graph(), occurrence) : 0.0,
             job.mDeadline,
-            { id,
-              static_cast<std::int32_t>(number),
-              static_cast<std::int32_t>(step),
-              0 } });
+            { id, number, static_cast<std::int32_t>(step), 0 } });
       }
     }
   }
@@ -228,7 +255,8 @@
     }
     const StepEntry& step = job.StepOf(candidate.mFirstTask);
     TaskRef ref = candidate.mFirstTask;
-    for (const TaskEntry& task : step.mTasks) {
+    for (; ref.mIndex < step.Size(); ++ref.mIndex) {
+      const TaskEntry& task = step.Task(ref.mIndex);
       // The others lack a worker, perhaps for long.
       const bool startsSoon =
         task.Idle() &&
@@ -237,7 +265,6 @@
         backlog.Add(spec.mDemand.mMillicores,
                     aNow - std::max(step.mReleasedAt, task.mIdleSince));
       }
-      ++ref.mIndex;
     }
   }
   const bool first = backlog.HoldsBestEffort(CapacityOf(mWorkers));
@@ -287,17 +314,16 @@
                               const TaskRef& aFirst,
                               const CellClock& aClock)
 {
-  const std::vector<TaskEntry>& members = aJob.StepOf(aFirst).mTasks;
   RunNumber run = 0;
   TaskRef task = aFirst;
-  for (const TaskEntry& member : members) {
+  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
+    const TaskEntry& member = *aJob.Find(task);
     if (!member.Idle() || member.mNotBefore > aClock.mNow ||
         MayRunUnreported(aJob, task, aClock.mNow) ||
         !CrashesAllowStart(aJob, task, aClock.mNow)) {
       return;
     }
     run = std::max(run, NextRun(member));
-    ++task.mIndex;
   }
   bool mayStart = true;
   task = aFirst;
@@ -308,9 +334,17 @@
   if (!mayStart) {
     return;
   }
+  struct Before
+  {
+    RunNumber mLastRun = 0;
+    Instant mIdleSince{};
+  };
+  std::vector<Before> before;
   StepChoices choices;
   task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
+    const TaskEntry& member = *aJob.Find(task);
+    before.push_back({ member.mLastRun, member.mIdleSince });
     if (!PlaceTask(aJob, task, run, aClock, choices)) {
       break;
     }
@@ -318,17 +352,22 @@
   if (task.mIndex == aJob.Spec(aFirst).mReplicas) {
     return;
   }
-  // Not all fit. Nothing has been sent yet, so the placed runs are removed, and
-  // the next attempt uses the same run number, which may be recorded already.
+  // Not all fit. Nothing has been sent yet, so the placed runs are removed as
+  // if they had not been tried. Where the run number is recorded already, the
+  // next attempt must use the same one.
   while (task.mIndex-- > 0) {
-    TaskEntry& member = *aJob.Find(task);
+    TaskEntry& member = aJob.Touch(task);
     const AgentId agent = member.mRuns.front().mAgent;
     const bool planned = member.mCrashes.UnsettledStart() == run;
     RemoveRun(aJob, task, agent, run, aClock);
-    member.mLastRun = run - 1;
+    const auto& [lastRun, idleSince] =
+      before[static_cast<std::size_t>(task.mIndex)];
+    member.mLastRun = planned ? run - 1 : lastRun;
+    member.mIdleSince = idleSince;
     if (planned) {
       member.mCrashes.PlanStart(run);
     }
+    mTouchedTasks -= member.NeverStarted() ? 1 : 0;
   }
 }
 
@@ -343,6 +382,11 @@
   if (CountForgottenStart(aTask, aClock) || aJob.Final()) {
     return false;
   }
+  const bool touches = aJob.Find(aTask)->NeverStarted();
+  if (touches && mTouchedTasks >= mSettings.mLimits.mTasks) {
+    ++mStartsOverLimit;
+    return false;
+  }
   const StepSpec& spec = aJob.Spec(aTask);
   const bool starving = Starving(aJob, aTask, aClock.mNow);
   const Suspicion suspected = aJob.Find(aTask)->mCrashes.Suspected();
@@ -382,7 +426,8 @@
     aClock.mNow - aJob.mAcceptedAt);
   LogDecision("task-start", aTask, *agent, aRun, "room", waited.count());
   WorkerEntry& worker = mWorkers.at(*agent);
-  TaskEntry& entry = *aJob.Find(aTask);
+  TaskEntry& entry = aJob.Touch(aTask);
+  mTouchedTasks += touches ? 1 : 0;
   entry.mTime.mWaited +=
     aClock.mNow - std::max(entry.mIdleSince, aJob.StepOf(aTask).mReleasedAt);
   AddRun(aJob,
--- a/src/core/cell/placing/CellSchedulerWaiting.cpp
+++ b/src/core/cell/placing/CellSchedulerWaiting.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -138,6 +139,9 @@
   }
   mWaitingLoggedAt = aClock.mNow;
   LogDecision("leftover-load", {}, {}, 0, LoadText(mWorkers, mSettings));
+  if (const auto held = std::exchange(mStartsOverLimit, 0); held > 0) {
+    LogDecision("starts-held", {}, {}, 0, "too-many-started-tasks", held);
+  }
   if (const auto missing = mUnreported.Missing(aClock.mNow); !missing.empty()) {
     LogDecision("takeover-waits", {}, {}, 0, ToText(missing));
   }
@@ -146,9 +150,8 @@
   for (const Candidate& candidate : aCandidates) {
     JobEntry& job = mJobs.at(candidate.mFirstTask.mJob);
     const StepSpec& spec = job.Spec(candidate.mFirstTask);
-    std::vector<TaskEntry>& tasks = job.StepOf(candidate.mFirstTask).mTasks;
-    const auto idle = std::ranges::find_if(tasks, &TaskEntry::Idle);
-    if (idle == tasks.end()) {
+    const StepEntry& step = job.StepOf(candidate.mFirstTask);
+    if (!step.HasIdle()) {
       continue;
     }
     const Duration idleTime = IdleTime(job, candidate.mFirstTask, aClock.mNow);
@@ -160,7 +163,9 @@
       continue;
     }
     TaskRef task = candidate.mFirstTask;
-    task.mIndex = static_cast<std::int32_t>(idle - tasks.begin());
+    while (!step.Task(task.mIndex).Idle()) {
+      ++task.mIndex;
+    }
     const RefusalCounts refusals = CountRefusals(
       { mWorkers, mInterference, mSettings, mTrials, aClock.mNow, false },
       job,
@@ -172,7 +177,7 @@
                 absl::StrCat("image=",
                              spec.mImage,
                              " idle=",
-                             std::ranges::count_if(tasks, &TaskEntry::Idle),
+                             step.IdleTasks(),
                              " heldBy=",
                              HeldBy(job, task, aClock.mNow),
                              " ",
--- a/src/core/cell/placing/WorkerChoice.cpp
+++ b/src/core/cell/placing/WorkerChoice.cpp
@@ -41,7 +41,7 @@
 std::int32_t TasksOfStepOn(const StepEntry& aStep, const AgentId& aAgent)
 {
   std::int32_t count = 0;
-  for (const TaskEntry& task : aStep.mTasks) {
+  for (const auto& [index, task] : aStep.Touched()) {
     for (const TaskRun& run : task.mRuns) {
       count += run.mAgent == aAgent ? 1 : 0;
     }
@@ -72,8 +72,8 @@
                 const WorkerEntry& aWorker,
                 const StepEntry& aStep)
 {
-  return std::ranges::any_of(aStep.mTasks, [&](const TaskEntry& aTask) {
-    return std::ranges::any_of(aTask.mRuns, [&](const TaskRun& aRun) {
+  return std::ranges::any_of(aStep.Touched(), [&](const auto& aEntry) {
+    return std::ranges::any_of(aEntry.second.mRuns, [&](const TaskRun& aRun) {
       return aWorkers.at(aRun.mAgent).mInfo.mRack != aWorker.mInfo.mRack;
     });
   });
--- a/src/core/cell/records/CellRecords.h
+++ b/src/core/cell/records/CellRecords.h
@@ -33,7 +33,9 @@
 };
 
 struct RecordChangedReply
-{};
+{
+  bool mFull = false; ///< The owner has no memory for more jobs.
+};
 
 /// Failed runs of a task. Numbers rather than a count, so that an end that is
 /// reported again after a change of owner counts once.
@@ -85,6 +87,9 @@
   JobPhase mPhase = JobPhase::Queued;
   std::int64_t mEndedUnixMs = 0; ///< 0 = not ended.
   std::vector<StoredStep> mSteps;
+  /// Occurrences all of whose steps are done, as IndexRanges::Flat(). Their
+  /// steps are omitted.
+  std::vector<std::int32_t> mDoneOccurrences{};
 
   bool operator==(const StoredProgress&) const = default;
 };
@@ -130,6 +135,8 @@
 /// Pairs are learned over seconds, and at this interval the writes are 1% of an
 /// owner's.
 inline constexpr Duration kLearnedSaveInterval = std::chrono::seconds(5);
+/// Longest record of a job; stores limit the size of a value.
+inline constexpr std::size_t kMaxJobRecordBytes = 512UL * 1024;
 inline constexpr std::string_view kOwnerKey = "foxtailbarrow/owner";
 inline constexpr std::string_view kCellKey = "foxtailbarrow/cell";
 inline constexpr std::string_view kJobPrefix = "foxtailbarrow/j/";
--- a/src/core/cell/throttling/CellSchedulerLearning.cpp
+++ b/src/core/cell/throttling/CellSchedulerLearning.cpp
@@ -51,11 +51,15 @@
       continue;
     }
     const StepSpec& spec = job->second.Spec(running.mTask);
-    TaskEntry& task = *job->second.Find(running.mTask);
-    if (TaskRun* run = task.FindRun(aWorker.mId, running.mRun)) {
+    if (TaskRun* run =
+          job->second.FindRun(running.mTask, aWorker.mId, running.mRun)) {
       TrackStall(*run, spec, running.mFigure, aClock.mNow);
       if (spec.mBestEffort) {
-        CountTime(*run, task.mTime, spec, running.mFigure, aClock.mNow);
+        CountTime(*run,
+                  job->second.Touch(running.mTask).mTime,
+                  spec,
+                  running.mFigure,
+                  aClock.mNow);
         if (run->mStalledSince) {
           aWorker.mUse.mStalledByImage[spec.mImage] += spec.mDemand.mMillicores;
         }
--- a/src/core/cell/workers/CellSchedulerCordons.cpp
+++ b/src/core/cell/workers/CellSchedulerCordons.cpp
@@ -39,7 +39,7 @@
   const auto runs = aWorker.mRuns;
   for (const auto& [task, number] : runs) {
     JobEntry& job = mJobs.at(task.mJob);
-    const TaskRun* run = job.Find(task)->FindRun(aWorker.mId, number);
+    const TaskRun* run = job.FindRun(task, aWorker.mId, number);
     // A run is missing once it was removed together with its gang.
     if (run == nullptr || run->mSent || run->mPhase != RunPhase::Ordered) {
       continue;
--- a/src/core/cell/workers/CellSchedulerOrders.cpp
+++ b/src/core/cell/workers/CellSchedulerOrders.cpp
@@ -9,13 +9,14 @@
 namespace {
 
 /// All members of a gang resume from one checkpoint; any member's is valid.
-std::string GangCheckpoint(const std::vector<TaskEntry>& aMembers)
+std::string GangCheckpoint(const StepEntry& aGang)
 {
   const auto saved =
-    std::ranges::find_if(aMembers, [](const TaskEntry& aMember) {
-      return !aMember.mCheckpoint.empty();
+    std::ranges::find_if(aGang.Touched(), [](const auto& aMember) {
+      return !aMember.second.mCheckpoint.empty();
     });
-  return saved == aMembers.end() ? std::string() : saved->mCheckpoint;
+  return saved == aGang.Touched().end() ? std::string()
+                                        : saved->second.mCheckpoint;
 }
 
 } // namespace
@@ -28,18 +29,14 @@
 {
   const StepSpec& spec = aJob.Spec(aTask);
   const std::size_t step = static_cast<std::size_t>(aTask.mStep);
-  const StepEntry& entry =
-    aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)].mSteps[step];
-  const std::vector<TaskEntry>& tasks = entry.mTasks;
+  const StepEntry& entry = aJob.mOpen.at(aTask.mOccurrence).mSteps[step];
   const std::string* ticket =
     entry.mAdvice.Ticket(aWorker.mInfo.mIncarnation, aNow);
   return { .mTask = aTask,
            .mRun = aRun,
            .mPayload = aJob.Graph().mPayload,
-           .mCheckpoint =
-             spec.mGang
-               ? GangCheckpoint(tasks)
-               : tasks[static_cast<std::size_t>(aTask.mIndex)].mCheckpoint,
+           .mCheckpoint = spec.mGang ? GangCheckpoint(entry)
+                                     : entry.Task(aTask.mIndex).mCheckpoint,
            .mTicket = ticket == nullptr ? std::string() : *ticket,
            .mLatencyTarget = spec.mLatencyTarget,
            .mBestEffort = spec.mBestEffort,
@@ -50,9 +47,9 @@
 TaskRun* CellScheduler::FindRun(const AgentId& aAgent, const StartOrder& aOrder)
 {
   const auto job = mJobs.find(aOrder.mTask.mJob);
-  TaskEntry* task =
-    job == mJobs.end() ? nullptr : job->second.Find(aOrder.mTask);
-  return task == nullptr ? nullptr : task->FindRun(aAgent, aOrder.mRun);
+  return job == mJobs.end()
+           ? nullptr
+           : job->second.FindRun(aOrder.mTask, aAgent, aOrder.mRun);
 }
 
 void CellScheduler::WithdrawStart(const AgentId& aAgent,
--- a/src/core/cell/workers/CellSchedulerWorkers.cpp
+++ b/src/core/cell/workers/CellSchedulerWorkers.cpp
@@ -47,7 +47,7 @@
   DropAbsentRuns(worker, aState.mRunning, kAllOrders, aClock);
   SendMetadata(worker);
   for (const auto& [task, number] : worker.mRuns) {
-    mJobs.at(task.mJob).Find(task)->FindRun(aAgent, number)->mOrderNumber = 0;
+    mJobs.at(task.mJob).FindRun(task, aAgent, number)->mOrderNumber = 0;
   }
   if (!aState.mInfo.mIncarnation.Empty()) {
     mUnreported.OnReported(aAgent);
@@ -229,10 +229,9 @@
   }
   for (const StartResult& result : aResults) {
     const auto found = mJobs.find(result.mTask.mJob);
-    TaskEntry* task =
-      found == mJobs.end() ? nullptr : found->second.Find(result.mTask);
-    TaskRun* run =
-      task == nullptr ? nullptr : task->FindRun(aAgent, result.mRun);
+    TaskRun* run = found == mJobs.end()
+                     ? nullptr
+                     : found->second.FindRun(result.mTask, aAgent, result.mRun);
     if (run == nullptr) {
       continue; // The run's end was reported first.
     }
@@ -260,7 +259,8 @@
     if (result.mOutcome == StartOutcome::OverCapacity) {
       worker->second.mAwaitsReport = true;
     } else {
-      task->mNotBefore = aClock.mNow + mSettings.mRefusalPause;
+      found->second.Touch(result.mTask).mNotBefore =
+        aClock.mNow + mSettings.mRefusalPause;
     }
   }
 }
@@ -378,7 +378,7 @@
   for (const auto& [task, number] : aWorker.mRuns) {
     JobEntry& job = mJobs.at(task.mJob);
     const StepSpec& spec = job.Spec(task);
-    TaskRun* run = job.Find(task)->FindRun(aWorker.mId, number);
+    TaskRun* run = job.FindRun(task, aWorker.mId, number);
     if (run->mPhase != RunPhase::Running ||
         !(spec.mStanding || (leaves && spec.mCheckpoints))) {
       continue;
--- a/src/core/message/CellCodec.cpp
+++ b/src/core/message/CellCodec.cpp
@@ -26,6 +26,8 @@
 FOXTAILBARROW_DEFINE_CODEC(cell::QueryWaitingReply);
 FOXTAILBARROW_DEFINE_CODEC(cell::RecordChanged);
 FOXTAILBARROW_DEFINE_CODEC(cell::RecordChangedReply);
+FOXTAILBARROW_DEFINE_CODEC(cell::QueryAcceptance);
+FOXTAILBARROW_DEFINE_CODEC(cell::QueryAcceptanceReply);
 FOXTAILBARROW_DEFINE_CODEC(cell::ForwardedRequest);
 FOXTAILBARROW_DEFINE_CODEC(cell::ForwardedReply);
 
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -215,10 +215,23 @@
 }
 
 template<typename Visitor, Is<cell::RecordChangedReply> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Optional("full", aMessage.mFull);
+}
+
+template<typename Visitor, Is<cell::QueryAcceptance> Message>
 void Fields(Visitor&, Message&)
 {
 }
 
+template<typename Visitor, Is<cell::QueryAcceptanceReply> Message>
+void Fields(Visitor& aVisitor, Message& aMessage)
+{
+  aVisitor.Required("owner", aMessage.mOwner);
+  aVisitor.Required("accepts", aMessage.mAccepts);
+}
+
 template<typename Visitor, Is<cell::ForwardedRequest> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
--- a/src/core/message/detail/CellRecordFields.h
+++ b/src/core/message/detail/CellRecordFields.h
@@ -107,6 +107,7 @@
   aVisitor.Required("phase", aMessage.mPhase);
   aVisitor.Optional("endedUnixMs", aMessage.mEndedUnixMs);
   aVisitor.Optional("steps", aMessage.mSteps);
+  aVisitor.Optional("doneOccurrences", aMessage.mDoneOccurrences);
 }
 
 template<typename Visitor, Is<cell::OwnerRecord> Message>
--- a/src/platform/store/HealthTrackingStore.h
+++ b/src/platform/store/HealthTrackingStore.h
@@ -77,6 +77,12 @@
   {
     return Track([&] { return mStore.List(aPrefix); });
   }
+  absl::StatusOr<Revision> ListEach(
+    std::string_view aPrefix,
+    const std::function<void(StoreEntry)>& aOnEntry) override
+  {
+    return Track([&] { return mStore.ListEach(aPrefix, aOnEntry); });
+  }
   absl::StatusOr<StoreTransactionResult> Commit(
     const StoreTransaction& aTransaction) override
   {
--- a/tests/cell/StepChoicesTest.cpp
+++ b/tests/cell/StepChoicesTest.cpp
@@ -42,10 +42,9 @@
     mJob.mPolicy.mService = ServiceId("service");
     mJob.mStored.mGraph.mId = JobId("job");
     mJob.mStored.mGraph.mSteps = { Step(aCase, aTasks) };
-    StepEntry& step = mJob.mOccurrences.emplace_back().mSteps.emplace_back();
-    step.mTasks.resize(static_cast<std::size_t>(aTasks));
+    StepEntry& step = mJob.Open(0).mSteps.front();
     for (int i = 0; aCase.mUnalike && i < aTasks; i += 4) {
-      step.mTasks[static_cast<std::size_t>(i)].mFailedOn = { WorkerId(i % 3) };
+      step.Touch(i).mFailedOn = { WorkerId(i % 3) };
     }
     mView.mStarving = aCase.mStarving;
   }
@@ -64,7 +63,7 @@
     }
     worker.mUse.mReserved = worker.mUse.mReserved + Reservation(spec);
     worker.mRuns[aTask] = 1;
-    mJob.Find(aTask)->mRuns.push_back({ .mAgent = aAgent, .mNumber = 1 });
+    mJob.Touch(aTask).mRuns.push_back({ .mAgent = aAgent, .mNumber = 1 });
   }
 
 private:
