Try the suspects of a gang together, and give each gang a turn

Cause: the members on that worker became suspects of crashing workers, and a worker tried one suspect at a time; a gang starts all members or none, so that one with more suspects than workers was placed in no round.

Change: suspects of one run of a gang count as one suspect and may share workers. A gang that cannot start beside other trials gets a turn, in which none of another suspect begins; turns alternate with equally long times for the others, so that both wait a bounded time. A gang is as strong a suspect as its strongest member: two gangs of one job waited for each other. What counts as evidence is unchanged.

--- a/src/core/cell/CellSchedulerRuns.cpp
+++ b/src/core/cell/CellSchedulerRuns.cpp
@@ -41,7 +41,8 @@
     mTrials.Begin(aWorker.mId,
                   { { aTask, aRun.mNumber },
                     aJob.Graph().mQueue,
-                    task.mCrashes.Suspected() });
+                    task.mCrashes.Suspected(),
+                    aJob.Spec(aTask).mGang });
   }
   CountUse(aWorker.mUse, aTask.mJob, aJob.Spec(aTask), 1);
   aWorker.mWorkerInterference.Invalidate();
--- a/src/core/cell/crashes/CellSchedulerCrashes.cpp
+++ b/src/core/cell/crashes/CellSchedulerCrashes.cpp
@@ -277,14 +277,21 @@
     return true;
   }
   // A job that will likely be given up must not crash further workers with its
-  // other tasks. Members of a gang are exempt, since they only start together.
-  return std::ranges::none_of(aJob.mSuspects, [&](const TaskRef& aSuspect) {
-    const bool sameGang = aJob.Spec(aTask).mGang &&
-                          aSuspect.mOccurrence == aTask.mOccurrence &&
-                          aSuspect.mStep == aTask.mStep;
-    return !sameGang &&
-           aJob.Find(aSuspect)->mCrashes.Suspected() == Suspicion::Strong;
-  });
+  // other tasks. A gang is as strong a suspect as its strongest member: two
+  // gangs of a job would otherwise wait for each other.
+  const bool isGang = aJob.Spec(aTask).mGang;
+  bool strongElsewhere = false;
+  for (const TaskRef& suspect : aJob.mSuspects) {
+    if (aJob.Find(suspect)->mCrashes.Suspected() != Suspicion::Strong) {
+      continue;
+    }
+    if (isGang && suspect.mOccurrence == aTask.mOccurrence &&
+        suspect.mStep == aTask.mStep) {
+      return true;
+    }
+    strongElsewhere = true;
+  }
+  return !strongElsewhere;
 }
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -350,8 +350,17 @@
     }
   }
   if (task.mIndex == aJob.Spec(aFirst).mReplicas) {
+    mTrials.EndTurn(aFirst, aClock.mNow);
     return;
   }
+  if (mTrials.ClaimTurn(aFirst, aClock.mNow)) {
+    LogDecision("gang-turn",
+                task,
+                {},
+                run,
+                absl::StrCat("trials=", mTrials.Count()),
+                WholeMilliseconds(IdleTime(aJob, aFirst, aClock.mNow)));
+  }
   // Not all fit. Nothing has been sent yet, so the placed runs are removed as
   // if they had not been tried. Where the run number is recorded already, the
   // next attempt must use the same one.
@@ -391,7 +400,9 @@
   const bool starving = Starving(aJob, aTask, aClock.mNow);
   const Suspicion suspected = aJob.Find(aTask)->mCrashes.Suspected();
   const bool suspect = suspected != Suspicion::None;
-  const SuspectStart trial{ { aTask, aRun }, aJob.Graph().mQueue, suspected };
+  const SuspectStart trial{
+    { aTask, aRun }, aJob.Graph().mQueue, suspected, spec.mGang
+  };
   if (suspect && !mTrials.MayBegin(trial, mWorkers.size(), aClock.mNow)) {
     return false;
   }
@@ -402,8 +413,9 @@
   }
   // The members of a gang start together, wherever capacity is free.
   const bool isolated = NeedsIsolatedTrial(suspected) && !spec.mGang;
-  PlacementView view{ mWorkers,    mInterference, mSettings, mTrials,
-                      aClock.mNow, starving,      isolated };
+  PlacementView view{ mWorkers, mInterference,        mSettings,
+                      mTrials,  aClock.mNow,          starving,
+                      isolated, spec.mGang ? aRun : 0 };
   const auto agent = aChoices.Choose(view, aJob, aTask);
   if (!agent) {
     view.mNoRecentStartOnly = false;
--- a/src/core/cell/placing/WorkerChoice.cpp
+++ b/src/core/cell/placing/WorkerChoice.cpp
@@ -261,8 +261,11 @@
   if (task.mStalledOn == aWorker.mId && aView.mNow < task.mStalledUntil) {
     return RefusalReason(PlacementRefusal::StalledHere);
   }
-  if (!aView.mTrials.AllowsStart(
-        aWorker.mId, aTask, task.mCrashes.Suspected(), aView.mNow) ||
+  if (!aView.mTrials.AllowsStart(aWorker.mId,
+                                 aTask,
+                                 task.mCrashes.Suspected(),
+                                 aView.mNow,
+                                 aView.mGangRun) ||
       (aView.mNoRecentStartOnly && !aWorker.HasNoRecentStart())) {
     return RefusalReason(PlacementRefusal::OnTrial);
   }
--- a/src/core/cell/placing/WorkerChoice.h
+++ b/src/core/cell/placing/WorkerChoice.h
@@ -31,6 +31,8 @@
   bool mStarving = false;
   /// Only consider workers on which nothing has started recently.
   bool mNoRecentStartOnly = false;
+  /// Number of the run for a member of a gang, else 0.
+  RunNumber mGangRun = 0;
 };
 
 /// Score of the worker for one more run of the task; lower scores are better.
