Acknowledge a cancellation only once no late submission can take effect

Cause: the cancellation took the absence of the job's key for an answer while a write of the submission, conditional on that absence, had not been answered and could still be carried out. No scheduler but the one that sent it knows.

Change: a cancellation that finds no record writes a tombstone under the same condition before it says 410, so that the late write fails; a submission that arrives later is stored as cancelled. Related: the clean-up's deletes depended on the cell's record alone, and a late one could delete a job submitted since; they depend on the progress records as well, and a job is kept for 30 s.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -76,6 +76,7 @@
   return *std::move(record);
 }
 
+/// Returns nullopt for a tombstone as well.
 std::optional<StoredJob> CellOwner::ReadJob(const StoreEntry& aEntry)
 {
   auto job = ReadEntry<StoredJob>(aEntry);
@@ -83,7 +84,7 @@
     LogUnreadable(aEntry, "the job ID does not match the key");
     return std::nullopt;
   }
-  return job;
+  return job && IsTombstone(*job) ? std::nullopt : job;
 }
 
 void CellOwner::LogUnreadable(const StoreEntry& aEntry,
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -102,6 +102,13 @@
   const cell::OwnerLoadSummary& LastLoad() const { return mLastLoad; }
 
 private:
+  /// Revision of a job's progress record, as far as it is known; 0 = none.
+  struct SavedRevision
+  {
+    JobId mJob;
+    Revision mRevision = 0;
+  };
+
   /// The owner's state for one agent.
   struct AgentLink
   {
@@ -169,7 +176,7 @@
   void TellCordon(const AgentId& aAgent, AgentLink& aLink);
 
   bool SaveBatch();
-  void OnConflict(const std::vector<cell::UnsavedProgress>& aBatch,
+  void OnConflict(std::span<const SavedRevision> aExpected,
                   const StoreTransactionResult& aResult);
   StoreCompare CellUnchanged() const;
   cell::CellClock Clock() const;
--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -24,10 +24,10 @@
 /// Tasks that end within this time are saved in one transaction.
 constexpr Duration kSaveBatchDelay = std::chrono::milliseconds(15);
 /// A transaction is limited to 32 compares and writes: one for the cell's
-/// record and two per job.
+/// record and two per saved job, three per deleted one.
 constexpr std::size_t kJobsPerSave = 15;
 constexpr Duration kCleanupPause = std::chrono::seconds(10);
-constexpr std::size_t kDeletesPerTransaction = 15;
+constexpr std::size_t kDeletesPerTransaction = 10;
 /// Between two transactions of a cleanup, so that it uses few of the store's
 /// writes.
 constexpr Duration kCleanupTransactionPause = std::chrono::milliseconds(100);
@@ -88,7 +88,11 @@
     return false;
   }
   if (!result->mApplied) {
-    OnConflict(batch, *result);
+    std::vector<SavedRevision> expected;
+    for (const UnsavedProgress& job : batch) {
+      expected.push_back({ job.mJob, job.mRevision });
+    }
+    OnConflict(expected, *result);
     return false;
   }
   mTerm.Confirm(sentAt);
@@ -102,7 +106,7 @@
 
 /// A condition of the transaction failed: either another owner has the cell, or
 /// an earlier write of this owner was applied although its reply was lost.
-void CellOwner::OnConflict(const std::vector<UnsavedProgress>& aBatch,
+void CellOwner::OnConflict(std::span<const SavedRevision> aExpected,
                            const StoreTransactionResult& aResult)
 {
   std::map<std::string, Revision> current;
@@ -115,7 +119,7 @@
     mParts.mOnSuperseded();
     return;
   }
-  for (const UnsavedProgress& job : aBatch) {
+  for (const SavedRevision& job : aExpected) {
     const auto found = current.find(ProgressKey(job.mJob));
     const Revision revision = found == current.end() ? 0 : found->second;
     if (revision != job.mRevision) {
@@ -135,8 +139,9 @@
     if (mEnded) {
       return;
     }
-    const auto keep =
-      std::chrono::duration_cast<std::chrono::milliseconds>(mParts.mKeepEnded);
+    // A submission of the job that is still on its way must find its record.
+    const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(mParts.mKeepEnded, kLateCallTime));
     const std::vector<JobId> ended =
       mLogic.EndedBefore(UnixMsNow() - keep.count());
     std::span<const JobId> left = ended;
@@ -157,15 +162,26 @@
 {
   StoreTransaction transaction;
   transaction.mCompares.push_back(CellUnchanged());
+  std::vector<SavedRevision> saved;
   for (const JobId& job : aJobs) {
+    saved.push_back({ job, mLogic.Jobs().at(job).mProgressRevision });
+    // Otherwise a late delete could remove a job that was submitted since.
+    transaction.mCompares.push_back(
+      { ProgressKey(job), saved.back().mRevision });
     transaction.mWrites.push_back({ JobKey(job), std::nullopt });
     transaction.mWrites.push_back({ ProgressKey(job), std::nullopt });
   }
   const auto result = mParts.mStore.Commit(transaction);
+  if (mEnded) {
+    return false;
+  }
   if (!result.ok() || !result->mApplied) {
     LogWarning(
       "ended-jobs-kept",
       { { "jobs", aJobs.size() }, { "error", result.status().ToString() } });
+    if (result.ok()) {
+      OnConflict(saved, *result);
+    }
     return false;
   }
   LogChange("ended-jobs-deleted", { { "jobs", aJobs.size() } });
--- a/apps/scheduler/JobRequestHandler.cpp
+++ b/apps/scheduler/JobRequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "apps/scheduler/JobRequestHandler.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -55,6 +56,7 @@
   , mRpc(aRpc)
   , mElection(aElection)
   , mPeers(std::move(aPeers))
+  , mTombstones(aStore)
 {
 }
 
@@ -221,18 +223,97 @@
   WriteRetries retries(aDeadline);
   for (;;) {
     const auto result = Commit(transaction, [this, job] { NotifyOwner(job); });
-    if (result.ok()) {
-      // If the record already exists, it is the same job, submitted again.
+    absl::StatusOr<bool> accepted = true;
+    if (!result.ok()) {
+      accepted = result.status();
+    } else if (!result->mApplied) {
+      accepted = AcceptExisting(job, *result);
+    }
+    if (accepted.ok() && *accepted) {
       mOutage.OnSettled(id);
       return JobAccepted{};
     }
-    if (!mStore.Answers() || !retries.WaitToRetry(result.status())) {
-      retries.OnFailure(result.status());
+    if (accepted.ok()) {
+      continue; // The record has changed.
+    }
+    if (!mStore.Answers() || !retries.WaitToRetry(accepted.status())) {
+      retries.OnFailure(accepted.status());
       return RefusalOf(id, retries.Refusal());
     }
   }
 }
 
+absl::StatusOr<bool> JobRequestHandler::AcceptExisting(
+  const StoredJob& aJob,
+  const StoreTransactionResult& aConflict)
+{
+  const std::string key = JobKey(aJob.mGraph.mId);
+  const auto found =
+    std::ranges::find(aConflict.mCurrent, key, &StoreEntry::mKey);
+  const auto entry = found != aConflict.mCurrent.end()
+                       ? absl::StatusOr<StoreEntry>(*found)
+                       : mStore.Read(key);
+  if (absl::IsNotFound(entry.status())) {
+    return false;
+  }
+  if (!entry.ok()) {
+    return WithVerdict(entry.status(), Verdict::NotRun);
+  }
+  const auto record = FromJsonText<StoredJob>(entry->mValue);
+  if (!record.ok() || !IsTombstone(*record)) {
+    return true;
+  }
+  LogChange("submission-after-cancellation",
+            { { "job", aJob.mGraph.mId },
+              { "ms", UnixMsNow() - record->mAcceptedUnixMs } });
+  StoredJob cancelled = aJob;
+  cancelled.mCancelled = true;
+  StoreTransaction transaction;
+  transaction.mCompares.push_back({ key, entry->mModRevision });
+  transaction.mWrites.push_back({ key, ToJsonText(cancelled) });
+  const auto result =
+    Commit(transaction, [this, cancelled] { NotifyOwner(cancelled); });
+  if (!result.ok()) {
+    return result.status();
+  }
+  return result->mApplied;
+}
+
+absl::StatusOr<bool> JobRequestHandler::WriteTombstone(const JobId& aJob)
+{
+  const auto lease = mTombstones.Current();
+  if (!lease.ok()) {
+    return WithVerdict(lease.status(), Verdict::NotRun);
+  }
+  const std::string key = JobKey(aJob);
+  StoreTransaction transaction;
+  transaction.mCompares.push_back({ key, 0 });
+  transaction.mWrites.push_back(
+    { key, ToJsonText(MakeTombstone(aJob, UnixMsNow())), *lease });
+  const auto result = Commit(transaction, [] {});
+  if (absl::IsNotFound(result.status())) {
+    mTombstones.OnEnded(*lease);
+  }
+  if (!result.ok()) {
+    return result.status();
+  }
+  LogChange("unknown-job-cancelled",
+            { { "job", aJob }, { "tombstone", result->mApplied } });
+  return result->mApplied;
+}
+
+std::optional<JobRefused> JobRequestHandler::LimitTombstones()
+{
+  const auto wait = mTombstones.Admit(MonotonicNow());
+  if (!wait) {
+    return std::nullopt;
+  }
+  return JobRefused{ RefusalCause::RateLimited,
+                     Verdict::NotRun,
+                     "too many cancellations of unknown jobs",
+                     std::max(*wait, RetryAfter()) };
+}
+
 std::optional<JobAnswer> JobRequestHandler::RefuseWhileFull(const JobId& aJob)
 {
   if (OwnerAccepts()) {
@@ -241,7 +322,7 @@
   // A repeated submission of a job that is stored must not be refused.
   const auto entry = mStore.Read(JobKey(aJob));
   if (entry.ok()) {
-    return JobAccepted{};
+    return std::nullopt; // Nothing is added.
   }
   if (!absl::IsNotFound(entry.status())) {
     return RefusalOf(aJob, StoreUnavailable(entry.status()));
@@ -287,15 +368,27 @@
   WriteRetries retries(aDeadline);
   for (;;) {
     const auto entry = mStore.Read(key);
-    if (absl::IsNotFound(entry.status())) {
-      return NoSuchJob{};
-    }
     absl::Status failed = entry.status();
-    if (entry.ok()) {
+    if (absl::IsNotFound(failed)) {
+      if (auto refusal = LimitTombstones()) {
+        return *std::move(refusal);
+      }
+      const auto written = WriteTombstone(aCancel.mJob);
+      if (written.ok() && *written) {
+        return NoSuchJob{};
+      }
+      if (written.ok()) {
+        continue; // A submission was stored since the read.
+      }
+      failed = written.status();
+    } else if (entry.ok()) {
       auto job = FromJsonText<StoredJob>(entry->mValue);
       if (!job.ok()) {
         return OutcomeUnknown(job.status());
       }
+      if (IsTombstone(*job)) {
+        return NoSuchJob{};
+      }
       if (job->mCancelled) {
         return JobCancelled{};
       }
@@ -377,7 +470,10 @@
   }
   const auto progress = mStore.Read(ProgressKey(aJob));
   if (absl::IsNotFound(progress.status())) {
-    return JobShown{ SavedPhase(std::nullopt) };
+    const auto job = FromJsonText<StoredJob>(entry->mValue);
+    return job.ok() && IsTombstone(*job)
+             ? JobAnswer(NoSuchJob{})
+             : JobAnswer(JobShown{ SavedPhase(std::nullopt) });
   }
   if (!progress.ok()) {
     return StoreUnavailable(progress.status());
--- a/apps/scheduler/JobRequestHandler.h
+++ b/apps/scheduler/JobRequestHandler.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "apps/scheduler/Election.h"
+#include "apps/scheduler/TombstoneLeases.h"
 #include "src/core/cell/CellConfiguration.h"
 #include "src/core/cell/JobRequest.h"
 #include "src/core/cell/OutagePolicy.h"
@@ -21,7 +22,9 @@
 
 /// Answers callers' requests about jobs. Accepted jobs and cancellations are in
 /// the store before the answer. A refusal says "not run" only if no write of
-/// the request can still take effect.
+/// the request can still take effect. That no such job exists is told to a
+/// cancellation only once a submission that is still on its way cannot take
+/// effect any more.
 class JobRequestHandler
 {
 public:
@@ -51,6 +54,16 @@
                           cell::JobAnswer aRefusal,
                           Instant aDeadline);
 
+  /// A submission found a record of its job: it is the same job, submitted
+  /// again, or a tombstone, in place of which the job is stored as cancelled.
+  /// Returns false if the record has changed since.
+  absl::StatusOr<bool> AcceptExisting(const cell::StoredJob& aJob,
+                                      const StoreTransactionResult& aConflict);
+  /// Returns false if a record of the job exists.
+  absl::StatusOr<bool> WriteTombstone(const JobId& aJob);
+  /// Refuses a cancellation for which no tombstone may be written now.
+  std::optional<cell::JobRefused> LimitTombstones();
+
   /// Refuses a change while the store is silent, since the outcome of a write
   /// would be unknown. Returns nullopt while the store answers.
   std::optional<cell::JobRefused> RefuseWhileSilent(const JobId& aJob);
@@ -83,6 +96,7 @@
   cell::OutagePolicy mOutage;
   cell::PeerAvailability mAvailability;
   cell::SubmissionGate mGate;
+  TombstoneLeases mTombstones;
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
--- a/src/core/cell/JobRequest.cpp
+++ b/src/core/cell/JobRequest.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-constexpr EnumText<RefusalCause, 7> kCauses({
+constexpr EnumText<RefusalCause, 8> kCauses({
   { RefusalCause::NoSuchQueue, "no-such-queue" },
   { RefusalCause::BadRequest, "bad-request" },
   { RefusalCause::NotReady, "not-ready" },
   { RefusalCause::CellFull, "cell-full" },
+  { RefusalCause::RateLimited, "rate-limited" },
   { RefusalCause::StoreUnavailable, "store-away" },
   { RefusalCause::Unsupported, "unsupported" },
   { RefusalCause::Unknown, "fate-unknown" },
--- a/src/core/cell/JobRequest.h
+++ b/src/core/cell/JobRequest.h
@@ -66,6 +66,7 @@
   BadRequest,
   NotReady,         ///< No configuration yet, or the process is stopping.
   CellFull,         ///< The owner has no memory for another job.
+  RateLimited,      ///< Too many cancellations of unknown jobs.
   StoreUnavailable, ///< The store refused the call or was not reached.
   Unsupported,      ///< The queue's workers are chosen by another service.
   Unknown,          ///< The store call may or may not have been applied.
--- a/src/core/cell/OutagePolicy.h
+++ b/src/core/cell/OutagePolicy.h
@@ -4,6 +4,7 @@
 
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Time.h"
+#include "src/core/cell/records/CellRecords.h"
 
 namespace foxtailbarrow::cell {
 
@@ -24,7 +25,7 @@
   /// otherwise each caller waits until the last of them has refused.
   static constexpr Duration kPeersRefusedFor = std::chrono::milliseconds(300);
   /// A write that got no answer may still be applied seconds later.
-  static constexpr Duration kInDoubtFor = std::chrono::seconds(30);
+  static constexpr Duration kInDoubtFor = kLateCallTime;
 
   /// True when another scheduler may be able to handle the request.
   bool MayForward(Instant aNow) const { return aNow >= mPeersRefuseUntil; }
--- a/src/core/cell/records/CellRecords.cpp
+++ b/src/core/cell/records/CellRecords.cpp
@@ -31,6 +31,21 @@
   return aKey.substr(aPrefix.size());
 }
 
+StoredJob MakeTombstone(const JobId& aJob, std::int64_t aUnixMs)
+{
+  StoredJob tombstone;
+  tombstone.mGraph.mId = aJob;
+  tombstone.mGraph.mQueue = QueueId("none"); // Records need a name here.
+  tombstone.mAcceptedUnixMs = aUnixMs;
+  tombstone.mCancelled = true;
+  return tombstone;
+}
+
+bool IsTombstone(const StoredJob& aJob)
+{
+  return aJob.mCancelled && aJob.mGraph.mSteps.empty();
+}
+
 JobPhase SavedPhase(const std::optional<StoredProgress>& aProgress)
 {
   return aProgress ? aProgress->mPhase : JobPhase::Queued;
--- a/src/core/cell/records/CellRecords.h
+++ b/src/core/cell/records/CellRecords.h
@@ -25,6 +25,12 @@
   bool operator==(const StoredJob&) const = default;
 };
 
+/// A record without steps: its job was cancelled before any submission of it
+/// was stored. While it is there, a submission that is still on its way cannot
+/// take effect. Under a lease, which bounds their number.
+StoredJob MakeTombstone(const JobId& aJob, std::int64_t aUnixMs);
+bool IsTombstone(const StoredJob& aJob);
+
 /// `cell.changed`: a scheduler sends the owner the record that it has just
 /// written. Only saves time: the owner's watch reports the same change.
 struct RecordChanged
@@ -135,6 +141,9 @@
 /// Pairs are learned over seconds, and at this interval the writes are 1% of an
 /// owner's.
 inline constexpr Duration kLearnedSaveInterval = std::chrono::seconds(5);
+/// How long a call that the store did not answer may still be carried out, with
+/// a reserve: the store says "seconds".
+inline constexpr Duration kLateCallTime = std::chrono::seconds(30);
 /// Longest record of a job; stores limit the size of a value.
 inline constexpr std::size_t kMaxJobRecordBytes = 512UL * 1024;
 inline constexpr std::string_view kOwnerKey = "foxtailbarrow/owner";
--- a/tests/scheduler/JobRequestHandlerTest.cpp
+++ b/tests/scheduler/JobRequestHandlerTest.cpp
@@ -1,8 +1,12 @@
+#include <optional>
+#include <set>
+
 #include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
 #include "apps/scheduler/JobRequestHandler.h"
 #include "src/core/cell/records/CellRecords.h"
+#include "src/core/message/Codec.h"
 #include "src/net/HttpClient.h"
 #include "src/platform/store/MemoryStore.h"
 #include "tests/scheduler/SilentStore.h"
@@ -152,6 +156,135 @@
     std::holds_alternative<cell::JobAccepted>(Ask(Submission("a")).first));
 }
 
+cell::JobRequest Cancellation(const std::string& aId)
+{
+  return { cell::CancelJob{ JobId(aId) }, seconds(3) };
+}
+
+/// Guards against jobs that run after their cancellation was acknowledged: it
+/// was told that no such job exists while a submission that the store had not
+/// answered could still take effect.
+class CancelledBeforeStoredTest : public JobRequestHandlerTest
+{
+protected:
+  static cell::StoredJob Job(const std::string& aId)
+  {
+    return { std::get<cell::SubmitJob>(Submission(aId).mBody).mGraph,
+             1,
+             false };
+  }
+
+  /// The store carries out the write of a submission now. True if the job may
+  /// run because of it.
+  bool LateSubmissionTakesEffect(const std::string& aId)
+  {
+    const std::string key = cell::JobKey(JobId(aId));
+    bool applied = false;
+    mRuntime.RunAndWait([&] {
+      const auto result =
+        mMemory.Commit({ { { key, 0 } }, { { key, ToJsonText(Job(aId)) } } });
+      applied = result.ok() && result->mApplied;
+    });
+    return applied;
+  }
+
+  std::optional<cell::StoredJob> Record(const std::string& aId)
+  {
+    std::optional<cell::StoredJob> record;
+    mRuntime.RunAndWait([&] {
+      const auto entry = mMemory.Read(cell::JobKey(JobId(aId)));
+      if (entry.ok()) {
+        record = *FromJsonText<cell::StoredJob>(entry->mValue);
+      }
+    });
+    return record;
+  }
+
+  cell::JobAnswer Answer(const cell::JobRequest& aRequest)
+  {
+    return Ask(aRequest).first;
+  }
+};
+
+TEST_F(CancelledBeforeStoredTest, ALateSubmissionTakesNoEffect)
+{
+  EXPECT_TRUE(
+    std::holds_alternative<cell::NoSuchJob>(Answer(Cancellation("a"))));
+  EXPECT_FALSE(LateSubmissionTakesEffect("a"));
+  EXPECT_TRUE(
+    std::holds_alternative<cell::NoSuchJob>(Answer(Cancellation("a"))));
+}
+
+/// The client has asked for both, and the cancellation was acknowledged.
+TEST_F(CancelledBeforeStoredTest, ALaterSubmissionIsStoredAsCancelled)
+{
+  Answer(Cancellation("a"));
+  EXPECT_TRUE(
+    std::holds_alternative<cell::JobAccepted>(Answer(Submission("a"))));
+  const auto record = Record("a");
+  ASSERT_TRUE(record.has_value());
+  EXPECT_TRUE(record->mCancelled);
+  EXPECT_FALSE(cell::IsTombstone(*record));
+  EXPECT_TRUE(
+    std::holds_alternative<cell::JobCancelled>(Answer(Cancellation("a"))));
+}
+
+TEST_F(CancelledBeforeStoredTest, ATombstoneIsNotShownAsAJob)
+{
+  Answer(Cancellation("a"));
+  const cell::JobRequest read{ cell::ReadJob{ JobId("a") }, seconds(3) };
+  EXPECT_TRUE(std::holds_alternative<cell::NoSuchJob>(Answer(read)));
+}
+
+TEST_F(CancelledBeforeStoredTest, ASubmissionInDoubtIsEitherCancelledOrVoid)
+{
+  StopStore();
+  EXPECT_EQ(VerdictOf(Answer(Submission("a"))), Verdict::MayHaveRun);
+  EXPECT_FALSE(
+    std::holds_alternative<cell::NoSuchJob>(Answer(Cancellation("a"))));
+  ResumeStore();
+  EXPECT_TRUE(
+    std::holds_alternative<cell::JobCancelled>(Answer(Cancellation("a"))));
+  EXPECT_TRUE(Record("a")->mCancelled);
+}
+
+/// Cancellations of jobs that never existed must not fill the store.
+TEST_F(CancelledBeforeStoredTest, TombstonesAreLimitedAndUnderALease)
+{
+  constexpr int kCancellations = 500;
+  const Instant begin = MonotonicNow();
+  int refused = 0;
+  int acknowledged = 0;
+  for (int i = 0; i < kCancellations; ++i) {
+    const cell::JobAnswer answer = Answer(Cancellation(std::to_string(i)));
+    if (std::holds_alternative<cell::NoSuchJob>(answer)) {
+      ++acknowledged;
+      continue;
+    }
+    const auto* refusal = std::get_if<cell::JobRefused>(&answer);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->mVerdict, Verdict::NotRun);
+    EXPECT_GE(refusal->mRetryAfter, seconds(1));
+    ++refused;
+  }
+  const std::chrono::duration<double> took = MonotonicNow() - begin;
+  EXPECT_GE(acknowledged, TombstoneLeases::kBurst);
+  EXPECT_LE(acknowledged,
+            static_cast<double>(TombstoneLeases::kBurst) + 1 +
+              TombstoneLeases::kPerSecond * took.count());
+  EXPECT_EQ(acknowledged + refused, kCancellations);
+  mRuntime.RunAndWait([&] {
+    const auto records = mMemory.List(cell::kJobPrefix);
+    ASSERT_TRUE(records.ok());
+    std::set<StoreLease> leases;
+    for (const StoreEntry& entry : records->mEntries) {
+      leases.insert(entry.mLease);
+    }
+    EXPECT_EQ(leases.size(), 1U);
+    EXPECT_FALSE(leases.contains(0));
+  });
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::scheduler::test
