Bound the messages and the tasks of one worker

The starts of one round for one agent were one message; above 1 MiB an agent refuses it, and it was sent again for good. Orders are split at 128 KiB, which the text of escaped payloads keeps below 1 MiB, and no ordinary start is added to a full one. A worker has at most 400 tasks that run or whose ends it still lists, so that its report fits into a message and all ends are in its list of 500.

--- a/src/core/cell/CellLimits.h
+++ b/src/core/cell/CellLimits.h
@@ -14,6 +14,13 @@
   static constexpr std::size_t kBytesPerStep = 256;
   static constexpr std::size_t kBytesPerTask = 1024;
 
+  /// Starts in one message to an agent, in bytes. A message is limited to 1
+  /// MiB, and text may take six times as many bytes there.
+  static constexpr std::size_t kOrderBytes = std::size_t{ 128 } * 1024;
+  /// Tasks that run on a worker or whose ends it still lists. It lists 500 ends
+  /// at a time, and a report of all of them fits into a message.
+  static constexpr std::size_t kTasksPerWorker = 400;
+
   /// The limits for a process that may use `aMemory` bytes.
   static constexpr CellLimits ForMemory(std::size_t aMemory)
   {
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -145,7 +145,7 @@
     return mOrders.contains(aAgent);
   }
   std::vector<AgentId> AgentsWithOrders() const;
-  /// Removes and returns the orders of an agent, for its current session.
+  /// Removes and returns the next orders of an agent, for its current session.
   OrderRequest TakeOrders(const AgentId& aAgent);
 
   /// When the first start of the orders was decided.
@@ -401,7 +401,6 @@
                         const TaskRef& aTask,
                         Instant aNow) const;
   void OpenDueOccurrences(JobEntry& aJob, std::int64_t aUnixMs);
-  void CountUseOfMemory();
   std::vector<Candidate> Candidates(const CellClock& aClock);
   std::vector<Candidate> SortedCandidates(const CellClock& aClock);
   bool StandingTasksComeFirst(std::span<const Candidate> aCandidates,
@@ -429,6 +428,9 @@
   void WithdrawStart(const AgentId& aAgent,
                      const TaskRef& aTask,
                      RunNumber aRun);
+  static void TakeStarts(std::vector<StartOrder>& aPending,
+                         OrderRequest& aOrders);
+  bool HasFullOrder(const AgentId& aAgent) const;
   StartOrder OrderFor(const JobEntry& aJob,
                       const TaskRef& aTask,
                       RunNumber aRun,
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -168,26 +168,13 @@
   }
 }
 
-/// Counts what the limits apply to. Starts within a round are counted as they
-/// are decided.
-void CellScheduler::CountUseOfMemory()
-{
-  mOpenSteps = 0;
-  mTouchedTasks = 0;
-  for (const JobId& id : mActiveJobs) {
-    for (const auto& [number, occurrence] : mJobs.at(id).mOpen) {
-      mOpenSteps += static_cast<std::int64_t>(occurrence.mSteps.size());
-      for (const StepEntry& step : occurrence.mSteps) {
-        mTouchedTasks += static_cast<std::int64_t>(step.Touched().size());
-      }
-    }
-  }
-}
-
+/// Also counts what the limits apply to. Starts within a round are counted as
+/// they are decided.
 std::vector<CellScheduler::Candidate> CellScheduler::Candidates(
   const CellClock& aClock)
 {
-  CountUseOfMemory();
+  std::int64_t openSteps = 0;
+  mTouchedTasks = 0;
   std::vector<Candidate> candidates;
   for (const JobId& id : mActiveJobs) {
     JobEntry& job = mJobs.at(id);
@@ -199,6 +186,10 @@
     }
     OpenDueOccurrences(job, aClock.mUnixMs);
     for (auto& [number, occurrence] : job.mOpen) {
+      openSteps += static_cast<std::int64_t>(occurrence.mSteps.size());
+      for (const StepEntry& step : occurrence.mSteps) {
+        mTouchedTasks += static_cast<std::int64_t>(step.Touched().size());
+      }
       if (occurrence.mStepsLeft == 0 ||
           aClock.mUnixMs < occurrence.mDueUnixMs) {
         continue;
@@ -226,6 +217,7 @@
       }
     }
   }
+  mOpenSteps = openSteps;
   return candidates;
 }
 
@@ -428,6 +420,11 @@
     }
     return false;
   }
+  // The members of a gang have to be decided in one round.
+  if (!spec.mGang && HasFullOrder(*agent)) {
+    mNeedsPlacement = true;
+    return false;
+  }
   if (!PrepareStart(aJob, aTask, aRun, *agent, aClock)) {
     if (suspect) {
       mTrials.Plan(*agent, trial, aClock.mNow);
--- a/src/core/cell/placing/WorkerChoice.cpp
+++ b/src/core/cell/placing/WorkerChoice.cpp
@@ -34,6 +34,10 @@
 
 bool HasFreeCapacity(const WorkerEntry& aWorker, const StepSpec& aSpec)
 {
+  if (aWorker.mRuns.size() + aWorker.mReported.mEnded.size() >=
+      CellLimits::kTasksPerWorker) {
+    return false;
+  }
   return (aWorker.mUse.mReserved + Reservation(aSpec))
     .FitsIn(aWorker.mInfo.mCapacity);
 }
--- a/src/core/cell/workers/CellSchedulerOrders.cpp
+++ b/src/core/cell/workers/CellSchedulerOrders.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "src/core/cell/CellScheduler.h"
@@ -19,6 +20,14 @@
                                         : saved->second.mCheckpoint;
 }
 
+/// Memory of the order. Its text takes about as much.
+std::size_t MemoryOf(const StartOrder& aOrder)
+{
+  return sizeof(StartOrder) + aOrder.mPayload.size() +
+         aOrder.mCheckpoint.size() + aOrder.mTicket.size() +
+         aOrder.mImage.size();
+}
+
 } // namespace
 
 StartOrder CellScheduler::OrderFor(const JobEntry& aJob,
@@ -63,6 +72,35 @@
   }
 }
 
+/// Moves the first starts to `aOrders`, as many as one message may have.
+void CellScheduler::TakeStarts(std::vector<StartOrder>& aPending,
+                               OrderRequest& aOrders)
+{
+  std::size_t bytes = 0;
+  auto end = aPending.begin();
+  while (end != aPending.end() && bytes < CellLimits::kOrderBytes) {
+    bytes += MemoryOf(*end++);
+  }
+  aOrders.mStarts.assign(std::make_move_iterator(aPending.begin()),
+                         std::make_move_iterator(end));
+  aPending.erase(aPending.begin(), end);
+}
+
+/// True if the starts that wait for the agent are enough for a message. More
+/// would only take memory.
+bool CellScheduler::HasFullOrder(const AgentId& aAgent) const
+{
+  const auto found = mOrders.find(aAgent);
+  if (found == mOrders.end()) {
+    return false;
+  }
+  std::size_t bytes = 0;
+  for (const StartOrder& start : found->second.mStarts) {
+    bytes += MemoryOf(start);
+  }
+  return bytes >= CellLimits::kOrderBytes;
+}
+
 std::vector<AgentId> CellScheduler::AgentsWithOrders() const
 {
   std::vector<AgentId> agents;
@@ -93,8 +131,12 @@
 {
   OrderRequest orders;
   if (const auto found = mOrders.find(aAgent); found != mOrders.end()) {
-    orders = std::move(found->second);
-    mOrders.erase(found);
+    orders.mStops = std::exchange(found->second.mStops, {});
+    orders.mMetadata = std::exchange(found->second.mMetadata, {});
+    TakeStarts(found->second.mStarts, orders);
+    if (found->second.mStarts.empty()) {
+      mOrders.erase(found);
+    }
   }
   if (const auto worker = mWorkers.find(aAgent); worker != mWorkers.end()) {
     orders.mSession = worker->second.mSession;
@@ -104,6 +146,7 @@
   for (const StartOrder& start : orders.mStarts) {
     if (TaskRun* run = FindRun(aAgent, start)) {
       run->mSent = true;
+      run->mOrderNumber = orders.mNumber;
       RecordStart(mJobs.at(start.mTask.mJob), start.mTask, *run);
     }
   }
