--- a/apps/scheduler/CellOwnerRecords.cpp
+++ b/apps/scheduler/CellOwnerRecords.cpp
@@ -89,6 +89,7 @@
   }
   if (!result->mApplied) {
     std::vector<SavedRevision> expected;
+    expected.reserve(batch.size());
     for (const UnsavedProgress& job : batch) {
       expected.push_back({ job.mJob, job.mRevision });
     }
@@ -163,6 +164,7 @@
   StoreTransaction transaction;
   transaction.mCompares.push_back(CellUnchanged());
   std::vector<SavedRevision> saved;
+  saved.reserve(aJobs.size());
   for (const JobId& job : aJobs) {
     saved.push_back({ job, mLogic.Jobs().at(job).mProgressRevision });
     // Otherwise a late delete could remove a job that was submitted since.
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -82,7 +82,7 @@
                        "Processor time available to it, in cores");
   settings.AddCount("--memory-mb",
                     aSettings.mMemoryMb,
-                    { 64, 1024 * 1024 },
+                    { 64, 1'000'000 },
                     "Memory available to it, in MB");
   settings.AddLogLevel(aSettings.mLogLevel);
   const auto exitCode = settings.Parse(argc, argv);
--- a/src/core/cell/CellLimits.h
+++ b/src/core/cell/CellLimits.h
@@ -21,24 +21,26 @@
   /// at a time, and a report of all of them fits into a message.
   static constexpr std::size_t kTasksPerWorker = 400;
 
-  /// The limits for a process that may use `aMemory` bytes.
+  /// The limits for a process that may use `aMemory` bytes. What is left, 0.44
+  /// of it, is for the workers' state, messages and the program.
   static constexpr CellLimits ForMemory(std::size_t aMemory)
   {
-    // The rest is for messages, the store's replies and the program.
-    constexpr std::size_t kShare = 5;
-    constexpr std::size_t kStepShare = 16;
-    return { aMemory / kShare,
+    constexpr std::size_t kJobShare = 5;   // A fifth.
+    constexpr std::size_t kStepShare = 16; // A sixteenth.
+    constexpr std::size_t kTaskTenths = 3; // Three tenths.
+    return { aMemory / kJobShare,
              static_cast<std::int64_t>(aMemory / kStepShare / kBytesPerStep),
-             static_cast<std::int64_t>(aMemory / kShare / kBytesPerTask) };
+             static_cast<std::int64_t>(aMemory / 10 * kTaskTenths /
+                                       kBytesPerTask) };
   }
 
   /// Memory of all jobs' records. Further jobs are refused.
-  std::size_t mJobBytes = kDefaultMemory / 5;
+  std::size_t mJobBytes = 0;
   /// Steps of occurrences that are open besides the first one of their job.
   /// Further ones open late.
-  std::int64_t mOpenSteps = kDefaultMemory / 16 / kBytesPerStep;
+  std::int64_t mOpenSteps = 0;
   /// Tasks that run, or have run and are not done. Others start late.
-  std::int64_t mTasks = kDefaultMemory / 5 / kBytesPerTask;
+  std::int64_t mTasks = 0;
 
   /// So that one job cannot use all of mOpenSteps.
   std::int64_t OpenStepsOfJob() const
--- a/src/core/cell/CellSettings.h
+++ b/src/core/cell/CellSettings.h
@@ -89,7 +89,7 @@
   /// reports of them, or every second one would be skipped.
   Duration mObserveInterval = std::chrono::milliseconds(450);
   InterferenceSettings mInterference;
-  CellLimits mLimits;
+  CellLimits mLimits = CellLimits::ForMemory(CellLimits::kDefaultMemory);
 
   /// When tasks with checkpoints are stopped before a draining worker leaves:
   /// early enough for the stop, its order and the report of its end. Otherwise
