--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -11,6 +11,17 @@
 
 namespace foxtailbarrow::cell {
 
+namespace {
+
+/// State of a gang's member before it was tentatively placed.
+struct MemberBefore
+{
+  RunNumber mLastRun = 0;
+  Instant mIdleSince{};
+};
+
+} // namespace
+
 void CellScheduler::RefreshInterference(WorkerEntry& aWorker, Instant aNow)
 {
   aWorker.mWorkerInterference.Refresh(
@@ -326,12 +337,7 @@
   if (!mayStart) {
     return;
   }
-  struct Before
-  {
-    RunNumber mLastRun = 0;
-    Instant mIdleSince{};
-  };
-  std::vector<Before> before;
+  std::vector<MemberBefore> before;
   StepChoices choices;
   task = aFirst;
   for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
--- a/tests/scheduler/JobRequestHandlerTest.cpp
+++ b/tests/scheduler/JobRequestHandlerTest.cpp
@@ -285,6 +285,58 @@
   });
 }
 
+/// Guards against jobs that pile up in the store while no owner says whether it
+/// has memory for them.
+class FullCellTest : public JobRequestHandlerTest
+{
+protected:
+  static cell::JobRequest LargeSubmission(int aNumber)
+  {
+    cell::JobRequest request = Submission("job" + std::to_string(aNumber));
+    std::get<cell::SubmitJob>(request.mBody).mGraph.mPayload =
+      std::string(cell::kMaxPayloadBytes, 'x');
+    return request;
+  }
+};
+
+TEST_F(FullCellTest, RefusesJobsAtOnceAndTruly)
+{
+  constexpr int kMaxJobs = 2000;
+  int stored = 0;
+  cell::JobAnswer answer = cell::JobAccepted{};
+  while (std::holds_alternative<cell::JobAccepted>(answer) &&
+         stored < kMaxJobs) {
+    answer = Ask(LargeSubmission(stored)).first;
+    stored += std::holds_alternative<cell::JobAccepted>(answer) ? 1 : 0;
+  }
+  ASSERT_LT(stored, kMaxJobs);
+  EXPECT_GT(stored, 500);
+  const auto* refusal = std::get_if<cell::JobRefused>(&answer);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->mCause, cell::RefusalCause::CellFull);
+  EXPECT_EQ(refusal->mVerdict, Verdict::NotRun);
+  EXPECT_GE(refusal->mRetryAfter, seconds(1));
+  EXPECT_FALSE(Stored("job" + std::to_string(stored)));
+  // A job that is stored is not refused when it is submitted again.
+  EXPECT_TRUE(
+    std::holds_alternative<cell::JobAccepted>(Ask(LargeSubmission(0)).first));
+}
+
+TEST_F(FullCellTest, RefusesAJobWhoseRecordIsTooLong)
+{
+  cell::JobRequest request = Submission("a");
+  cell::JobGraph& graph = std::get<cell::SubmitJob>(request.mBody).mGraph;
+  graph.mSteps.resize(cell::kMaxSteps);
+  for (cell::StepSpec& step : graph.mSteps) {
+    step.mAfter.assign(20'000, 0);
+  }
+  const cell::JobAnswer answer = Ask(request).first;
+  const auto* refusal = std::get_if<cell::JobRefused>(&answer);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->mCause, cell::RefusalCause::BadRequest);
+  EXPECT_FALSE(Stored("a"));
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::scheduler::test
