--- a/src/core/cell/placing/WorkerChoice.cpp
+++ b/src/core/cell/placing/WorkerChoice.cpp
@@ -34,7 +34,7 @@
 
 bool HasFreeCapacity(const WorkerEntry& aWorker, const StepSpec& aSpec)
 {
-  if (aWorker.mRuns.size() + aWorker.mReported.mEnded.size() >=
+  if (aWorker.mRuns.size() + aWorker.mEnds.Pending() >=
       CellLimits::kTasksPerWorker) {
     return false;
   }
--- a/src/core/cell/records/EndAcknowledger.h
+++ b/src/core/cell/records/EndAcknowledger.h
@@ -33,9 +33,11 @@
   std::int64_t Acknowledge(const SavedVersion& aSavedVersion);
 
   bool Empty() const { return mPending.empty(); }
+  /// Ends that may not be acknowledged yet.
+  std::size_t Pending() const { return mPending.size(); }
 
 private:
-  struct Pending
+  struct PendingEnd
   {
     std::int64_t mNumber = 0;
     JobId mJob;
@@ -45,7 +47,7 @@
   WorkerIncarnation mIncarnation;
   std::int64_t mLastNumber = 0;
   std::int64_t mAcknowledged = 0;
-  std::deque<Pending> mPending;
+  std::deque<PendingEnd> mPending;
 };
 
 } // namespace foxtailbarrow::cell
