Do not hold up a step for an agent whose order is full

A step's next task went to the worker with the best score; where the order for that agent was full, as with one that does not answer, the step waited for it and other workers stayed free. Such a worker refuses the task now, so that the next best takes it.

--- a/src/core/cell/CellMessages.h
+++ b/src/core/cell/CellMessages.h
@@ -70,6 +70,9 @@
 
 std::string_view ToString(StartOutcome aOutcome);
 
+/// Memory of the order. Its text takes about as much.
+std::size_t MemoryOf(const StartOrder& aOrder);
+
 struct StartResult
 {
   TaskRef mTask;
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -430,7 +430,7 @@
                      RunNumber aRun);
   static void TakeStarts(std::vector<StartOrder>& aPending,
                          OrderRequest& aOrders);
-  bool HasFullOrder(const AgentId& aAgent) const;
+  void UpdateUnsentBytes(const AgentId& aAgent);
   StartOrder OrderFor(const JobEntry& aJob,
                       const TaskRef& aTask,
                       RunNumber aRun,
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -426,11 +426,6 @@
     }
     return false;
   }
-  // The members of a gang have to be decided in one round.
-  if (!spec.mGang && HasFullOrder(*agent)) {
-    mNeedsPlacement = true;
-    return false;
-  }
   if (!PrepareStart(aJob, aTask, aRun, *agent, aClock)) {
     if (suspect) {
       mTrials.Plan(*agent, trial, aClock.mNow);
@@ -455,6 +450,7 @@
   RefreshInterference(worker, aClock.mNow);
   mOrders[*agent].mStarts.push_back(
     OrderFor(aJob, aTask, aRun, worker, aClock.mNow));
+  worker.mUnsentBytes += MemoryOf(mOrders[*agent].mStarts.back());
   return true;
 }
 
--- a/src/core/cell/placing/WorkerChoice.cpp
+++ b/src/core/cell/placing/WorkerChoice.cpp
@@ -38,6 +38,10 @@
       CellLimits::kTasksPerWorker) {
     return false;
   }
+  // The members of a gang have to be decided in one round.
+  if (!aSpec.mGang && aWorker.mUnsentBytes >= CellLimits::kOrderBytes) {
+    return false;
+  }
   return (aWorker.mUse.mReserved + Reservation(aSpec))
     .FitsIn(aWorker.mInfo.mCapacity);
 }
--- a/src/core/cell/workers/CellSchedulerOrders.cpp
+++ b/src/core/cell/workers/CellSchedulerOrders.cpp
@@ -20,7 +20,8 @@
                                         : saved->second.mCheckpoint;
 }
 
-/// Memory of the order. Its text takes about as much.
+} // namespace
+
 std::size_t MemoryOf(const StartOrder& aOrder)
 {
   return sizeof(StartOrder) + aOrder.mPayload.size() +
@@ -28,8 +29,6 @@
          aOrder.mImage.size();
 }
 
-} // namespace
-
 StartOrder CellScheduler::OrderFor(const JobEntry& aJob,
                                    const TaskRef& aTask,
                                    RunNumber aRun,
@@ -69,6 +68,7 @@
     std::erase_if(orders->second.mStarts, [&](const StartOrder& aStart) {
       return aStart.mTask == aTask && aStart.mRun == aRun;
     });
+    UpdateUnsentBytes(aAgent);
   }
 }
 
@@ -86,19 +86,19 @@
   aPending.erase(aPending.begin(), end);
 }
 
-/// True if the starts that wait for the agent are enough for a message. More
-/// would only take memory.
-bool CellScheduler::HasFullOrder(const AgentId& aAgent) const
+/// Counts the starts that wait for the agent again, after some were removed.
+void CellScheduler::UpdateUnsentBytes(const AgentId& aAgent)
 {
-  const auto found = mOrders.find(aAgent);
-  if (found == mOrders.end()) {
-    return false;
+  const auto worker = mWorkers.find(aAgent);
+  if (worker == mWorkers.end()) {
+    return;
   }
-  std::size_t bytes = 0;
-  for (const StartOrder& start : found->second.mStarts) {
-    bytes += MemoryOf(start);
+  worker->second.mUnsentBytes = 0;
+  if (const auto found = mOrders.find(aAgent); found != mOrders.end()) {
+    for (const StartOrder& start : found->second.mStarts) {
+      worker->second.mUnsentBytes += MemoryOf(start);
+    }
   }
-  return bytes >= CellLimits::kOrderBytes;
 }
 
 std::vector<AgentId> CellScheduler::AgentsWithOrders() const
@@ -137,6 +137,7 @@
     if (found->second.mStarts.empty()) {
       mOrders.erase(found);
     }
+    UpdateUnsentBytes(aAgent);
   }
   if (const auto worker = mWorkers.find(aAgent); worker != mWorkers.end()) {
     orders.mSession = worker->second.mSession;
--- a/src/core/cell/workers/CellSchedulerWorkers.cpp
+++ b/src/core/cell/workers/CellSchedulerWorkers.cpp
@@ -37,6 +37,7 @@
   worker.mLeasedUntil =
     std::max(worker.mLeasedUntil, aClock.mNow + mSettings.mMaxTaskLease);
   mOrders.erase(aAgent);
+  worker.mUnsentBytes = 0;
   LogDecision("worker-attached", {}, aAgent, aSession, "session");
   UpdateInfo(worker, aState, aClock);
   OnEndedTasks(worker, aState.mEnded, aClock);
--- a/src/core/cell/workers/WorkerEntry.h
+++ b/src/core/cell/workers/WorkerEntry.h
@@ -33,9 +33,10 @@
   WorkerLink mLink = WorkerLink::Detached;
   Session mSession = 0;
   std::int64_t mLastSequence = 0;
-  WorkerState mReported;       ///< As of that report.
-  bool mSendFullState = false; ///< The last report had an unknown base.
-  std::int64_t mLastOrder = 0; ///< Number of the newest orders of the session.
+  WorkerState mReported;        ///< As of that report.
+  bool mSendFullState = false;  ///< The last report had an unknown base.
+  std::int64_t mLastOrder = 0;  ///< Number of the newest orders of the session.
+  std::size_t mUnsentBytes = 0; ///< Of starts that wait to be sent.
   WorkerInfo mInfo;
   WorkerUse mUse;
   WorkerInterference mWorkerInterference; ///< Caused by that use.
--- a/tests/cell/OrderSizeTest.cpp
+++ b/tests/cell/OrderSizeTest.cpp
@@ -66,6 +66,33 @@
                                   static_cast<std::size_t>(shape.mTasks)));
 }
 
+/// Guards against tasks that wait for an agent that does not take its orders
+/// while other workers are free.
+class UnsentOrdersTest : public CellFixture
+{};
+
+TEST_F(UnsentOrdersTest, DoNotHoldUpOtherWorkers)
+{
+  StepSpec step = Step(300, 1);
+  step.mDemand.mMemoryMb = 1;
+  JobGraph graph = Graph("job", { step });
+  graph.mPayload = std::string(kMaxPayloadBytes, 'x');
+  AddSavedJob(graph);
+  AttachAndGrant("silent");
+  AttachAndGrant("other");
+  std::size_t started = 0;
+  for (int round = 0; round < 40; ++round) {
+    AdvanceClock(milliseconds(20));
+    Grant("silent");
+    Grant("other");
+    const OrderRequest orders = Orders("other");
+    Started("other", orders);
+    started += orders.mStarts.size();
+  }
+  EXPECT_GE(started, 250U);
+  EXPECT_LE(mScheduler.TakeOrders(AgentId("silent")).mStarts.size(), 40U);
+}
+
 class UnacknowledgedEndsTest : public CellFixture
 {};
 
