Do not call a submission not run whose record cannot be read

What callers would see: 503, not run, for a job that is stored and runs. It happened where a submission found that its key exists and then could not read the record, or where the cell was full and the store refused the read that tells whether the job is stored already.

Cause: the refused read was taken for the outcome of the submission. It says nothing about an earlier one. The answer is 504, in doubt, now.

Evidence: CancelledBeforeStoredTest.ARecordThatCannotBeReadIsNotCalledNotRun and FullCellTest.DoesNotCallAStoredJobNotRunWhileItsRecordCannotBeRead failed before the change and pass.

--- a/apps/scheduler/JobRequestHandler.cpp
+++ b/apps/scheduler/JobRequestHandler.cpp
@@ -257,7 +257,8 @@
     return false;
   }
   if (!entry.ok()) {
-    return WithVerdict(entry.status(), Verdict::NotRun);
+    // A record exists, perhaps that of the same job, submitted before.
+    return WithVerdict(entry.status(), Verdict::MayHaveRun);
   }
   const auto record = FromJsonText<StoredJob>(entry->mValue);
   if (!record.ok() || !IsTombstone(*record)) {
@@ -325,7 +326,8 @@
     return std::nullopt; // Nothing is added.
   }
   if (!absl::IsNotFound(entry.status())) {
-    return RefusalOf(aJob, StoreUnavailable(entry.status()));
+    // The job may be stored, by an earlier submission.
+    return RefusalOf(aJob, OutcomeUnknown(entry.status()));
   }
   const absl::Status full =
     absl::ResourceExhaustedError("the cell holds as many jobs as it can");
--- a/tests/scheduler/JobRequestHandlerTest.cpp
+++ b/tests/scheduler/JobRequestHandlerTest.cpp
@@ -248,6 +248,19 @@
   EXPECT_TRUE(Record("a")->mCancelled);
 }
 
+/// The condition of the submission has failed: a record is there, of the same
+/// job or of its cancellation.
+TEST_F(CancelledBeforeStoredTest, ARecordThatCannotBeReadIsNotCalledNotRun)
+{
+  ASSERT_TRUE(
+    std::holds_alternative<cell::JobAccepted>(Answer(Submission("a"))));
+  mRuntime.RunAndWait([this] {
+    mStore.mRefusesReads = true;
+    mStore.mHidesConflicts = true;
+  });
+  EXPECT_EQ(VerdictOf(Answer(Submission("a"))), Verdict::MayHaveRun);
+}
+
 /// Cancellations of jobs that never existed must not fill the store.
 TEST_F(CancelledBeforeStoredTest, TombstonesAreLimitedAndUnderALease)
 {
@@ -322,6 +335,18 @@
     std::holds_alternative<cell::JobAccepted>(Ask(LargeSubmission(0)).first));
 }
 
+/// The job is stored, and will run, though nobody can see that now.
+TEST_F(FullCellTest, DoesNotCallAStoredJobNotRunWhileItsRecordCannotBeRead)
+{
+  int stored = 0;
+  while (std::holds_alternative<cell::JobAccepted>(
+    Ask(LargeSubmission(stored)).first)) {
+    ++stored;
+  }
+  mRuntime.RunAndWait([this] { mStore.mRefusesReads = true; });
+  EXPECT_EQ(VerdictOf(Ask(LargeSubmission(0)).first), Verdict::MayHaveRun);
+}
+
 TEST_F(FullCellTest, RefusesAJobWhoseRecordIsTooLong)
 {
   cell::JobRequest request = Submission("a");
--- a/tests/scheduler/SilentStore.h
+++ b/tests/scheduler/SilentStore.h
@@ -3,11 +3,13 @@
 #include <boost/fiber/operations.hpp>
 
 #include "foxtailbarrow/Store.h"
+#include "foxtailbarrow/Verdict.h"
 
 namespace foxtailbarrow::scheduler::test {
 
 /// A store that delays calls: all except watches while it is silent, and lists
-/// while they are held.
+/// while they are held. It may refuse reads, and leave out of the answer to a
+/// failed transaction what it found.
 class SilentStore final : public Store
 {
 public:
@@ -19,10 +21,15 @@
   bool mSilent = false;
   bool mHoldLists = false;
   bool mListWaits = false; ///< A list call was held.
+  bool mRefusesReads = false;
+  bool mHidesConflicts = false;
 
   absl::StatusOr<StoreEntry> Read(std::string_view aKey) override
   {
     AwaitReturn();
+    if (mRefusesReads) {
+      return WithVerdict(absl::UnavailableError("refused"), Verdict::NotRun);
+    }
     return mStore.Read(aKey);
   }
 
@@ -40,7 +47,11 @@
     const StoreTransaction& aTransaction) override
   {
     AwaitReturn();
-    return mStore.Commit(aTransaction);
+    auto result = mStore.Commit(aTransaction);
+    if (result.ok() && mHidesConflicts) {
+      result->mCurrent.clear();
+    }
+    return result;
   }
 
   absl::StatusOr<StoreLease> GrantLease(Duration aTtl) override
