Give a gang no turn for a reservation that is over

A gang that waits for room alone could get turns, in which no suspect is tried, as expired reservations and planned trials are removed only when the next one is made. Found in reading. CrashTrials.AGangThatWaitsForRoomAlone GetsNoTurn failed before the change and passes.

--- a/src/core/cell/crashes/CrashTrials.cpp
+++ b/src/core/cell/crashes/CrashTrials.cpp
@@ -120,7 +120,11 @@
   std::erase_if(mClaims, [aNow](const auto& aClaim) {
     return aNow - aClaim.second.mSeenAt >= kTurnTime;
   });
-  if (mTrials.empty() && mPlanned.empty() && mReserved.empty()) {
+  const auto isCurrent = [aNow](const auto& aEntry) {
+    return aNow < aEntry.second.mUntil;
+  };
+  if (mTrials.empty() && std::ranges::none_of(mPlanned, isCurrent) &&
+      std::ranges::none_of(mReserved, isCurrent)) {
     return false; // It waits for something else.
   }
   const auto [claim, isNew] = mClaims.try_emplace(gang, Claim{ aNow, aNow });
--- a/tests/cell/CrashEvidenceTest.cpp
+++ b/tests/cell/CrashEvidenceTest.cpp
@@ -323,6 +323,20 @@
   EXPECT_TRUE(trials.AllowsStart(AgentId("b"), other, Suspicion::None, end));
 }
 
+/// Guards against gangs that lack room and keep suspects from being tried: a
+/// reservation that is over is no reason for a turn.
+TEST(CrashTrials, AGangThatWaitsForRoomAloneGetsNoTurn)
+{
+  const TaskRef gang{ JobId("gang"), 0, 0, 0 };
+  const Instant begin{ std::chrono::seconds(100) };
+  const Instant end = begin + CrashTrials::kReservationTime;
+  CrashTrials trials;
+  ASSERT_TRUE(trials.Reserve(AgentId("a"), kFirst, 8, begin));
+  trials.Plan(AgentId("b"), Suspect(0, Suspicion::Weak), begin);
+  EXPECT_FALSE(trials.ClaimTurn(gang, end));
+  EXPECT_TRUE(trials.MayBegin(Suspect(1, Suspicion::Weak), 8, end));
+}
+
 TEST(CrashTrials, ReservationsAreLimitedToStrongTrials)
 {
   CrashTrials trials;
