Split the request handler and placing, and name the steps of a gang's start

No change of behaviour, no test touched. The entry of a done task stood twice and is StepEntry's now.

--- a/apps/scheduler/JobRequestHandler.h
+++ b/apps/scheduler/JobRequestHandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,6 +42,9 @@
   cell::JobAnswer AnswerHere(const cell::JobRequest& aRequest);
 
 private:
+  /// Timeout of a question to the cell's owner.
+  static constexpr Duration kOwnerTimeout = std::chrono::milliseconds(500);
+
   cell::JobAnswer Handle(const cell::SubmitJob& aSubmit, Instant aDeadline);
   cell::JobAnswer Handle(const cell::ReadJob& aRead, Instant aDeadline);
   cell::JobAnswer Handle(const cell::CancelJob& aCancel, Instant aDeadline);
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -390,6 +390,13 @@
   void LogWaiting(const std::vector<Candidate>& aCandidates,
                   const CellClock& aClock);
 
+  // Candidates (CellSchedulerCandidates.cpp).
+  void OpenDueOccurrences(JobEntry& aJob, std::int64_t aUnixMs);
+  std::vector<Candidate> Candidates(const CellClock& aClock);
+  std::vector<Candidate> SortedCandidates(const CellClock& aClock);
+  bool StandingTasksComeFirst(std::span<const Candidate> aCandidates,
+                              Instant aNow);
+
   // Placing (CellSchedulerPlacing.cpp).
   void RefreshInterference(WorkerEntry& aWorker, Instant aNow);
   static Duration IdleTime(const JobEntry& aJob,
@@ -400,18 +407,10 @@
   bool MayRunUnreported(const JobEntry& aJob,
                         const TaskRef& aTask,
                         Instant aNow) const;
-  void OpenDueOccurrences(JobEntry& aJob, std::int64_t aUnixMs);
-  std::vector<Candidate> Candidates(const CellClock& aClock);
-  std::vector<Candidate> SortedCandidates(const CellClock& aClock);
-  bool StandingTasksComeFirst(std::span<const Candidate> aCandidates,
-                              Instant aNow);
   void PlaceStep(const Candidate& aCandidate, const CellClock& aClock);
   void PlaceTasks(JobEntry& aJob,
                   const TaskRef& aFirst,
                   const CellClock& aClock);
-  void PlaceGang(JobEntry& aJob,
-                 const TaskRef& aFirst,
-                 const CellClock& aClock);
   void PlaceCopies(const CellClock& aClock);
   bool NeedsCopy(const JobEntry& aJob,
                  const TaskEntry& aTask,
@@ -422,6 +421,29 @@
                  const CellClock& aClock,
                  StepChoices& aChoices);
 
+  // Gangs (CellSchedulerGangs.cpp).
+  /// State of a member before it was placed.
+  struct MemberBefore
+  {
+    RunNumber mLastRun = 0;
+    Instant mIdleSince{};
+  };
+  std::optional<RunNumber> NextRunOfGang(JobEntry& aJob,
+                                         const TaskRef& aFirst,
+                                         Instant aNow) const;
+  bool PrepareGang(JobEntry& aJob,
+                   const TaskRef& aFirst,
+                   RunNumber aRun,
+                   const CellClock& aClock);
+  void TakeBackGang(JobEntry& aJob,
+                    const TaskRef& aFirst,
+                    RunNumber aRun,
+                    std::span<const MemberBefore> aPlaced,
+                    const CellClock& aClock);
+  void PlaceGang(JobEntry& aJob,
+                 const TaskRef& aFirst,
+                 const CellClock& aClock);
+
   // Orders (CellSchedulerOrders.cpp).
   TaskRun* FindRun(const AgentId& aAgent, const StartOrder& aOrder);
   /// Removes a start that has not been sent. No effect on one that has.
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -185,12 +185,6 @@
 
 const TaskEntry* JobEntry::Find(const TaskRef& aTask) const
 {
-  static const StepEntry kUntouched;
-  static const TaskEntry kDone = [] {
-    TaskEntry task;
-    task.mDone = true;
-    return task;
-  }();
   if (aTask.mOccurrence < 0 || aTask.mOccurrence >= Occurrences(Graph()) ||
       !InRange(aTask.mStep, Graph().mSteps.size()) || aTask.mIndex < 0 ||
       aTask.mIndex >= Spec(aTask).mReplicas) {
@@ -198,8 +192,9 @@
   }
   const auto open = mOpen.find(aTask.mOccurrence);
   if (open == mOpen.end()) {
-    return mDoneOccurrences.Contains(aTask.mOccurrence) ? &kDone
-                                                        : &kUntouched.Task(0);
+    return mDoneOccurrences.Contains(aTask.mOccurrence)
+             ? &StepEntry::DoneTask()
+             : &StepEntry::UntouchedTask();
   }
   return &open->second.mSteps[static_cast<std::size_t>(aTask.mStep)].Task(
     aTask.mIndex);
--- a/src/core/cell/StepEntry.cpp
+++ b/src/core/cell/StepEntry.cpp
@@ -2,26 +2,29 @@
 
 namespace foxtailbarrow::cell {
 
-namespace {
-
-TaskEntry MakeDoneTask()
+const TaskEntry& StepEntry::UntouchedTask()
 {
-  TaskEntry task;
-  task.mDone = true;
-  return task;
+  static const TaskEntry kTask;
+  return kTask;
 }
 
-} // namespace
+const TaskEntry& StepEntry::DoneTask()
+{
+  static const TaskEntry kTask = [] {
+    TaskEntry task;
+    task.mDone = true;
+    return task;
+  }();
+  return kTask;
+}
 
 const TaskEntry& StepEntry::Task(std::int32_t aIndex) const
 {
-  static const TaskEntry kUntouched;
-  static const TaskEntry kDone = MakeDoneTask();
   if (const auto found = mTouched.find(aIndex); found != mTouched.end()) {
     return found->second;
   }
-  return !mDone.empty() && mDone[static_cast<std::size_t>(aIndex)] ? kDone
-                                                                   : kUntouched;
+  const bool done = !mDone.empty() && mDone[static_cast<std::size_t>(aIndex)];
+  return done ? DoneTask() : UntouchedTask();
 }
 
 TaskEntry& StepEntry::Touch(std::int32_t aIndex)
--- a/src/core/cell/StepEntry.h
+++ b/src/core/cell/StepEntry.h
@@ -23,6 +23,10 @@
   {
   }
 
+  /// The state of a task that was never started, and of one that is done.
+  static const TaskEntry& UntouchedTask();
+  static const TaskEntry& DoneTask();
+
   std::int32_t Size() const { return mSize; }
   /// Tasks that are not done.
   std::int32_t TasksLeft() const { return mTasksLeft; }
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -1,27 +1,11 @@
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-
 #include "src/core/cell/placing/Candidate.h"
-#include "src/core/cell/placing/StandingBacklog.h"
 #include "src/core/cell/placing/StepChoices.h"
-#include "src/core/cell/placing/Timeliness.h"
 
 namespace foxtailbarrow::cell {
 
-namespace {
-
-/// State of a gang's member before it was tentatively placed.
-struct MemberBefore
-{
-  RunNumber mLastRun = 0;
-  Instant mIdleSince{};
-};
-
-} // namespace
-
 void CellScheduler::RefreshInterference(WorkerEntry& aWorker, Instant aNow)
 {
   aWorker.mWorkerInterference.Refresh(
@@ -161,126 +145,6 @@
          mReservedShare < mSettings.mBusyShare;
 }
 
-/// Opens the occurrences of the job that are due. A job always has one open;
-/// more only within the limits.
-void CellScheduler::OpenDueOccurrences(JobEntry& aJob, std::int64_t aUnixMs)
-{
-  const auto steps = static_cast<std::int64_t>(aJob.Graph().mSteps.size());
-  const auto mayOpen = [&] {
-    const auto open = static_cast<std::int64_t>(aJob.mOpen.size()) * steps;
-    return open == 0 || (open < mSettings.mLimits.OpenStepsOfJob() &&
-                         mOpenSteps < mSettings.mLimits.mOpenSteps);
-  };
-  for (auto next = aJob.NextOccurrence();
-       next && aJob.DueUnixMs(*next) <= aUnixMs && mayOpen();
-       next = aJob.NextOccurrence()) {
-    aJob.Open(*next);
-    mOpenSteps += steps;
-  }
-}
-
-/// Also counts what the limits apply to. Starts within a round are counted as
-/// they are decided.
-std::vector<CellScheduler::Candidate> CellScheduler::Candidates(
-  const CellClock& aClock)
-{
-  std::int64_t openSteps = 0;
-  mTouchedTasks = 0;
-  std::vector<Candidate> candidates;
-  for (const JobId& id : mActiveJobs) {
-    JobEntry& job = mJobs.at(id);
-    // Without a progress record, the next owner would assume that no task of
-    // the job has started.
-    if (job.mProgressRevision == 0 ||
-        (job.mInherited && mUnreported.MayRunAny(aClock.mNow))) {
-      continue;
-    }
-    OpenDueOccurrences(job, aClock.mUnixMs);
-    for (auto& [number, occurrence] : job.mOpen) {
-      openSteps += static_cast<std::int64_t>(occurrence.mSteps.size());
-      for (const StepEntry& step : occurrence.mSteps) {
-        mTouchedTasks += static_cast<std::int64_t>(step.Touched().size());
-      }
-      if (occurrence.mStepsLeft == 0 ||
-          aClock.mUnixMs < occurrence.mDueUnixMs) {
-        continue;
-      }
-      for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
-        StepEntry& entry = occurrence.mSteps[step];
-        if (!entry.HasIdle() || !Released(job.Graph(), occurrence, step)) {
-          continue;
-        }
-        if (entry.mReleasedAt == Instant{}) {
-          entry.mReleasedAt = aClock.mNow;
-        }
-        const bool bestEffort = job.Graph().mSteps[step].mBestEffort;
-        const bool begun = HasBegun(occurrence);
-        candidates.push_back(
-          { bestEffort,
-            job.mPolicy.mPriority,
-            job.Graph().mSteps[step].mStanding
-              ? kStandingTimeliness
-              : TimelinessOf(job, occurrence, begun, aClock.mNow),
-            bestEffort && !begun,
-            bestEffort ? RemainingWork(job.Graph(), occurrence) : 0.0,
-            job.mDeadline,
-            { id, number, static_cast<std::int32_t>(step), 0 } });
-      }
-    }
-  }
-  mOpenSteps = openSteps;
-  return candidates;
-}
-
-std::vector<CellScheduler::Candidate> CellScheduler::SortedCandidates(
-  const CellClock& aClock)
-{
-  std::vector<Candidate> candidates = Candidates(aClock);
-  std::ranges::sort(candidates, {}, [](const Candidate& aCandidate) {
-    return aCandidate.Key();
-  });
-  return candidates;
-}
-
-/// True while so many standing tasks are about to start that best-effort tasks
-/// should wait for them.
-bool CellScheduler::StandingTasksComeFirst(
-  std::span<const Candidate> aCandidates,
-  Instant aNow)
-{
-  StandingBacklog backlog(mSettings.mMaxStandingBacklogShare,
-                          mSettings.mStandingBacklogWait);
-  for (const Candidate& candidate : aCandidates) {
-    JobEntry& job = mJobs.at(candidate.mFirstTask.mJob);
-    const StepSpec& spec = job.Spec(candidate.mFirstTask);
-    if (!spec.mStanding) {
-      continue;
-    }
-    const StepEntry& step = job.StepOf(candidate.mFirstTask);
-    TaskRef ref = candidate.mFirstTask;
-    for (; ref.mIndex < step.Size(); ++ref.mIndex) {
-      const TaskEntry& task = step.Task(ref.mIndex);
-      // The others lack a worker, perhaps for long.
-      const bool startsSoon =
-        task.Idle() &&
-        (task.mNotBefore > aNow || !CrashesAllowStart(job, ref, aNow));
-      if (startsSoon) {
-        backlog.Add(spec.mDemand.mMillicores,
-                    aNow - std::max(step.mReleasedAt, task.mIdleSince));
-      }
-    }
-  }
-  const bool first = backlog.HoldsBestEffort(CapacityOf(mWorkers));
-  if (first != std::exchange(mStandingFirst, first)) {
-    LogDecision(first ? "best-effort-held" : "best-effort-released",
-                {},
-                {},
-                0,
-                absl::StrCat("standingMillicores=", backlog.Millicores()));
-  }
-  return first;
-}
-
 void CellScheduler::PlaceStep(const Candidate& aCandidate,
                               const CellClock& aClock)
 {
@@ -312,72 +176,6 @@
   }
 }
 
-/// Places all members or none, under one run number.
-void CellScheduler::PlaceGang(JobEntry& aJob,
-                              const TaskRef& aFirst,
-                              const CellClock& aClock)
-{
-  RunNumber run = 0;
-  TaskRef task = aFirst;
-  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
-    const TaskEntry& member = *aJob.Find(task);
-    if (!member.Idle() || member.mNotBefore > aClock.mNow ||
-        MayRunUnreported(aJob, task, aClock.mNow) ||
-        !CrashesAllowStart(aJob, task, aClock.mNow)) {
-      return;
-    }
-    run = std::max(run, NextRun(member));
-  }
-  bool mayStart = true;
-  task = aFirst;
-  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
-    mayStart = !CountForgottenStart(task, aClock) && !aJob.Final() &&
-               PrepareStart(aJob, task, run, {}, aClock) && mayStart;
-  }
-  if (!mayStart) {
-    return;
-  }
-  std::vector<MemberBefore> before;
-  StepChoices choices;
-  task = aFirst;
-  for (; task.mIndex < aJob.Spec(aFirst).mReplicas; ++task.mIndex) {
-    const TaskEntry& member = *aJob.Find(task);
-    before.push_back({ member.mLastRun, member.mIdleSince });
-    if (!PlaceTask(aJob, task, run, aClock, choices)) {
-      break;
-    }
-  }
-  if (task.mIndex == aJob.Spec(aFirst).mReplicas) {
-    mTrials.EndTurn(aFirst, aClock.mNow);
-    return;
-  }
-  if (mTrials.ClaimTurn(aFirst, aClock.mNow)) {
-    LogDecision("gang-turn",
-                task,
-                {},
-                run,
-                absl::StrCat("trials=", mTrials.Count()),
-                WholeMilliseconds(IdleTime(aJob, aFirst, aClock.mNow)));
-  }
-  // Not all fit. Nothing has been sent yet, so the placed runs are removed as
-  // if they had not been tried. Where the run number is recorded already, the
-  // next attempt must use the same one.
-  while (task.mIndex-- > 0) {
-    TaskEntry& member = aJob.Touch(task);
-    const AgentId agent = member.mRuns.front().mAgent;
-    const bool planned = member.mCrashes.UnsettledStart() == run;
-    RemoveRun(aJob, task, agent, run, aClock);
-    const auto& [lastRun, idleSince] =
-      before[static_cast<std::size_t>(task.mIndex)];
-    member.mLastRun = planned ? run - 1 : lastRun;
-    member.mIdleSince = idleSince;
-    if (planned) {
-      member.mCrashes.PlanStart(run);
-    }
-    mTouchedTasks -= member.NeverStarted() ? 1 : 0;
-  }
-}
-
 bool CellScheduler::PlaceTask(JobEntry& aJob,
                               const TaskRef& aTask,
                               RunNumber aRun,
