--- a/soak/Child.cpp
+++ b/soak/Child.cpp
@@ -77,4 +77,9 @@
   return mPid != 0;
 }
 
+pid_t Child::Id()
+{
+  return Running() ? mPid : 0;
+}
+
 } // namespace foxtailbarrow::soak
--- a/soak/Child.h
+++ b/soak/Child.h
@@ -26,6 +26,8 @@
   void Kill();
   /// False once the process has exited or was killed by a signal.
   bool Running();
+  /// Process id; 0 when the process is not running.
+  pid_t Id();
 
 private:
   std::vector<std::string> mCommand;
