Bound the input that the parser does not take

Callers saw: a scheduler that ends for lack of memory while few clients send trailers without end. So do the extension and the size of a chunk, on every port, and the answers of a worker, a backend server or the store.

Cause: Connection::Read() doubled its buffer whenever it was full. The parser takes these elements only as a whole, and nothing bounded what waits for it.

Change: MessageReader reads every message of server and client. It bounds what is left in the buffer by the limit of the header, and all input of a message that is not body, so that no element needs a check of its own. A client stops after 16 interim responses.

--- a/bench/net/HttpLoad.cpp
+++ b/bench/net/HttpLoad.cpp
@@ -33,6 +33,8 @@
 
 using Clock = std::chrono::steady_clock;
 
+constexpr std::size_t kMaxResponseBytes = 64UL * 1024 * 1024;
+
 struct Options
 {
   std::string mMode = "echo";
@@ -93,7 +95,7 @@
     std::size_t written = 0;
     good = good && !connection.Write(aRequest, {}, never, written);
     while (good && ResponseBytes(connection.Buffered()) == 0) {
-      good = !connection.Read(never);
+      good = !connection.Read(never, kMaxResponseBytes);
     }
     aLoad.mFailures += good ? 0 : 1;
     const Clock::time_point now = Clock::now();
@@ -119,7 +121,7 @@
     std::size_t written = 0;
     good = !connection.Write(aRequest, {}, never, written);
     while (good && ResponseBytes(connection.Buffered()) == 0) {
-      good = !connection.Read(never);
+      good = !connection.Read(never, kMaxResponseBytes);
     }
     connection.Consume(connection.Buffered().size());
     const Clock::time_point now = Clock::now();
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -19,7 +19,8 @@
 
 struct HttpServerLimits
 {
-  std::size_t mMaxHeaderBytes = 16UL * 1024;
+  /// Also of the trailers, and of any other element that is parsed as a whole.
+  std::size_t mMaxHeaderBytes = 16UL * 1024; ///< Above: 431.
   std::size_t mMaxBodyBytes = 1024UL * 1024; ///< Above: 413.
   /// Limit on each of: waiting for a request, receiving it completely, and
   /// writing the response.
--- a/src/net/detail/ClientExchange.cpp
+++ b/src/net/detail/ClientExchange.cpp
@@ -12,7 +12,7 @@
 
 #include "foxtailbarrow/Verdict.h"
 #include "src/net/ConnectionRefused.h"
-#include "src/net/detail/MessageParser.h"
+#include "src/net/detail/MessageReader.h"
 #include "src/net/detail/MessageWriter.h"
 
 namespace foxtailbarrow::net::detail {
@@ -21,6 +21,8 @@
 
 constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
+/// Responses such as "100 Continue" before the final one.
+constexpr int kMaxInterimResponses = 16;
 constexpr unsigned kOk = 200;
 
 absl::Status NotRun(absl::Status aStatus)
@@ -47,50 +49,25 @@
   return absl::UnavailableError(absl::StrCat(doing, ": ", aError.message()));
 }
 
-/// Passes buffered input to the parser, and succeeds once the parser has
-/// consumed some. Reads more if it has not.
-ErrorCode Advance(Connection& aConnection,
-                  http::basic_parser<false>& aParser,
-                  TimePoint aDeadline)
-{
-  ErrorCode error = http::error::need_more;
-  if (!aConnection.Buffered().empty()) {
-    const std::string_view input = aConnection.Buffered();
-    error = {};
-    const std::size_t used =
-      aParser.put(boost::asio::buffer(input.data(), input.size()), error);
-    aConnection.Consume(used);
-    if (used > 0 && (!error || error == http::error::need_more)) {
-      return {}; // Lets the caller process this before reading more.
-    }
-  }
-  if (aParser.is_done() || (error && error != http::error::need_more)) {
-    return error == http::error::need_more ? ErrorCode() : error;
-  }
-  if (error || aConnection.Buffered().empty()) {
-    return aConnection.Read(aDeadline);
-  }
-  return {};
-}
-
-/// Reads until the parser has the complete message, or its header if
-/// `aHeaderOnly`.
+/// Reads until the parser has the complete message.
 ErrorCode ReadMessage(Connection& aConnection,
-                      http::basic_parser<false>& aParser,
-                      bool aHeaderOnly,
+                      ResponseParser& aParser,
                       TimePoint aDeadline)
 {
-  while (!aParser.is_done() && !(aHeaderOnly && aParser.is_header_done())) {
-    ErrorCode error = Advance(aConnection, aParser, aDeadline);
-    if (error) {
+  MessageReader reader(aConnection, kMaxHeaderBytes);
+  for (;;) {
+    ErrorCode error = reader.Parse(aParser);
+    // Without a length, a truncated body cannot be detected.
+    if (!error && aParser.is_header_done() && aParser.need_eof()) {
+      error = http::error::bad_content_length;
+    }
+    if (error || aParser.is_done()) {
       return error;
     }
-    // Without a length, a truncated body cannot be detected.
-    if (aParser.is_header_done() && aParser.need_eof()) {
-      return http::error::bad_content_length;
+    if (error = reader.Read(aDeadline); error) {
+      return error;
     }
   }
-  return {};
 }
 
 /// Passes complete lines to `aOnLine` and keeps the rest. Returns false once
@@ -176,12 +153,11 @@
                                               std::size_t aMaxBodyBytes,
                                               TimePoint aDeadline)
 {
-  for (;;) {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     ReceivedResponse received;
     ResponseParser parser(received.mResponse, kMaxHeaderBytes, aMaxBodyBytes);
     parser.skip(aIsHeadRequest);
-    if (const ErrorCode error =
-          ReadMessage(aConnection, parser, false, aDeadline)) {
+    if (const ErrorCode error = ReadMessage(aConnection, parser, aDeadline)) {
       return MayHaveRun(ToStatus(error, "reading the response"));
     }
     if (received.mResponse.mStatus >= kFirstFinalStatus) {
@@ -190,6 +166,7 @@
       return received;
     }
   }
+  return MayHaveRun(absl::ResourceExhaustedError("too many interim responses"));
 }
 
 absl::Status ReadLines(Connection& aConnection,
@@ -203,8 +180,13 @@
   HttpResponse response;
   ResponseParser parser(response, kMaxHeaderBytes, aMaxLineBytes);
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  MessageReader reader(aConnection, kMaxHeaderBytes);
+  ErrorCode error;
   for (;;) {
-    if (const ErrorCode error = Advance(aConnection, parser, deadline())) {
+    if (!error) {
+      error = reader.Parse(parser);
+    }
+    if (error) {
       return MayHaveRun(ToStatus(error, "reading the stream"));
     }
     if (parser.is_header_done() && response.mStatus != kOk) {
@@ -220,6 +202,7 @@
     if (parser.is_done()) {
       return MayHaveRun(absl::UnavailableError("stream ended by the server"));
     }
+    error = reader.Read(deadline());
   }
 }
 
--- a/src/net/detail/Connection.cpp
+++ b/src/net/detail/Connection.cpp
@@ -86,21 +86,28 @@
   return state.Error() ? state.Error() : Prepare();
 }
 
-ErrorCode Connection::Read(TimePoint aDeadline)
+void Connection::MakeSpace(std::size_t aMaxBuffered)
 {
   if (mBegin == mEnd) {
     mBegin = 0;
     mEnd = 0;
   }
-  if (mEnd == mBuffer.size()) {
-    if (mBegin > 0) {
-      std::memmove(mBuffer.data(), mBuffer.data() + mBegin, mEnd - mBegin);
-      mEnd -= mBegin;
-      mBegin = 0;
-    } else {
-      mBuffer.resize(std::max(kFirstBufferBytes, mBuffer.size() * 2));
-    }
+  if (mEnd < mBuffer.size()) {
+    return;
+  }
+  if (mBegin > 0) {
+    std::memmove(mBuffer.data(), mBuffer.data() + mBegin, mEnd - mBegin);
+    mEnd -= mBegin;
+    mBegin = 0;
+  } else {
+    const std::size_t larger = std::max(kFirstBufferBytes, mBuffer.size() * 2);
+    mBuffer.resize(std::min(larger, aMaxBuffered));
   }
+}
+
+ErrorCode Connection::Read(TimePoint aDeadline, std::size_t aMaxBuffered)
+{
+  MakeSpace(aMaxBuffered);
   const std::size_t space = std::min(mBuffer.size() - mEnd, kMaxReadBytes);
   AwaitState state;
   mSocket.async_read_some(boost::asio::buffer(mBuffer.data() + mEnd, space),
--- a/src/net/detail/Connection.h
+++ b/src/net/detail/Connection.h
@@ -36,9 +36,10 @@
   ErrorCode Connect(const boost::asio::ip::tcp::endpoint& aPeer,
                     TimePoint aDeadline);
 
-  /// Appends at least one byte to Buffered(). Errors: boost::asio::error::eof,
-  /// timed_out at the deadline, or a socket error.
-  ErrorCode Read(TimePoint aDeadline);
+  /// Appends at least one byte to Buffered(), which must be shorter than
+  /// `aMaxBuffered` and does not become longer. Errors:
+  /// boost::asio::error::eof, timed_out at the deadline, or a socket error.
+  ErrorCode Read(TimePoint aDeadline, std::size_t aMaxBuffered);
 
   /// Bytes read and not yet consumed.
   std::string_view Buffered() const;
@@ -68,6 +69,8 @@
   void Cancel();
 
 private:
+  /// Makes room for at least one byte behind mEnd.
+  void MakeSpace(std::size_t aMaxBuffered);
   ErrorCode WaitWritable(TimePoint aDeadline);
 
   TcpSocket mSocket;
--- a/src/net/detail/MessageParser.h
+++ b/src/net/detail/MessageParser.h
@@ -32,6 +32,9 @@
   /// The client waits for "100 Continue" before it sends the body.
   bool ExpectsContinue() const { return mExpectsContinue; }
 
+  /// Received so far.
+  std::size_t BodyBytes() const { return mBodyBytes; }
+
   bool HasHost() const { return mHasHost; }
   bool IsHttp11() const { return mVersion == kHttp11; }
 
@@ -105,8 +108,7 @@
 
   std::size_t on_body_impl(boost::beast::string_view aBody, ErrorCode&) override
   {
-    mMessage.mBody.append(aBody.data(), aBody.size());
-    return aBody.size();
+    return TakeBody(aBody);
   }
 
   void on_chunk_header_impl(std::uint64_t,
@@ -119,8 +121,7 @@
                                  boost::beast::string_view aBody,
                                  ErrorCode&) override
   {
-    mMessage.mBody.append(aBody.data(), aBody.size());
-    return aBody.size();
+    return TakeBody(aBody);
   }
 
   void on_finish_impl(ErrorCode&) override {}
@@ -129,7 +130,15 @@
 private:
   static constexpr std::uint64_t kMaxReserve = 64UL * 1024;
 
+  std::size_t TakeBody(boost::beast::string_view aBody)
+  {
+    mMessage.mBody.append(aBody.data(), aBody.size());
+    mBodyBytes += aBody.size();
+    return aBody.size();
+  }
+
   Message& mMessage;
+  std::size_t mBodyBytes = 0;
   int mVersion = 0;
   bool mHasHost = false;
   bool mExpectsContinue = false;
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/context/fiber.hpp>
 
 #include "foxtailbarrow/Verdict.h"
+#include "src/net/detail/MessageReader.h"
 #include "src/net/detail/MessageWriter.h"
 
 namespace foxtailbarrow::net::detail {
@@ -27,15 +28,22 @@
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024 * 1024;
 constexpr std::chrono::seconds kDiscardTimeout(2);
 
+/// Status of a request that was not received completely; 0 if the connection
+/// is broken.
 unsigned StatusOf(const ErrorCode& aError)
 {
+  if (aError == boost::asio::error::timed_out) {
+    return kRequestTimeout;
+  }
   if (aError == http::error::header_limit) {
     return kHeaderTooLarge;
   }
   if (aError == http::error::body_limit) {
     return kContentTooLarge;
   }
-  return kBadRequest;
+  const bool malformed =
+    aError.category() == make_error_code(http::error::need_more).category();
+  return malformed ? kBadRequest : 0;
 }
 
 HttpResponse ErrorResponse(unsigned aStatus, Verdict aVerdict)
@@ -175,7 +183,8 @@
                             ? std::min(idleEnd, mState->DrainEnd())
                             : idleEnd;
     mIdle = true;
-    const ErrorCode error = mConnection.Read(end);
+    const ErrorCode error =
+      mConnection.Read(end, mState->mLimits.mMaxHeaderBytes);
     mIdle = false;
     // OnDrain() also aborts a wait that already uses the drain deadline.
     const bool drains = error == boost::asio::error::operation_aborted &&
@@ -190,29 +199,22 @@
 bool ServerConnection::Receive(RequestParser& aParser)
 {
   const TimePoint deadline = Deadline();
+  MessageReader reader(mConnection, mState->mLimits.mMaxHeaderBytes);
   bool continued = false;
   for (;;) {
-    const std::string_view input = mConnection.Buffered();
-    ErrorCode error;
-    const std::size_t used =
-      aParser.put(boost::asio::buffer(input.data(), input.size()), error);
-    mConnection.Consume(used);
-    if (error && error != http::error::need_more) {
-      Reject(StatusOf(error));
-      return false;
-    }
-    if (aParser.is_done()) {
+    ErrorCode error = reader.Parse(aParser);
+    if (!error && aParser.is_done()) {
       break;
     }
-    if (!error && used > 0 && !mConnection.Buffered().empty()) {
-      continue;
-    }
-    if (!AnswerContinue(aParser, continued)) {
+    if (!error && !AnswerContinue(aParser, continued)) {
       return false;
     }
-    if (error = mConnection.Read(deadline); error) {
-      if (error == boost::asio::error::timed_out) {
-        Reject(kRequestTimeout);
+    if (!error) {
+      error = reader.Read(deadline);
+    }
+    if (error) {
+      if (const unsigned status = StatusOf(error); status != 0) {
+        Reject(status);
       }
       return false;
     }
@@ -317,7 +319,7 @@
   while (!error && discarded < kMaxDiscardedBytes && !mState->mClosing.load()) {
     discarded += mConnection.Buffered().size();
     mConnection.Consume(mConnection.Buffered().size());
-    error = mConnection.Read(end);
+    error = mConnection.Read(end, kMaxDiscardedBytes);
   }
 }
 
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -84,6 +84,18 @@
 }
 
 /// Response of a misbehaving peer to a request.
+const std::string kChunkedAnswer =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Repeated(const std::string& aText, int aTimes)
+{
+  std::string all;
+  for (int i = 0; i < aTimes; ++i) {
+    all += aText;
+  }
+  return all;
+}
+
 struct PeerCase
 {
   const char* mName;
@@ -139,6 +151,18 @@
     PeerCase{ "header above the limit",
               "HTTP/1.1 200 OK\r\nA: " + std::string(70'000, 'x'),
               absl::StatusCode::kResourceExhausted },
+    PeerCase{ "endless trailers",
+              kChunkedAnswer + "2\r\nab\r\n0\r\nA: " + std::string(70'000, 'x'),
+              absl::StatusCode::kResourceExhausted },
+    PeerCase{ "endless chunk extension",
+              kChunkedAnswer + "2;a=" + std::string(70'000, 'x'),
+              absl::StatusCode::kResourceExhausted },
+    PeerCase{ "endless chunk size",
+              kChunkedAnswer + std::string(70'000, '0'),
+              absl::StatusCode::kResourceExhausted },
+    PeerCase{ "endless interim responses",
+              Repeated("HTTP/1.1 100 Continue\r\n\r\n", 1000),
+              absl::StatusCode::kResourceExhausted },
     PeerCase{ "no HTTP", "hello\r\n\r\n" }));
 
 TEST_F(HttpClientTest, SkipsInterimResponses)
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -52,6 +52,15 @@
   EXPECT_TRUE(Call(endpoint, HttpRequest()).ok());
 }
 
+std::string Repeated(const std::string& aText, int aTimes)
+{
+  std::string all;
+  for (int i = 0; i < aTimes; ++i) {
+    all += aText;
+  }
+  return all;
+}
+
 const std::string kPost = "POST / HTTP/1.1\r\nHost: a\r\n";
 
 INSTANTIATE_TEST_SUITE_P(
@@ -98,6 +107,30 @@
              kPost + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
                std::string(1001, 'x') + "\r\n0\r\n\r\n",
              "HTTP/1.1 413" },
+    RawCase{ "long trailers",
+             kPost + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nA: " +
+               std::string(3000, 'x') + "\r\n\r\n",
+             "HTTP/1.1 431" },
+    RawCase{ "endless trailers",
+             kPost + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nA: " +
+               std::string(3000, 'x'),
+             "HTTP/1.1 431" },
+    RawCase{
+      "endless chunk extension",
+      kPost + "Transfer-Encoding: chunked\r\n\r\n2;a=" + std::string(3000, 'x'),
+      "HTTP/1.1 431" },
+    RawCase{ "endless chunk size",
+             kPost + "Transfer-Encoding: chunked\r\n\r\n" +
+               std::string(3000, '0'),
+             "HTTP/1.1 431" },
+    RawCase{ "chunks of long extensions",
+             kPost + "Transfer-Encoding: chunked\r\n\r\n" +
+               Repeated("1;a=" + std::string(100, 'x') + "\r\na\r\n", 1000),
+             "HTTP/1.1 431" },
+    RawCase{ "chunks of one byte, and trailers",
+             kPost + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               Repeated("0001\r\na\r\n", 1000) + "0\r\nA: b\r\n\r\n",
+             "HTTP/1.1 200" },
     RawCase{ "long header",
              "GET / HTTP/1.1\r\nHost: a\r\nA: " + std::string(3000, 'x') +
                "\r\n\r\n",
