Bound the messages of all connections of a server together

Callers saw: a scheduler that ends for lack of memory, though each connection stays within its bounds: many clients, each with an unfinished body.

Cause: the bound of a connection, times the connections allowed, exceeds the VM, and nothing bounded what they take together.

Change: a server has a limit for the messages of all its connections, its share of an eighth of the process's memory. What is buffered, headers, bodies and responses count. Above it the requests that have been incomplete for longest get 503, not run, and their memory is freed at once; one in progress is never ended. Reads go through the fiber's stack, so that an idle connection holds no buffer.

HttpServerTest shows the order, requests in progress, and headers that take more than their text.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -6,6 +6,7 @@
 
 #include "foxtailbarrow/MethodNames.h"
 #include "src/core/contract/ConfigurationDelta.h"
+#include "src/net/ConnectionBudget.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
 #include "src/telemetry/ProcessMetrics.h"
@@ -18,6 +19,8 @@
 /// answer from any entry.
 constexpr Duration kNoEntryTimeout = std::chrono::seconds(5);
 
+constexpr net::ServerShare kOnlyServer{ .mMemoryPercent = 100 };
+
 /// Wall-clock time, since a later start must have a greater incarnation.
 Incarnation IncarnationNow()
 {
@@ -90,12 +93,15 @@
                                                     net::FiberRuntime& aRuntime)
 {
   std::unique_ptr<Agent> agent(new Agent(std::move(aSettings), aRuntime));
-  auto server =
-    net::HttpServer::Start(aRuntime,
-                           agent->mSettings.mListen,
-                           [self = agent.get()](net::HttpRequest& aRequest) {
-                             return self->Handle(aRequest);
-                           });
+  const auto budget =
+    net::ConnectionBudget::ForMemory(agent->mSettings.mMemoryMb);
+  auto server = net::HttpServer::Start(
+    aRuntime,
+    agent->mSettings.mListen,
+    [self = agent.get()](net::HttpRequest& aRequest) {
+      return self->Handle(aRequest);
+    },
+    LimitsFor(budget, kOnlyServer));
   if (!server.ok()) {
     return server.status();
   }
--- a/apps/agent/AgentSettings.cpp
+++ b/apps/agent/AgentSettings.cpp
@@ -63,6 +63,10 @@
                      "Accelerators kept for the service");
   aSettings.AddCount(
     "--threads", aValues.mThreads, { 1, 64 }, "Threads of this process");
+  aSettings.AddCount("--memory-mb",
+                     aValues.mMemoryMb,
+                     { 32, 1'000'000 },
+                     "Memory available to it, in MB");
   aSettings.AddCount("--shards",
                      aValues.mShards,
                      { 1, 65'536 },
--- a/apps/agent/AgentSettings.h
+++ b/apps/agent/AgentSettings.h
@@ -37,6 +37,7 @@
   Duration mViewInterval = std::chrono::seconds(1);  ///< Of worker polls.
   Duration mBackendProbe = std::chrono::milliseconds(500);
   ShardId mShards = 64; ///< Of the job space; the same in every process.
+  int mMemoryMb = 128;  ///< Of this process. Bounds its connections.
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -12,6 +12,7 @@
 #include "apps/entry/ErrorResponse.h"
 #include "apps/entry/RunOn.h"
 #include "apps/entry/StateViews.h"
+#include "src/net/ConnectionBudget.h"
 #include "src/platform/store/CountingStore.h"
 #include "src/platform/store/EtcdStore.h"
 #include "src/telemetry/Log.h"
@@ -29,6 +30,9 @@
 /// then wait until this entry's tenure expires.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(5);
 
+constexpr net::ServerShare kCallerShare{ .mMemoryPercent = 60 };
+constexpr net::ServerShare kControlShare{ .mMemoryPercent = 40 };
+
 Incarnation IncarnationNow()
 {
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -80,19 +84,22 @@
 
 absl::Status EntryProcess::Start()
 {
+  const auto budget = net::ConnectionBudget::ForMemory(mSettings.mMemoryMb);
   auto control = net::HttpServer::Start(
-    mControlRuntime, mSettings.mControl, [this](net::HttpRequest& aRequest) {
-      return ServeControl(aRequest);
-    });
+    mControlRuntime,
+    mSettings.mControl,
+    [this](net::HttpRequest& aRequest) { return ServeControl(aRequest); },
+    LimitsFor(budget, kControlShare));
   if (!control.ok()) {
     return control.status();
   }
   mControl = *std::move(control);
   mControlRuntime.RunAndWait([this] { CreateComponents(); });
   auto callers = net::HttpServer::Start(
-    mRequestRuntime, mSettings.mListen, [this](net::HttpRequest& aRequest) {
-      return ServeCaller(aRequest);
-    });
+    mRequestRuntime,
+    mSettings.mListen,
+    [this](net::HttpRequest& aRequest) { return ServeCaller(aRequest); },
+    LimitsFor(budget, kCallerShare));
   if (!callers.ok()) {
     return callers.status();
   }
--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -61,6 +61,10 @@
     aSettings.mDrainTimeout,
     { milliseconds(0), hours(1) },
     "maximum time to wait for requests in progress on shutdown");
+  settings.AddCount("--memory-mb",
+                    aSettings.mMemoryMb,
+                    { 32, 1'000'000 },
+                    "memory available to it, in MB");
   settings.AddLogLevel(aSettings.mLogLevel);
   return settings.Parse(aCount, aArguments);
 }
--- a/apps/entry/EntrySettings.h
+++ b/apps/entry/EntrySettings.h
@@ -27,6 +27,7 @@
   Duration mMaxDeadline = std::chrono::minutes(5);
   Duration mEndedRetention = std::chrono::hours(24); ///< Of job records.
   Duration mDrainTimeout = std::chrono::seconds(30);
+  int mMemoryMb = 256; ///< Of this process. Bounds its connections.
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -33,6 +33,12 @@
 /// Granted leases are shorter than the longest accepted one by this much.
 constexpr Duration kLeaseReserve = std::chrono::milliseconds(400);
 
+/// Shares of the servers; two have pages only.
+constexpr net::ServerShare kCallerShare{ .mMemoryPercent = 30 };
+constexpr net::ServerShare kPeerShare{ .mMemoryPercent = 38 };
+constexpr net::ServerShare kControlShare{ .mMemoryPercent = 26 };
+constexpr net::ServerShare kPageShare{ .mMemoryPercent = 3 };
+
 const JobRefused kNoAdvisor{
   RefusalCause::Unsupported,
   Verdict::NotRun,
@@ -173,14 +179,16 @@
 }
 
 absl::Status Scheduler::Listen(const Endpoint& aEndpoint,
+                               const net::ServerShare& aShare,
                                net::HttpServer::Handler aHandler,
                                std::unique_ptr<net::HttpServer>& aServer)
 {
   if (aEndpoint.mPort == 0) {
     return absl::OkStatus();
   }
-  auto server =
-    net::HttpServer::Start(mRuntime, aEndpoint, std::move(aHandler));
+  const auto budget = net::ConnectionBudget::ForMemory(mSettings.mMemoryMb);
+  auto server = net::HttpServer::Start(
+    mRuntime, aEndpoint, std::move(aHandler), LimitsFor(budget, aShare));
   if (!server.ok()) {
     return server.status();
   }
@@ -192,25 +200,28 @@
 {
   using Request = net::HttpRequest;
   const auto peer = [this](Request& aRequest) { return ServePeer(aRequest); };
-  absl::Status status = Listen(mSettings.mPeers, peer, mPeers);
+  absl::Status status = Listen(mSettings.mPeers, kPeerShare, peer, mPeers);
   if (status.ok()) {
-    status = Listen(mSettings.mControl, peer, mControl);
+    status = Listen(mSettings.mControl, kControlShare, peer, mControl);
   }
   if (status.ok()) {
     status = Listen(
       mSettings.mReady,
+      kPageShare,
       [this](Request& aRequest) { return ServeReady(aRequest); },
       mReady);
   }
   if (status.ok()) {
     status = Listen(
       mSettings.mMetrics,
+      kPageShare,
       [this](Request& aRequest) { return ServeAdmin(aRequest); },
       mAdminServer);
   }
   if (status.ok()) {
     status = Listen(
       mSettings.mListen,
+      kCallerShare,
       [this](Request& aRequest) { return ServeCaller(aRequest); },
       mCallers);
   }
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -14,6 +14,7 @@
 #include "platform/AdviceClient.h"
 #include "platform/KvStore.h"
 #include "src/core/base/SuspendDetector.h"
+#include "src/net/ConnectionBudget.h"
 #include "src/net/FiberGroup.h"
 #include "src/net/HttpServer.h"
 #include "src/net/Rpc.h"
@@ -44,6 +45,7 @@
   absl::Status Readiness() const;
   void OnResume();
   absl::Status Listen(const Endpoint& aEndpoint,
+                      const net::ServerShare& aShare,
                       net::HttpServer::Handler aHandler,
                       std::unique_ptr<net::HttpServer>& aServer);
   absl::Status ListenAll();
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/core/message/Codec.h"
+#include "src/net/ConnectionBudget.h"
 #include "src/net/TypedRpc.h"
 #include "src/telemetry/Log.h"
 #include "src/telemetry/ProcessMetrics.h"
@@ -21,6 +22,10 @@
 /// for longer, an earlier incarnation sent it.
 constexpr Duration kMaxDeparture = std::chrono::seconds(3);
 
+constexpr net::ServerShare kOwnerShare{ .mMemoryPercent = 50 };
+constexpr net::ServerShare kWorkerShare{ .mMemoryPercent = 45 };
+constexpr net::ServerShare kPageShare{ .mMemoryPercent = 5 };
+
 double Seconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -62,11 +67,13 @@
 {
   AddMethods();
   AddViews();
-  const auto listen = [this](const Endpoint& aEndpoint,
-                             net::HttpServer::Handler aHandler,
-                             std::unique_ptr<net::HttpServer>& aServer) {
-    auto server =
-      net::HttpServer::Start(mRuntime, aEndpoint, std::move(aHandler));
+  const auto budget = net::ConnectionBudget::ForMemory(mSettings.mMemoryMb);
+  const auto listen = [&](const Endpoint& aEndpoint,
+                          const net::ServerShare& aShare,
+                          net::HttpServer::Handler aHandler,
+                          std::unique_ptr<net::HttpServer>& aServer) {
+    auto server = net::HttpServer::Start(
+      mRuntime, aEndpoint, std::move(aHandler), LimitsFor(budget, aShare));
     if (server.ok()) {
       aServer = *std::move(server);
       return absl::OkStatus();
@@ -75,17 +82,20 @@
   };
   absl::Status status = listen(
     mSettings.mControl,
+    kWorkerShare,
     [this](net::HttpRequest& aRequest) { return ServeWorker(aRequest); },
     mWorkerServer);
   if (status.ok()) {
     status = listen(
       mSettings.mListen,
+      kOwnerShare,
       [this](net::HttpRequest& aRequest) { return ServeOwner(aRequest); },
       mOwnerServer);
   }
   if (status.ok() && mSettings.mMetrics.mPort != 0) {
     status = listen(
       mSettings.mMetrics,
+      kPageShare,
       [this](net::HttpRequest& aRequest) { return ServeAdmin(aRequest); },
       mAdminServer);
   }
--- a/apps/taskagent/TaskAgentSettings.cpp
+++ b/apps/taskagent/TaskAgentSettings.cpp
@@ -30,6 +30,10 @@
     "--metrics", aSettings.mMetrics, "Address for metrics and state");
   settings.AddEndpoints(
     "--seeds", aSettings.mSeeds, "Schedulers to ask for the owner");
+  settings.AddCount("--memory-mb",
+                    aSettings.mMemoryMb,
+                    { 32, 1'000'000 },
+                    "Memory available to it, in MB");
   settings.AddLogLevel(aSettings.mLogLevel);
   const auto exitCode = settings.Parse(argc, argv);
   if (aSettings.mAdvertised.mPort == 0) {
--- a/apps/taskagent/TaskAgentSettings.h
+++ b/apps/taskagent/TaskAgentSettings.h
@@ -21,6 +21,7 @@
   Endpoint mWorker;
   Endpoint mStore;
   std::vector<Endpoint> mSeeds; ///< Schedulers to ask for the owner.
+  int mMemoryMb = 128;          ///< Of this process. Bounds its connections.
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "src/net/HttpServer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <unistd.h>
@@ -138,6 +139,8 @@
   auto impl = std::make_shared<Impl>(aRuntime);
   impl->mState->mHandler = std::move(aHandler);
   impl->mState->mLimits = aLimits;
+  impl->mState->mLimits.mMaxBodyBytes = std::min(
+    aLimits.mMaxBodyBytes, impl->mState->MaxMessageBytesOfThread() / 2);
   impl->mState->mStream = std::move(aStream);
   impl->mState->mStreamTarget = std::move(aStreamTarget);
   absl::StatusOr<Endpoint> endpoint = impl->mAcceptor.Listen(aEndpoint);
@@ -196,6 +199,7 @@
   for (const auto& thread : mImpl->mState->mThreads) {
     sum.mRequests += thread->mRequests.load();
     sum.mRejected += thread->mRejected.load();
+    sum.mEvictedForMemory += thread->mEvictedForMemory.load();
     sum.mHandlerFailures += thread->mHandlerFailures.load();
   }
   return sum;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -21,11 +21,17 @@
 {
   /// Also of the trailers, and of any other element that is parsed as a whole.
   std::size_t mMaxHeaderBytes = 16UL * 1024; ///< Above: 431.
-  std::size_t mMaxBodyBytes = 1024UL * 1024; ///< Above: 413.
+  /// Above: 413. At most half of one thread's part of mMaxMessageBytes.
+  std::size_t mMaxBodyBytes = 1024UL * 1024;
   /// Limit on each of: waiting for a request, receiving it completely, and
   /// writing the response.
   Duration mIdleTimeout = std::chrono::seconds(60);
   std::size_t mMaxConnections = 10'000; ///< Above: 503.
+  /// Limit on the messages of all connections together, in bytes, divided
+  /// among the threads: what is buffered, requests until they are answered, and
+  /// responses. Above: the requests that have been incomplete for longest get
+  /// 503.
+  std::size_t mMaxMessageBytes = 64UL * 1024 * 1024;
   /// How long idle connections still accept requests after Drain(), since a
   /// request may already have been sent.
   Duration mDrainGrace = std::chrono::seconds(1);
@@ -34,10 +40,12 @@
 /// Counts since the server's start.
 struct HttpServerCounters
 {
-  std::uint64_t mAccepted = 0;        ///< Connections.
-  std::uint64_t mRefused = 0;         ///< Connections above the limit.
-  std::uint64_t mRequests = 0;        ///< Whole requests received.
-  std::uint64_t mRejected = 0;        ///< Responses 400, 408, 413 and 431.
+  std::uint64_t mAccepted = 0; ///< Connections.
+  std::uint64_t mRefused = 0;  ///< Connections above the limit.
+  std::uint64_t mRequests = 0; ///< Whole requests received.
+  std::uint64_t mRejected = 0; ///< Responses 400, 408, 413 and 431.
+  /// Connections that were ended to free memory for messages.
+  std::uint64_t mEvictedForMemory = 0;
   std::uint64_t mHandlerFailures = 0; ///< Exceptions, responded to with 500.
 };
 
--- a/src/net/detail/Connection.cpp
+++ b/src/net/detail/Connection.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 #include <cerrno>
-#include <cstring>
+#include <utility>
 
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -11,8 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kFirstBufferBytes = 4UL * 1024;
-constexpr std::size_t kMaxReadBytes = 64UL * 1024;
+constexpr std::size_t kReadBytes = 4UL * 1024;
 
 ErrorCode LastError()
 {
@@ -86,42 +85,26 @@
   return state.Error() ? state.Error() : Prepare();
 }
 
-void Connection::MakeSpace(std::size_t aMaxBuffered)
-{
-  if (mBegin == mEnd) {
-    mBegin = 0;
-    mEnd = 0;
-  }
-  if (mEnd < mBuffer.size()) {
-    return;
-  }
-  if (mBegin > 0) {
-    std::memmove(mBuffer.data(), mBuffer.data() + mBegin, mEnd - mBegin);
-    mEnd -= mBegin;
-    mBegin = 0;
-  } else {
-    const std::size_t larger = std::max(kFirstBufferBytes, mBuffer.size() * 2);
-    mBuffer.resize(std::min(larger, aMaxBuffered));
-  }
-}
-
 ErrorCode Connection::Read(TimePoint aDeadline, std::size_t aMaxBuffered)
 {
-  MakeSpace(aMaxBuffered);
-  const std::size_t space = std::min(mBuffer.size() - mEnd, kMaxReadBytes);
+  // Not into mBuffer, which may be released meanwhile.
+  std::array<char, kReadBytes> input;
+  const std::size_t space =
+    std::min(input.size(), aMaxBuffered - Buffered().size());
   AwaitState state;
-  mSocket.async_read_some(boost::asio::buffer(mBuffer.data() + mEnd, space),
+  mSocket.async_read_some(boost::asio::buffer(input.data(), space),
                           AwaitHandler(state));
   if (!state.WaitUntil(aDeadline, [this] { Cancel(); })) {
     return boost::asio::error::timed_out;
   }
-  mEnd += state.Bytes();
+  mBuffer.erase(0, std::exchange(mBegin, 0));
+  mBuffer.append(input.data(), state.Bytes());
   return state.Error();
 }
 
 std::string_view Connection::Buffered() const
 {
-  return { mBuffer.data() + mBegin, mEnd - mBegin };
+  return std::string_view(mBuffer).substr(mBegin);
 }
 
 void Connection::Consume(std::size_t aBytes)
@@ -129,6 +112,12 @@
   mBegin += aBytes;
 }
 
+void Connection::ReleaseBuffer()
+{
+  std::string().swap(mBuffer);
+  mBegin = 0;
+}
+
 ErrorCode Connection::WaitWritable(TimePoint aDeadline)
 {
   AwaitState state;
--- a/src/net/detail/Connection.h
+++ b/src/net/detail/Connection.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "src/net/detail/Asio.h"
 #include "src/net/detail/Await.h"
@@ -44,6 +43,10 @@
   /// Bytes read and not yet consumed.
   std::string_view Buffered() const;
   void Consume(std::size_t aBytes);
+  /// Memory of the buffer.
+  std::size_t BufferBytes() const { return mBuffer.capacity(); }
+  /// Frees the buffer with what it holds. Allowed while Read() waits.
+  void ReleaseBuffer();
 
   /// Writes both parts completely. `aWritten` is the number of bytes that the
   /// kernel accepted, also on an error.
@@ -69,15 +72,12 @@
   void Cancel();
 
 private:
-  /// Makes room for at least one byte behind mEnd.
-  void MakeSpace(std::size_t aMaxBuffered);
   ErrorCode WaitWritable(TimePoint aDeadline);
 
   TcpSocket mSocket;
   std::string mScratch;
-  std::vector<char> mBuffer;
-  std::size_t mBegin = 0;
-  std::size_t mEnd = 0;
+  std::string mBuffer;
+  std::size_t mBegin = 0; ///< Of the bytes that are not consumed.
   std::uint64_t mPassedCheck = 0;
 };
 
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -27,6 +27,9 @@
 /// before the peer reads it.
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024 * 1024;
 constexpr std::chrono::seconds kDiscardTimeout(2);
+/// A response that the peer has not read for this long may be cut off if memory
+/// is short.
+constexpr std::chrono::seconds kUnreadResponseTime(2);
 
 /// Status of a request that was not received completely; 0 if the connection
 /// is broken.
@@ -35,6 +38,9 @@
   if (aError == boost::asio::error::timed_out) {
     return kRequestTimeout;
   }
+  if (aError == boost::asio::error::no_memory) {
+    return kUnavailable;
+  }
   if (aError == http::error::header_limit) {
     return kHeaderTooLarge;
   }
@@ -54,6 +60,26 @@
   return response;
 }
 
+std::size_t MemoryOf(const HttpHeaders& aHeaders)
+{
+  std::size_t bytes = aHeaders.All().capacity() * sizeof(HttpHeader);
+  for (const HttpHeader& header : aHeaders.All()) {
+    bytes += header.mName.size() + header.mValue.size();
+  }
+  return bytes;
+}
+
+std::size_t MemoryOf(const HttpRequest& aRequest)
+{
+  return aRequest.mTarget.size() + MemoryOf(aRequest.mHeaders) +
+         aRequest.mBody.capacity();
+}
+
+std::size_t MemoryOf(const HttpResponse& aResponse)
+{
+  return MemoryOf(aResponse.mHeaders) + aResponse.mBody.capacity();
+}
+
 /// Counts a request as in progress until End() or destruction.
 class InProgress
 {
@@ -101,6 +127,7 @@
 
 ServerConnection::~ServerConnection()
 {
+  SetMessageBytes(0);
   mThread.mOpen.erase(this);
 }
 
@@ -115,7 +142,7 @@
 
 void ServerConnection::OnDrain()
 {
-  if (mIdle) {
+  if (mPhase == Phase::Idle) {
     mConnection.Cancel();
   }
 }
@@ -133,9 +160,71 @@
          mState->mClosing.load(std::memory_order_relaxed);
 }
 
-ServerConnection::TimePoint ServerConnection::Deadline() const
+ServerConnection::TimePoint ServerConnection::Enter(Phase aPhase)
 {
-  return std::chrono::steady_clock::now() + mState->mLimits.mIdleTimeout;
+  mPhase = aPhase;
+  mPhaseBegin = std::chrono::steady_clock::now();
+  return mPhaseBegin + (aPhase == Phase::Closing
+                          ? Duration(kDiscardTimeout)
+                          : mState->mLimits.mIdleTimeout);
+}
+
+void ServerConnection::SetMessageBytes(std::size_t aBytes)
+{
+  mThread.mMessageBytes += aBytes - std::exchange(mMessageBytes, aBytes);
+}
+
+bool ServerConnection::Reserve(std::size_t aBytes)
+{
+  SetMessageBytes(aBytes);
+  while (mThread.mMessageBytes > mState->MaxMessageBytesOfThread()) {
+    ServerConnection* const victim = NextVictim();
+    if (victim == nullptr || victim == this) {
+      Count(mThread.mEvictedForMemory);
+      return false;
+    }
+    victim->Evict();
+  }
+  return true;
+}
+
+bool ServerConnection::GoesBefore(const ServerConnection& aOther) const
+{
+  return mPhase != aOther.mPhase ? mPhase < aOther.mPhase
+                                 : mPhaseBegin < aOther.mPhaseBegin;
+}
+
+ServerConnection* ServerConnection::NextVictim() const
+{
+  const TimePoint unreadSince =
+    std::chrono::steady_clock::now() - kUnreadResponseTime;
+  ServerConnection* victim = nullptr;
+  for (ServerConnection* other : mThread.mOpen) {
+    const bool evictable =
+      other->mMessageBytes > 0 && other->mPhase != Phase::InProgress &&
+      (other->mPhase != Phase::Responding || other->mPhaseBegin < unreadSince);
+    if (evictable && (victim == nullptr || other->GoesBefore(*victim))) {
+      victim = other;
+    }
+  }
+  return victim;
+}
+
+void ServerConnection::Evict()
+{
+  Count(mThread.mEvictedForMemory);
+  mEvicted = true;
+  ReleaseMessage();
+  mConnection.Cancel();
+}
+
+void ServerConnection::ReleaseMessage()
+{
+  if (mPartial != nullptr) {
+    *mPartial = HttpRequest();
+  }
+  mConnection.ReleaseBuffer();
+  SetMessageBytes(0);
 }
 
 bool ServerConnection::ServeOne()
@@ -147,9 +236,13 @@
   HttpRequest request;
   RequestParser parser(
     request, mState->mLimits.mMaxHeaderBytes, mState->mLimits.mMaxBodyBytes);
-  if (!Receive(parser)) {
+  mPartial = &request;
+  const bool received = Receive(parser);
+  mPartial = nullptr;
+  if (!received) {
     return false;
   }
+  mPhase = Phase::InProgress;
   Count(mThread.mRequests);
   if (mRefuse) {
     Reject(kUnavailable);
@@ -164,6 +257,7 @@
   if (response.mStatus == kCloseWithoutAnswer) {
     return false;
   }
+  SetMessageBytes(MemoryOf(request) + MemoryOf(response));
   const bool keepAlive = parser.keep_alive() && parser.IsHttp11() && !Ending();
   if (!Answer(request, response, keepAlive)) {
     return false;
@@ -177,18 +271,18 @@
 
 bool ServerConnection::AwaitFirstByte()
 {
-  const TimePoint idleEnd = Deadline();
+  const TimePoint idleEnd = Enter(Phase::Idle);
   while (mConnection.Buffered().empty()) {
     const TimePoint end = mState->mDraining.load()
                             ? std::min(idleEnd, mState->DrainEnd())
                             : idleEnd;
-    mIdle = true;
+    mConnection.ReleaseBuffer();
+    SetMessageBytes(0);
     const ErrorCode error =
       mConnection.Read(end, mState->mLimits.mMaxHeaderBytes);
-    mIdle = false;
     // OnDrain() also aborts a wait that already uses the drain deadline.
     const bool drains = error == boost::asio::error::operation_aborted &&
-                        !mState->mClosing.load();
+                        !mState->mClosing.load() && !mEvicted;
     if (error && !drains) {
       return false;
     }
@@ -198,20 +292,26 @@
 
 bool ServerConnection::Receive(RequestParser& aParser)
 {
-  const TimePoint deadline = Deadline();
+  const TimePoint deadline = Enter(Phase::Receiving);
   MessageReader reader(mConnection, mState->mLimits.mMaxHeaderBytes);
   bool continued = false;
   for (;;) {
     ErrorCode error = reader.Parse(aParser);
+    if (!error && !Reserve(mConnection.BufferBytes() + MemoryOf(*mPartial))) {
+      error = boost::asio::error::no_memory;
+    }
     if (!error && aParser.is_done()) {
       break;
     }
-    if (!error && !AnswerContinue(aParser, continued)) {
+    if (!error && !AnswerContinue(aParser, deadline, continued)) {
       return false;
     }
     if (!error) {
       error = reader.Read(deadline);
     }
+    if (mEvicted) {
+      error = boost::asio::error::no_memory;
+    }
     if (error) {
       if (const unsigned status = StatusOf(error); status != 0) {
         Reject(status);
@@ -227,6 +327,7 @@
 }
 
 bool ServerConnection::AnswerContinue(const RequestParser& aParser,
+                                      TimePoint aDeadline,
                                       bool& aAnswered)
 {
   if (aAnswered || !aParser.is_header_done() || !aParser.ExpectsContinue()) {
@@ -235,7 +336,7 @@
   aAnswered = true;
   std::size_t written = 0;
   return !mConnection.Write(
-    "HTTP/1.1 100 Continue\r\n\r\n", {}, Deadline(), written);
+    "HTTP/1.1 100 Continue\r\n\r\n", {}, aDeadline, written);
 }
 
 HttpResponse ServerConnection::CallHandler(HttpRequest& aRequest)
@@ -268,7 +369,7 @@
     head.append(std::exchange(body, {}));
   }
   std::size_t written = 0;
-  return !mConnection.Write(head, body, Deadline(), written);
+  return !mConnection.Write(head, body, Enter(Phase::Responding), written);
 }
 
 void ServerConnection::RunStream(HttpRequest& aRequest)
@@ -279,9 +380,10 @@
   head.clear();
   AppendHead(head, response, BodyFraming::Chunked, false);
   std::size_t written = 0;
-  if (mConnection.Write(head, {}, Deadline(), written)) {
+  if (mConnection.Write(head, {}, Enter(Phase::Responding), written)) {
     return;
   }
+  mPhase = Phase::InProgress;
   HttpStreamWriter writer(
     mConnection, mState->mLimits.mIdleTimeout, [this] { return Ending(); });
   try {
@@ -293,12 +395,13 @@
     Count(mThread.mHandlerFailures);
     return;
   }
-  mConnection.Write("0\r\n\r\n", {}, Deadline(), written);
+  mConnection.Write("0\r\n\r\n", {}, Enter(Phase::Responding), written);
   LingeringClose();
 }
 
 void ServerConnection::Reject(unsigned aStatus)
 {
+  ReleaseMessage();
   HttpResponse response = ErrorResponse(aStatus, Verdict::NotRun);
   if (aStatus == kUnavailable) {
     response.mHeaders.Append("Retry-After", "1");
@@ -314,7 +417,7 @@
 {
   ErrorCode error;
   mConnection.Socket().shutdown(TcpSocket::shutdown_send, error);
-  const TimePoint end = std::chrono::steady_clock::now() + kDiscardTimeout;
+  const TimePoint end = Enter(Phase::Closing);
   std::size_t discarded = 0;
   while (!error && discarded < kMaxDiscardedBytes && !mState->mClosing.load()) {
     discarded += mConnection.Buffered().size();
--- a/src/net/detail/ServerConnection.h
+++ b/src/net/detail/ServerConnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -35,10 +37,23 @@
 private:
   using TimePoint = Connection::TimePoint;
 
+  /// In the order in which connections are evicted, except that one in
+  /// progress never is.
+  enum class Phase : std::uint8_t
+  {
+    Closing,    ///< Discards input after the last response.
+    Idle,       ///< Waits for a request.
+    Receiving,  ///< Has a part of a request.
+    Responding, ///< Waits until the peer reads the response.
+    InProgress, ///< The handler has the request.
+  };
+
   bool ServeOne();
   bool AwaitFirstByte();
   bool Receive(RequestParser& aParser);
-  bool AnswerContinue(const RequestParser& aParser, bool& aAnswered);
+  bool AnswerContinue(const RequestParser& aParser,
+                      TimePoint aDeadline,
+                      bool& aAnswered);
   HttpResponse CallHandler(HttpRequest& aRequest);
   bool Answer(const HttpRequest& aRequest,
               const HttpResponse& aResponse,
@@ -47,13 +62,32 @@
   void Reject(unsigned aStatus);
   void LingeringClose();
   bool Ending() const;
-  TimePoint Deadline() const;
+  /// Enters the phase and returns its deadline.
+  TimePoint Enter(Phase aPhase);
+  /// Sets the memory that the messages of this connection take.
+  void SetMessageBytes(std::size_t aBytes);
+  /// As SetMessageBytes(), then evicts connections of this thread while all
+  /// messages exceed their limit. Returns false if this one would be next.
+  bool Reserve(std::size_t aBytes);
+  /// True if this connection is to be evicted before the other one.
+  bool GoesBefore(const ServerConnection& aOther) const;
+  /// The connection of this thread that is evicted first for memory; null if
+  /// none frees any.
+  ServerConnection* NextVictim() const;
+  /// Frees the memory of this connection at once and ends its wait.
+  void Evict();
+  /// Frees the buffer, and the request if it is incomplete.
+  void ReleaseMessage();
 
   std::shared_ptr<ServerState> mState;
   ServerThread& mThread;
   Connection mConnection;
   bool mRefuse;
-  bool mIdle = false;
+  Phase mPhase = Phase::Idle;
+  TimePoint mPhaseBegin;
+  HttpRequest* mPartial = nullptr; ///< While Receiving.
+  std::size_t mMessageBytes = 0;
+  bool mEvicted = false;
 };
 
 } // namespace foxtailbarrow::net::detail
--- a/src/net/detail/ServerState.h
+++ b/src/net/detail/ServerState.h
@@ -25,8 +25,11 @@
   std::atomic<std::size_t> mInProgress{ 0 };
   std::atomic<std::uint64_t> mRequests{ 0 };
   std::atomic<std::uint64_t> mRejected{ 0 };
+  std::atomic<std::uint64_t> mEvictedForMemory{ 0 };
   std::atomic<std::uint64_t> mHandlerFailures{ 0 };
-  absl::flat_hash_set<ServerConnection*> mOpen; ///< Confined to this thread.
+  // The rest is confined to this thread.
+  absl::flat_hash_set<ServerConnection*> mOpen;
+  std::size_t mMessageBytes = 0; ///< Memory of all connections' messages.
 };
 
 /// State that the connections of one server share. Immutable after the start
@@ -48,6 +51,11 @@
   std::atomic<bool> mClosing{ false };
   std::atomic<TimePoint::rep> mDrainEnd{ 0 };
 
+  std::size_t MaxMessageBytesOfThread() const
+  {
+    return mLimits.mMaxMessageBytes / mThreads.size();
+  }
+
   TimePoint DrainEnd() const
   {
     return TimePoint(TimePoint::duration(mDrainEnd.load()));
--- a/tests/clients/CrowdTest.cpp
+++ b/tests/clients/CrowdTest.cpp
@@ -222,6 +222,7 @@
   EXPECT_TRUE(Serves()) << "after the crowd";
   EXPECT_EQ(Id(), process) << "the process has ended";
   EXPECT_LE(PeakMemory(process), MemoryBound(Port().mProcess));
+  RecordProperty("PeakMemory", std::to_string(PeakMemory(process)));
 }
 
 INSTANTIATE_TEST_SUITE_P(Callers,
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -263,6 +263,85 @@
   EXPECT_NE(std::string::npos, answer.find("not-run")) << answer;
 }
 
+/// Connections go to the two threads in turn, each with half of the memory.
+constexpr std::size_t kMessageBytesOfThread = 64UL * 1024;
+constexpr std::size_t kHalfOfThread = 30'000;
+
+HttpServerLimits LittleMemory()
+{
+  HttpServerLimits limits;
+  limits.mMaxMessageBytes = 2 * kMessageBytesOfThread;
+  return limits;
+}
+
+std::string IncompletePost()
+{
+  return kPost + "Content-Length: " + std::to_string(kHalfOfThread) +
+         "\r\n\r\n" + std::string(kHalfOfThread - 1, 'x');
+}
+
+TEST_F(HttpServerTest, EvictsTheOldestIncompleteRequestForMemory)
+{
+  const Endpoint endpoint = StartServer(Echo, LittleMemory());
+  const RawSocket oldest(endpoint);
+  const RawSocket otherThread(endpoint);
+  oldest.Send(IncompletePost());
+  ASSERT_TRUE(
+    Eventually([this] { return mServer->RequestsInProgress() == 1; }));
+  const RawSocket newer(endpoint);
+  newer.Send(IncompletePost());
+  const std::string answer = oldest.ReadAll();
+  EXPECT_EQ("HTTP/1.1 503", answer.substr(0, 12)) << answer;
+  EXPECT_NE(std::string::npos, answer.find("Retry-After: 1")) << answer;
+  EXPECT_NE(std::string::npos, answer.find("not-run")) << answer;
+  newer.Send("x");
+  EXPECT_EQ("HTTP/1.1 200", newer.ReadUntil("x").substr(0, 12));
+  EXPECT_EQ(1U, mServer->Counters().mEvictedForMemory);
+}
+
+TEST_F(HttpServerTest, EvictsNoRequestInProgressForMemory)
+{
+  std::atomic<bool> release{ false };
+  const Endpoint endpoint = StartServer(
+    [&release](HttpRequest&) {
+      while (!release.load()) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+      }
+      return HttpResponse();
+    },
+    LittleMemory());
+  const RawSocket busy(endpoint);
+  const RawSocket otherThread(endpoint);
+  busy.Send(IncompletePost() + "x");
+  ASSERT_TRUE(
+    Eventually([this] { return mServer->Counters().mRequests == 1; }));
+  const RawSocket second(endpoint);
+  second.Send(IncompletePost() + "x");
+  EXPECT_EQ("HTTP/1.1 503", second.ReadAll().substr(0, 12));
+  release.store(true);
+  EXPECT_EQ("HTTP/1.1 200", busy.ReadUntil("\r\n\r\n").substr(0, 12));
+}
+
+TEST_F(HttpServerTest, CountsHeadersAsMemory)
+{
+  const Endpoint endpoint = StartServer(Echo, LittleMemory());
+  std::string manyHeaders = kPost;
+  while (manyHeaders.size() < 8000) {
+    manyHeaders += "A:\r\n";
+  }
+  const RawSocket socket(endpoint);
+  socket.Send(manyHeaders + "Content-Length: 1\r\n\r\n");
+  EXPECT_EQ("HTTP/1.1 503", socket.ReadAll().substr(0, 12));
+}
+
+TEST_F(HttpServerTest, LimitsABodyToHalfOfAThreadsMemory)
+{
+  const Endpoint endpoint = StartServer(Echo, LittleMemory());
+  const RawSocket socket(endpoint);
+  socket.Send(kPost + "Content-Length: 32769\r\n\r\n");
+  EXPECT_EQ("HTTP/1.1 413", socket.ReadAll().substr(0, 12));
+}
+
 TEST_F(HttpServerTest, DropsHeadersWithLineBreaks)
 {
   const RawSocket socket(StartServer([](HttpRequest&) {
