Bound the values of a JSON text before it is parsed

Callers would see: a scheduler that ends for lack of memory over one body within every limit. A body of 1 MiB of "[]," takes over 50 MiB once parsed.

Cause: the text was bounded by bytes and depth, and each value takes a node of over a hundred bytes.

--- a/apps/replay/StandInAudit.cpp
+++ b/apps/replay/StandInAudit.cpp
@@ -16,7 +16,9 @@
 constexpr char kCountsTarget[] = "/standin/counts";
 constexpr Duration kCallTimeout = std::chrono::seconds(10);
 constexpr unsigned kOk = 200;
-constexpr JsonLimits kLimits{ std::size_t{ 64 } * 1024 * 1024 };
+constexpr std::size_t kMaxAuditBytes = std::size_t{ 64 } * 1024 * 1024;
+constexpr JsonLimits kLimits{ .mMaxBytes = kMaxAuditBytes,
+                              .mMaxValues = kMaxAuditBytes };
 
 absl::StatusOr<Json::Value> Query(net::HttpClient& aClient,
                                   const Endpoint& aStandIn,
--- a/src/core/message/Json.cpp
+++ b/src/core/message/Json.cpp
@@ -7,6 +7,8 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include "src/core/message/JsonShape.h"
+
 namespace foxtailbarrow {
 
 namespace {
@@ -71,6 +73,13 @@
                       " bytes, allowed at most " +
                       std::to_string(aLimits.mMaxBytes));
   }
+  const std::size_t values =
+    ShapeOfJson(aText.data(), aText.data() + aText.size()).mValues;
+  if (values > aLimits.mMaxValues) {
+    return ParseError("found " + std::to_string(values) +
+                      " values, allowed at most " +
+                      std::to_string(aLimits.mMaxValues));
+  }
   if (!IsUtf8(aText)) {
     return ParseError("found bytes that are not UTF-8");
   }
--- a/src/core/message/Json.h
+++ b/src/core/message/Json.h
@@ -10,12 +10,15 @@
 namespace foxtailbarrow {
 
 inline constexpr int kDefaultMaxDepth = 32;
+inline constexpr std::size_t kDefaultMaxValues = std::size_t{ 512 } * 1024;
 
 /// Bounds of a JSON text that ParseJson() accepts.
 struct JsonLimits
 {
   std::size_t mMaxBytes = std::size_t{ 4 } * 1024 * 1024;
   int mMaxDepth = kDefaultMaxDepth; ///< Nested arrays and objects.
+  /// Bounds the memory that parsing takes; see JsonShape.
+  std::size_t mMaxValues = kDefaultMaxValues;
 };
 
 /// Reads one JSON object or array. Strict: no trailing text, no duplicate keys,
--- a/src/net/RpcDispatcher.cpp
+++ b/src/net/RpcDispatcher.cpp
@@ -35,7 +35,7 @@
 
 constexpr char kUnsafeTextError[] =
   R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,)"
-  R"("message":"nested too deeply",)"
+  R"("message":"nested too deeply, or too many values",)"
   R"("data":{"code":3,"verdict":"not-run"}}})";
 
 } // namespace
--- a/src/net/rpcshim/RpcShim.h
+++ b/src/net/rpcshim/RpcShim.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <exception>
 #include <functional>
 #include <memory>
@@ -55,10 +56,15 @@
 /// system are nested far less.
 constexpr int kMaxNesting = 64;
 
-/// True if `aText` is nested deeper than kMaxNesting or contains a comment,
-/// which is not valid JSON. Must be checked before libjsonrpccpp parses a text:
-/// jsoncpp recurses and throws above 1,000 levels, which terminates the process
-/// in libjsonrpccpp's client.
+/// Most values of a JSON text that either side accepts, which bounds the memory
+/// that parsing it takes. The messages of the system, limited to 1 MiB, have
+/// fewer.
+constexpr std::size_t kMaxValues = 131072;
+
+/// True if `aText` is nested deeper than kMaxNesting, has more than kMaxValues
+/// values or contains a comment, which is not valid JSON. Must be checked
+/// before libjsonrpccpp parses a text: jsoncpp recurses and throws above 1,000
+/// levels, which terminates the process in libjsonrpccpp's client.
 bool IsUnsafeToParse(const std::string& aText);
 
 /// Server side: parses, validates and encodes with libjsonrpccpp.
--- a/tests/clients/CrowdTest.cpp
+++ b/tests/clients/CrowdTest.cpp
@@ -126,6 +126,35 @@
   return { LengthHead(begin.size() + bytes) + begin, value, bytes };
 }
 
+/// The values in a message that reaches the parser of jobs, or of calls.
+CrowdInput ManyValuesFor(const std::string& aTarget,
+                         const std::string& aHost,
+                         const std::string& aBegin)
+{
+  const std::string value = "[],";
+  const std::size_t count = (kLargestBody - aBegin.size()) / value.size();
+  const std::size_t bytes = count * value.size();
+  return { "POST " + aTarget + " HTTP/1.1\r\nHost: " + aHost +
+             "\r\nContent-Length: " + std::to_string(aBegin.size() + bytes) +
+             "\r\n\r\n" + aBegin,
+           value,
+           bytes };
+}
+
+const InputCase kManyValuesOfAJob{
+  "ManyValuesOfAJob",
+  ManyValuesFor(
+    "/jobs/00000000000000bb",
+    ToString(SystemProcesses::At(Process::Scheduler, Ports::kCallerPort)),
+    R"({"Steps":[)")
+};
+const InputCase kManyValuesOfACall{
+  "ManyValuesOfACall",
+  ManyValuesFor("/rpc",
+                "any",
+                R"({"jsonrpc":"2.0","id":1,"method":"a","params":{"a":[)")
+};
+
 struct CrowdCase
 {
   TestedPort mPort;
@@ -154,6 +183,7 @@
     InputCase{ "AnnouncedTooLarge",
                { LengthHead(1024 * kMegabyte), "a", kEndless } },
     InputCase{ "ManyValues", ManyValues() },
+    kManyValuesOfAJob,
   };
   std::vector<CrowdCase> cases;
   for (const InputCase& input : inputs) {
@@ -168,6 +198,7 @@
   for (const TestedPort& port : kOtherPorts) {
     cases.push_back({ port, kEndlessTrailers });
     cases.push_back({ port, kUnfinishedBodies });
+    cases.push_back({ port, kManyValuesOfACall });
   }
   return cases;
 }
--- a/tests/message/BadInputTest.cpp
+++ b/tests/message/BadInputTest.cpp
@@ -123,7 +123,7 @@
 
 TEST_P(BadJson, IsRefused)
 {
-  const auto result = ParseJson(GetParam().mText, { 100, 8 });
+  const auto result = ParseJson(GetParam().mText, { 100, 8, 20 });
   ASSERT_FALSE(result.ok());
   EXPECT_THAT(std::string(result.status().message()),
               HasSubstr(GetParam().mError));
@@ -143,7 +143,17 @@
                   BadText{ "{\"a\":\"\xff\"}", "not UTF-8" },
                   BadText{ std::string(9, '[') + std::string(9, ']'),
                            "Allowed depth: 8" },
+                  BadText{ "[[],[],[],[],[],[],[],[],[],[]]",
+                           "found 21 values, allowed at most 20" },
+                  BadText{ R"({"a":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,)"
+                           R"(18,19]})",
+                           "found 21 values, allowed at most 20" },
                   BadText{ std::string(101, ' '), "allowed at most 100" }));
 
+TEST(JsonShape, CountsNothingInsideStrings)
+{
+  EXPECT_TRUE(ParseJson(R"(["a,,[{[{\",,,\\",2])", { 100, 8, 4 }).ok());
+}
+
 } // namespace
 } // namespace foxtailbarrow
--- a/tests/net/RpcTest.cpp
+++ b/tests/net/RpcTest.cpp
@@ -148,6 +148,16 @@
   return aAnswer.isArray() ? aAnswer[0]["error"] : aAnswer["error"];
 }
 
+/// Small values, over a hundred times as large in memory.
+std::string ManyValues(std::size_t aCount)
+{
+  std::string text = "[0";
+  for (std::size_t i = 1; i < aCount; ++i) {
+    text += ",0";
+  }
+  return text + "]";
+}
+
 class RpcTextTest
   : public RpcTest
   , public testing::WithParamInterface<TextCase>
@@ -173,6 +183,7 @@
   Table,
   RpcTextTest,
   testing::Values(
+    TextCase{ kEchoCall + ManyValues(rpcshim::kMaxValues) + "}", -32700 },
     TextCase{ "", -32700 },
     TextCase{ "{", -32700 },
     TextCase{ "no json", -32700 },
--- a/tests/platform/JobApiTest.cpp
+++ b/tests/platform/JobApiTest.cpp
@@ -85,6 +85,47 @@
 class JobApiTargets : public testing::TestWithParam<TargetCase>
 {};
 
+/// The largest number of steps, each with every field and all dependencies.
+std::string LargestJob()
+{
+  std::string steps;
+  std::string after;
+  for (std::size_t i = 0; i < cell::kMaxSteps; ++i) {
+    steps += (i == 0 ? "{" : ",{");
+    steps += R"("Replicas":4,"Cpu":500,"MemMb":256,"Gpu":1,"EstimateMs":900,)"
+             R"("Affinity":"r","Requires":"a","MaxPerServer":2,"Image":"b",)"
+             R"("Speculative":true,"Checkpoint":true,"Fills":true,)"
+             R"("Daemon":true,"TargetMs":18,"MayMiss":1,"Gang":true,)"
+             R"("SameRack":true,"After":[)" +
+             after + "]}";
+    after += (i == 0 ? "" : ",") + std::to_string(i);
+  }
+  return R"({"Spec":")" + std::string(cell::kMaxPayloadBytes, ',') +
+         R"(","Steps":[)" + steps + "]}";
+}
+
+TEST(JobApi, ParsesTheLargestJob)
+{
+  const auto request =
+    ParseJobRequest(Request("POST", std::string("/queue/") + kId, LargestJob()),
+                    Configuration());
+  ASSERT_TRUE(request.ok()) << request.status();
+}
+
+TEST(JobApi, RefusesMoreValuesThanAJobHas)
+{
+  std::string body = R"({"Steps":[)";
+  while (body.size() < 99'000) {
+    body += "[],";
+  }
+  const auto request = ParseJobRequest(
+    Request("POST", std::string("/queue/") + kId, body + "[]]}"),
+    Configuration());
+  EXPECT_TRUE(absl::IsInvalidArgument(request.status()));
+  EXPECT_NE(std::string::npos, request.status().message().find("values"))
+    << request.status();
+}
+
 TEST_P(JobApiTargets, SelectTheKindOfRequest)
 {
   const auto request = ParseJobRequest(
