Leave descriptors for others, and close idle connections for new ones

Callers saw: requests beside a crowd of silent connections that are not answered, as the process has no descriptor left.

Cause: each listener took up to 10,000 connections whatever the process may open, and kept each for 60 s without a request.

Change: a server's connections are limited by its share of the descriptors that are not kept for files; a third or more is left for calls to others. At its limit it closes the connection that matters least for the new one: closing, oldest idle, oldest incomplete. One with a request in progress is never closed; if there is no other, the new one gets 503, as before.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -19,7 +19,8 @@
 /// answer from any entry.
 constexpr Duration kNoEntryTimeout = std::chrono::seconds(5);
 
-constexpr net::ServerShare kOnlyServer{ .mMemoryPercent = 100 };
+constexpr net::ServerShare kOnlyServer{ .mMemoryPercent = 100,
+                                        .mSocketPercent = 45 };
 
 /// Wall-clock time, since a later start must have a greater incarnation.
 Incarnation IncarnationNow()
@@ -93,8 +94,8 @@
                                                     net::FiberRuntime& aRuntime)
 {
   std::unique_ptr<Agent> agent(new Agent(std::move(aSettings), aRuntime));
-  const auto budget =
-    net::ConnectionBudget::ForMemory(agent->mSettings.mMemoryMb);
+  const auto budget = net::ConnectionBudget::OfProcess(
+    agent->mSettings.mMemoryMb, agent->mSettings.mMaxDescriptors);
   auto server = net::HttpServer::Start(
     aRuntime,
     agent->mSettings.mListen,
--- a/apps/agent/AgentSettings.cpp
+++ b/apps/agent/AgentSettings.cpp
@@ -67,6 +67,10 @@
                      aValues.mMemoryMb,
                      { 32, 1'000'000 },
                      "Memory available to it, in MB");
+  aSettings.AddCount("--max-descriptors",
+                     aValues.mMaxDescriptors,
+                     { 0, 1'000'000 },
+                     "Descriptors that it may open; 0 = as the system allows");
   aSettings.AddCount("--shards",
                      aValues.mShards,
                      { 1, 65'536 },
--- a/apps/agent/AgentSettings.h
+++ b/apps/agent/AgentSettings.h
@@ -38,6 +38,8 @@
   Duration mBackendProbe = std::chrono::milliseconds(500);
   ShardId mShards = 64; ///< Of the job space; the same in every process.
   int mMemoryMb = 128;  ///< Of this process. Bounds its connections.
+  /// That this process may open; 0 = as many as the system allows it.
+  int mMaxDescriptors = 0;
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -30,8 +30,10 @@
 /// then wait until this entry's tenure expires.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(5);
 
-constexpr net::ServerShare kCallerShare{ .mMemoryPercent = 60 };
-constexpr net::ServerShare kControlShare{ .mMemoryPercent = 40 };
+constexpr net::ServerShare kCallerShare{ .mMemoryPercent = 60,
+                                         .mSocketPercent = 40 };
+constexpr net::ServerShare kControlShare{ .mMemoryPercent = 40,
+                                          .mSocketPercent = 20 };
 
 Incarnation IncarnationNow()
 {
@@ -84,7 +86,8 @@
 
 absl::Status EntryProcess::Start()
 {
-  const auto budget = net::ConnectionBudget::ForMemory(mSettings.mMemoryMb);
+  const auto budget = net::ConnectionBudget::OfProcess(
+    mSettings.mMemoryMb, mSettings.mMaxDescriptors);
   auto control = net::HttpServer::Start(
     mControlRuntime,
     mSettings.mControl,
--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -65,6 +65,10 @@
                     aSettings.mMemoryMb,
                     { 32, 1'000'000 },
                     "memory available to it, in MB");
+  settings.AddCount("--max-descriptors",
+                    aSettings.mMaxDescriptors,
+                    { 0, 1'000'000 },
+                    "descriptors that it may open; 0 = as the system allows");
   settings.AddLogLevel(aSettings.mLogLevel);
   return settings.Parse(aCount, aArguments);
 }
--- a/apps/entry/EntrySettings.h
+++ b/apps/entry/EntrySettings.h
@@ -28,6 +28,8 @@
   Duration mEndedRetention = std::chrono::hours(24); ///< Of job records.
   Duration mDrainTimeout = std::chrono::seconds(30);
   int mMemoryMb = 256; ///< Of this process. Bounds its connections.
+  /// That this process may open; 0 = as many as the system allows it.
+  int mMaxDescriptors = 0;
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -34,10 +34,14 @@
 constexpr Duration kLeaseReserve = std::chrono::milliseconds(400);
 
 /// Shares of the servers; two have pages only.
-constexpr net::ServerShare kCallerShare{ .mMemoryPercent = 30 };
-constexpr net::ServerShare kPeerShare{ .mMemoryPercent = 38 };
-constexpr net::ServerShare kControlShare{ .mMemoryPercent = 26 };
-constexpr net::ServerShare kPageShare{ .mMemoryPercent = 3 };
+constexpr net::ServerShare kCallerShare{ .mMemoryPercent = 30,
+                                         .mSocketPercent = 20 };
+constexpr net::ServerShare kPeerShare{ .mMemoryPercent = 38,
+                                       .mSocketPercent = 30 };
+constexpr net::ServerShare kControlShare{ .mMemoryPercent = 26,
+                                          .mSocketPercent = 15 };
+constexpr net::ServerShare kPageShare{ .mMemoryPercent = 3,
+                                       .mSocketPercent = 1 };
 
 const JobRefused kNoAdvisor{
   RefusalCause::Unsupported,
@@ -186,7 +190,8 @@
   if (aEndpoint.mPort == 0) {
     return absl::OkStatus();
   }
-  const auto budget = net::ConnectionBudget::ForMemory(mSettings.mMemoryMb);
+  const auto budget = net::ConnectionBudget::OfProcess(
+    mSettings.mMemoryMb, mSettings.mMaxDescriptors);
   auto server = net::HttpServer::Start(
     mRuntime, aEndpoint, std::move(aHandler), LimitsFor(budget, aShare));
   if (!server.ok()) {
--- a/apps/scheduler/SchedulerSettings.cpp
+++ b/apps/scheduler/SchedulerSettings.cpp
@@ -84,6 +84,10 @@
                     aSettings.mMemoryMb,
                     { 64, 1'000'000 },
                     "Memory available to it, in MB");
+  settings.AddCount("--max-descriptors",
+                    aSettings.mMaxDescriptors,
+                    { 0, 1'000'000 },
+                    "Descriptors that it may open; 0 = as the system allows");
   settings.AddLogLevel(aSettings.mLogLevel);
   const auto exitCode = settings.Parse(argc, argv);
   if (aSettings.mAdvertised.mPort == 0) {
--- a/apps/scheduler/SchedulerSettings.h
+++ b/apps/scheduler/SchedulerSettings.h
@@ -28,6 +28,8 @@
   double mProcessorShare = 1.0;
   /// Memory of this process. Bounds the jobs that the cell accepts.
   int mMemoryMb = 256;
+  /// That this process may open; 0 = as many as the system allows it.
+  int mMaxDescriptors = 0;
   /// Longest lease that a worker of this platform accepts.
   Duration mMaxWorkerLease = std::chrono::milliseconds(6000);
   /// Longest time that a worker of this platform takes to stop a task.
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -22,9 +22,12 @@
 /// for longer, an earlier incarnation sent it.
 constexpr Duration kMaxDeparture = std::chrono::seconds(3);
 
-constexpr net::ServerShare kOwnerShare{ .mMemoryPercent = 50 };
-constexpr net::ServerShare kWorkerShare{ .mMemoryPercent = 45 };
-constexpr net::ServerShare kPageShare{ .mMemoryPercent = 5 };
+constexpr net::ServerShare kOwnerShare{ .mMemoryPercent = 50,
+                                        .mSocketPercent = 40 };
+constexpr net::ServerShare kWorkerShare{ .mMemoryPercent = 45,
+                                         .mSocketPercent = 10 };
+constexpr net::ServerShare kPageShare{ .mMemoryPercent = 5,
+                                       .mSocketPercent = 5 };
 
 double Seconds(Duration aDuration)
 {
@@ -67,7 +70,8 @@
 {
   AddMethods();
   AddViews();
-  const auto budget = net::ConnectionBudget::ForMemory(mSettings.mMemoryMb);
+  const auto budget = net::ConnectionBudget::OfProcess(
+    mSettings.mMemoryMb, mSettings.mMaxDescriptors);
   const auto listen = [&](const Endpoint& aEndpoint,
                           const net::ServerShare& aShare,
                           net::HttpServer::Handler aHandler,
--- a/apps/taskagent/TaskAgentSettings.cpp
+++ b/apps/taskagent/TaskAgentSettings.cpp
@@ -34,6 +34,10 @@
                     aSettings.mMemoryMb,
                     { 32, 1'000'000 },
                     "Memory available to it, in MB");
+  settings.AddCount("--max-descriptors",
+                    aSettings.mMaxDescriptors,
+                    { 0, 1'000'000 },
+                    "Descriptors that it may open; 0 = as the system allows");
   settings.AddLogLevel(aSettings.mLogLevel);
   const auto exitCode = settings.Parse(argc, argv);
   if (aSettings.mAdvertised.mPort == 0) {
--- a/apps/taskagent/TaskAgentSettings.h
+++ b/apps/taskagent/TaskAgentSettings.h
@@ -22,6 +22,8 @@
   Endpoint mStore;
   std::vector<Endpoint> mSeeds; ///< Schedulers to ask for the owner.
   int mMemoryMb = 128;          ///< Of this process. Bounds its connections.
+  /// That this process may open; 0 = as many as the system allows it.
+  int mMaxDescriptors = 0;
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -20,9 +20,9 @@
 namespace {
 
 constexpr unsigned kAcceptorThread = 0;
-/// Above the connection limit, 1/kRefusedFraction of it more connections are
-/// answered with 503; any beyond that are closed at once.
-constexpr std::size_t kRefusedFraction = 10;
+/// Connections that may be accepted and not yet opened.
+constexpr std::size_t kMaxPending = 8;
+constexpr std::chrono::milliseconds kEvictionPoll(1);
 constexpr std::chrono::seconds kCloseTimeout(10);
 constexpr std::chrono::milliseconds kClosePollInterval(1);
 
@@ -60,24 +60,28 @@
   }
 
   void OnSocket(int aSocket)
+  {
+    AwaitEvictions();
+    mState->mConnections.fetch_add(1);
+    const unsigned thread = mNextThread++ % mRuntime.Threads();
+    mRuntime.SpawnOn(thread, [self = shared_from_this(), aSocket, thread] {
+      self->Serve(aSocket, thread);
+    });
+  }
+
+  /// Connections that were accepted are opened, and evicted ones end, only when
+  /// other fibers run.
+  void AwaitEvictions()
   {
     const std::size_t limit = mState->mLimits.mMaxConnections;
-    const std::size_t open = mState->mConnections.fetch_add(1) + 1;
-    const bool refuse = open > limit;
-    (refuse ? mState->mRefused : mState->mAccepted).fetch_add(1);
-    if (open > limit + limit / kRefusedFraction + 1) {
-      ::close(aSocket);
-      mState->mConnections.fetch_sub(1);
-      return;
+    const std::size_t most =
+      limit + 2 * ServerConnection::MaxRefused(limit) + kMaxPending;
+    while (mState->mConnections.load() >= most && !mState->mClosing.load()) {
+      boost::this_fiber::sleep_for(kEvictionPoll);
     }
-    const unsigned thread = mNextThread++ % mRuntime.Threads();
-    mRuntime.SpawnOn(thread,
-                     [self = shared_from_this(), aSocket, thread, refuse] {
-                       self->Serve(aSocket, thread, refuse);
-                     });
   }
 
-  void Serve(int aSocket, unsigned aThread, bool aRefuse)
+  void Serve(int aSocket, unsigned aThread)
   {
     detail::ErrorCode error;
     detail::TcpSocket socket(Io(aThread));
@@ -85,8 +89,10 @@
     if (error) {
       ::close(aSocket);
     } else {
-      ServerConnection connection(
-        mState, *mState->mThreads[aThread], std::move(socket), aRefuse);
+      ServerThread& thread = *mState->mThreads[aThread];
+      const bool refuse = !ServerConnection::MakeRoom(*mState, thread);
+      (refuse ? mState->mRefused : mState->mAccepted).fetch_add(1);
+      ServerConnection connection(mState, thread, std::move(socket), refuse);
       connection.Run();
     }
     mState->mConnections.fetch_sub(1);
@@ -199,6 +205,7 @@
   for (const auto& thread : mImpl->mState->mThreads) {
     sum.mRequests += thread->mRequests.load();
     sum.mRejected += thread->mRejected.load();
+    sum.mEvictedForConnections += thread->mEvictedForConnections.load();
     sum.mEvictedForMemory += thread->mEvictedForMemory.load();
     sum.mHandlerFailures += thread->mHandlerFailures.load();
   }
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -26,7 +26,10 @@
   /// Limit on each of: waiting for a request, receiving it completely, and
   /// writing the response.
   Duration mIdleTimeout = std::chrono::seconds(60);
-  std::size_t mMaxConnections = 10'000; ///< Above: 503.
+  /// Divided among the threads. Above: a connection without a request in
+  /// progress is closed for the new one; if there is none, the new one gets
+  /// 503. A tenth more connections are open for such responses.
+  std::size_t mMaxConnections = 10'000;
   /// Limit on the messages of all connections together, in bytes, divided
   /// among the threads: what is buffered, requests until they are answered, and
   /// responses. Above: the requests that have been incomplete for longest get
@@ -46,6 +49,8 @@
   std::uint64_t mRejected = 0; ///< Responses 400, 408, 413 and 431.
   /// Connections that were ended to free memory for messages.
   std::uint64_t mEvictedForMemory = 0;
+  /// Connections that were closed for new ones.
+  std::uint64_t mEvictedForConnections = 0;
   std::uint64_t mHandlerFailures = 0; ///< Exceptions, responded to with 500.
 };
 
--- a/src/net/detail/Connection.cpp
+++ b/src/net/detail/Connection.cpp
@@ -155,6 +155,12 @@
   }
 }
 
+void Connection::TryWrite(std::string_view aBytes)
+{
+  ErrorCode ignored;
+  SendSome(mSocket.native_handle(), aBytes, {}, ignored);
+}
+
 bool Connection::Stale()
 {
   char byte = 0;
--- a/src/net/detail/Connection.h
+++ b/src/net/detail/Connection.h
@@ -55,6 +55,9 @@
                   TimePoint aDeadline,
                   std::size_t& aWritten);
 
+  /// Writes what the kernel accepts at once. Allowed while another fiber waits.
+  void TryWrite(std::string_view aBytes);
+
   /// Buffer for message heads, reused to avoid allocations.
   std::string& Scratch() { return mScratch; }
 
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -57,6 +57,9 @@
   HttpResponse response;
   response.mStatus = aStatus;
   response.mHeaders.Append(kVerdictHeader, ToString(aVerdict));
+  if (aStatus == kUnavailable) {
+    response.mHeaders.Append("Retry-After", "1");
+  }
   return response;
 }
 
@@ -178,12 +181,12 @@
 {
   SetMessageBytes(aBytes);
   while (mThread.mMessageBytes > mState->MaxMessageBytesOfThread()) {
-    ServerConnection* const victim = NextVictim();
+    ServerConnection* const victim = NextVictim(mThread, Shortage::Memory);
     if (victim == nullptr || victim == this) {
       Count(mThread.mEvictedForMemory);
       return false;
     }
-    victim->Evict();
+    victim->Evict(Shortage::Memory);
   }
   return true;
 }
@@ -194,28 +197,92 @@
                                  : mPhaseBegin < aOther.mPhaseBegin;
 }
 
-ServerConnection* ServerConnection::NextVictim() const
+bool ServerConnection::IsEvictable(Shortage aShortage, TimePoint aNow) const
+{
+  if (mPhase == Phase::InProgress) {
+    return false;
+  }
+  if (mPhase == Phase::Responding && aNow - mPhaseBegin < kUnreadResponseTime) {
+    return false;
+  }
+  switch (aShortage) {
+    case Shortage::Memory:
+      return mMessageBytes > 0;
+    case Shortage::Connections:
+      return !mRefuse;
+    case Shortage::RefusedConnections:
+      return mRefuse;
+  }
+  return false;
+}
+
+ServerConnection* ServerConnection::NextVictim(const ServerThread& aThread,
+                                               Shortage aShortage)
 {
-  const TimePoint unreadSince =
-    std::chrono::steady_clock::now() - kUnreadResponseTime;
+  const TimePoint now = std::chrono::steady_clock::now();
   ServerConnection* victim = nullptr;
-  for (ServerConnection* other : mThread.mOpen) {
-    const bool evictable =
-      other->mMessageBytes > 0 && other->mPhase != Phase::InProgress &&
-      (other->mPhase != Phase::Responding || other->mPhaseBegin < unreadSince);
-    if (evictable && (victim == nullptr || other->GoesBefore(*victim))) {
+  for (ServerConnection* other : aThread.mOpen) {
+    if (other->IsEvictable(aShortage, now) &&
+        (victim == nullptr || other->GoesBefore(*victim))) {
       victim = other;
     }
   }
   return victim;
 }
 
-void ServerConnection::Evict()
+void ServerConnection::Evict(Shortage aShortage)
 {
-  Count(mThread.mEvictedForMemory);
   mEvicted = true;
+  if (aShortage == Shortage::Memory) {
+    Count(mThread.mEvictedForMemory);
+    ReleaseMessage();
+    mConnection.Cancel();
+  } else {
+    Count(mThread.mEvictedForConnections);
+    CloseNow();
+  }
+}
+
+void ServerConnection::CloseNow()
+{
+  if (mPhase == Phase::Receiving) {
+    std::string head;
+    AppendHead(head,
+               ErrorResponse(kUnavailable, Verdict::NotRun),
+               BodyFraming::ContentLength,
+               false);
+    mConnection.TryWrite(head);
+  }
   ReleaseMessage();
-  mConnection.Cancel();
+  mThread.mOpen.erase(this);
+  ErrorCode ignored;
+  mConnection.Socket().close(ignored);
+}
+
+std::size_t ServerConnection::MaxRefused(std::size_t aLimit)
+{
+  constexpr std::size_t kFraction = 10;
+  return aLimit / kFraction + 1;
+}
+
+bool ServerConnection::MakeRoom(const ServerState& aState,
+                                ServerThread& aThread)
+{
+  const std::size_t limit = aState.MaxConnectionsOfThread();
+  if (aThread.mOpen.size() < limit) {
+    return true;
+  }
+  if (ServerConnection* victim = NextVictim(aThread, Shortage::Connections)) {
+    victim->Evict(Shortage::Connections);
+    return true;
+  }
+  if (aThread.mOpen.size() >= limit + MaxRefused(limit)) {
+    if (ServerConnection* refused =
+          NextVictim(aThread, Shortage::RefusedConnections)) {
+      refused->Evict(Shortage::RefusedConnections);
+    }
+  }
+  return false;
 }
 
 void ServerConnection::ReleaseMessage()
@@ -402,10 +469,8 @@
 void ServerConnection::Reject(unsigned aStatus)
 {
   ReleaseMessage();
-  HttpResponse response = ErrorResponse(aStatus, Verdict::NotRun);
-  if (aStatus == kUnavailable) {
-    response.mHeaders.Append("Retry-After", "1");
-  } else {
+  const HttpResponse response = ErrorResponse(aStatus, Verdict::NotRun);
+  if (aStatus != kUnavailable) {
     Count(mThread.mRejected);
   }
   if (Answer(HttpRequest(), response, false)) {
--- a/src/net/detail/ServerConnection.h
+++ b/src/net/detail/ServerConnection.h
@@ -29,6 +29,12 @@
 
   void Run();
 
+  /// Evicts a connection if the thread has as many as it may. Returns false if
+  /// each has a request in progress, so that a new one must be refused.
+  static bool MakeRoom(const ServerState& aState, ServerThread& aThread);
+  /// Connections above a limit that may be open to be refused.
+  static std::size_t MaxRefused(std::size_t aLimit);
+
   /// The server drains: an idle connection adopts the drain deadline.
   void OnDrain();
   /// The server stops: waits end, and further reads and writes fail.
@@ -48,6 +54,14 @@
     InProgress, ///< The handler has the request.
   };
 
+  /// What an eviction is to free.
+  enum class Shortage
+  {
+    Memory,
+    Connections,
+    RefusedConnections,
+  };
+
   bool ServeOne();
   bool AwaitFirstByte();
   bool Receive(RequestParser& aParser);
@@ -71,11 +85,15 @@
   bool Reserve(std::size_t aBytes);
   /// True if this connection is to be evicted before the other one.
   bool GoesBefore(const ServerConnection& aOther) const;
-  /// The connection of this thread that is evicted first for memory; null if
-  /// none frees any.
-  ServerConnection* NextVictim() const;
-  /// Frees the memory of this connection at once and ends its wait.
-  void Evict();
+  /// The connection of the thread that is evicted first; null if none frees
+  /// what is short.
+  static ServerConnection* NextVictim(const ServerThread& aThread,
+                                      Shortage aShortage);
+  bool IsEvictable(Shortage aShortage, TimePoint aNow) const;
+  /// Ends the wait of this connection. Frees its memory at once, or for a
+  /// shortage of connections its socket, too.
+  void Evict(Shortage aShortage);
+  void CloseNow();
   /// Frees the buffer, and the request if it is incomplete.
   void ReleaseMessage();
 
--- a/src/net/detail/ServerState.h
+++ b/src/net/detail/ServerState.h
@@ -26,6 +26,7 @@
   std::atomic<std::uint64_t> mRequests{ 0 };
   std::atomic<std::uint64_t> mRejected{ 0 };
   std::atomic<std::uint64_t> mEvictedForMemory{ 0 };
+  std::atomic<std::uint64_t> mEvictedForConnections{ 0 };
   std::atomic<std::uint64_t> mHandlerFailures{ 0 };
   // The rest is confined to this thread.
   absl::flat_hash_set<ServerConnection*> mOpen;
@@ -51,6 +52,11 @@
   std::atomic<bool> mClosing{ false };
   std::atomic<TimePoint::rep> mDrainEnd{ 0 };
 
+  std::size_t MaxConnectionsOfThread() const
+  {
+    return (mLimits.mMaxConnections + mThreads.size() - 1) / mThreads.size();
+  }
+
   std::size_t MaxMessageBytesOfThread() const
   {
     return mLimits.mMaxMessageBytes / mThreads.size();
