Apply the operator's limits to callers' requests

Callers saw: a body above MaxBodyBytes that is taken in as a whole, after a "100 Continue", and then refused with 400; a request within larger limits of the operator that is refused by our own; a header without end that holds its connection for 60 s whatever HeaderTimeoutMs says.

Cause: of the four limits in the configuration only MaxBodyBytes was read, and compared after the body had been received.

Change: all four go to the callers' server when a configuration comes into force, within what memory allows. The reader hands the parser at most a header's length at a time, so that trailers are bounded however they arrive: with a first read larger than the limit they were accepted whole.

A row of CrowdMemoryTest with pipelined requests passed before, too.

--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -57,6 +57,27 @@
   return response;
 }
 
+/// The operator's limits, or the default ones.
+net::HttpRequestLimits RequestLimitsOf(const CellConfiguration& aConfiguration)
+{
+  // The operator's limit may be meant without the request line.
+  constexpr std::size_t kRequestLineBytes = 4096;
+  net::HttpRequestLimits limits;
+  if (aConfiguration.mMaxHeaderBytes > 0) {
+    limits.mMaxHeaderBytes = aConfiguration.mMaxHeaderBytes + kRequestLineBytes;
+  }
+  if (aConfiguration.mMaxBodyBytes > 0) {
+    limits.mMaxBodyBytes = aConfiguration.mMaxBodyBytes;
+  }
+  if (aConfiguration.mHeaderTimeout > Duration::zero()) {
+    limits.mHeaderTimeout = aConfiguration.mHeaderTimeout;
+  }
+  if (aConfiguration.mIdleTimeout > Duration::zero()) {
+    limits.mKeepAliveTimeout = aConfiguration.mIdleTimeout;
+  }
+  return limits;
+}
+
 CellSettings CellSettingsFor(const SchedulerSettings& aSettings)
 {
   CellSettings settings;
@@ -122,6 +143,9 @@
       mStore,
       [this](const CellConfiguration& aConfiguration) {
         AddQueueMetrics(aConfiguration);
+        if (mCallers) {
+          mCallers->SetRequestLimits(RequestLimitsOf(aConfiguration));
+        }
         // Includes an owner that is still loading: without the
         // policies it would start nothing until the next change.
         if (const auto owner = mElection.Term()) {
--- a/src/core/cell/CellConfiguration.h
+++ b/src/core/cell/CellConfiguration.h
@@ -26,7 +26,11 @@
 {
   std::int64_t mVersion = 0;
   std::vector<QueueRoute> mRoutes;
-  std::size_t mMaxBodyBytes = 0; ///< 0 = the operator set no limit.
+  // Limits on callers' requests; 0 = the operator set none.
+  std::size_t mMaxHeaderBytes = 0;
+  std::size_t mMaxBodyBytes = 0;
+  Duration mHeaderTimeout{};
+  Duration mIdleTimeout{}; ///< Of a connection without a request.
 
   bool operator==(const CellConfiguration&) const = default;
 };
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -23,6 +23,7 @@
 /// Connections that may be accepted and not yet opened.
 constexpr std::size_t kMaxPending = 8;
 constexpr std::chrono::milliseconds kEvictionPoll(1);
+constexpr std::size_t kMostHeaderBytes = 1024UL * 1024;
 constexpr std::chrono::seconds kCloseTimeout(10);
 constexpr std::chrono::milliseconds kClosePollInterval(1);
 
@@ -40,6 +41,18 @@
     }
   }
 
+  void SetRequestLimits(HttpRequestLimits aLimits)
+  {
+    constexpr std::size_t kHeaderPart = 4;
+    constexpr std::size_t kBodyPart = 2;
+    const std::size_t memory = mState->MaxMessageBytesOfThread();
+    aLimits.mMaxHeaderBytes = std::min(
+      { aLimits.mMaxHeaderBytes, memory / kHeaderPart, kMostHeaderBytes });
+    aLimits.mMaxBodyBytes = std::min(aLimits.mMaxBodyBytes, memory / kBodyPart);
+    mState->mRequestLimits.Publish(
+      std::make_shared<const HttpRequestLimits>(aLimits));
+  }
+
   boost::asio::io_context& Io(unsigned aThread)
   {
     return mRuntime.Internals().mThreads[aThread]->Io();
@@ -145,8 +158,7 @@
   auto impl = std::make_shared<Impl>(aRuntime);
   impl->mState->mHandler = std::move(aHandler);
   impl->mState->mLimits = aLimits;
-  impl->mState->mLimits.mMaxBodyBytes = std::min(
-    aLimits.mMaxBodyBytes, impl->mState->MaxMessageBytesOfThread() / 2);
+  impl->SetRequestLimits(aLimits);
   impl->mState->mStream = std::move(aStream);
   impl->mState->mStreamTarget = std::move(aStreamTarget);
   absl::StatusOr<Endpoint> endpoint = impl->mAcceptor.Listen(aEndpoint);
@@ -183,6 +195,11 @@
   mImpl->NotifyConnections(&ServerConnection::OnDrain);
 }
 
+void HttpServer::SetRequestLimits(const HttpRequestLimits& aLimits)
+{
+  mImpl->SetRequestLimits(aLimits);
+}
+
 std::size_t HttpServer::RequestsInProgress() const
 {
   std::size_t sum = 0;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -17,12 +18,23 @@
 
 namespace foxtailbarrow::net {
 
-struct HttpServerLimits
+/// Limits that may change while the server runs.
+struct HttpRequestLimits
 {
   /// Also of the trailers, and of any other element that is parsed as a whole.
-  std::size_t mMaxHeaderBytes = 16UL * 1024; ///< Above: 431.
+  /// Above: 431. At most 1 MiB and a quarter of one thread's part of
+  /// mMaxMessageBytes.
+  std::size_t mMaxHeaderBytes = 16UL * 1024;
   /// Above: 413. At most half of one thread's part of mMaxMessageBytes.
   std::size_t mMaxBodyBytes = 1024UL * 1024;
+  /// From the first byte of a request to the end of its header. Above: 408.
+  Duration mHeaderTimeout = std::chrono::seconds(60);
+  /// How long a connection may wait for a request. Unset: mIdleTimeout.
+  std::optional<Duration> mKeepAliveTimeout;
+};
+
+struct HttpServerLimits : HttpRequestLimits
+{
   /// Limit on each of: waiting for a request, receiving it completely, and
   /// writing the response.
   Duration mIdleTimeout = std::chrono::seconds(60);
@@ -95,6 +107,9 @@
   /// RequestsInProgress().
   void Drain();
 
+  /// Replaces the limits for requests that have not begun.
+  void SetRequestLimits(const HttpRequestLimits& aLimits);
+
   /// Requests between their first byte and the end of their response, without
   /// streams.
   std::size_t RequestsInProgress() const;
--- a/src/net/detail/MessageReader.h
+++ b/src/net/detail/MessageReader.h
@@ -30,7 +30,8 @@
   ErrorCode Parse(MessageParser<IsRequest, Message>& aParser)
   {
     while (!aParser.is_done() && !mConnection.Buffered().empty()) {
-      const std::string_view input = mConnection.Buffered();
+      const std::string_view input =
+        mConnection.Buffered().substr(0, mMaxHeaderBytes);
       ErrorCode error;
       const std::size_t used =
         aParser.put(boost::asio::buffer(input.data(), input.size()), error);
@@ -42,7 +43,7 @@
       if (mConsumedBytes > MaxMessageBytes(aParser.BodyBytes())) {
         return http::error::header_limit;
       }
-      if (error || used == 0) {
+      if (used == 0) {
         break;
       }
     }
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -25,6 +25,7 @@
 /// Limits on what a connection reads and discards after its last response.
 /// Closing with unread input would send a reset, which may discard the response
 /// before the peer reads it.
+constexpr std::size_t kMaxFirstBytes = 4UL * 1024;
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024 * 1024;
 constexpr std::chrono::seconds kDiscardTimeout(2);
 /// A response that the peer has not read for this long may be cut off if memory
@@ -167,9 +168,16 @@
 {
   mPhase = aPhase;
   mPhaseBegin = std::chrono::steady_clock::now();
-  return mPhaseBegin + (aPhase == Phase::Closing
-                          ? Duration(kDiscardTimeout)
-                          : mState->mLimits.mIdleTimeout);
+  const Duration timeout = mState->mLimits.mIdleTimeout;
+  switch (aPhase) {
+    case Phase::Closing:
+      return mPhaseBegin + kDiscardTimeout;
+    case Phase::Idle:
+      return mPhaseBegin +
+             mState->mRequestLimits.Load()->mKeepAliveTimeout.value_or(timeout);
+    default:
+      return mPhaseBegin + timeout;
+  }
 }
 
 void ServerConnection::SetMessageBytes(std::size_t aBytes)
@@ -301,10 +309,10 @@
   }
   InProgress inProgress(mThread);
   HttpRequest request;
-  RequestParser parser(
-    request, mState->mLimits.mMaxHeaderBytes, mState->mLimits.mMaxBodyBytes);
+  const auto limits = mState->mRequestLimits.Load();
+  RequestParser parser(request, limits->mMaxHeaderBytes, limits->mMaxBodyBytes);
   mPartial = &request;
-  const bool received = Receive(parser);
+  const bool received = Receive(parser, *limits);
   mPartial = nullptr;
   if (!received) {
     return false;
@@ -345,8 +353,7 @@
                             : idleEnd;
     mConnection.ReleaseBuffer();
     SetMessageBytes(0);
-    const ErrorCode error =
-      mConnection.Read(end, mState->mLimits.mMaxHeaderBytes);
+    const ErrorCode error = mConnection.Read(end, kMaxFirstBytes);
     // OnDrain() also aborts a wait that already uses the drain deadline.
     const bool drains = error == boost::asio::error::operation_aborted &&
                         !mState->mClosing.load() && !mEvicted;
@@ -357,10 +364,13 @@
   return true;
 }
 
-bool ServerConnection::Receive(RequestParser& aParser)
+bool ServerConnection::Receive(RequestParser& aParser,
+                               const HttpRequestLimits& aLimits)
 {
   const TimePoint deadline = Enter(Phase::Receiving);
-  MessageReader reader(mConnection, mState->mLimits.mMaxHeaderBytes);
+  const TimePoint headerDeadline =
+    std::min<TimePoint>(deadline, mPhaseBegin + aLimits.mHeaderTimeout);
+  MessageReader reader(mConnection, aLimits.mMaxHeaderBytes);
   bool continued = false;
   for (;;) {
     ErrorCode error = reader.Parse(aParser);
@@ -374,7 +384,7 @@
       return false;
     }
     if (!error) {
-      error = reader.Read(deadline);
+      error = reader.Read(aParser.is_header_done() ? deadline : headerDeadline);
     }
     if (mEvicted) {
       error = boost::asio::error::no_memory;
--- a/src/net/detail/ServerConnection.h
+++ b/src/net/detail/ServerConnection.h
@@ -64,7 +64,7 @@
 
   bool ServeOne();
   bool AwaitFirstByte();
-  bool Receive(RequestParser& aParser);
+  bool Receive(RequestParser& aParser, const HttpRequestLimits& aLimits);
   bool AnswerContinue(const RequestParser& aParser,
                       TimePoint aDeadline,
                       bool& aAnswered);
--- a/src/net/detail/ServerState.h
+++ b/src/net/detail/ServerState.h
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_set.h"
 
+#include "src/core/base/Snapshot.h"
 #include "src/net/HttpServer.h"
 #include "src/net/detail/Await.h"
 
@@ -42,7 +43,10 @@
   HttpServer::Handler mHandler;
   HttpServer::StreamHandler mStream;
   std::string mStreamTarget;
-  HttpServerLimits mLimits;
+  HttpServerLimits mLimits; ///< But for those in mRequestLimits.
+  Snapshot<HttpRequestLimits> mRequestLimits{
+    std::make_shared<const HttpRequestLimits>()
+  };
 
   std::vector<std::unique_ptr<ServerThread>> mThreads;
   std::atomic<std::size_t> mConnections{ 0 };
--- a/tests/clients/CrowdTest.cpp
+++ b/tests/clients/CrowdTest.cpp
@@ -182,6 +182,8 @@
     InputCase{ "EndlessTarget", { "GET /", "a", kEndless } },
     InputCase{ "AnnouncedTooLarge",
                { LengthHead(1024 * kMegabyte), "a", kEndless } },
+    InputCase{ "PipelinedRequests",
+               { "", "GET /nothing HTTP/1.1\r\nHost: any\r\n\r\n", kEndless } },
     InputCase{ "ManyValues", ManyValues() },
     kManyValuesOfAJob,
   };
--- a/tests/clients/SystemProcesses.cpp
+++ b/tests/clients/SystemProcesses.cpp
@@ -82,7 +82,7 @@
     auto store = standin::KvService::Start(mRuntime, At(kStorePort), 1);
     ASSERT_TRUE(store.ok()) << store.status();
     mStore = *std::move(store);
-    mRuntime.RunAndWait([this] { Configure(); });
+    Configure({});
   }
   const std::size_t memoryMb = MemoryBound(Process::Scheduler) >> 20U;
   Add({ Program("apps/foxtailbarrow-scheduler"),
@@ -109,7 +109,7 @@
   }
 }
 
-void SystemProcesses::Configure()
+void SystemProcesses::Configure(const Json::Value& aLimits)
 {
   Json::Value route;
   route["Name"] = "queue";
@@ -121,9 +121,11 @@
   route["Attempts"] = 3;
   route["Stretch"] = 2.0;
   Json::Value configuration;
-  configuration["Version"] = 1;
+  configuration["Version"] = ++mVersion;
+  configuration["Limits"] = aLimits;
   configuration["Routes"].append(route);
-  mStore->Put("op/config", FormatJson(configuration));
+  mRuntime.RunAndWait(
+    [&] { mStore->Put("op/config", FormatJson(configuration)); });
 }
 
 void SystemProcesses::StartStandIn(const std::string& aName,
--- a/tests/clients/SystemProcesses.h
+++ b/tests/clients/SystemProcesses.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include <json/value.h>
+
 #include "soak/Child.h"
 #include "src/net/FiberRuntime.h"
 #include "standins/kv/KvService.h"
@@ -41,15 +43,18 @@
 
   soak::Child& Tested() { return *mTested; }
 
+  /// Writes the next version of the operator's configuration.
+  void Configure(const Json::Value& aLimits);
+
 private:
   bool Missing(std::uint16_t aPort) const;
   void StartCell();
   void StartEntry();
   void StartStandIn(const std::string& aName, std::uint16_t aPort);
   soak::Child& Add(std::vector<std::string> aCommand);
-  void Configure();
 
   std::vector<std::uint16_t> mMissing;
+  int mVersion = 0;
   net::FiberRuntime mRuntime{ 1 };
   std::unique_ptr<standin::KvService> mStore;
   std::vector<std::unique_ptr<soak::Child>> mChildren;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -162,6 +162,18 @@
                   R"({"events":[{"Value":"!"}],"CurrentRev":1})",
                   R"({"events":[],"CurrentRev":-1})"));
 
+TEST(ConfigurationCodec, ParsesLimitsOfRequests)
+{
+  const auto configuration = ParseConfiguration(
+    R"({"Version":7,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,
+        "HeaderTimeoutMs":3000,"IdleTimeoutMs":9223372036854775807}})");
+  ASSERT_TRUE(configuration.ok());
+  EXPECT_EQ(configuration->mMaxHeaderBytes, 16384U);
+  EXPECT_EQ(configuration->mMaxBodyBytes, 262144U);
+  EXPECT_EQ(configuration->mHeaderTimeout, std::chrono::seconds(3));
+  EXPECT_EQ(configuration->mIdleTimeout, std::chrono::hours(24));
+}
+
 TEST(ConfigurationCodec, ParsesRoutes)
 {
   const auto configuration = ParseConfiguration(
