Report what the servers of a process refuse

Operators could not see that a port refuses or evicts: the counters of a server were not exported. ServerReports adds them as metrics by server and reason, and a line server-refused for a server whose counts have grown, one a second at most, so that a crowd does not fill the log. It reads the counters through a reader that may outlive the server.

--- a/apps/agent/Agent.cpp
+++ b/apps/agent/Agent.cpp
@@ -77,10 +77,14 @@
                   [this](const Heartbeat& aSent, const HeartbeatReply& aReply) {
                     ApplyReply(aSent, aReply);
                   } })
-  , mProbe(mSettings, aRuntime, mClient, [this](bool) {
-    Update();
-    mHeartbeats.SendNow();
-  })
+  , mProbe(mSettings,
+           aRuntime,
+           mClient,
+           [this](bool) {
+             Update();
+             mHeartbeats.SendNow();
+           })
+  , mFibers(aRuntime)
 {
   mForwarder.SetOnServed([this](Duration aHeld, std::int32_t aInUse) {
     mColocation.OnServed(aHeld, aInUse, mSettings.mSlots.mSlots);
@@ -108,6 +112,10 @@
   }
   agent->mServer = *std::move(server);
   agent->mEndpoint = agent->mServer->ListeningEndpoint();
+  agent->mServerReports.Add("entries", *agent->mServer);
+  agent->mFibers.Repeat(agent->mServerReportWaker,
+                        ServerReports::kInterval,
+                        [self = agent.get()] { self->mServerReports.Round(); });
   agent->mTasks.Start();
   agent->mProbe.Start();
   agent->mColocation.Start();
@@ -291,6 +299,7 @@
   mProbe.Stop();
   mColocation.Stop();
   mTasks.Stop();
+  mFibers.Stop();
 }
 
 } // namespace foxtailbarrow
--- a/apps/agent/Agent.h
+++ b/apps/agent/Agent.h
@@ -22,6 +22,7 @@
 #include "src/platform/worker/RpcWorker.h"
 #include "src/telemetry/AdminPages.h"
 #include "src/telemetry/Metrics.h"
+#include "src/telemetry/ServerReports.h"
 #include "src/telemetry/StateDump.h"
 
 namespace foxtailbarrow {
@@ -94,6 +95,9 @@
   ConfigurationFollower mConfiguration;
   Endpoint mEndpoint; ///< mServer listens on it.
   std::unique_ptr<net::HttpServer> mServer;
+  ServerReports mServerReports{ mMetrics };
+  Waker mServerReportWaker;
+  FiberGroup mFibers;
 };
 
 } // namespace foxtailbarrow
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -107,6 +107,10 @@
     return callers.status();
   }
   mCallers = *std::move(callers);
+  mControlRuntime.RunAndWait([this] {
+    mServerReports.Add("control", *mControl);
+    mServerReports.Add("callers", *mCallers);
+  });
   return absl::OkStatus();
 }
 
@@ -212,6 +216,7 @@
   mControlRuntime.Spawn([this] {
     while (true) {
       mJobs->ExpectInterval(mHeartbeatHandler->MaxHeartbeatInterval());
+      mServerReports.Round();
       boost::this_fiber::sleep_for(kIntervalPoll);
     }
   });
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -18,6 +18,7 @@
 #include "src/platform/store/CountingStore.h"
 #include "src/telemetry/AdminPages.h"
 #include "src/telemetry/Metrics.h"
+#include "src/telemetry/ServerReports.h"
 #include "src/telemetry/StateDump.h"
 
 namespace foxtailbarrow::entry {
@@ -77,6 +78,7 @@
   std::unique_ptr<JobPages> mJobPages;
   std::unique_ptr<RequestProxy> mProxy;
   std::unique_ptr<AdminPages> mAdmin;
+  ServerReports mServerReports{ mMetrics }; ///< Of the control runtime.
   std::unique_ptr<net::HttpServer> mCallers;
   std::unique_ptr<net::HttpServer> mControl;
   std::atomic<bool> mReady{ false };
--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -206,7 +206,8 @@
   mCordonSpread.OnChange(aCordons);
 }
 
-absl::Status Scheduler::Listen(const Endpoint& aEndpoint,
+absl::Status Scheduler::Listen(const char* aName,
+                               const Endpoint& aEndpoint,
                                const net::ServerShare& aShare,
                                net::HttpServer::Handler aHandler,
                                std::unique_ptr<net::HttpServer>& aServer)
@@ -222,6 +223,7 @@
     return server.status();
   }
   aServer = *std::move(server);
+  mServerReports.Add(aName, *aServer);
   return absl::OkStatus();
 }
 
@@ -229,12 +231,15 @@
 {
   using Request = net::HttpRequest;
   const auto peer = [this](Request& aRequest) { return ServePeer(aRequest); };
-  absl::Status status = Listen(mSettings.mPeers, kPeerShare, peer, mPeers);
+  absl::Status status =
+    Listen("peers", mSettings.mPeers, kPeerShare, peer, mPeers);
   if (status.ok()) {
-    status = Listen(mSettings.mControl, kControlShare, peer, mControl);
+    status =
+      Listen("control", mSettings.mControl, kControlShare, peer, mControl);
   }
   if (status.ok()) {
     status = Listen(
+      "ready",
       mSettings.mReady,
       kPageShare,
       [this](Request& aRequest) { return ServeReady(aRequest); },
@@ -242,6 +247,7 @@
   }
   if (status.ok()) {
     status = Listen(
+      "metrics",
       mSettings.mMetrics,
       kPageShare,
       [this](Request& aRequest) { return ServeAdmin(aRequest); },
@@ -249,6 +255,7 @@
   }
   if (status.ok()) {
     status = Listen(
+      "callers",
       mSettings.mListen,
       kCallerShare,
       [this](Request& aRequest) { return ServeCaller(aRequest); },
@@ -275,6 +282,9 @@
     const Duration pause = mConfiguration.Confirm();
     return pause > Duration::zero() ? pause : FiberGroup::kUntilWoken;
   });
+  mFibers.Repeat(mServerReportWaker, ServerReports::kInterval, [this] {
+    mServerReports.Round();
+  });
   mFibers.Repeat(mProbeWaker, kProbeCheck, [this] {
     OnResume();
     mStoreProbe.Round();
--- a/apps/scheduler/Scheduler.h
+++ b/apps/scheduler/Scheduler.h
@@ -21,6 +21,7 @@
 #include "src/platform/store/CountingStore.h"
 #include "src/platform/store/HealthTrackingStore.h"
 #include "src/telemetry/AdminPages.h"
+#include "src/telemetry/ServerReports.h"
 
 namespace foxtailbarrow::scheduler {
 
@@ -44,7 +45,8 @@
   net::HttpResponse ServeAdmin(const net::HttpRequest& aRequest);
   absl::Status Readiness() const;
   void OnResume();
-  absl::Status Listen(const Endpoint& aEndpoint,
+  absl::Status Listen(const char* aName,
+                      const Endpoint& aEndpoint,
                       const net::ServerShare& aShare,
                       net::HttpServer::Handler aHandler,
                       std::unique_ptr<net::HttpServer>& aServer);
@@ -94,6 +96,8 @@
   std::unique_ptr<net::HttpServer> mPeers;
   std::unique_ptr<net::HttpServer> mControl;
   std::unique_ptr<net::HttpServer> mAdminServer;
+  ServerReports mServerReports{ mMetrics };
+  Waker mServerReportWaker;
   FiberGroup mFibers;
 };
 
--- a/apps/taskagent/TaskAgent.cpp
+++ b/apps/taskagent/TaskAgent.cpp
@@ -72,7 +72,8 @@
   AddViews();
   const auto budget = net::ConnectionBudget::OfProcess(
     mSettings.mMemoryMb, mSettings.mMaxDescriptors);
-  const auto listen = [&](const Endpoint& aEndpoint,
+  const auto listen = [&](const char* aName,
+                          const Endpoint& aEndpoint,
                           const net::ServerShare& aShare,
                           net::HttpServer::Handler aHandler,
                           std::unique_ptr<net::HttpServer>& aServer) {
@@ -80,17 +81,20 @@
       mRuntime, aEndpoint, std::move(aHandler), LimitsFor(budget, aShare));
     if (server.ok()) {
       aServer = *std::move(server);
+      mServerReports.Add(aName, *aServer);
       return absl::OkStatus();
     }
     return server.status();
   };
   absl::Status status = listen(
+    "worker",
     mSettings.mControl,
     kWorkerShare,
     [this](net::HttpRequest& aRequest) { return ServeWorker(aRequest); },
     mWorkerServer);
   if (status.ok()) {
     status = listen(
+      "owner",
       mSettings.mListen,
       kOwnerShare,
       [this](net::HttpRequest& aRequest) { return ServeOwner(aRequest); },
@@ -98,6 +102,7 @@
   }
   if (status.ok() && mSettings.mMetrics.mPort != 0) {
     status = listen(
+      "metrics",
       mSettings.mMetrics,
       kPageShare,
       [this](net::HttpRequest& aRequest) { return ServeAdmin(aRequest); },
@@ -106,6 +111,9 @@
   if (!status.ok()) {
     return status;
   }
+  mFibers.Repeat(mServerReportWaker, ServerReports::kInterval, [this] {
+    mServerReports.Round();
+  });
   mFibers.Repeat(mPollWaker, [this] {
     OnResume();
     ConfirmDeregistration();
--- a/apps/taskagent/TaskAgent.h
+++ b/apps/taskagent/TaskAgent.h
@@ -20,6 +20,7 @@
 #include "src/net/HttpServer.h"
 #include "src/net/Rpc.h"
 #include "src/telemetry/AdminPages.h"
+#include "src/telemetry/ServerReports.h"
 
 namespace foxtailbarrow::taskagent {
 
@@ -70,6 +71,8 @@
   std::unique_ptr<net::HttpServer> mWorkerServer;
   std::unique_ptr<net::HttpServer> mOwnerServer;
   std::unique_ptr<net::HttpServer> mAdminServer;
+  ServerReports mServerReports{ mMetrics };
+  Waker mServerReportWaker;
   Waker mPollWaker;
   SuspendDetector mResume;
   FiberGroup mFibers;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -27,6 +27,22 @@
 constexpr std::chrono::seconds kCloseTimeout(10);
 constexpr std::chrono::milliseconds kClosePollInterval(1);
 
+HttpServerCounters CountersOf(const ServerState& aState)
+{
+  HttpServerCounters sum;
+  sum.mConnections = aState.mConnections.load();
+  sum.mAccepted = aState.mAccepted.load();
+  sum.mRefused = aState.mRefused.load();
+  for (const auto& thread : aState.mThreads) {
+    sum.mRequests += thread->mRequests.load();
+    sum.mRejected += thread->mRejected.load();
+    sum.mEvictedForConnections += thread->mEvictedForConnections.load();
+    sum.mEvictedForMemory += thread->mEvictedForMemory.load();
+    sum.mHandlerFailures += thread->mHandlerFailures.load();
+  }
+  return sum;
+}
+
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
@@ -216,17 +232,12 @@
 
 HttpServerCounters HttpServer::Counters() const
 {
-  HttpServerCounters sum;
-  sum.mAccepted = mImpl->mState->mAccepted.load();
-  sum.mRefused = mImpl->mState->mRefused.load();
-  for (const auto& thread : mImpl->mState->mThreads) {
-    sum.mRequests += thread->mRequests.load();
-    sum.mRejected += thread->mRejected.load();
-    sum.mEvictedForConnections += thread->mEvictedForConnections.load();
-    sum.mEvictedForMemory += thread->mEvictedForMemory.load();
-    sum.mHandlerFailures += thread->mHandlerFailures.load();
-  }
-  return sum;
+  return CountersOf(*mImpl->mState);
+}
+
+std::function<HttpServerCounters()> HttpServer::CounterReader() const
+{
+  return [state = mImpl->mState] { return CountersOf(*state); };
 }
 
 } // namespace foxtailbarrow::net
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -52,9 +52,10 @@
   Duration mDrainGrace = std::chrono::seconds(1);
 };
 
-/// Counts since the server's start.
+/// Counts since the server's start, and the connections that are open now.
 struct HttpServerCounters
 {
+  std::size_t mConnections = 0;
   std::uint64_t mAccepted = 0; ///< Connections.
   std::uint64_t mRefused = 0;  ///< Connections above the limit.
   std::uint64_t mRequests = 0; ///< Whole requests received.
@@ -115,6 +116,8 @@
   std::size_t RequestsInProgress() const;
   std::size_t Connections() const;
   HttpServerCounters Counters() const;
+  /// Counters() for whoever may outlive the server.
+  std::function<HttpServerCounters()> CounterReader() const;
 
   struct Impl;
 
