Refuse no request because of responses, and end evicted connections

And a connection whose response is evicted, or that is closed while its first bytes arrive, could go on without the input that it lost.

--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -42,10 +42,10 @@
   /// progress is closed for the new one; if there is none, the new one gets
   /// 503. A tenth more connections are open for such responses.
   std::size_t mMaxConnections = 10'000;
-  /// Limit on the messages of all connections together, in bytes, divided
-  /// among the threads: what is buffered, requests until they are answered, and
-  /// responses. Above: the requests that have been incomplete for longest get
-  /// 503.
+  /// Limit on the requests of all connections together, in bytes, divided
+  /// among the threads: what is buffered, and requests until they are answered.
+  /// Above: the requests that have been incomplete for longest get 503. As much
+  /// again is for responses; above, those that peers do not read are cut off.
   std::size_t mMaxMessageBytes = 64UL * 1024 * 1024;
   /// How long idle connections still accept requests after Drain(), since a
   /// request may already have been sent.
--- a/src/net/detail/ServerConnection.cpp
+++ b/src/net/detail/ServerConnection.cpp
@@ -132,6 +132,7 @@
 ServerConnection::~ServerConnection()
 {
   SetMessageBytes(0);
+  SetResponseBytes(0);
   mThread.mOpen.erase(this);
 }
 
@@ -140,7 +141,9 @@
   if (mConnection.Prepare()) {
     return;
   }
-  while (!mState->mClosing.load(std::memory_order_relaxed) && ServeOne()) {
+  // An evicted connection has lost input, even if its last wait succeeded.
+  while (!mState->mClosing.load(std::memory_order_relaxed) && ServeOne() &&
+         !mEvicted) {
   }
 }
 
@@ -185,8 +188,25 @@
   mThread.mMessageBytes += aBytes - std::exchange(mMessageBytes, aBytes);
 }
 
+void ServerConnection::SetResponseBytes(std::size_t aBytes)
+{
+  mThread.mResponseBytes += aBytes - std::exchange(mResponseBytes, aBytes);
+}
+
+void ServerConnection::EvictUnreadResponses()
+{
+  while (mThread.mResponseBytes > mState->MaxMessageBytesOfThread()) {
+    ServerConnection* const victim = NextVictim(mThread, Shortage::Responses);
+    if (victim == nullptr) {
+      return;
+    }
+    victim->Evict(Shortage::Responses);
+  }
+}
+
 bool ServerConnection::Reserve(std::size_t aBytes)
 {
+  EvictUnreadResponses();
   SetMessageBytes(aBytes);
   while (mThread.mMessageBytes > mState->MaxMessageBytesOfThread()) {
     ServerConnection* const victim = NextVictim(mThread, Shortage::Memory);
@@ -216,6 +236,8 @@
   switch (aShortage) {
     case Shortage::Memory:
       return mMessageBytes > 0;
+    case Shortage::Responses:
+      return mResponseBytes > 0;
     case Shortage::Connections:
       return !mRefuse;
     case Shortage::RefusedConnections:
@@ -241,7 +263,7 @@
 void ServerConnection::Evict(Shortage aShortage)
 {
   mEvicted = true;
-  if (aShortage == Shortage::Memory) {
+  if (aShortage == Shortage::Memory || aShortage == Shortage::Responses) {
     Count(mThread.mEvictedForMemory);
     ReleaseMessage();
     mConnection.Cancel();
@@ -300,6 +322,7 @@
   }
   mConnection.ReleaseBuffer();
   SetMessageBytes(0);
+  SetResponseBytes(0);
 }
 
 bool ServerConnection::ServeOne()
@@ -332,7 +355,7 @@
   if (response.mStatus == kCloseWithoutAnswer) {
     return false;
   }
-  SetMessageBytes(MemoryOf(request) + MemoryOf(response));
+  SetResponseBytes(MemoryOf(response));
   const bool keepAlive = parser.keep_alive() && parser.IsHttp11() && !Ending();
   if (!Answer(request, response, keepAlive)) {
     return false;
@@ -351,13 +374,12 @@
     const TimePoint end = mState->mDraining.load()
                             ? std::min(idleEnd, mState->DrainEnd())
                             : idleEnd;
-    mConnection.ReleaseBuffer();
-    SetMessageBytes(0);
+    ReleaseMessage();
     const ErrorCode error = mConnection.Read(end, kMaxFirstBytes);
     // OnDrain() also aborts a wait that already uses the drain deadline.
     const bool drains = error == boost::asio::error::operation_aborted &&
-                        !mState->mClosing.load() && !mEvicted;
-    if (error && !drains) {
+                        !mState->mClosing.load();
+    if (mEvicted || (error && !drains)) {
       return false;
     }
   }
--- a/src/net/detail/ServerConnection.h
+++ b/src/net/detail/ServerConnection.h
@@ -44,20 +44,21 @@
   using TimePoint = Connection::TimePoint;
 
   /// In the order in which connections are evicted, except that one in
-  /// progress never is.
+  /// progress never is, and one that responds only if its peer does not read.
   enum class Phase : std::uint8_t
   {
     Closing,    ///< Discards input after the last response.
+    Responding, ///< Waits until the peer reads the response.
     Idle,       ///< Waits for a request.
     Receiving,  ///< Has a part of a request.
-    Responding, ///< Waits until the peer reads the response.
     InProgress, ///< The handler has the request.
   };
 
   /// What an eviction is to free.
   enum class Shortage
   {
-    Memory,
+    Memory, ///< For requests.
+    Responses,
     Connections,
     RefusedConnections,
   };
@@ -80,6 +81,10 @@
   TimePoint Enter(Phase aPhase);
   /// Sets the memory that the messages of this connection take.
   void SetMessageBytes(std::size_t aBytes);
+  void SetResponseBytes(std::size_t aBytes);
+  /// Evicts connections whose peers do not read while the responses of this
+  /// thread take too much memory. No request is refused because of responses.
+  void EvictUnreadResponses();
   /// As SetMessageBytes(), then evicts connections of this thread while all
   /// messages exceed their limit. Returns false if this one would be next.
   bool Reserve(std::size_t aBytes);
@@ -105,6 +110,7 @@
   TimePoint mPhaseBegin;
   HttpRequest* mPartial = nullptr; ///< While Receiving.
   std::size_t mMessageBytes = 0;
+  std::size_t mResponseBytes = 0;
   bool mEvicted = false;
 };
 
--- a/src/net/detail/ServerState.h
+++ b/src/net/detail/ServerState.h
@@ -31,7 +31,8 @@
   std::atomic<std::uint64_t> mHandlerFailures{ 0 };
   // The rest is confined to this thread.
   absl::flat_hash_set<ServerConnection*> mOpen;
-  std::size_t mMessageBytes = 0; ///< Memory of all connections' messages.
+  std::size_t mMessageBytes = 0;  ///< Memory of all connections' requests.
+  std::size_t mResponseBytes = 0; ///< And of their responses.
 };
 
 /// State that the connections of one server share. Immutable after the start
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -416,6 +416,35 @@
   EXPECT_EQ("HTTP/1.1 200", busy.ReadUntil("\r\n\r\n").substr(0, 12));
 }
 
+/// Larger than the kernel's buffers.
+constexpr std::size_t kUnreadableResponse = 64UL * 1024 * 1024;
+
+TEST_F(HttpServerTest, EvictsAResponseThatIsNotReadForMemory)
+{
+  const Endpoint endpoint = StartServer(
+    [](HttpRequest& aRequest) {
+      HttpResponse response;
+      if (aRequest.mTarget == "/large") {
+        response.mBody.assign(kUnreadableResponse, 'x');
+      }
+      return response;
+    },
+    LittleMemory());
+  const RawSocket unread(endpoint);
+  const RawSocket otherThread(endpoint);
+  unread.Send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n" + kGet);
+  ASSERT_TRUE(
+    Eventually([this] { return mServer->Counters().mRequests == 1; }));
+  EXPECT_TRUE(Eventually([this, &endpoint] {
+    EXPECT_TRUE(Call(endpoint, HttpRequest()).ok());
+    EXPECT_TRUE(Call(endpoint, HttpRequest()).ok());
+    return mServer->Counters().mEvictedForMemory > 0 &&
+           mServer->Connections() < 4;
+  }));
+  EXPECT_EQ(0, RawSocket::Count(unread.ReadAll(), "Content-Length: 0"))
+    << "the request behind the response is not answered";
+}
+
 TEST_F(HttpServerTest, CountsHeadersAsMemory)
 {
   const Endpoint endpoint = StartServer(Echo, LittleMemory());
