--- a/review/harness-3/Case.cpp
+++ b/review/harness-3/Case.cpp
@@ -23,7 +23,7 @@
     route["Prefix"] = queue.mPrefix;
     route["Kind"] = "unsafe";
     route["TimeoutMs"] = 3000;
-    route["SloMs"] = 250;
+    route["SloMs"] = Json::Int64{ queue.mSloMs };
     route["Priority"] = 0;
     route["Service"] = kService;
     route["Attempts"] = queue.mAttempts;
@@ -82,6 +82,26 @@
   aCell.Front(aFront).Start();
 }
 
+void RollFronts(Cell& aCell, Record& aRecord)
+{
+  constexpr long long kGraceMs = 6000;
+  constexpr long long kGapMs = 1500;
+  for (std::size_t front = 0; front < aCell.Fronts(); ++front) {
+    const std::string name = "front-" + std::to_string(front + 1);
+    aRecord.Add("platform: SIGTERM to the process of " + name);
+    aCell.Front(front).Signal(SIGTERM);
+    const long long end = NowMs() + kGraceMs;
+    while (aCell.Front(front).Alive() && NowMs() < end) {
+      SleepMs(20);
+    }
+    aCell.Front(front).Kill();
+    SleepMs(500);
+    aRecord.Add("platform: " + name + " starts again");
+    aCell.Front(front).Start();
+    SleepMs(kGapMs);
+  }
+}
+
 bool StandsStill(Cell& aCell,
                  std::size_t aTasks,
                  long long aAcceptedMs,
--- a/review/harness-3/Case.h
+++ b/review/harness-3/Case.h
@@ -22,6 +22,7 @@
   std::string mName;
   std::string mPrefix;
   int mAttempts = 3;
+  long long mSloMs = 250;
 };
 
 inline constexpr char kHost[] = "nony24.example";
@@ -45,6 +46,11 @@
 /// later, as the platform does it.
 void KillAndRestart(Cell& aCell, std::size_t aFront, Record& aRecord);
 
+/// Ends the processes of all front machines by SIGTERM, one after the other,
+/// and starts each again half a second after it has ended, at the latest 6 s
+/// (GraceS) after the signal.
+void RollFronts(Cell& aCell, Record& aRecord);
+
 /// The rule LOST for a job of `aTasks` tasks that was accepted at
 /// `aAcceptedMs`: waits for finish_s, and returns true if nothing of it runs
 /// for 3 s after that, though tasks are left and nearly all capacity is free.
