--- a/review/harness-3/Cell.h
+++ b/review/harness-3/Cell.h
@@ -53,6 +53,7 @@
     std::string mFolder; ///< For the processes' logs.
     /// Racks of the last runners; the others have names such as "r1-1".
     std::vector<std::string> mRacks{};
+    int mStopMs = 200;
   };
 
   static Cell& Make(const Settings& aSettings,
--- a/review/harness-3/Runner.cpp
+++ b/review/harness-3/Runner.cpp
@@ -76,7 +76,9 @@
 void Pool::Add(RunEvent aEvent)
 {
   aEvent.mAtMs = NowMs();
-  const char* const kinds[] = { "starts", "ends", "is lost", "acked" };
+  const char* const kinds[] = {
+    "starts", "ends", "is lost", "acked", "lease lapses"
+  };
   mRecord.Add("runner " + aEvent.mRunner + ": " + aEvent.mTask + " run " +
               std::to_string(aEvent.mRun) + " " +
               kinds[static_cast<int>(aEvent.mKind)] + " " + aEvent.mHow);
@@ -153,11 +155,13 @@
   mSequence = 0;
   mFence = 0;
   mDeadline = 0;
+  mLapsed = true;
   mRuns.clear();
   mHighestEnded.clear();
   mEnds.clear();
   mEndCount = 0;
   mUp = true;
+  mLeavesAtMs = -1;
   mServer = std::make_unique<HttpServer>(
     mSettings.mListen,
     [this](const Request& aRequest) { return Handle(aRequest); });
@@ -180,6 +184,14 @@
   mServer->Stop();
 }
 
+void Runner::Drain(long long aLeftMs)
+{
+  const std::lock_guard lock(mPool.mMutex);
+  mLeavesAtMs = NowMs() + aLeftMs;
+  mPool.mRecord.Add("runner " + mSettings.mName + ": drains, " +
+                    std::to_string(aLeftMs) + " ms are left");
+}
+
 void Runner::Beat()
 {
   for (;;) {
@@ -194,7 +206,11 @@
         body["Zone"] = mSettings.mZone;
         body["Version"] = "v1";
         body["Slots"] = 8;
-        body["State"] = "ready";
+        body["State"] = mLeavesAtMs < 0 ? "ready" : "draining";
+        if (mLeavesAtMs >= 0) {
+          body["DrainLeftMs"] =
+            Json::Int64{ std::max(0LL, mLeavesAtMs - NowMs()) };
+        }
         body["ColdLeftMs"] = 0;
         body["Capacity"]["Cpu"] = Json::Int64{ mSettings.mCpu };
         body["Capacity"]["MemMb"] = Json::Int64{ mSettings.mMemMb };
@@ -395,6 +411,10 @@
 {
   const long long now = NowMs();
   const bool lapsed = ClockMs() >= mDeadline;
+  if (lapsed && !mLapsed) {
+    mPool.Add({ 0, RunEvent::Kind::Lapsed, mSettings.mName, "all", 0, {} });
+  }
+  mLapsed = lapsed;
   const auto runs = mRuns;
   for (const auto& [task, before] : runs) {
     Run& run = mRuns.at(task);
--- a/review/harness-3/Runner.h
+++ b/review/harness-3/Runner.h
@@ -33,6 +33,7 @@
     Ended,
     Lost, ///< With its runner.
     Acked,
+    Lapsed, ///< The runner's lease; refers to no task.
   };
   long long mAtMs = 0;
   Kind mKind = Kind::Started;
@@ -100,6 +101,9 @@
   /// Starts a new incarnation under another id after a crash.
   void Start();
 
+  /// Says from now on that it drains, and for how long at least.
+  void Drain(long long aLeftMs);
+
   const std::string& Name() const { return mSettings.mName; }
   bool Up();
 
@@ -139,12 +143,14 @@
   Settings mSettings;
   std::unique_ptr<HttpServer> mServer;
   bool mUp = false;
+  long long mLeavesAtMs = -1; ///< Of a runner that drains.
   std::string mId;
   int mIncarnation = 0;
   long long mBornMs = 0;
   long long mSequence = 0;
   long long mFence = 0;
   long long mDeadline = 0;
+  bool mLapsed = true; ///< No lease is in force.
   std::map<std::string, Run> mRuns;
   std::map<std::string, long long> mHighestEnded;
   std::vector<End> mEnds;
--- a/review/harness-3/Store.cpp
+++ b/review/harness-3/Store.cpp
@@ -103,9 +103,43 @@
 Response Store::Handle(const Request& aRequest)
 {
   std::this_thread::sleep_for(kAnswerTime);
+  long long lateMs = 0;
+  if (TakeDelay(aRequest, lateMs)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(lateMs));
+    const Response late = Route(aRequest);
+    mRecord.Add("store: the late write is carried out: " +
+                std::to_string(late.mStatus));
+    return {};
+  }
   return Route(aRequest);
 }
 
+void Store::DelayNextWrite(const std::string& aPrefix, long long aLateMs)
+{
+  const std::lock_guard lock(mMutex);
+  mDelayedPrefix = aPrefix;
+  mLateMs = aLateMs;
+}
+
+bool Store::TakeDelay(const Request& aRequest, long long& aLateMs)
+{
+  const std::lock_guard lock(mMutex);
+  if (mDelayedPrefix.empty() || aRequest.Path() != "/kv-txn") {
+    return false;
+  }
+  const Json::Value body = ParseJson(aRequest.mBody);
+  for (const Json::Value& row : body["Writes"]) {
+    if (row["Key"].asString().starts_with(mDelayedPrefix)) {
+      aLateMs = mLateMs;
+      mRecord.Add("store: a write gets no answer and is late by " +
+                  std::to_string(aLateMs) + " ms: " + row["Key"].asString());
+      mDelayedPrefix.clear();
+      return true;
+    }
+  }
+  return false;
+}
+
 Response Store::Route(const Request& aRequest)
 {
   std::unique_lock lock(mMutex);
--- a/review/harness-3/Store.h
+++ b/review/harness-3/Store.h
@@ -25,6 +25,9 @@
   void Put(const std::string& aKey, const std::string& aValue);
   /// The value of a key; empty without one.
   std::string Get(const std::string& aKey);
+  /// The next write of a key with this prefix gets no answer and is carried out
+  /// `aLateMs` later, if its condition still holds.
+  void DelayNextWrite(const std::string& aPrefix, long long aLateMs);
   bool Listening() const { return mServer->Listening(); }
 
 private:
@@ -53,6 +56,7 @@
   Response Range(const Request& aRequest);
   Response Watch(const Request& aRequest, std::unique_lock<std::mutex>& aLock);
   Response Transaction(const Request& aRequest);
+  bool TakeDelay(const Request& aRequest, long long& aLateMs);
   Response GrantLease(const Request& aRequest);
   void Expire();
   void Set(const std::string& aKey,
@@ -67,6 +71,8 @@
   std::map<std::string, Item> mItems;
   std::deque<Event> mEvents;
   std::map<long long, Lease> mLeases;
+  std::string mDelayedPrefix;
+  long long mLateMs = 0;
   long long mRevision = 1;
   long long mLastLease = 0;
   std::unique_ptr<HttpServer> mServer;
