--- a/review/harness-3/Case8.cpp
+++ b/review/harness-3/Case8.cpp
@@ -1,41 +1,127 @@
 #include "Case.h"
 
-/// A job names a rack with a character that the project's records do not allow.
-/// The process that has accepted it, and runs it, is killed.
+#include <map>
+
+/// A runner drains. As its tasks end, a write of the store is late, and the
+/// processes of the leading scheduler and of the runner's agent are killed.
 namespace {
 
 using namespace review;
 
 constexpr char kPath[] = "/lohu930/5c0e7a21d94b36f8";
 constexpr char kBody[] =
-  R"({"Spec":"text","Steps":[)"
-  R"({"Replicas":2,"Cpu":500,"MemMb":256,"EstimateMs":4000,"Affinity":"r1/3"},)"
-  R"({"Replicas":2,"Cpu":500,"MemMb":256,"EstimateMs":4000,"After":[0]}]})";
-constexpr std::size_t kTasks = 4;
-constexpr long long kWorkMs = 4000;
+  R"({"Spec":"text","Steps":[{"Replicas":8,"Cpu":500,"MemMb":256,)"
+  R"("EstimateMs":6000}]})";
+constexpr long long kWorkMs = 6000;
+constexpr long long kApartMs = 80;
+constexpr long long kLateMs = 5000;
+constexpr int kTasks = 8;
+
+bool Ended(Cell& aCell, const std::string& aRunner)
+{
+  for (const RunEvent& event : aCell.Runs().Events()) {
+    if (event.mKind == RunEvent::Kind::Ended && event.mRunner == aRunner) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// TWICE: a start after a run has ended done, whose end is taken note of before
+/// the lease of its runner has lapsed.
+bool RanTwice(Cell& aCell, Record& aRecord)
+{
+  struct End
+  {
+    std::string mRunner;
+    long long mAtMs = 0;
+    long long mStartedAgainMs = -1;
+    bool mLapsed = false;
+  };
+  std::map<std::string, End> ends;
+  bool twice = false;
+  for (const RunEvent& event : aCell.Runs().Events()) {
+    const auto end = ends.find(event.mTask);
+    switch (event.mKind) {
+      case RunEvent::Kind::Ended:
+        if (event.mHow == "done") {
+          ends.try_emplace(event.mTask, End{ event.mRunner, event.mAtMs });
+        }
+        break;
+      case RunEvent::Kind::Started:
+        if (end != ends.end()) {
+          end->second.mStartedAgainMs = event.mAtMs;
+        }
+        break;
+      case RunEvent::Kind::Lapsed:
+        for (auto& [task, known] : ends) {
+          known.mLapsed = known.mLapsed || known.mRunner == event.mRunner;
+        }
+        break;
+      case RunEvent::Kind::Acked:
+        if (event.mHow == "done" && end != ends.end() &&
+            end->second.mStartedAgainMs >= 0 && !end->second.mLapsed) {
+          aRecord.Add("TWICE: " + event.mTask + " ended done at " +
+                      std::to_string(end->second.mAtMs) +
+                      " ms and was started again at " +
+                      std::to_string(end->second.mStartedAgainMs) +
+                      " ms; its end was taken note of");
+          twice = true;
+        }
+        break;
+      case RunEvent::Kind::Lost:
+        break;
+    }
+  }
+  return twice;
+}
 
 Verdict Run(const std::string& aLogs, Record& aRecord)
 {
-  Cell& cell = Cell::Make(
-    { .mFronts = 3, .mSides = 4, .mFolder = aLogs, .mRacks = { "r1/3" } },
-    aRecord,
-    [](const std::string&) { return TaskPlan{ .mWorkMs = kWorkMs }; });
-  if (!cell.Begin(Configuration(1, { { "r-3hwrr6x", "/lohu930/" } }))) {
+  Cell& cell =
+    Cell::Make({ .mFronts = 3, .mSides = 2, .mFolder = aLogs, .mStopMs = 900 },
+               aRecord,
+               [](const std::string& aTask) {
+                 const int index =
+                   std::stoi(aTask.substr(aTask.rfind('.') + 1));
+                 return TaskPlan{ .mWorkMs = kWorkMs + index * kApartMs };
+               });
+  if (!cell.Begin(Configuration(7, { { "r-3hwrr6x", "/lohu930/" } })) ||
+      !Submit(cell, 0, kPath, kBody)) {
     return Verdict::NotRun;
   }
+  SleepMs(1000);
+  Runner& leaves = cell.RunnerAt(0);
+  leaves.Drain(30'000);
+  SleepMs(3500);
   const std::size_t leader = *cell.Leader();
-  if (!Submit(cell, leader, kPath, kBody)) {
-    return Verdict::NotRun;
+  if (WithTrouble()) {
+    cell.Platform().DelayNextWrite("foxtailbarrow/p/", kLateMs);
   }
-  const long long accepted = NowMs();
-  SleepMs(1500);
+  while (!Ended(cell, leaves.Name())) {
+    SleepMs(5);
+  }
+  SleepMs(900);
   if (WithTrouble()) {
-    KillAndRestart(cell, leader, aRecord);
+    aRecord.Add("platform: SIGKILL to the processes of front-" +
+                std::to_string(leader + 1) + " and side-1");
+    cell.Front(leader).Kill();
+    cell.Side(0).Kill();
+    SleepMs(500);
+    aRecord.Add("platform: front-" + std::to_string(leader + 1) +
+                " starts again");
+    cell.Front(leader).Start();
+    SleepMs(1000);
+    aRecord.Add("platform: side-1 starts again");
+    cell.Side(0).Start();
   }
-  const bool lost = StandsStill(cell, kTasks, accepted, aRecord);
-  SleepMs(1000);
-  const std::string state = StateOf(cell, (leader + 1) % cell.Fronts(), kPath);
-  return lost || state != "completed" ? Verdict::Broken : Verdict::Held;
+  SleepMs(12'000);
+  const bool twice = RanTwice(cell, aRecord);
+  aRecord.Add("the job is " + StateOf(cell, 1, kPath));
+  if (cell.Runs().Done() < kTasks) {
+    return Verdict::NotRun;
+  }
+  return twice ? Verdict::Broken : Verdict::Held;
 }
 
 } // namespace
