--- a/review/harness-3/Case8.cpp
+++ b/review/harness-3/Case8.cpp
@@ -10,12 +10,30 @@
 
 constexpr char kPath[] = "/lohu930/5c0e7a21d94b36f8";
 constexpr char kBody[] =
-  R"({"Spec":"text","Steps":[{"Replicas":8,"Cpu":500,"MemMb":256,)"
+  R"({"Spec":"text","Steps":[{"Replicas":64,"Cpu":500,"MemMb":256,)"
   R"("EstimateMs":6000}]})";
 constexpr long long kWorkMs = 6000;
-constexpr long long kApartMs = 80;
+constexpr long long kApartMs = 160;
+/// Of the tasks on other runners.
+constexpr long long kLongWorkMs = 9000;
 constexpr long long kLateMs = 5000;
-constexpr int kTasks = 8;
+constexpr std::size_t kTasks = 64;
+constexpr int kRunners = 16;
+constexpr std::size_t kTasksPerRunner = 4;
+
+/// Number of the tasks that end first and were started on the runner.
+std::size_t ShortTasks(Cell& aCell, const std::string& aRunner)
+{
+  std::size_t count = 0;
+  for (const RunEvent& event : aCell.Runs().Events()) {
+    if (event.mKind == RunEvent::Kind::Started && event.mRunner == aRunner) {
+      const std::size_t dot = event.mTask.rfind('.');
+      const int index = std::stoi(event.mTask.substr(dot + 1));
+      count += index % kRunners == 0 ? 1 : 0;
+    }
+  }
+  return count;
+}
 
 bool Ended(Cell& aCell, const std::string& aRunner)
 {
@@ -78,20 +96,33 @@
 
 Verdict Run(const std::string& aLogs, Record& aRecord)
 {
-  Cell& cell =
-    Cell::Make({ .mFronts = 3, .mSides = 2, .mFolder = aLogs, .mStopMs = 900 },
-               aRecord,
-               [](const std::string& aTask) {
-                 const int index =
-                   std::stoi(aTask.substr(aTask.rfind('.') + 1));
-                 return TaskPlan{ .mWorkMs = kWorkMs + index * kApartMs };
-               });
+  Cell& cell = Cell::Make(
+    { .mFronts = 3, .mSides = kRunners, .mFolder = aLogs, .mStopMs = 900 },
+    aRecord,
+    [](const std::string& aTask) {
+      const int index = std::stoi(aTask.substr(aTask.rfind('.') + 1));
+      // Equal runners get the tasks in turn.
+      return TaskPlan{ .mWorkMs = index % kRunners == 0
+                                    ? kWorkMs + index / kRunners * kApartMs
+                                    : kLongWorkMs };
+    });
   if (!cell.Begin(Configuration(7, { { "r-3hwrr6x", "/lohu930/" } })) ||
       !Submit(cell, 0, kPath, kBody)) {
     return Verdict::NotRun;
   }
   SleepMs(1000);
-  Runner& leaves = cell.RunnerAt(0);
+  std::size_t leaving = cell.Runners();
+  for (std::size_t i = 0; i < cell.Runners(); ++i) {
+    if (ShortTasks(cell, cell.RunnerAt(i).Name()) == kTasksPerRunner) {
+      leaving = i;
+    }
+  }
+  if (leaving == cell.Runners()) {
+    return Verdict::NotRun;
+  }
+  Runner& leaves = cell.RunnerAt(leaving);
+  Process& agent = cell.Side(leaving);
+  const std::string agentName = "side-" + std::to_string(leaving + 1);
   leaves.Drain(30'000);
   SleepMs(3500);
   const std::size_t leader = *cell.Leader();
@@ -104,16 +135,16 @@
   SleepMs(900);
   if (WithTrouble()) {
     aRecord.Add("platform: SIGKILL to the processes of front-" +
-                std::to_string(leader + 1) + " and side-1");
+                std::to_string(leader + 1) + " and " + agentName);
     cell.Front(leader).Kill();
-    cell.Side(0).Kill();
+    agent.Kill();
     SleepMs(500);
     aRecord.Add("platform: front-" + std::to_string(leader + 1) +
                 " starts again");
     cell.Front(leader).Start();
     SleepMs(1000);
-    aRecord.Add("platform: side-1 starts again");
-    cell.Side(0).Start();
+    aRecord.Add("platform: " + agentName + " starts again");
+    agent.Start();
   }
   SleepMs(12'000);
   const bool twice = RanTwice(cell, aRecord);
--- a/review/harness-3/Case9.cpp
+++ b/review/harness-3/Case9.cpp
@@ -34,7 +34,7 @@
   queue.mSloMs = WithTrouble() ? kTwoDaysMs : kOneHourMs;
   SleepMs(500);
   cell.Platform().Put("op/config", Configuration(9, { queue }));
-  SleepMs(2500);
+  SleepMs(3500);
   RollFronts(cell, aRecord);
   const long long rolled = NowMs();
   const bool lost = StandsStill(cell, kTasks, rolled, aRecord);
--- a/review/harness-3/Cell.cpp
+++ b/review/harness-3/Cell.cpp
@@ -171,7 +171,7 @@
         { "FOXTAILBARROW_MAX_DESCRIPTORS", "4100" },
         { "FOXTAILBARROW_MAX_HOLD_MS", "6000" },
         { "FOXTAILBARROW_STOP_MS", std::to_string(aSettings.mStopMs) },
-        { "FOXTAILBARROW_CONFIG_APPLY_MS", "2000" },
+        { "FOXTAILBARROW_CONFIG_APPLY_MS", "3000" },
         { "FOXTAILBARROW_KEEP_ENDED_MS", "120000" } },
       mFolder + "/" + id + ".log"));
   }
