Name all unsaved ends in a closed record of an agent

Cause: the closed record was computed from the worker's reported state, which keeps the ends of the newest report only, since a report tells each end once. The record of a worker that left was removed before its last ends were saved, which has the same effect and does not depend on the stop time.

Change: EndAcknowledger knows every end that is not saved. TasksToAwait() decides what a record names and whether it may be removed; a task leaves it only after the store has acknowledged the progress.

--- a/apps/scheduler/CellOwnerAgentRecords.cpp
+++ b/apps/scheduler/CellOwnerAgentRecords.cpp
@@ -102,7 +102,7 @@
   }
   if (close) {
     // Nothing starts there from here on, so the list can only get shorter.
-    std::vector<TaskRef> tasks = TasksThatMayRunOn(worker);
+    std::vector<TaskRef> tasks = mLogic.TasksToAwait(aAgent);
     if (aLink.mCloseSaved && !IsMuchShorter(tasks, aLink.mClosedTasks)) {
       return;
     }
@@ -145,10 +145,12 @@
   mScheduleWaker.Wake();
 }
 
-/// The next owner waits for every agent that has a record, even if it has left.
+/// The next owner waits for every agent that has a record, even if it has left:
+/// the record stays until the ends there are saved.
 void CellOwner::RemoveAgentRecord(const AgentId& aAgent, AgentLink& aLink)
 {
-  if (aLink.mRecordInFlight || !std::exchange(aLink.mSaved, false)) {
+  if (aLink.mRecordInFlight || !mLogic.TasksToAwait(aAgent).empty() ||
+      !std::exchange(aLink.mSaved, false)) {
     return;
   }
   StoreTransaction transaction;
--- a/apps/scheduler/CellOwnerAgents.cpp
+++ b/apps/scheduler/CellOwnerAgents.cpp
@@ -120,7 +120,7 @@
 {
   while (!mEnded) {
     if (MonotonicNow() - aLink.mLastContactAt > kForgetAfter &&
-        !aLink.mRecordInFlight) {
+        !aLink.mRecordInFlight && mLogic.TasksToAwait(aAgent).empty()) {
       ForgetAgent(aAgent, aLink);
       return;
     }
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -109,6 +109,10 @@
   /// before the agent attaches again: the next owner need not expect it.
   bool RunsNothing(const AgentId& aAgent) const;
 
+  /// The tasks that a closed record of the agent has to name (RecordClosing.h);
+  /// none for an agent that has not attached in this term.
+  std::vector<TaskRef> TasksToAwait(const AgentId& aAgent) const;
+
   /// No other scheduler owned the cell at `aSentAt`: a read sent then found the
   /// cell's record unchanged.
   void OnOwnershipConfirmed(Instant aSentAt)
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -22,7 +22,7 @@
       continue;
     }
     const std::uint64_t version = OnEndedTask(aWorker, ended, aClock);
-    aWorker.mEnds.Add(ended.mNumber, ended.mTask.mJob, version);
+    aWorker.mEnds.Add(ended.mNumber, ended.mTask, version);
   }
 }
 
--- a/src/core/cell/records/CellRecords.h
+++ b/src/core/cell/records/CellRecords.h
@@ -129,8 +129,8 @@
   Endpoint mEndpoint;
   /// Nothing is started there any more until the record is written again.
   bool mClosed = false;
-  /// In a closed record: every task that may run there, or whose end there is
-  /// not acknowledged.
+  /// In a closed record: every task that may run there, or that has an end
+  /// there that is not saved (recovery/RecordClosing.h).
   std::vector<TaskRef> mTasks;
 };
 
--- a/src/core/cell/records/EndAcknowledger.cpp
+++ b/src/core/cell/records/EndAcknowledger.cpp
@@ -9,21 +9,32 @@
 }
 
 void EndAcknowledger::Add(std::int64_t aNumber,
-                          const JobId& aJob,
+                          const TaskRef& aTask,
                           std::uint64_t aVersion)
 {
   mLastNumber = aNumber;
-  mPending.push_back({ aNumber, aJob, aVersion });
+  mPending.push_back({ aNumber, aTask, aVersion });
 }
 
 std::int64_t EndAcknowledger::Acknowledge(const SavedVersion& aSavedVersion)
 {
-  while (!mPending.empty() &&
-         aSavedVersion(mPending.front().mJob) >= mPending.front().mVersion) {
+  while (!mPending.empty() && IsSaved(mPending.front(), aSavedVersion)) {
     mAcknowledged = mPending.front().mNumber;
     mPending.pop_front();
   }
   return mAcknowledged;
 }
 
+std::vector<TaskRef> EndAcknowledger::Unsaved(
+  const SavedVersion& aSavedVersion) const
+{
+  std::vector<TaskRef> tasks;
+  for (const PendingEnd& end : mPending) {
+    if (!IsSaved(end, aSavedVersion)) {
+      tasks.push_back(end.mTask);
+    }
+  }
+  return tasks;
+}
+
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/records/EndAcknowledger.h
+++ b/src/core/cell/records/EndAcknowledger.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <vector>
 
 #include "foxtailbarrow/Id.h"
+#include "src/core/cell/TaskRef.h"
 #include "src/core/cell/workers/WorkerState.h"
 
 namespace foxtailbarrow::cell {
@@ -26,12 +28,17 @@
   /// False for an end that was added before.
   bool IsNew(std::int64_t aNumber) const { return aNumber > mLastNumber; }
 
-  /// Adds an end that may be acknowledged once `aJob` is saved at `aVersion`.
-  void Add(std::int64_t aNumber, const JobId& aJob, std::uint64_t aVersion);
+  /// Adds an end of `aTask` that may be acknowledged once the job is saved at
+  /// `aVersion`.
+  void Add(std::int64_t aNumber, const TaskRef& aTask, std::uint64_t aVersion);
 
   /// Highest number that may be acknowledged.
   std::int64_t Acknowledge(const SavedVersion& aSavedVersion);
 
+  /// Tasks with an end that the saved progress does not include yet, whichever
+  /// report named it.
+  std::vector<TaskRef> Unsaved(const SavedVersion& aSavedVersion) const;
+
   bool Empty() const { return mPending.empty(); }
   /// Ends that may not be acknowledged yet.
   std::size_t Pending() const { return mPending.size(); }
@@ -40,10 +47,15 @@
   struct PendingEnd
   {
     std::int64_t mNumber = 0;
-    JobId mJob;
+    TaskRef mTask;
     std::uint64_t mVersion = 0;
   };
 
+  static bool IsSaved(const PendingEnd& aEnd, const SavedVersion& aSavedVersion)
+  {
+    return aSavedVersion(aEnd.mTask.mJob) >= aEnd.mVersion;
+  }
+
   WorkerIncarnation mIncarnation;
   std::int64_t mLastNumber = 0;
   std::int64_t mAcknowledged = 0;
--- a/src/core/cell/recovery/RecordClosing.cpp
+++ b/src/core/cell/recovery/RecordClosing.cpp
@@ -1,6 +1,7 @@
 #include "src/core/cell/recovery/RecordClosing.h"
 
 #include <set>
+#include <utility>
 
 namespace foxtailbarrow::cell {
 
@@ -17,17 +18,21 @@
   return false;
 }
 
-std::vector<TaskRef> TasksThatMayRunOn(const WorkerEntry& aWorker)
+std::vector<TaskRef> TasksToAwait(
+  const WorkerEntry& aWorker,
+  const EndAcknowledger::SavedVersion& aSavedVersion)
 {
   std::set<TaskRef> tasks;
-  for (const auto& [task, run] : aWorker.mRuns) {
-    tasks.insert(task);
+  if (aWorker.mLink != WorkerLink::Lost) {
+    for (const auto& [task, run] : aWorker.mRuns) {
+      tasks.insert(task);
+    }
+    for (const auto& [task, run] : aWorker.mForeign) {
+      tasks.insert(task);
+    }
   }
-  for (const auto& [task, run] : aWorker.mForeign) {
-    tasks.insert(task);
-  }
-  for (const EndedTask& ended : aWorker.mReported.mEnded) {
-    tasks.insert(ended.mTask);
+  for (TaskRef& task : aWorker.mEnds.Unsaved(aSavedVersion)) {
+    tasks.insert(std::move(task));
   }
   return { tasks.begin(), tasks.end() };
 }
--- a/src/core/cell/recovery/RecordClosing.h
+++ b/src/core/cell/recovery/RecordClosing.h
@@ -6,8 +6,10 @@
 #include "src/core/cell/TaskRef.h"
 #include "src/core/cell/workers/WorkerEntry.h"
 
-/// Closed records of agents: a next owner waits only for the tasks that such a
-/// record names.
+/// Closed records of agents. A next owner concludes of a task that a closed
+/// record does not name, and of every task once the record is removed, that no
+/// run of it is on the worker and that the saved progress includes each end of
+/// it that the worker still lists.
 namespace foxtailbarrow::cell {
 
 /// How long a worker is detached before its record is closed. Most agents
@@ -19,9 +21,12 @@
 /// its agent does not answer. For a worker that has attached in this term.
 bool ShouldCloseRecord(const WorkerEntry& aWorker, Instant aNow);
 
-/// Every task that may run on the worker or whose end there is not
-/// acknowledged. A task whose end is not saved must not be started elsewhere:
-/// the worker still lists the end.
-std::vector<TaskRef> TasksThatMayRunOn(const WorkerEntry& aWorker);
+/// The tasks that the record has to name: those that may run on the worker, and
+/// those with an end there that is not saved. Without any, the record of a lost
+/// worker may be removed. The list gets shorter only after the store has
+/// acknowledged the progress.
+std::vector<TaskRef> TasksToAwait(
+  const WorkerEntry& aWorker,
+  const EndAcknowledger::SavedVersion& aSavedVersion);
 
 } // namespace foxtailbarrow::cell
--- a/src/core/cell/workers/CellSchedulerWorkers.cpp
+++ b/src/core/cell/workers/CellSchedulerWorkers.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/recovery/RecordClosing.h"
 
 namespace foxtailbarrow::cell {
 
@@ -176,6 +177,16 @@
   return found != mWorkers.end() && found->second.mLink == WorkerLink::Lost;
 }
 
+std::vector<TaskRef> CellScheduler::TasksToAwait(const AgentId& aAgent) const
+{
+  const auto found = mWorkers.find(aAgent);
+  if (found == mWorkers.end()) {
+    return {};
+  }
+  return cell::TasksToAwait(
+    found->second, [this](const JobId& aJob) { return SavedVersion(aJob); });
+}
+
 /// A worker that does not answer its agent keeps its runs until its leases
 /// expire.
 void CellScheduler::UpdateReachability(WorkerEntry& aWorker,
--- a/tests/cell/UnreportedTasksTest.cpp
+++ b/tests/cell/UnreportedTasksTest.cpp
@@ -71,6 +71,23 @@
     return mScheduler.Workers().at(AgentId(aAgent));
   }
 
+  std::vector<TaskRef> Awaited(const std::string& aAgent) const
+  {
+    return mScheduler.TasksToAwait(AgentId(aAgent));
+  }
+
+  /// The runs that the orders start, from number `aFrom` on.
+  static std::vector<RunningTask> RunsOf(const OrderRequest& aOrders,
+                                         std::size_t aFrom)
+  {
+    std::vector<RunningTask> running;
+    for (std::size_t i = aFrom; i < aOrders.mStarts.size(); ++i) {
+      running.push_back(
+        Running(aOrders.mStarts[i].mTask, aOrders.mStarts[i].mRun));
+    }
+    return running;
+  }
+
   static WorkerState Draining(WorkerState aState)
   {
     aState.mInfo.mDraining = true;
@@ -163,7 +180,7 @@
   ASSERT_EQ(orders.mStarts.size(), 3U);
   Started("a", orders);
   const std::vector<TaskRef> all = { Task(0), Task(1), Task(2) };
-  EXPECT_EQ(TasksThatMayRunOn(Worker("a")), all);
+  EXPECT_EQ(Awaited("a"), all);
 
   const RunNumber run = orders.mStarts[0].mRun;
   const std::vector<RunningTask> others = {
@@ -172,12 +189,53 @@
   };
   Report("a",
          State("a-life", others, { Ended(1, Task(0), run, RunEnd::Done) }));
-  EXPECT_EQ(TasksThatMayRunOn(Worker("a")), all);
+  EXPECT_EQ(Awaited("a"), all);
   // The worker forgets an end that was acknowledged.
   SaveProgress();
   Report("a", State("a-life", others));
-  EXPECT_EQ(TasksThatMayRunOn(Worker("a")),
-            (std::vector<TaskRef>{ Task(1), Task(2) }));
+  EXPECT_EQ(Awaited("a"), (std::vector<TaskRef>{ Task(1), Task(2) }));
+}
+
+/// A report tells each end once. The record named the ends of the newest report
+/// only, and the next owner ran the tasks of earlier ones again.
+TEST_F(UnreportedTasksTest, AClosedRecordNamesTheUnsavedEndsOfAllReports)
+{
+  AttachAndGrant("a");
+  AddSavedJob(Graph("job", { Step(3) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  Report("a", State("a-life", RunsOf(orders, 0)));
+  for (std::int64_t ended = 1; ended <= 3; ++ended) {
+    WorkerChange change;
+    const StartOrder& start = orders.mStarts[ended - 1];
+    change.mRemoved = { { start.mTask, start.mRun } };
+    change.mEnded = { Ended(ended, start.mTask, start.mRun, RunEnd::Done) };
+    ReportRequest report = ReportOf("a", {});
+    report.mBase = report.mSequence - 1;
+    report.mChange = change;
+    ASSERT_TRUE(mScheduler.HandleReport(report, Clock()));
+    EXPECT_EQ(Awaited("a").size(), 3U);
+  }
+  SaveProgress();
+  EXPECT_TRUE(Awaited("a").empty());
+}
+
+/// Nothing runs on a worker that has left, but the next owner must not start
+/// what has ended there before its end is saved.
+TEST_F(UnreportedTasksTest, UnsavedEndsOfAWorkerThatLeftAreAwaited)
+{
+  AttachAndGrant("a");
+  AddSavedJob(Graph("job", { Step(2) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  WorkerState left = Draining(State(
+    "a-life", {}, { Ended(1, Task(0), orders.mStarts[0].mRun, RunEnd::Done) }));
+  left.mInfo.mLeft = true;
+  Report("a", left);
+  EXPECT_TRUE(mScheduler.RunsNothing(AgentId("a")));
+  EXPECT_EQ(Awaited("a"), std::vector<TaskRef>{ Task(0) });
+  SaveProgress();
+  EXPECT_TRUE(Awaited("a").empty());
 }
 
 } // namespace
--- a/tests/scheduler/AgentRecordTest.cpp
+++ b/tests/scheduler/AgentRecordTest.cpp
@@ -1,6 +1,8 @@
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
@@ -32,14 +34,20 @@
 
   bool mHoldNext = false;
   std::optional<StoreTransaction> mHeld;
+  bool mFailProgress = false; ///< No progress is written.
 
   absl::StatusOr<StoreTransactionResult> Commit(
     const StoreTransaction& aTransaction) override
   {
     if (std::exchange(mHoldNext, false)) {
       mHeld = aTransaction;
-      return WithVerdict(absl::DeadlineExceededError("no answer"),
-                         Verdict::MayHaveRun);
+      return NoAnswer();
+    }
+    if (mFailProgress &&
+        std::ranges::any_of(aTransaction.mWrites, [](const StoreWrite& aWrite) {
+          return aWrite.mKey.starts_with(cell::kProgressPrefix);
+        })) {
+      return NoAnswer();
     }
     return mStore.Commit(aTransaction);
   }
@@ -73,6 +81,12 @@
   }
 
 private:
+  static absl::Status NoAnswer()
+  {
+    return WithVerdict(absl::DeadlineExceededError("no answer"),
+                       Verdict::MayHaveRun);
+  }
+
   Store& mStore;
 };
 
@@ -119,6 +133,22 @@
     mServer.reset();
   }
 
+  /// Stores the job of the agent's tasks, as an earlier owner has started it.
+  void StoreJob()
+  {
+    cell::StoredJob job;
+    job.mGraph.mId = ReportingAgent::kJob;
+    job.mGraph.mQueue = cell::QueueId("queue");
+    job.mGraph.mSteps.resize(1);
+    job.mGraph.mSteps.front().mReplicas = ReportingAgent::kTasks;
+    StoreTransaction transaction;
+    transaction.mWrites = { { cell::JobKey(ReportingAgent::kJob),
+                              ToJsonText(job) },
+                            { cell::ProgressKey(ReportingAgent::kJob),
+                              ToJsonText(cell::StoredProgress{}) } };
+    ASSERT_TRUE(mMemory.Commit(transaction).ok());
+  }
+
   std::optional<cell::AgentContact> Record()
   {
     const auto entry = mMemory.Read(cell::AgentKey(AgentId("agent-0")));
@@ -210,6 +240,45 @@
   EXPECT_TRUE(IsClosed(false));
 }
 
+/// The record named the ends of the newest report only. As progress was not
+/// written, a next owner ran the tasks of earlier reports again.
+TEST_F(AgentRecordTest, NamesEndsOfAllReportsUntilTheyAreSaved)
+{
+  StoreJob();
+  Start(cell::kLongStop);
+  ASSERT_TRUE(Await([&] { return mAgent->AcceptedReports() > 0; }));
+  mRuntime.RunAndWait([&] { mStore.mFailProgress = true; });
+  mAgent->mDraining = true;
+  ASSERT_TRUE(Await([&] { return IsClosed(true); }));
+  while (mAgent->mRunning > 0) {
+    --mAgent->mRunning;
+    ++mAgent->mEndedDone;
+    const auto before = mAgent->AcceptedReports();
+    ASSERT_TRUE(Await([&] { return mAgent->AcceptedReports() > before; }));
+  }
+  EXPECT_FALSE(
+    Await([&] { return Record()->mTasks.size() < ReportingAgent::kTasks; },
+          seconds(1)));
+  mRuntime.RunAndWait([&] { mStore.mFailProgress = false; });
+  EXPECT_TRUE(Await([&] { return Record()->mTasks.empty(); }));
+}
+
+/// The record of a worker that left was removed although ends of it were not
+/// saved: nothing told a next owner to wait.
+TEST_F(AgentRecordTest, IsKeptForAWorkerThatLeftUntilItsEndsAreSaved)
+{
+  StoreJob();
+  Start(milliseconds(400));
+  ASSERT_TRUE(Await([&] { return mAgent->AcceptedReports() > 0; }));
+  mRuntime.RunAndWait([&] { mStore.mFailProgress = true; });
+  mAgent->mEndedDone = std::exchange(mAgent->mRunning, 0);
+  mAgent->mDraining = true;
+  mAgent->mLeft = true;
+  EXPECT_FALSE(Await([&] { return !Record(); }, seconds(1)));
+  mRuntime.RunAndWait([&] { mStore.mFailProgress = false; });
+  EXPECT_TRUE(Await([&] { return !Record(); }));
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::scheduler::test
--- a/tests/scheduler/ReportingAgent.cpp
+++ b/tests/scheduler/ReportingAgent.cpp
@@ -57,13 +57,18 @@
   state.mInfo.mFailureDomain = FailureDomainId(kFailureDomain);
   state.mInfo.mCapacity = { 64'000, 256'000, 0 };
   state.mInfo.mDraining = mDraining;
+  state.mInfo.mLeft = mLeft;
   for (int i = 0; i < mRunning; ++i) {
     RunningTask task;
-    task.mTask = { JobId("0123456789abcdef"), 0, 0, i };
+    task.mTask = { kJob, 0, 0, i };
     task.mRun = 1;
     task.mFigure = ++mFigure;
     state.mRunning.push_back(task);
   }
+  for (int i = 0; i < mEndedDone; ++i) {
+    state.mEnded.push_back(
+      { i + 1, { kJob, 0, 0, kTasks - 1 - i }, 1, RunEnd::Done, {} });
+  }
   return state;
 }
 
--- a/tests/scheduler/ReportingAgent.h
+++ b/tests/scheduler/ReportingAgent.h
@@ -26,9 +26,13 @@
 
   std::uint64_t AcceptedReports() const { return mAcceptedReports; }
 
+  /// The job of all its tasks, in run 1.
+  inline static const JobId kJob{ "0123456789abcdef" };
   static constexpr int kTasks = 22;
   bool mDraining = false; ///< The worker states that it will leave.
+  bool mLeft = false;     ///< The worker has left.
   int mRunning = kTasks;  ///< Tasks that it runs.
+  int mEndedDone = 0;     ///< Ended done, from the last task down.
 
 private:
   cell::WorkerState State();
