Count the last ends of a worker that left outside a session

A worker's tasks end, it leaves, and the owner is lost before the ends are saved. The next owner started the tasks again, as it used the ends in the last report only in a session with the agent.

An end is a fact, whichever owner the agent reported to before, so it counts in either case. Ends of runs that this owner has given up are ignored as before.

--- a/src/core/cell/workers/CellSchedulerWorkers.cpp
+++ b/src/core/cell/workers/CellSchedulerWorkers.cpp
@@ -155,10 +155,9 @@
   worker.mId = aReport.mAgent;
   worker.mEndpoint = aReport.mEndpoint;
   mUnreported.OnReported(aReport.mAgent);
-  if (aInSession) {
-    UpdateInfo(worker, aReport.mState, aClock);
-    OnEndedTasks(worker, aReport.mState.mEnded, aClock);
-  }
+  // An end is a fact, whichever owner the agent reported to before.
+  UpdateInfo(worker, aReport.mState, aClock);
+  OnEndedTasks(worker, aReport.mState.mEnded, aClock);
   LogDecision("worker-lost", {}, worker.mId, worker.mSession, "left");
   OnRunsLost(worker, "worker-left", LossCause::Known, aClock);
   worker.mLink = WorkerLink::Lost;
--- a/tests/cell/WorkerLeaveTest.cpp
+++ b/tests/cell/WorkerLeaveTest.cpp
@@ -62,6 +62,35 @@
   EXPECT_EQ(Orders("b").mStarts.size(), 1U);
 }
 
+/// A next owner learns the last ends from the agent of a worker that left
+/// before the agent was attached. It ignored them and ran the tasks again.
+TEST_F(WorkerLeaveTest, ItsLastEndsCountForANextOwner)
+{
+  mScheduler.ExpectAgents({ { kAgent } }, mNow + seconds(6));
+  AddInherited(Graph("job", { Step(1) }));
+  AttachAndGrant("b");
+  ReportUnattached(Left({ Ended(1, kFirst, kEarlierRun, RunEnd::Done) }));
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  SaveProgress();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
+}
+
+/// The same for an agent whose session has ended.
+TEST_F(WorkerLeaveTest, ItsLastEndsCountAfterItsSession)
+{
+  AttachAndGrant("a");
+  AddSavedJob(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  AttachAndGrant("b");
+  mScheduler.DetachWorker(kAgent, Clock());
+  ReportUnattached(
+    Left({ Ended(1, kFirst, orders.mStarts[0].mRun, RunEnd::Done) }));
+  EXPECT_TRUE(Orders("b").mStarts.empty());
+  SaveProgress();
+  EXPECT_EQ(mScheduler.PhaseOf(JobId("job")), JobPhase::Completed);
+}
+
 TEST_F(WorkerLeaveTest, NothingIsPlacedOnItUntilItsAgentAttachesAgain)
 {
   AttachAndGrant("a");
