Carry every name and text that the platform may use

Cause: names of the platform are any text, identifiers in records and messages are not, and nothing checked that what was read is one. Only the process that had it in memory could use it.

Change: IdFromName() encodes a name that is no identifier; platform/ applies it to racks, services, queues, zones and runners' ids. Names that were plain are unchanged, so records and messages keep their form, and raw names written by the version before are encoded as they are read. A scheduler reads a job's record back before it writes it, and refuses the job with 400 otherwise.

--- a/apps/scheduler/JobRequestHandlerChanges.cpp
+++ b/apps/scheduler/JobRequestHandlerChanges.cpp
@@ -30,6 +30,20 @@
   Waker mDone;
 };
 
+/// A job whose record gives back another one, or none, would be lost with the
+/// owner that has it in memory. Each scheduler reads it by the same rules.
+absl::Status CheckReadable(std::string_view aText, const StoredJob& aJob)
+{
+  const auto read = FromJsonText<StoredJob>(aText);
+  if (!read.ok()) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("the job cannot be stored: ", read.status().message()));
+  }
+  return *read == aJob ? absl::OkStatus()
+                       : absl::InvalidArgumentError(
+                           "the job cannot be stored as it was submitted");
+}
+
 } // namespace
 
 JobRefused JobRequestHandler::RefusalOf(const JobId& aJob, JobRefused aRefusal)
@@ -104,6 +118,11 @@
                                     " bytes, more than ",
                                     kMaxJobRecordBytes) };
   }
+  if (absl::Status readable = CheckReadable(text, job); !readable.ok()) {
+    return JobRefused{ RefusalCause::BadRequest,
+                       Verdict::NotRun,
+                       std::string(readable.message()) };
+  }
   if (auto refusal = RefuseWhileFull(id)) {
     return *std::move(refusal);
   }
--- a/src/core/cell/JobEntry.cpp
+++ b/src/core/cell/JobEntry.cpp
@@ -1,6 +1,7 @@
 #include "src/core/cell/JobEntry.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace foxtailbarrow::cell {
@@ -148,9 +149,14 @@
 std::int64_t JobEntry::DueUnixMs(std::int32_t aNumber) const
 {
   const Recurrence& recurrence = Graph().mRecurrence;
-  return recurrence.mCount == 0
-           ? 0
-           : recurrence.mFirstDueUnixMs + aNumber * recurrence.mIntervalMs;
+  if (recurrence.mCount == 0) {
+    return 0;
+  }
+  constexpr std::int64_t kLatest = std::numeric_limits<std::int64_t>::max();
+  const std::int64_t longest =
+    (kLatest - recurrence.mFirstDueUnixMs) / std::max<std::int64_t>(aNumber, 1);
+  return recurrence.mFirstDueUnixMs +
+         aNumber * std::min(recurrence.mIntervalMs, longest);
 }
 
 OccurrenceEntry& JobEntry::Open(std::int32_t aNumber)
--- a/src/core/message/detail/CellFields.h
+++ b/src/core/message/detail/CellFields.h
@@ -69,7 +69,7 @@
 {
   aVisitor.Required("session", aMessage.mSession);
   aVisitor.Required("number", aMessage.mNumber);
-  aVisitor.Optional("incarnation", aMessage.mIncarnation.mId);
+  aVisitor.Optional("incarnation", aMessage.mIncarnation.mId, kNameRule);
   aVisitor.Optional("startedUnixMs", aMessage.mIncarnation.mStartedUnixMs);
   aVisitor.Optional("starts", aMessage.mStarts);
   aVisitor.Optional("stops", aMessage.mStops);
@@ -151,7 +151,7 @@
 template<typename Visitor, Is<cell::DomainCordon> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Required("failureDomain", aMessage.mDomain);
+  aVisitor.Required("failureDomain", aMessage.mDomain, kNameRule);
   aVisitor.Required("cordoned", aMessage.mCordoned);
   aVisitor.Required("revision", aMessage.mRevision);
 }
@@ -198,7 +198,7 @@
 template<typename Visitor, Is<cell::QueryWaiting> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Required("queue", aMessage.mQueue);
+  aVisitor.Required("queue", aMessage.mQueue, kNameRule);
 }
 
 template<typename Visitor, Is<cell::QueryWaitingReply> Message>
@@ -238,7 +238,7 @@
   aVisitor.Required("kind", aMessage.mKind);
   aVisitor.Optional("job", aMessage.mJob);
   aVisitor.Optional("graph", aMessage.mGraph);
-  aVisitor.Optional("queue", aMessage.mQueue);
+  aVisitor.Optional("queue", aMessage.mQueue, kNameRule);
   aVisitor.Required("timeoutUs", aMessage.mTimeout);
 }
 
--- a/src/core/message/detail/CellRecordFields.h
+++ b/src/core/message/detail/CellRecordFields.h
@@ -25,7 +25,7 @@
   aVisitor.Optional("standing", aMessage.mStanding);
   aVisitor.Optional("leftover", aMessage.mBestEffort);
   aVisitor.Optional("requiredLabel", aMessage.mRequiredLabel);
-  aVisitor.Optional("dataRack", aMessage.mDataRack);
+  aVisitor.Optional("dataRack", aMessage.mDataRack, kNameRule);
   aVisitor.Optional("maxPerWorker", aMessage.mMaxPerWorker);
   aVisitor.Optional("maxUnavailable", aMessage.mMaxUnavailable);
   aVisitor.Optional("image", aMessage.mImage);
@@ -44,7 +44,7 @@
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
   aVisitor.Required("id", aMessage.mId);
-  aVisitor.Required("queue", aMessage.mQueue);
+  aVisitor.Required("queue", aMessage.mQueue, kNameRule);
   aVisitor.Optional("payload", aMessage.mPayload, kPayloadRule);
   aVisitor.Required("steps", aMessage.mSteps);
   aVisitor.Optional("recurrence", aMessage.mRecurrence);
--- a/src/core/message/detail/CellWorkerFields.h
+++ b/src/core/message/detail/CellWorkerFields.h
@@ -9,11 +9,11 @@
 template<typename Visitor, Is<cell::WorkerInfo> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Optional("incarnation", aMessage.mIncarnation.mId);
+  aVisitor.Optional("incarnation", aMessage.mIncarnation.mId, kNameRule);
   aVisitor.Optional("startedUnixMs", aMessage.mIncarnation.mStartedUnixMs);
-  aVisitor.Optional("service", aMessage.mService);
-  aVisitor.Optional("failureDomain", aMessage.mFailureDomain);
-  aVisitor.Optional("rack", aMessage.mRack);
+  aVisitor.Optional("service", aMessage.mService, kNameRule);
+  aVisitor.Optional("failureDomain", aMessage.mFailureDomain, kNameRule);
+  aVisitor.Optional("rack", aMessage.mRack, kNameRule);
   aVisitor.Optional("labels", aMessage.mLabels);
   aVisitor.Optional("capacity", aMessage.mCapacity);
   aVisitor.Optional("draining", aMessage.mDraining);
--- a/src/core/message/detail/FieldRules.h
+++ b/src/core/message/detail/FieldRules.h
@@ -29,13 +29,18 @@
   std::size_t mMaxBytes = kMaxTextBytes;
 };
 
-/// Bounds of an identifier. `mPlain` allows only [a-z0-9-].
+/// Bounds of an identifier. `mPlain` allows only [a-z0-9-]. `mFromName`: stands
+/// for a name of the outside world. Peers and records of earlier versions may
+/// have the name itself, which is encoded by IdFromName().
 struct IdRule
 {
   std::size_t mMaxBytes = kMaxIdBytes;
   bool mPlain = false;
+  bool mFromName = false;
 };
 
+inline constexpr IdRule kNameRule{ .mFromName = true };
+
 /// An IPv4 address as text.
 struct AddressRule
 {};
--- a/src/core/message/detail/Scalars.cpp
+++ b/src/core/message/detail/Scalars.cpp
@@ -9,6 +9,7 @@
 
 #include "foxtailbarrow/Endpoint.h"
 #include "src/core/message/Json.h"
+#include "src/core/message/NameId.h"
 
 namespace foxtailbarrow::detail {
 
@@ -189,6 +190,9 @@
     if (std::string text = aValue.asString(); IsId(text, aRule)) {
       aTarget = std::move(text);
       return true;
+    } else if (aRule.mFromName && !text.empty()) {
+      aTarget = IdFromName(text);
+      return true;
     }
   }
   AddProblem(aValue, aPath, IdText(aRule), aProblems);
