Use a configuration whose values are beyond our limits

Cause: one number above a limit of ours, one text above 1,024 bytes or one field of another type made the whole configuration unreadable. The store accepts only valid ones, so each of these may come.

Change: fields are read one by one. A number beyond what can be used is used as the largest that can be, one of another type keeps its default, and a route or service that cannot be identified is left out; each is logged, up to eight a version. The bounds keep all sums within a Duration.

--- a/apps/scheduler/ConfigurationWatch.cpp
+++ b/apps/scheduler/ConfigurationWatch.cpp
@@ -1,8 +1,11 @@
 #include "apps/scheduler/ConfigurationWatch.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
+#include "absl/hash/hash.h"
+
 #include "platform/ConfigurationCodec.h"
 #include "src/telemetry/Log.h"
 
@@ -15,6 +18,19 @@
 /// of the shortest time in which it must be in force.
 constexpr Duration kLongestRetry = std::chrono::milliseconds(1000);
 
+/// Says what of a configuration is not used as it was written.
+void LogNotices(std::int64_t aVersion, std::span<const std::string> aNotices)
+{
+  constexpr std::size_t kMaxLines = 8;
+  for (const std::string& notice :
+       aNotices.first(std::min(aNotices.size(), kMaxLines))) {
+    LogWarning("configuration-reduced",
+               { { "version", aVersion },
+                 { "field", notice },
+                 { "of", aNotices.size() } });
+  }
+}
+
 } // namespace
 
 ConfigurationWatch::ConfigurationWatch(Store& aStore,
@@ -112,10 +128,18 @@
 
 void ConfigurationWatch::Apply(std::string_view aText)
 {
-  auto parsed = platform::ParseConfiguration(aText);
+  std::vector<std::string> notices;
+  auto parsed = platform::ParseConfiguration(aText, notices);
   if (!parsed.ok()) {
-    LogError("configuration-unreadable",
-             { { "error", parsed.status().ToString() } });
+    // Each listing shows it again.
+    if (const auto text =
+          absl::HashOf(absl::string_view(aText.data(), aText.size()));
+        mUnreadable != text) {
+      mUnreadable = text;
+      LogError("configuration-unreadable",
+               { { "error", parsed.status().ToString() },
+                 { "inForce", mNewest ? mNewest->mVersion : 0 } });
+    }
     return;
   }
   if (mNewest && parsed->mVersion <= mNewest->mVersion) {
@@ -125,6 +149,7 @@
             { { "version", parsed->mVersion },
               { "before", mNewest ? mNewest->mVersion : 0 },
               { "routes", parsed->mRoutes.size() } });
+  LogNotices(parsed->mVersion, notices);
   mNewest = std::make_shared<const cell::CellConfiguration>(*std::move(parsed));
   mOnChange(*mNewest);
 }
--- a/apps/scheduler/ConfigurationWatch.h
+++ b/apps/scheduler/ConfigurationWatch.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <string_view>
@@ -64,6 +65,10 @@
     return mNewest;
   }
 
+  /// True once the operator's configuration was found, also if it could not be
+  /// read: an owner keeps what runs.
+  bool Found() const { return mNewest != nullptr || mUnreadable.has_value(); }
+
   /// When the store last answered.
   Instant LastContactAt() const { return mLastContactAt; }
 
@@ -79,6 +84,8 @@
   OnCordons mOnCordons;
   std::shared_ptr<const cell::CellConfiguration> mNewest;
   cell::CordonTable mCordons;
+  /// Hash of the last configuration that could not be read.
+  std::optional<std::size_t> mUnreadable;
   bool mStale = true;
   std::uint64_t mStaleMarks = 0; ///< Calls of MarkStale().
   Instant mLastContactAt{};
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -1,5 +1,8 @@
+#include <functional>
+#include <limits>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -194,6 +197,110 @@
   EXPECT_TRUE(policy.mWorkersGuard);
 }
 
+/// A value beyond our limits made the whole configuration unreadable, and no
+/// scheduler that started with it served or led.
+struct LargeValue
+{
+  const char* mName;
+  const char* mRoute; ///< Fields of a route.
+  std::function<bool(const cell::QueueRoute&)> mUsed;
+};
+
+class LargeConfiguration : public testing::TestWithParam<LargeValue>
+{};
+
+TEST_P(LargeConfiguration, IsUsedAsFarAsItCanBe)
+{
+  std::vector<std::string> notices;
+  const auto configuration = ParseConfiguration(
+    std::string(R"({"Version":7,"Routes":[{"Name":"r","Host":"h",)"
+                R"("Prefix":"/p/","Service":"s",)") +
+      GetParam().mRoute + R"(},{"Name":"t","Prefix":"/t/","Service":"s"}]})",
+    notices);
+  ASSERT_TRUE(configuration.ok()) << configuration.status();
+  ASSERT_EQ(configuration->mRoutes.size(), 2U);
+  EXPECT_TRUE(GetParam().mUsed(configuration->mRoutes[0]));
+  EXPECT_EQ(notices.size(), 1U);
+}
+
+constexpr std::int32_t kLargest = std::numeric_limits<std::int32_t>::max();
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  LargeConfiguration,
+  testing::Values(
+    LargeValue{ "Objective",
+                R"("SloMs":9223372036854775807)",
+                [](const auto& aRoute) {
+                  return aRoute.mPolicy.mAllowance >= std::chrono::hours(48);
+                } },
+    LargeValue{ "ObjectiveBeyond64Bits",
+                R"("SloMs":1e30)",
+                [](const auto& aRoute) {
+                  return aRoute.mPolicy.mAllowance >= std::chrono::hours(48);
+                } },
+    LargeValue{ "Timeout",
+                R"("TimeoutMs":18446744073709551615)",
+                [](const auto& aRoute) {
+                  return aRoute.mTimeout >= std::chrono::hours(48);
+                } },
+    LargeValue{
+      "Priority",
+      R"("Priority":2147483648)",
+      [](const auto& aRoute) { return aRoute.mPolicy.mPriority == kLargest; } },
+    LargeValue{
+      "Attempts",
+      R"("Attempts":4294967297)",
+      [](const auto& aRoute) { return aRoute.mPolicy.mAttempts == kLargest; } },
+    LargeValue{
+      "Stretch",
+      R"("Stretch":1e300)",
+      [](const auto& aRoute) { return aRoute.mPolicy.mStretch >= 1000.0; } },
+    LargeValue{ "Advice",
+                R"("Advice":{"DecideMs":5,"EachMs":1,"ValidMs":1e12})",
+                [](const auto& aRoute) {
+                  return aRoute.mPolicy.mAdvice->mTicketLifetime ==
+                         std::chrono::hours(24);
+                } },
+    LargeValue{ "WrongType",
+                R"("SloMs":"long")",
+                [](const auto& aRoute) {
+                  return aRoute.mPolicy.mAllowance == Duration::zero();
+                } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+TEST(ConfigurationCodec, AnObjectiveOfTwoDaysIsUsedAsItIs)
+{
+  std::vector<std::string> notices;
+  const auto configuration = ParseConfiguration(
+    R"({"Version":7,"Routes":[{"Name":"r","Service":"s","SloMs":172800000,
+        "Priority":2000000,"Attempts":2000000}]})",
+    notices);
+  ASSERT_TRUE(configuration.ok());
+  const cell::QueuePolicy& policy = configuration->mRoutes[0].mPolicy;
+  EXPECT_EQ(policy.mAllowance, std::chrono::hours(48));
+  EXPECT_EQ(policy.mPriority, 2'000'000);
+  EXPECT_EQ(policy.mAttempts, 2'000'000);
+  EXPECT_TRUE(notices.empty());
+}
+
+/// Guards against one odd entry that takes its neighbours out of force.
+TEST(ConfigurationCodec, ARouteOrServiceThatCannotBeReadIsLeftOut)
+{
+  std::vector<std::string> notices;
+  const auto configuration = ParseConfiguration(
+    R"({"Version":7,"Routes":[7,{"Name":["r"],"Service":"s"},{"Name":"t",
+        "Prefix":"/t/","Service":"s"}],"Services":[[],{"Name":"s",
+        "EnforcesCapacity":true},{"Name":{}}],"Limits":[],
+        "Other":{"a":[1]}})",
+    notices);
+  ASSERT_TRUE(configuration.ok()) << configuration.status();
+  ASSERT_EQ(configuration->mRoutes.size(), 1U);
+  EXPECT_EQ(configuration->mRoutes[0].mPolicy.mQueue, cell::QueueId("t"));
+  EXPECT_TRUE(configuration->mRoutes[0].mPolicy.mWorkersGuard);
+  EXPECT_EQ(notices.size(), 5U);
+}
+
 TEST(WorkerHeartbeat, IsParsed)
 {
   net::HttpRequest request;
--- a/tests/platform/JobApiTest.cpp
+++ b/tests/platform/JobApiTest.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include "platform/ConfigurationCodec.h"
 #include "platform/JobApi.h"
+#include "src/core/cell/CellScheduler.h"
+#include "src/core/cell/placing/Timeliness.h"
 
 namespace foxtailbarrow::platform::test {
 
@@ -265,6 +268,41 @@
   EXPECT_TRUE(response.mHeaders.Find("Retry-After").has_value());
 }
 
+/// The sums and multiples of the largest values of callers and operator must
+/// not overflow: the job would count as hopeless.
+TEST(JobApi, TheLargestValuesGiveADeadlineInTheFuture)
+{
+  const auto configuration = ParseConfiguration(
+    R"({"Version":1,"Routes":[{"Name":"queue","Host":"jobs.example",
+        "Prefix":"/queue/","Service":"s",
+        "SloMs":1e18,"Stretch":1e18}]})");
+  ASSERT_TRUE(configuration.ok());
+  std::string steps;
+  for (std::size_t i = 0; i < cell::kMaxSteps; ++i) {
+    steps +=
+      (i == 0 ? "" : ",") +
+      std::string(R"({"Replicas":1,"EstimateMs":31536000000,"After":[)") +
+      (i == 0 ? "" : std::to_string(i - 1)) + "]}";
+  }
+  const auto request = ParseJobRequest(Request("POST",
+                                               std::string("/queue/") + kId,
+                                               R"({"Steps":[)" + steps + "]}"),
+                                       *configuration);
+  ASSERT_TRUE(request.ok()) << request.status();
+  const cell::JobGraph& graph =
+    std::get<cell::SubmitJob>(request->mBody).mGraph;
+  cell::CellScheduler scheduler(1, {}, [](const cell::CellDecision&) {});
+  scheduler.SetQueues({ configuration->mRoutes[0].mPolicy });
+  const cell::CellClock clock{ Instant(std::chrono::hours(1)), 1 };
+  scheduler.AddJob({ graph, 1, false }, {}, 0, clock);
+  cell::JobEntry job = scheduler.Jobs().at(JobId(kId));
+  EXPECT_GT(job.mDeadline, clock.mNow + std::chrono::hours(24 * 365 * 64));
+  EXPECT_EQ(cell::TimelinessOf(job, job.Open(0), false, clock.mNow),
+            cell::Timeliness::OnTime);
+  EXPECT_NE(cell::TimelinessOf(job, job.Open(0), false, job.mDeadline),
+            cell::Timeliness::OnTime);
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::platform::test
