Lead the cell while the configuration cannot be read

A scheduler that starts with an unreadable configuration, and no earlier one, took no part in the election: nobody extends the leases of running tasks.

An owner needs no configuration to keep what runs. The election waits until one was found, readable or not. The default policy of an unknown queue has one attempt, so that such an owner would fail jobs: a job without a known queue does not fail, and its failures count once the queue is known.

--- a/apps/scheduler/Scheduler.cpp
+++ b/apps/scheduler/Scheduler.cpp
@@ -274,7 +274,7 @@
   mFibers.Repeat(mConfigurationWaker,
                  [this] { return mConfiguration.Round(); });
   mFibers.Repeat(mElection.RoundWaker(), [this] {
-    return mConfiguration.Newest() ? mElection.Round() : kConfigurationPoll;
+    return mConfiguration.Found() ? mElection.Round() : kConfigurationPoll;
   });
   mFibers.Repeat(mCordonSpread.RoundWaker(),
                  [this] { return mCordonSpread.Round(); });
--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -38,6 +38,10 @@
     JobEntry& job = mJobs.at(id);
     if (const auto found = mQueues.find(job.Graph().mQueue);
         found != mQueues.end()) {
+      if (!job.HasPolicy()) {
+        mPoliciesLearned.insert(id);
+        mNeedsPlacement = true;
+      }
       job.mPolicy = found->second;
       job.mDeadline = DeadlineOf(job);
     }
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -240,6 +240,8 @@
                   const AgentId& aAgent,
                   const CellClock& aClock);
   static std::size_t FailuresOf(JobEntry& aJob, const TaskRef& aTask);
+  static bool IsExhausted(JobEntry& aJob, const TaskRef& aTask);
+  void FailExhaustedJobs(const CellClock& aClock);
   void UpdateFailuresInRow(WorkerEntry& aWorker,
                            const EndedTask& aEnded,
                            const CellClock& aClock);
@@ -474,6 +476,7 @@
   std::set<JobId> mActiveJobs; ///< Jobs that have not ended.
   std::set<JobId> mUnsaved;
   std::set<JobId> mToCompact; ///< Jobs that may hold state they do not need.
+  std::set<JobId> mPoliciesLearned; ///< Jobs whose queue was not known before.
   WorkerTable mWorkers;
   std::set<FailureDomainId> mCordonedDomains;
   InterferenceEstimator mInterference;
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "src/core/cell/CellScheduler.h"
 
@@ -11,6 +13,25 @@
 /// progress.
 constexpr std::uint64_t kNeedsNoSave = 0;
 
+/// Tasks of open occurrences with a failed run.
+std::vector<TaskRef> FailedTasks(const JobEntry& aJob)
+{
+  std::vector<TaskRef> tasks;
+  for (const auto& [number, occurrence] : aJob.mOpen) {
+    TaskRef task{ aJob.Graph().mId, number, 0, 0 };
+    for (const StepEntry& step : occurrence.mSteps) {
+      for (const auto& [index, entry] : step.Touched()) {
+        task.mIndex = index;
+        if (!entry.mFailedRuns.empty()) {
+          tasks.push_back(task);
+        }
+      }
+      ++task.mStep;
+    }
+  }
+  return tasks;
+}
+
 } // namespace
 
 void CellScheduler::OnEndedTasks(WorkerEntry& aWorker,
@@ -169,12 +190,36 @@
   task.mFailedRuns.push_back(aEnded.mRun);
   task.mFailedOn.push_back(aAgent);
   MarkUnsaved(aJob, aClock.mNow);
-  const auto failures = FailuresOf(aJob, aEnded.mTask);
-  if (failures >= static_cast<std::size_t>(aJob.mPolicy.mAttempts)) {
+  if (IsExhausted(aJob, aEnded.mTask)) {
     FinishJob(aJob, JobPhase::Failed, aClock);
   }
 }
 
+/// True if the task, or its gang, has failed as often as its queue allows.
+bool CellScheduler::IsExhausted(JobEntry& aJob, const TaskRef& aTask)
+{
+  return aJob.HasPolicy() && FailuresOf(aJob, aTask) >=
+                               static_cast<std::size_t>(aJob.mPolicy.mAttempts);
+}
+
+/// Ends jobs whose tasks failed too often while their queue was not known.
+void CellScheduler::FailExhaustedJobs(const CellClock& aClock)
+{
+  for (const JobId& id : std::exchange(mPoliciesLearned, {})) {
+    const auto found = mJobs.find(id);
+    if (found == mJobs.end() || found->second.Final()) {
+      continue;
+    }
+    JobEntry& job = found->second;
+    if (const auto tasks = FailedTasks(job);
+        std::ranges::any_of(tasks, [&](const TaskRef& aTask) {
+          return IsExhausted(job, aTask);
+        })) {
+      FinishJob(job, JobPhase::Failed, aClock);
+    }
+  }
+}
+
 /// Failed runs of the task or its gang; members that fail in one run count
 /// once.
 std::size_t CellScheduler::FailuresOf(JobEntry& aJob, const TaskRef& aTask)
--- a/src/core/cell/JobEntry.h
+++ b/src/core/cell/JobEntry.h
@@ -59,6 +59,8 @@
 
   const JobGraph& Graph() const { return mStored.mGraph; }
   bool Final() const { return IsFinal(mPhase); }
+  /// False while no configuration with its queue is known.
+  bool HasPolicy() const { return !mPolicy.mQueue.Empty(); }
 
   const StepSpec& Spec(const TaskRef& aTask) const
   {
--- a/src/core/cell/placing/CellSchedulerPlacing.cpp
+++ b/src/core/cell/placing/CellSchedulerPlacing.cpp
@@ -15,6 +15,7 @@
 void CellScheduler::Schedule(const CellClock& aClock)
 {
   CompactJobs();
+  FailExhaustedJobs(aClock);
   ExpireWorkers(aClock);
   for (auto& [id, worker] : mWorkers) {
     if (worker.mLink != WorkerLink::Attached) {
--- a/tests/cell/CellSchedulerTest.cpp
+++ b/tests/cell/CellSchedulerTest.cpp
@@ -380,6 +380,38 @@
                   PlacementCase{ "LabelMissing", 0, "other", 0 }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
+/// A scheduler may lead before it can read a configuration. It took the number
+/// of attempts of an unknown queue for one, and failed the job.
+TEST_F(CellSchedulerTest, AJobOfAnUnknownQueueDoesNotFail)
+{
+  AttachAndGrant("a");
+  AddSavedJob(Graph("job", { Step(1) }));
+  const OrderRequest orders = Orders("a");
+  Started("a", orders);
+  CellScheduler next(kGeneration + 1, mSettings, [](const CellDecision&) {});
+  next.AddJob({ Graph("job", { Step(1) }), mUnixMs, false }, {}, 7, Clock());
+  const TaskRef task = orders.mStarts[0].mTask;
+  const AgentId agent("a");
+  const auto fail = [&](std::int64_t aNumber, RunNumber aRun) {
+    next.AttachWorker(
+      agent,
+      { "127.0.0.1", 1 },
+      aNumber,
+      State("a-life", {}, { Ended(aNumber, task, aRun, RunEnd::Failed) }),
+      Clock());
+  };
+  fail(1, orders.mStarts[0].mRun);
+  next.Schedule(Clock());
+  EXPECT_EQ(next.Jobs().at(JobId("job")).mPhase, JobPhase::Queued);
+  // Once its queue is known, what has failed counts.
+  next.SetQueues({ Policy(1) });
+  EXPECT_TRUE(next.NeedsPlacement());
+  next.OnGrant(agent, mNow + mSettings.mMaxTaskLease);
+  next.Schedule(Clock());
+  EXPECT_EQ(next.Jobs().at(JobId("job")).mPhase, JobPhase::Failed);
+  EXPECT_TRUE(next.TakeOrders(agent).mStarts.empty());
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::cell::test
--- a/tests/scheduler/ConfigurationWatchTest.cpp
+++ b/tests/scheduler/ConfigurationWatchTest.cpp
@@ -176,6 +176,39 @@
                 { FailureDomainId("a") } }),
   [](const auto& aInfo) { return std::string(aInfo.param.mName); });
 
+/// A scheduler that started with a configuration that cannot be read took no
+/// part in the election, so that what ran was not kept.
+TEST(ConfigurationWatchTest, AnUnreadableConfigurationIsFoundAndNotInForce)
+{
+  net::FiberRuntime runtime(1);
+  MemoryStore store;
+  ConfigurationWatch watch(
+    store,
+    [](const cell::CellConfiguration&) {},
+    [](const cell::CordonTable&) {});
+  const auto put = [&](const std::string& aText) {
+    const StoreTransaction write{
+      {}, { { std::string(platform::kConfigurationKey), aText } }
+    };
+    ASSERT_TRUE(store.Commit(write).ok());
+  };
+  runtime.RunAndWait([&] {
+    EXPECT_TRUE(watch.Refresh().ok());
+    EXPECT_FALSE(watch.Found());
+    put("[]");
+    EXPECT_TRUE(watch.Refresh().ok());
+    EXPECT_TRUE(watch.Found());
+    EXPECT_EQ(watch.Newest(), nullptr);
+    put(Configuration(2));
+    EXPECT_TRUE(watch.Refresh().ok());
+    ASSERT_NE(watch.Newest(), nullptr);
+    put("[]");
+    EXPECT_TRUE(watch.Refresh().ok());
+    EXPECT_EQ(watch.Newest()->mVersion, 2);
+    store.Close();
+  });
+}
+
 } // namespace
 
 } // namespace foxtailbarrow::scheduler::test
