Leave out records of jobs that nobody can have submitted

Another writer's record of a job, valid JSON with each field within its bounds, ends each scheduler that takes the cell over with SIGSEGV: a step depends on one that does not exist.

Cause: the order of steps was checked where callers submit, and nowhere else.

Change: CheckGraph() is applied to records, announcements and forwarded requests as well. It bounds steps, dependencies, occurrences and estimates; durations in messages are bounded so that sums do not overflow.

Red before, on with the tests alone: UnreadableEntryTest LaterDependency (SIGSEGV), ManySteps, LongEstimate, ManyOccurrences.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -84,7 +84,14 @@
     LogUnreadable(aEntry, "the job ID does not match the key");
     return std::nullopt;
   }
-  return job && IsTombstone(*job) ? std::nullopt : job;
+  if (!job || IsTombstone(*job)) {
+    return std::nullopt;
+  }
+  if (const absl::Status valid = CheckGraph(job->mGraph); !valid.ok()) {
+    LogUnreadable(aEntry, valid.ToString());
+    return std::nullopt;
+  }
+  return job;
 }
 
 void CellOwner::LogUnreadable(const StoreEntry& aEntry,
@@ -281,7 +288,8 @@
 
 void CellOwner::OnRecordChanged(const StoredJob& aJob)
 {
-  if (mUnreadableJobs.contains(aJob.mGraph.mId)) {
+  if (mUnreadableJobs.contains(aJob.mGraph.mId) ||
+      (!IsTombstone(aJob) && !CheckGraph(aJob.mGraph).ok())) {
     return;
   }
   mLogic.AddJob(aJob, {}, 0, Clock());
--- a/apps/scheduler/JobRequestHandlerChanges.cpp
+++ b/apps/scheduler/JobRequestHandlerChanges.cpp
@@ -103,6 +103,11 @@
                        Verdict::NotRun,
                        "the job has no ID or no steps" };
   }
+  if (const absl::Status valid = CheckGraph(aSubmit.mGraph); !valid.ok()) {
+    return JobRefused{ RefusalCause::BadRequest,
+                       Verdict::NotRun,
+                       std::string(valid.message()) };
+  }
   const JobId& id = aSubmit.mGraph.mId;
   if (auto refusal = RefuseWhileSilent(id)) {
     return *std::move(refusal);
--- a/src/core/cell/IndexRanges.cpp
+++ b/src/core/cell/IndexRanges.cpp
@@ -6,7 +6,7 @@
 
 IndexRanges::IndexRanges(std::span<const std::int32_t> aFlat)
 {
-  std::int32_t next = 0;
+  std::int64_t next = 0;
   for (std::size_t i = 0; i + 1 < aFlat.size(); i += 2) {
     const std::int32_t first = aFlat[i];
     const std::int32_t last = aFlat[i + 1];
@@ -15,7 +15,7 @@
     }
     mLastByFirst.emplace_hint(mLastByFirst.end(), first, last);
     mCount += std::int64_t{ last } - first + 1;
-    next = last + 1;
+    next = std::int64_t{ last } + 1;
   }
 }
 
--- a/src/core/cell/JobGraph.h
+++ b/src/core/cell/JobGraph.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "absl/status/status.h"
+
 #include "foxtailbarrow/Id.h"
 #include "foxtailbarrow/Resources.h"
 #include "foxtailbarrow/Time.h"
@@ -17,6 +20,8 @@
 inline constexpr std::int32_t kMaxStepReplicas = 10'000;
 inline constexpr std::size_t kMaxSteps = 64;
 inline constexpr std::int32_t kMaxOccurrences = 10'000;
+/// Longest estimate of a task, latency target and interval of a recurrence.
+inline constexpr Duration kMaxDeclaredTime = std::chrono::hours(365 * 24);
 
 /// A set of identical tasks of a job.
 struct StepSpec
@@ -65,6 +70,11 @@
   bool operator==(const JobGraph&) const = default;
 };
 
+/// InvalidArgument for a graph that no caller can have submitted: of a number
+/// of steps, a dependency, an estimate or a recurrence out of bounds. Records
+/// and messages may contain one that somebody else has written.
+absl::Status CheckGraph(const JobGraph& aGraph);
+
 /// Number of executions of the steps, at least 1.
 inline std::int32_t Occurrences(const JobGraph& aGraph)
 {
--- a/src/core/message/detail/FieldRules.h
+++ b/src/core/message/detail/FieldRules.h
@@ -14,6 +14,8 @@
 inline constexpr std::size_t kMaxTextBytes = 1024;
 inline constexpr std::size_t kMaxListItems = 65'536;
 inline constexpr double kMaxNumber = 1e12;
+/// 73,000 years in microseconds: a point in time plus it does not overflow.
+inline constexpr Duration::rep kMaxDurationUs = Duration::rep{ 1 } << 61U;
 
 /// Bounds of a number, inclusive.
 template<typename T>
@@ -72,10 +74,7 @@
 template<>
 struct DefaultRule<Duration>
 {
-  static constexpr NumberRule<Duration::rep> kValue{
-    0,
-    std::numeric_limits<Duration::rep>::max()
-  };
+  static constexpr NumberRule<Duration::rep> kValue{ 0, kMaxDurationUs };
 };
 
 template<>
--- a/tests/scheduler/UnreadableEntryTest.cpp
+++ b/tests/scheduler/UnreadableEntryTest.cpp
@@ -135,6 +135,41 @@
                   R"("acceptedUnixMs":99999999999999999999999,)"
                   R"("phase":"no such","endpoint":"1:99999999"})");
               } },
+    BadEntry{ "LaterDependency",
+              [] {
+                return std::string(
+                  R"({"graph":{"id":"bad","queue":"q","steps":[)"
+                  R"({"replicas":1,"after":[1000000]}]},"acceptedUnixMs":1})");
+              } },
+    BadEntry{ "PortOutOfRange",
+              [] {
+                return std::string(
+                  R"({"endpoint":{"address":"127.0.0.1","port":70000}})");
+              } },
+    BadEntry{ "ManySteps",
+              [] {
+                std::string steps = R"({"replicas":1})";
+                for (int i = 0; i < 1'000; ++i) {
+                  steps += R"(,{"replicas":1})";
+                }
+                return R"({"graph":{"id":"bad","queue":"q","steps":[)" + steps +
+                       R"(]},"acceptedUnixMs":1})";
+              } },
+    BadEntry{ "LongEstimate",
+              [] {
+                return std::string(
+                  R"({"graph":{"id":"bad","queue":"q","steps":[)"
+                  R"({"replicas":1,"estimateUs":2305843009213693952},)"
+                  R"({"replicas":1,"estimateUs":2305843009213693952,)"
+                  R"("after":[0]}]},"acceptedUnixMs":1})");
+              } },
+    BadEntry{
+      "ManyOccurrences",
+      [] {
+        return std::string(
+          R"({"graph":{"id":"bad","queue":"q","steps":[{"replicas":1}],)"
+          R"("recurrence":{"count":2147483647}},"acceptedUnixMs":1})");
+      } },
     BadEntry{ "OfAnotherKey",
               [] {
                 return std::string(
