Replace odd entries under the keys of the election

Another writer's text under the key of the owner or of the cell left the cell without an owner for good; a generation near the largest number ended the scheduler that took the cell over.

An unreadable owner's entry without a lease is no owner's: the cell counts as vacant. An unreadable record of the cell is replaced with a generation above the entry's revision, which no earlier one can exceed. Generations in records are bounded, and each such entry is logged once.

Red before, on the parent with the test alone: OddRecordsTest, three of five hung, one failed, one ended with SIGABRT. After: 28 passed (election, takeover and store load tests).

--- a/apps/scheduler/Election.cpp
+++ b/apps/scheduler/Election.cpp
@@ -92,7 +92,7 @@
   if (absl::IsNotFound(entry.status())) {
     mBackoff.Reset();
     mVacant = true;
-    return mCandidacy.MayTake(MonotonicNow()) ? TryAcquire(0) : Duration(1);
+    return mCandidacy.MayTake(MonotonicNow()) ? TryAcquire({}) : Duration(1);
   }
   if (!entry.ok()) {
     return mBackoff.Next(mRandom);
@@ -117,20 +117,27 @@
 
 Duration Election::WatchOwner(const StoreEntry& aEntry)
 {
+  const auto record = FromJsonText<OwnerRecord>(aEntry.mValue);
+  if (!record.ok()) {
+    LogUnreadable("owner-record-unreadable", aEntry, record.status());
+    if (aEntry.mLease == 0) {
+      // No owner has written it, and nothing would ever remove it.
+      mVacant = true;
+      return mCandidacy.MayTake(MonotonicNow())
+               ? TryAcquire({ aEntry.mModRevision, false })
+               : Duration(1);
+    }
+  }
   mVacant = false;
   mCandidacy.OnOwnerSeen();
-  if (const auto record = FromJsonText<OwnerRecord>(aEntry.mValue);
-      record.ok()) {
+  if (record.ok()) {
     OnOwnerSeen(*record);
     // This process listens there now, so the process that owned the cell has
     // ended. Its key need not expire first.
     if (record->mScheduler == mSettings.mId &&
         record->mEndpoint == mSettings.mAdvertised) {
-      return TryAcquire(aEntry.mModRevision);
+      return TryAcquire({ aEntry.mModRevision, true });
     }
-  } else {
-    LogError("owner-record-unreadable",
-             { { "error", record.status().ToString() } });
   }
   // Not from the entry's own revision: the store may have dropped the history
   // since then, and every watch from there would end at once.
@@ -155,7 +162,34 @@
     OwnerRecord{ mSettings.mId, mSettings.mAdvertised, aGeneration, aToken });
 }
 
-Duration Election::TryAcquire(Revision aOwnerRevision)
+void Election::LogUnreadable(std::string_view aEvent,
+                             const StoreEntry& aEntry,
+                             const absl::Status& aError)
+{
+  // Each entry is read many times.
+  if (std::exchange(mUnreadableRevision, aEntry.mModRevision) !=
+      aEntry.mModRevision) {
+    LogError(
+      aEvent,
+      { { "revision", aEntry.mModRevision }, { "error", aError.ToString() } });
+  }
+}
+
+/// The newest generation. A term takes one revision of the store at least, so
+/// that none is higher than the revision of a record that cannot be read.
+CellRecord Election::ReadCellRecord(const StoreEntry& aEntry)
+{
+  const auto record = FromJsonText<CellRecord>(aEntry.mValue);
+  if (record.ok()) {
+    return *record;
+  }
+  LogUnreadable("cell-record-unreadable", aEntry, record.status());
+  CellRecord replacement;
+  replacement.mGeneration = std::min(aEntry.mModRevision, kMaxGeneration / 2);
+  return replacement;
+}
+
+Duration Election::TryAcquire(const ReplacedOwner& aOwner)
 {
   const auto cell = mStore.Read(kCellKey);
   if (!cell.ok() && !absl::IsNotFound(cell.status())) {
@@ -164,13 +198,7 @@
   CellRecord record;
   Revision revision = 0;
   if (cell.ok()) {
-    const auto parsed = FromJsonText<CellRecord>(cell->mValue);
-    if (!parsed.ok()) {
-      LogError("cell-record-unreadable",
-               { { "error", parsed.status().ToString() } });
-      return mBackoff.Next(mRandom);
-    }
-    record = *parsed;
+    record = ReadCellRecord(*cell);
     revision = cell->mModRevision;
   }
   record.mGeneration = std::max(record.mGeneration, mGeneration) + 1;
@@ -183,7 +211,7 @@
     return mBackoff.Next(mRandom);
   }
   const Instant sentAt = MonotonicNow();
-  const auto won = Propose(record, { aOwnerRevision, revision }, *lease);
+  const auto won = Propose(record, { aOwner.mRevision, revision }, *lease);
   if (!won.ok()) {
     LogWarning("election-unsettled", { { "error", won.status().ToString() } });
     return mBackoff.Next(mRandom);
@@ -192,8 +220,7 @@
     mVacant = false;
     return Duration(1); // Another scheduler was faster.
   }
-  // An owner key that is replaced is that of this process before its restart.
-  const Predecessor before{ aOwnerRevision != 0, revision };
+  const Predecessor before{ aOwner.mEnded, revision };
   OwnerTerm term(record.mGeneration, **won, sentAt, mCellSettings, before);
   term.ExtendKey(leaseSentAt, kOwnerTtl);
   Begin(record, term, *lease);
--- a/apps/scheduler/Election.h
+++ b/apps/scheduler/Election.h
@@ -66,7 +66,18 @@
     Revision mCell = 0;
   };
 
-  Duration TryAcquire(Revision aOwnerRevision);
+  /// An entry of the owner's key that a proposal replaces.
+  struct ReplacedOwner
+  {
+    Revision mRevision = 0;
+    bool mEnded = false; ///< It was this process before its restart.
+  };
+
+  Duration TryAcquire(const ReplacedOwner& aOwner);
+  cell::CellRecord ReadCellRecord(const StoreEntry& aEntry);
+  void LogUnreadable(std::string_view aEvent,
+                     const StoreEntry& aEntry,
+                     const absl::Status& aError);
   Duration RenewTerm();
   absl::StatusOr<std::optional<Revision>> Propose(
     const cell::CellRecord& aRecord,
@@ -98,6 +109,7 @@
   cell::Generation mGeneration = 0;
   Instant mSeenAt{};
   bool mVacant = false; ///< The owner's key is gone, and no new one was seen.
+  Revision mUnreadableRevision = 0; ///< Of the entry last logged as such.
   bool mResigned = false;
 };
 
--- a/apps/taskagent/OwnerLink.cpp
+++ b/apps/taskagent/OwnerLink.cpp
@@ -202,8 +202,13 @@
   }
   const auto record = FromJsonText<OwnerRecord>(entry->mValue);
   if (!record.ok()) {
-    LogError("owner-record-unreadable",
-             { { "error", record.status().ToString() } });
+    // Each search reads it again.
+    if (std::exchange(mUnreadableRevision, entry->mModRevision) !=
+        entry->mModRevision) {
+      LogError("owner-record-unreadable",
+               { { "revision", entry->mModRevision },
+                 { "error", record.status().ToString() } });
+    }
     return false;
   }
   return OnOwnerFound(record->mGeneration, record->mEndpoint);
--- a/apps/taskagent/OwnerLink.h
+++ b/apps/taskagent/OwnerLink.h
@@ -91,6 +91,7 @@
   Instant mLastContactAt{};
   bool mInContact = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
+  Revision mUnreadableRevision = 0; ///< Of the entry last logged as such.
   Backoff mSearches;
   Instant mNextSearchAt{};
   std::uint64_t mReports = 0;
--- a/src/core/cell/records/CellRecords.h
+++ b/src/core/cell/records/CellRecords.h
@@ -114,6 +114,9 @@
   std::int64_t mToken = 0; ///< Identifies the owner's own writes.
 };
 
+/// Largest generation of a record: sessions and runs are derived from it.
+inline constexpr Generation kMaxGeneration = Generation{ 1 } << 30U;
+
 /// `cell`, under no lease: the newest generation. Every write of the owner
 /// depends on its revision.
 struct CellRecord
--- a/src/core/message/detail/CellRecordFields.h
+++ b/src/core/message/detail/CellRecordFields.h
@@ -7,6 +7,10 @@
 namespace foxtailbarrow::detail {
 
 inline constexpr TextRule kPayloadRule{ std::size_t{ 16 } * 1024 };
+inline constexpr NumberRule<cell::Generation> kGenerationRule{
+  0,
+  cell::kMaxGeneration
+};
 inline constexpr TextRule kBitmapRule{ cell::kMaxStepReplicas };
 
 template<typename Visitor, Is<cell::StepSpec> Message>
@@ -115,14 +119,14 @@
 {
   aVisitor.Required("scheduler", aMessage.mScheduler);
   aVisitor.Required("endpoint", aMessage.mEndpoint);
-  aVisitor.Required("generation", aMessage.mGeneration);
+  aVisitor.Required("generation", aMessage.mGeneration, kGenerationRule);
   aVisitor.Required("token", aMessage.mToken);
 }
 
 template<typename Visitor, Is<cell::CellRecord> Message>
 void Fields(Visitor& aVisitor, Message& aMessage)
 {
-  aVisitor.Required("generation", aMessage.mGeneration);
+  aVisitor.Required("generation", aMessage.mGeneration, kGenerationRule);
   aVisitor.Required("scheduler", aMessage.mScheduler);
   aVisitor.Required("token", aMessage.mToken);
 }
--- a/tests/scheduler/ElectionTest.cpp
+++ b/tests/scheduler/ElectionTest.cpp
@@ -126,6 +126,75 @@
   });
 }
 
+/// Entries that another writer left under the keys of the election.
+struct OddRecords
+{
+  const char* mName;
+  const char* mOwner; ///< Without a lease; empty = none.
+  const char* mCell;  ///< Empty = none.
+};
+
+class OddRecordsTest : public testing::TestWithParam<OddRecords>
+{};
+
+/// No scheduler ever led the cell while one of them could not be read.
+TEST_P(OddRecordsTest, AreReplaced)
+{
+  net::FiberRuntime runtime(1);
+  MemoryStore store;
+  net::HttpClient client(runtime);
+  net::RpcClient rpc(client);
+  SchedulerSettings settings;
+  settings.mId = EntryId("scheduler");
+  settings.mAdvertised = { "10.0.0.1", 7000 };
+  Election election(settings, {}, store, [&](const cell::OwnerTerm& aTerm) {
+    return MakePlainOwner(runtime, store, rpc, aTerm);
+  });
+  const auto put = [&](std::string_view aKey, const std::string& aText) {
+    if (!aText.empty()) {
+      ASSERT_TRUE(store.Commit({ {}, { { std::string(aKey), aText } } }).ok());
+    }
+  };
+  runtime.RunAndWait([&] {
+    put(cell::kOwnerKey, GetParam().mOwner);
+    put(cell::kCellKey, GetParam().mCell);
+    const auto before = store.Read(cell::kCellKey);
+    TakeCell(election);
+    ASSERT_NE(election.Owner(), nullptr);
+    const auto cell = store.Read(cell::kCellKey);
+    ASSERT_TRUE(cell.ok());
+    const auto record = FromJsonText<cell::CellRecord>(cell->mValue);
+    ASSERT_TRUE(record.ok()) << cell->mValue;
+    // Higher than each earlier one, of which none takes less than a revision.
+    EXPECT_GT(record->mGeneration, before.ok() ? before->mModRevision : 0);
+    EXPECT_LE(record->mGeneration, cell::kMaxGeneration);
+    const auto owner = store.Read(cell::kOwnerKey);
+    ASSERT_TRUE(owner.ok());
+    EXPECT_TRUE(FromJsonText<cell::OwnerRecord>(owner->mValue).ok())
+      << owner->mValue;
+    election.Superseded();
+    store.Close();
+    boost::this_fiber::sleep_for(std::chrono::seconds(1));
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  OddRecordsTest,
+  testing::Values(
+    OddRecords{ "Owner", "[[[[", "" },
+    OddRecords{ "OwnerWithAPortOutOfRange",
+                R"({"scheduler":"s","generation":7,"token":1,)"
+                R"("endpoint":{"address":"10.0.0.1","port":70000}})",
+                "" },
+    OddRecords{ "Cell", "", "7" },
+    OddRecords{ "CellWithALargeGeneration",
+                "",
+                R"({"scheduler":"s","generation":9223372036854775807,)"
+                R"("token":1})" },
+    OddRecords{ "Both", "null", "[]" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
 } // namespace
 
 } // namespace foxtailbarrow::scheduler::test
