Leave out odd rows of a runner's and the advisor's answers

One row that cannot be read made a runner's whole answer unreadable, so that the runner counted as silent and all its tasks were lost; one odd grant hid those of all runners.

Rows that cannot be read are left out and counted.

--- a/apps/taskagent/WorkerControl.cpp
+++ b/apps/taskagent/WorkerControl.cpp
@@ -208,6 +208,12 @@
   if (!reply.ok()) {
     return reply;
   }
+  if (std::exchange(mUnreadableRows, reply->mUnreadable) !=
+      reply->mUnreadable) {
+    LogWarning("worker-rows-unreadable",
+               { { "incarnation", ToString(incarnation) },
+                 { "rows", reply->mUnreadable } });
+  }
   mLease.SampleClock(reply->mClock, now);
   const bool ended = mLiveness.Ended();
   if (!mLiveness.OnPoll(now)) {
--- a/src/core/cell/workers/TaskWorker.h
+++ b/src/core/cell/workers/TaskWorker.h
@@ -64,6 +64,7 @@
   WorkerTimeMs mClock = 0; ///< When the worker answered.
   std::vector<RunningTask> mRunning;
   std::vector<EndedTask> mEnded;
+  std::size_t mUnreadable = 0; ///< Rows that were left out.
 };
 
 struct StartReply
