Log and count an unreadable entry once per revision

Each listing after the end of a watch logged and counted every unreadable entry again, up to ten times a second in an outage.

--- a/apps/scheduler/CellOwner.cpp
+++ b/apps/scheduler/CellOwner.cpp
@@ -97,6 +97,11 @@
 void CellOwner::LogUnreadable(const StoreEntry& aEntry,
                               std::string_view aReason)
 {
+  // A listing shows the same entry again.
+  if (std::exchange(mUnreadableEntries[aEntry.mKey], aEntry.mModRevision) ==
+      aEntry.mModRevision) {
+    return;
+  }
   ++mCounters.mUnreadable;
   LogError("entry-unreadable",
            { { "key", aEntry.mKey },
--- a/apps/scheduler/CellOwner.h
+++ b/apps/scheduler/CellOwner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -197,6 +198,8 @@
   /// Jobs with unreadable progress. Nothing of them is started, since it is not
   /// known which of their tasks have run.
   std::set<JobId> mUnreadableJobs;
+  /// Revisions of unreadable entries, by key.
+  std::map<std::string, Revision> mUnreadableEntries;
   Waker mScheduleWaker;
   Waker mSaveWaker;
   OwnerCounters mCounters;
--- a/tests/scheduler/UnreadableEntryTest.cpp
+++ b/tests/scheduler/UnreadableEntryTest.cpp
@@ -107,6 +107,30 @@
   });
 }
 
+/// A watch that ends again and again, as in an outage, lists the entries each
+/// time; each listing logged and counted them again.
+TEST_P(UnreadableEntryTest, IsCountedOnce)
+{
+  mRuntime.RunAndWait([&] {
+    Put(cell::JobKey(JobId("bad")), GetParam().mText());
+    TakeCell(mElection);
+    const auto owner = mElection.Owner();
+    ASSERT_NE(owner, nullptr);
+    StoreFaults outage;
+    outage.mOutage = true;
+    for (int i = 0; i < 3; ++i) {
+      mStore.SetFaults(outage);
+      boost::this_fiber::sleep_for(milliseconds(150));
+      mStore.SetFaults({});
+      boost::this_fiber::sleep_for(milliseconds(300));
+    }
+    EXPECT_EQ(owner->Counters().mUnreadable, 1U);
+    mElection.Superseded();
+    mStore.Close();
+    boost::this_fiber::sleep_for(std::chrono::seconds(1));
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Table,
   UnreadableEntryTest,
