--- a/src/core/cell/CellScheduler.cpp
+++ b/src/core/cell/CellScheduler.cpp
@@ -39,7 +39,7 @@
     if (const auto found = mQueues.find(job.Graph().mQueue);
         found != mQueues.end()) {
       if (!job.HasPolicy()) {
-        mPoliciesLearned.insert(id);
+        mJobsWithNewPolicy.insert(id);
         mNeedsPlacement = true;
       }
       job.mPolicy = found->second;
--- a/src/core/cell/CellScheduler.h
+++ b/src/core/cell/CellScheduler.h
@@ -476,7 +476,7 @@
   std::set<JobId> mActiveJobs; ///< Jobs that have not ended.
   std::set<JobId> mUnsaved;
   std::set<JobId> mToCompact; ///< Jobs that may hold state they do not need.
-  std::set<JobId> mPoliciesLearned; ///< Jobs whose queue was not known before.
+  std::set<JobId> mJobsWithNewPolicy; ///< Their queue was not known before.
   WorkerTable mWorkers;
   std::set<FailureDomainId> mCordonedDomains;
   InterferenceEstimator mInterference;
--- a/src/core/cell/CellSchedulerEnds.cpp
+++ b/src/core/cell/CellSchedulerEnds.cpp
@@ -205,7 +205,7 @@
 /// Ends jobs whose tasks failed too often while their queue was not known.
 void CellScheduler::FailExhaustedJobs(const CellClock& aClock)
 {
-  for (const JobId& id : std::exchange(mPoliciesLearned, {})) {
+  for (const JobId& id : std::exchange(mJobsWithNewPolicy, {})) {
     const auto found = mJobs.find(id);
     if (found == mJobs.end() || found->second.Final()) {
       continue;
