--- a/apps/taskagent/WorkerControl.h
+++ b/apps/taskagent/WorkerControl.h
@@ -142,7 +142,7 @@
   bool mSessionReady = false;   ///< The worker was polled in mSession.
   std::int64_t mOrdersDone = 0; ///< Newest order number in mSession.
   cell::Fence mFence = 0;
-  std::size_t mUnreadableRows = 0; ///< In the newest reply to a poll.
+  std::size_t mUnreadableRows = 0;   ///< In the newest reply to a poll.
   cell::WorkerLiveness mLiveness;    ///< Of the current incarnation.
   boost::fibers::mutex mSettleMutex; ///< Held by Settle().
 };
